--- /dev/null
+++ b/crates/node-core/src/owner.rs
@@ -0,0 +1,334 @@
+//! The role that polls an engine and gives it orders. Each engine's owner is
+//! the first member of its zone in rendezvous order; two owners for a moment
+//! do no harm, since polls change nothing and orders are fenced.
+
+use peatgrade_schema::engine::{EngineOrder, LoadDocument, OrderKind, OrderReply};
+use peatgrade_schema::peer::mod_Envelope::OneOfbody;
+use peatgrade_schema::peer::{EngineLoad, LoadReport, WeightOrder, WeightReport};
+use peatgrade_types::http::{HttpRequest, ResponsePart};
+use peatgrade_types::{rendezvous_order, rendezvous_owner, Duration, EngineId, NodeId, Time};
+use std::collections::BTreeMap;
+
+use crate::bulletin::{note_load, rank, Bulletins};
+use crate::context::{Context, HttpPurpose};
+use crate::distribution::zone_tree;
+
+/// Time between two polls of an engine.
+const POLL_INTERVAL: Duration = Duration::from_secs(1);
+const POLL_TIMEOUT: Duration = Duration::from_millis(1_500);
+const ORDER_TIMEOUT: Duration = Duration::from_secs(8);
+/// Wait after an order that failed.
+const ORDER_RETRY: Duration = Duration::from_millis(500);
+/// Engines that copy straight from the weight store; the others copy from the
+/// engine half-way up a binary tree.
+const FROM_STORE: usize = 2;
+
+/// Tellings of one step of progress, since one alone may get lost.
+const REPORTS: u32 = 4;
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Progress told to the coordinator, how often, and when last.
+#[derive(Clone, Debug)]
+struct Reported {
+    epoch: u64,
+    version: u64,
+    active: bool,
+    times: u32,
+    at: Time,
+}
+
+#[derive(Debug, Default)]
+struct Owned {
+    next_poll: Time,
+    polling: bool,
+    load: Option<LoadDocument>,
+    ordering: Option<WeightOrder>,
+    next_order: Time,
+    failures: u32,
+    body: Vec<u8>,
+    status: u16,
+    order_body: Vec<u8>,
+    order_status: u16,
+    reported: Option<Reported>,
+    boot: u64,
+}
+
+/// Engines owned by this node.
+#[derive(Debug, Default)]
+pub(crate) struct Owner {
+    engines: BTreeMap<EngineId, Owned>,
+}
+
+impl Owner {
+    /// Engines owned now.
+    pub fn count(&self) -> usize {
+        self.engines.len()
+    }
+
+    pub fn tick(&mut self, ctx: &mut Context, bulletins: &Bulletins) {
+        self.choose(ctx);
+        let ids: Vec<EngineId> = self.engines.keys().copied().collect();
+        for id in ids {
+            self.poll(ctx, id);
+            self.give_order(ctx, bulletins, id);
+        }
+    }
+
+    /// Takes up engines that hash to this node and lays down others.
+    fn choose(&mut self, ctx: &Context) {
+        let me = ctx.identity.node;
+        let mine = ctx
+            .engines
+            .all()
+            .filter(|info| owner_of(ctx, info.id, &info.zone) == Some(me));
+        let mine: Vec<EngineId> = mine.map(|info| info.id).collect();
+        self.engines
+            .retain(|id, owned| mine.contains(id) || owned.polling);
+        for id in mine {
+            self.engines.entry(id).or_default();
+        }
+    }
+
+    fn poll(&mut self, ctx: &mut Context, id: EngineId) {
+        let Some(owned) = self.engines.get_mut(&id) else {
+            return;
+        };
+        let Some(address) = ctx.engines.get(id).map(|info| info.address.clone()) else {
+            return;
+        };
+        if owned.polling || ctx.now < owned.next_poll {
+            return;
+        }
+        owned.polling = true;
+        owned.next_poll = ctx.now + POLL_INTERVAL;
+        let request = HttpRequest::new("GET", "/load", "");
+        ctx.http(&address, request, POLL_TIMEOUT, HttpPurpose::Load(id));
+    }
+
+    pub fn on_load(&mut self, ctx: &mut Context, id: EngineId, part: ResponsePart) {
+        let Some(owned) = self.engines.get_mut(&id) else {
+            return;
+        };
+        match part {
+            ResponsePart::Head(head) => {
+                owned.status = head.status;
+                owned.body.clear();
+            }
+            ResponsePart::Data(data) => owned.body.extend_from_slice(&data),
+            ResponsePart::Failed(failure) => {
+                owned.polling = false;
+                log::debug!("step=poll-engine error={failure}");
+                ctx.circuits.failed(ctx.now, id);
+            }
+            ResponsePart::End => {
+                owned.polling = false;
+                let parsed = serde_json::from_slice::<LoadDocument>(&owned.body);
+                if let Some(document) = parsed.ok().filter(|_| owned.status == 200) {
+                    self.on_document(ctx, id, document);
+                }
+            }
+        }
+    }
+
+    fn on_document(&mut self, ctx: &mut Context, id: EngineId, document: LoadDocument) {
+        let Some(owned) = self.engines.get_mut(&id) else {
+            return;
+        };
+        if owned.boot != document.boot {
+            owned.boot = document.boot;
+            owned.reported = None;
+            ctx.prefixes.forget(id);
+        }
+        for event in &document.events {
+            ctx.prefixes
+                .on_event(id, event.sequence, &event.stored, &event.evicted);
+        }
+        let load = EngineLoad {
+            engine: id.0,
+            waiting: document.waiting,
+            running: document.running,
+            weights: document.weights,
+            leaving: document.leaving || document.out_of_service,
+            age: document.age_ms,
+            cache_used_permille: document.cache_used_permille,
+        };
+        owned.load = Some(document);
+        note_load(ctx, &load);
+        let zone = ctx.settings.zone.clone();
+        if let Some(root) = zone_tree(ctx, &zone).root() {
+            let loads = vec![load];
+            ctx.send(root, OneOfbody::load_report(LoadReport { loads }));
+        }
+    }
+
+    /// Orders the engine towards the version in force for its pool.
+    fn give_order(&mut self, ctx: &mut Context, bulletins: &Bulletins, id: EngineId) {
+        let Some(info) = ctx.engines.get(id).cloned() else {
+            return;
+        };
+        let order = bulletins
+            .orders()
+            .find(|order| order.pool == info.pool)
+            .cloned();
+        let Some(owned) = self.engines.get_mut(&id) else {
+            return;
+        };
+        let Some((order, load)) = order.zip(owned.load.as_ref()) else {
+            return;
+        };
+        let active = load.weights >= order.version && !load.out_of_service;
+        let staged = active || load.staged >= order.version;
+        let settled = active || (staged && !order.activate);
+        if settled {
+            report(ctx, owned, id, &order, staged, active);
+            return;
+        }
+        let superseded = owned
+            .ordering
+            .as_ref()
+            .is_some_and(|given| rank(given) < rank(&order));
+        if (owned.ordering.is_some() && !superseded) || ctx.now < owned.next_order {
+            return;
+        }
+        let kind = if staged {
+            OrderKind::Activate
+        } else {
+            OrderKind::Stage
+        };
+        let source = if owned.failures > 0 {
+            String::new()
+        } else {
+            source_of(ctx, id, &info.pool)
+        };
+        let body = EngineOrder {
+            epoch: order.epoch,
+            order: order.version * 2 + u64::from(kind == OrderKind::Activate),
+            kind,
+            model: order.model.clone(),
+            version: order.version,
+            source,
+        };
+        owned.ordering = Some(order);
+        let request = HttpRequest::new(
+            "POST",
+            "/orders",
+            serde_json::to_vec(&body).unwrap_or_default(),
+        );
+        ctx.http(
+            &info.address,
+            request,
+            ORDER_TIMEOUT,
+            HttpPurpose::Order(id),
+        );
+    }
+
+    pub fn on_order(&mut self, ctx: &mut Context, id: EngineId, part: ResponsePart) {
+        let Some(owned) = self.engines.get_mut(&id) else {
+            return;
+        };
+        match part {
+            ResponsePart::Head(head) => {
+                owned.order_status = head.status;
+                owned.order_body.clear();
+            }
+            ResponsePart::Data(data) => owned.order_body.extend_from_slice(&data),
+            ResponsePart::Failed(failure) => {
+                log::warn!("step=order-engine error={failure}");
+                owned.failures += 1;
+                owned.ordering = None;
+                owned.next_order = ctx.now + ORDER_RETRY;
+            }
+            ResponsePart::End => {
+                owned.ordering = None;
+                let parsed = serde_json::from_slice::<OrderReply>(&owned.order_body);
+                let Some(reply) = parsed.ok().filter(|_| owned.order_status == 200) else {
+                    owned.failures += 1;
+                    owned.next_order = ctx.now + ORDER_RETRY;
+                    return;
+                };
+                self.on_order_reply(ctx, id, reply);
+            }
+        }
+    }
+
+    fn on_order_reply(&mut self, ctx: &mut Context, id: EngineId, reply: OrderReply) {
+        let Some(owned) = self.engines.get_mut(&id) else {
+            return;
+        };
+        if !reply.accepted || !reply.done {
+            log::warn!("step=order-engine engine={} reason={}", id.0, reply.reason);
+            owned.failures += 1;
+            owned.next_order = ctx.now + ORDER_RETRY;
+        } else {
+            owned.failures = 0;
+        }
+        if let Some(load) = &mut owned.load {
+            load.weights = reply.weights;
+            load.staged = reply.staged;
+            if reply.done {
+                load.out_of_service = false;
+            }
+        }
+        owned.next_poll = ctx.now;
+    }
+}
+
+/// Tells the coordinator of an engine's progress, a few times per step of it.
+fn report(
+    ctx: &mut Context,
+    owned: &mut Owned,
+    id: EngineId,
+    order: &WeightOrder,
+    staged: bool,
+    active: bool,
+) {
+    let told = owned.reported.as_ref().filter(|told| {
+        (told.epoch, told.version, told.active) == (order.epoch, order.version, active)
+    });
+    let times = told.map_or(0, |told| told.times);
+    let recent = told.is_some_and(|told| ctx.now.since(told.at) < REPORT_INTERVAL);
+    if times >= REPORTS || recent {
+        return;
+    }
+    owned.reported = Some(Reported {
+        epoch: order.epoch,
+        version: order.version,
+        active,
+        times: times + 1,
+        at: ctx.now,
+    });
+    let report = WeightReport {
+        model: order.pool.clone(),
+        version: order.version,
+        epoch: order.epoch,
+        engine: id.0,
+        staged,
+        active,
+        failed: false,
+    };
+    ctx.send(NodeId(order.coordinator), OneOfbody::weight_report(report));
+}
+
+/// Owner of an engine: the first reachable member of its zone, or of the
+/// region if its zone has none.
+fn owner_of(ctx: &Context, id: EngineId, zone: &str) -> Option<NodeId> {
+    let key = u64::from(id.0);
+    let by_zone = ctx.swim.reachable().filter(|member| member.zone == zone);
+    let nodes = by_zone.map(|member| member.identity.node);
+    let in_zone = rendezvous_owner(key, nodes, |node| u64::from(node.0));
+    in_zone.or_else(|| {
+        let all = ctx.swim.reachable().map(|member| member.identity.node);
+        rendezvous_owner(key, all, |node| u64::from(node.0))
+    })
+}
+
+/// Address of the engine to copy weights from; empty for the store.
+fn source_of(ctx: &Context, id: EngineId, pool: &str) -> String {
+    let engines = ctx.engines.pool(pool).filter(|info| !info.leaving);
+    let order = rendezvous_order(0, engines, |info| u64::from(info.id.0));
+    let index = order.iter().position(|info| info.id == id).unwrap_or(0);
+    if index < FROM_STORE {
+        return String::new();
+    }
+    order[index / 2].address.clone()
+}
