Models, oracle and deterministic simulation of whole deployments

Cause: nothing drove the core. Found on the way: greetings to listed nodes one a second made the first roster hold 2 of 6 nodes; joining nodes now greet three at once.

--- a/crates/config/src/reconcile.rs
+++ b/crates/config/src/reconcile.rs
@@ -16,6 +16,9 @@
     pub resource_version: u64,
     /// The document.
     pub body: Value,
+    /// Who made the last change, as given by the client.
+    #[serde(default)]
+    pub author: String,
     /// Status last written.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub status: Option<ObjectStatus>,
--- a/crates/consensus/src/acceptor.rs
+++ b/crates/consensus/src/acceptor.rs
@@ -24,7 +24,7 @@
     Accept, Accepted, Prepare, Promise, RegisterEntry, ShardSyncReply, ShardSyncRequest,
 };
 use peatgrade_types::{Duration, Identity, Time};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Time between two requests for a copy of the same shard.
 const SYNC_RETRY: Duration = Duration::from_millis(500);
@@ -54,7 +54,7 @@
 pub struct Acceptor {
     identity: Identity,
     roster: Roster,
-    shards: HashMap<u32, Shard>,
+    shards: BTreeMap<u32, Shard>,
 }
 
 impl Acceptor {
@@ -63,7 +63,7 @@
         Self {
             identity,
             roster: Roster::default(),
-            shards: HashMap::new(),
+            shards: BTreeMap::new(),
         }
     }
 
--- a/crates/membership/src/swim.rs
+++ b/crates/membership/src/swim.rs
@@ -11,6 +11,9 @@
 use rand::{Rng, SeedableRng};
 use std::collections::BTreeMap;
 
+/// Nodes greeted in one tick; bounds the burst when a node starts.
+const GREETINGS_PER_TICK: usize = 3;
+
 /// Timing of the failure detector.
 #[derive(Clone, Debug)]
 pub struct SwimSettings {
@@ -56,6 +59,8 @@
     rounds: u32,
     queue: Vec<NodeId>,
     digest: Digest,
+    /// Nodes known by address only, to be probed at once.
+    greet: Vec<NodeId>,
     changes: Vec<MemberChange>,
     /// Probes made for others: own sequence to (asker, asker's sequence).
     relayed: BTreeMap<u32, (NodeId, u32, Time)>,
@@ -80,6 +85,7 @@
             rounds: 0,
             queue: Vec::new(),
             digest: Digest::default(),
+            greet: Vec::new(),
             changes: Vec::new(),
             relayed: BTreeMap::new(),
             random,
@@ -154,11 +160,12 @@
             ..member
         };
         self.members.insert(node, member);
+        self.greet.push(node);
     }
 
     /// Probes, asks others to probe, and ends suspicions that ran out.
     pub fn tick(&mut self, now: Time) -> Vec<Outgoing> {
-        let mut outgoing = Vec::new();
+        let mut outgoing = self.greet();
         self.expire_suspects(now);
         self.relayed
             .retain(|_, (_, _, sent)| now.since(*sent) < Duration::from_secs(2));
@@ -235,6 +242,24 @@
         vec![self.ping(target, self.sequence, from.node)]
     }
 
+    /// Probes a few of the nodes known by address only, whose answers tell of
+    /// the others.
+    fn greet(&mut self) -> Vec<Outgoing> {
+        let count = self.greet.len().min(GREETINGS_PER_TICK);
+        let greeted: Vec<NodeId> = self.greet.drain(..count).collect();
+        let unknown = |node: &NodeId| {
+            let member = self.members.get(node);
+            member.is_some_and(|member| member.identity.generation == 0)
+        };
+        let unknown: Vec<NodeId> = greeted.into_iter().filter(unknown).collect();
+        let mut outgoing = Vec::new();
+        for node in unknown {
+            self.sequence += 1;
+            outgoing.push(self.ping(node, self.sequence, NodeId::default()));
+        }
+        outgoing
+    }
+
     fn start_probe(&mut self, now: Time) -> Option<Outgoing> {
         self.rounds = self.rounds.wrapping_add(1);
         let target = self.next_target()?;
@@ -308,8 +333,13 @@
 
     fn ping(&mut self, target: NodeId, sequence: u32, on_behalf_of: NodeId) -> Outgoing {
         let mut updates = self.updates(target);
-        if self.members.values().all(|m| m.identity.generation == 0) {
-            updates = vec![self.me.to_update()];
+        let stranger = self
+            .members
+            .get(&target)
+            .is_none_or(|m| m.identity.generation == 0);
+        if stranger {
+            updates.retain(|update| update.node != self.me.identity.node.0);
+            updates.push(self.me.to_update());
         }
         let ping = Ping {
             sequence,
--- /dev/null
+++ b/crates/models/src/workload.rs
@@ -0,0 +1,630 @@
+//! Callers: open-loop streams of requests, and what became of each.
+//!
+//! Arrivals are a Poisson process from a seed and do not wait for answers, so
+//! that a slow system cannot hide its slowness. A caller that is told
+//! `not-run` comes back when told to; one that lost its connection repeats a
+//! request only if that is safe.
+
+use peatgrade_schema::engine::{CompletionAnswer, Problem};
+use peatgrade_schema::peer::Span;
+use peatgrade_types::http::{HttpFailure, HttpRequest, HttpStep};
+use peatgrade_types::{Duration, Time};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use crate::app::answer_digest;
+use crate::client::{ClientRequest, Target, WholeResponse};
+use crate::text;
+
+/// Tries of one request by its caller.
+const MAX_TRIES: u32 = 4;
+const TIMEOUT: Duration = Duration::from_secs(40);
+/// Turns after which a session ends and another begins.
+const TURNS_PER_SESSION: u32 = 8;
+
+/// One stream of requests of the same kind.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct StreamSettings {
+    /// Name in reports.
+    pub name: String,
+    /// Tenant.
+    pub tenant: String,
+    /// Requests a second.
+    pub rate: f64,
+    /// Method, for app engines.
+    #[serde(default = "default_method")]
+    pub method: String,
+    /// Path below the tenant's prefix, for app engines; empty for models.
+    #[serde(default)]
+    pub path: String,
+    /// Whether each request carries an idempotency key.
+    #[serde(default)]
+    pub keyed: bool,
+    /// Whether the request may run at most once, as the tenant declares it.
+    #[serde(default)]
+    pub non_repeatable: bool,
+    /// Share of keyed requests that are sent twice, to two nodes.
+    #[serde(default)]
+    pub duplicates: f64,
+    /// Bytes of prompt, for models.
+    #[serde(default = "default_prompt")]
+    pub prompt_bytes: usize,
+    /// Longest answer, for models.
+    #[serde(default = "default_tokens")]
+    pub max_tokens: u32,
+    /// Shortest answer of the pool's engines, to check answers.
+    #[serde(default = "default_shortest")]
+    pub shortest_answer: u32,
+    /// Sessions kept at once; 0 for requests without a session.
+    #[serde(default)]
+    pub sessions: usize,
+    /// Whether answers are streamed.
+    #[serde(default)]
+    pub stream: bool,
+}
+
+fn default_method() -> String {
+    "GET".into()
+}
+fn default_prompt() -> usize {
+    400
+}
+fn default_tokens() -> u32 {
+    256
+}
+fn default_shortest() -> u32 {
+    24
+}
+
+/// How a request ended, as its caller saw it.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Ending {
+    /// A whole and correct answer.
+    Answered,
+    /// An answer that is not what it should be, and why.
+    Wrong(String),
+    /// The system said that it did not run.
+    NotRun,
+    /// The system said that it may have run.
+    Unknown,
+    /// The system said that it was wrong.
+    Invalid(u16),
+    /// The connection to the node was lost, and a repeat would not be safe.
+    Lost,
+}
+
+/// Something a caller saw.
+#[derive(Clone, Debug, PartialEq)]
+pub enum WorkloadEvent {
+    /// A request was sent, or sent again.
+    Sent {
+        /// Its id, the same for all tries.
+        request_id: String,
+        /// Its idempotency key.
+        key: Option<String>,
+        /// Whether it may run at most once.
+        non_repeatable: bool,
+    },
+    /// One try was told that it did not run.
+    RefusedNotRun {
+        /// Its id.
+        request_id: String,
+        /// Whether an earlier or parallel try may have run.
+        other_tries: bool,
+    },
+    /// A request ended.
+    Ended {
+        /// Its id.
+        request_id: String,
+        /// Name of its stream.
+        stream: String,
+        /// How.
+        ending: Ending,
+        /// Time since it was first sent.
+        latency: Duration,
+    },
+}
+
+#[derive(Clone, Debug)]
+struct Session {
+    id: String,
+    transcript: String,
+    turn: u32,
+    busy: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Logical {
+    stream: usize,
+    request_id: String,
+    key: Option<String>,
+    request: HttpRequest,
+    prompt: String,
+    seed: u64,
+    session: Option<usize>,
+    sent: Time,
+    tries: u32,
+    /// Tries under way.
+    open: u32,
+    ended: bool,
+    node: usize,
+    /// Whether a try was lost without any word of the system.
+    lost: bool,
+}
+
+/// All streams of a deployment.
+#[derive(Debug)]
+pub struct Workload {
+    streams: Vec<StreamSettings>,
+    next_arrival: Vec<Time>,
+    sessions: Vec<Vec<Session>>,
+    requests: BTreeMap<u64, Logical>,
+    tries: BTreeMap<u64, u64>,
+    again: BTreeSet<(Time, u64)>,
+    next_id: u64,
+    next_try: u64,
+    run: String,
+    random: SmallRng,
+    events: VecDeque<WorkloadEvent>,
+    until: Time,
+}
+
+impl Workload {
+    /// Streams that start at `start` and end at `until`. `run` keeps ids of
+    /// different runs apart.
+    pub fn new(
+        streams: Vec<StreamSettings>,
+        start: Time,
+        until: Time,
+        seed: u64,
+        run: &str,
+    ) -> Self {
+        let mut workload = Self {
+            next_arrival: vec![start; streams.len()],
+            sessions: streams.iter().map(|_| Vec::new()).collect(),
+            streams,
+            requests: BTreeMap::new(),
+            tries: BTreeMap::new(),
+            again: BTreeSet::new(),
+            next_id: 1,
+            next_try: 1,
+            run: run.to_string(),
+            random: SmallRng::seed_from_u64(seed),
+            events: VecDeque::new(),
+            until,
+        };
+        for stream in 0..workload.streams.len() {
+            workload.next_arrival[stream] = start + workload.gap(stream);
+        }
+        workload
+    }
+
+    /// Time to the next arrival of a stream.
+    fn gap(&mut self, stream: usize) -> Duration {
+        let uniform: f64 = self.random.random_range(1e-9..1.0);
+        let seconds = -uniform.ln() / self.streams[stream].rate.max(1e-9);
+        Duration((seconds * 1e6) as u64)
+    }
+
+    /// Requests not ended yet.
+    pub fn open(&self) -> usize {
+        self.requests
+            .values()
+            .filter(|request| !request.ended)
+            .count()
+    }
+
+    /// What callers saw since the last call.
+    pub fn take_events(&mut self) -> Vec<WorkloadEvent> {
+        self.events.drain(..).collect()
+    }
+
+    /// When the next request is due.
+    pub fn next_wake(&self) -> Option<Time> {
+        let arrivals = self
+            .next_arrival
+            .iter()
+            .copied()
+            .filter(|at| *at < self.until);
+        let again = self.again.first().map(|(at, _)| *at);
+        arrivals.chain(again).min()
+    }
+
+    /// Requests that are due.
+    pub fn poll(&mut self, now: Time) -> Vec<ClientRequest> {
+        let mut due = Vec::new();
+        for stream in 0..self.streams.len() {
+            while self.next_arrival[stream] <= now && self.next_arrival[stream] < self.until {
+                let at = self.next_arrival[stream];
+                self.next_arrival[stream] = at + self.gap(stream);
+                self.arrive(at, stream, &mut due);
+            }
+        }
+        while self.again.first().is_some_and(|(at, _)| *at <= now) {
+            if let Some((_, id)) = self.again.pop_first() {
+                due.extend(self.try_once(id));
+            }
+        }
+        due
+    }
+
+    fn arrive(&mut self, at: Time, stream: usize, due: &mut Vec<ClientRequest>) {
+        let settings = self.streams[stream].clone();
+        let id = self.next_id;
+        self.next_id += 1;
+        let request_id = format!("{}-{}-{id}", self.run, settings.name);
+        let key = settings.keyed.then(|| format!("key-{}-{id}", self.run));
+        let session = self.free_session(stream);
+        if settings.sessions > 0 && session.is_none() {
+            return;
+        }
+        let mut logical = Logical {
+            stream,
+            request_id,
+            key,
+            request: HttpRequest::default(),
+            prompt: String::new(),
+            seed: id,
+            session,
+            sent: at,
+            tries: 0,
+            open: 0,
+            ended: false,
+            node: self.random.random_range(0..1_000_000),
+            lost: false,
+        };
+        self.fill_request(&settings, &mut logical);
+        let twice = settings.keyed && self.random.random_bool(settings.duplicates.clamp(0.0, 1.0));
+        self.requests.insert(id, logical);
+        due.extend(self.try_once(id));
+        if twice {
+            // The same request by a second way, a moment later.
+            let delay = Duration(self.random.random_range(0..30_000));
+            self.again.insert((at + delay, id));
+        }
+    }
+
+    fn free_session(&mut self, stream: usize) -> Option<usize> {
+        let wanted = self.streams[stream].sessions;
+        let sessions = &mut self.sessions[stream];
+        if sessions.len() < wanted {
+            sessions.push(Session {
+                id: format!("{}-{stream}-{}", self.run, sessions.len()),
+                transcript: String::new(),
+                turn: 0,
+                busy: false,
+            });
+        }
+        let index = sessions.iter().position(|session| !session.busy)?;
+        sessions[index].busy = true;
+        Some(index)
+    }
+
+    fn fill_request(&mut self, settings: &StreamSettings, logical: &mut Logical) {
+        let mut request = if settings.path.is_empty() {
+            let words = settings.prompt_bytes / 8;
+            let topic = self.random.random_range(0..12u32);
+            // Prompts of one topic share their first half.
+            let shared: String = (0..words / 2)
+                .map(|n| format!("t{topic:02}w{n:03} "))
+                .collect();
+            let own: String = (0..words / 2)
+                .map(|n| format!("{:06}{n:01} ", logical.seed % 1_000_000))
+                .collect();
+            logical.prompt = shared + &own;
+            let body = json!({
+                "model": settings.tenant,
+                "prompt": logical.prompt,
+                "max_tokens": settings.max_tokens,
+                "seed": logical.seed,
+                "stream": settings.stream,
+            });
+            HttpRequest::new("POST", "/v1/completions", body.to_string())
+        } else {
+            let path = format!("/{}{}/{}", settings.tenant, settings.path, logical.seed);
+            let body = if settings.method == "GET" {
+                String::new()
+            } else {
+                format!("body-{}", logical.seed)
+            };
+            HttpRequest::new(&settings.method, path, body)
+        };
+        request = request.with_header("x-request-id", logical.request_id.clone());
+        if let Some(key) = &logical.key {
+            request = request.with_header("idempotency-key", key.clone());
+        }
+        if let Some(index) = logical.session {
+            let session = &self.sessions[logical.stream][index];
+            request = request.with_header("x-session-id", session.id.clone());
+            logical.prompt = format!("{}{}", session.transcript, logical.prompt);
+        }
+        logical.request = request;
+    }
+
+    fn try_once(&mut self, id: u64) -> Option<ClientRequest> {
+        let logical = self
+            .requests
+            .get_mut(&id)
+            .filter(|logical| !logical.ended)?;
+        logical.tries += 1;
+        logical.open += 1;
+        logical.node += 1;
+        let number = self.next_try;
+        self.next_try += 1;
+        self.tries.insert(number, id);
+        self.events.push_back(WorkloadEvent::Sent {
+            request_id: logical.request_id.clone(),
+            key: logical.key.clone(),
+            non_repeatable: self.streams[logical.stream].non_repeatable,
+        });
+        Some(ClientRequest {
+            id: number,
+            target: Target::Node(logical.node),
+            request: logical.request.clone(),
+            timeout: TIMEOUT,
+        })
+    }
+
+    /// Takes in the end of a try.
+    pub fn on_response(
+        &mut self,
+        now: Time,
+        number: u64,
+        result: Result<WholeResponse, HttpFailure>,
+    ) {
+        let Some(id) = self.tries.remove(&number) else {
+            return;
+        };
+        let Some(logical) = self.requests.get_mut(&id) else {
+            return;
+        };
+        logical.open -= 1;
+        if logical.ended {
+            // The slower of two tries: only its correctness is of interest.
+            let logical = logical.clone();
+            self.check_late(&logical, result);
+            self.forget_if_done(id);
+            return;
+        }
+        match result {
+            Ok(response) => self.on_word(now, id, &response),
+            Err(failure) => self.on_lost(now, id, &failure),
+        }
+        self.forget_if_done(id);
+    }
+
+    fn forget_if_done(&mut self, id: u64) {
+        let done = self
+            .requests
+            .get(&id)
+            .is_some_and(|r| r.ended && r.open == 0);
+        if done {
+            self.requests.remove(&id);
+        }
+    }
+
+    fn check_late(&mut self, logical: &Logical, result: Result<WholeResponse, HttpFailure>) {
+        let Ok(response) = result else {
+            return;
+        };
+        if response.head.status == 200 {
+            if let Err(reason) = self.check_answer(logical, &response) {
+                self.push_ended(logical, Ending::Wrong(reason), Duration(0));
+            }
+        }
+    }
+
+    fn push_ended(&mut self, logical: &Logical, ending: Ending, latency: Duration) {
+        self.events.push_back(WorkloadEvent::Ended {
+            request_id: logical.request_id.clone(),
+            stream: self.streams[logical.stream].name.clone(),
+            ending,
+            latency,
+        });
+    }
+
+    /// The system said something.
+    fn on_word(&mut self, now: Time, id: u64, response: &WholeResponse) {
+        let logical = self.requests[&id].clone();
+        let status = response.head.status;
+        if (200..300).contains(&status) {
+            let ending = match self.check_answer(&logical, response) {
+                Ok(()) => Ending::Answered,
+                Err(reason) => Ending::Wrong(reason),
+            };
+            return self.end(now, id, ending);
+        }
+        let problem = serde_json::from_slice::<Problem>(&response.body).ok();
+        let outcome = problem.map(|problem| problem.outcome).unwrap_or_default();
+        match outcome.as_str() {
+            "not-run" => {
+                let other_tries = logical.open > 0 || logical.tries > 1;
+                self.events.push_back(WorkloadEvent::RefusedNotRun {
+                    request_id: logical.request_id.clone(),
+                    other_tries,
+                });
+                let wait = response
+                    .head
+                    .header("retry-after")
+                    .and_then(|s| s.parse().ok())
+                    .unwrap_or(1);
+                self.retry_or_end(now, id, Duration::from_secs(wait), Ending::NotRun);
+            }
+            "outcome-unknown" => {
+                let repeatable =
+                    !self.streams[logical.stream].non_repeatable && logical.session.is_none();
+                if repeatable {
+                    self.retry_or_end(now, id, Duration::from_millis(100), Ending::Unknown);
+                } else {
+                    self.end(now, id, Ending::Unknown);
+                }
+            }
+            _ => self.end(now, id, Ending::Invalid(status)),
+        }
+    }
+
+    fn on_lost(&mut self, now: Time, id: u64, failure: &HttpFailure) {
+        let logical = self.requests[&id].clone();
+        let settings = &self.streams[logical.stream];
+        let not_sent = failure.step == HttpStep::Connect;
+        let safe = not_sent || logical.key.is_some() || !settings.non_repeatable;
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.lost |= !not_sent;
+        }
+        if safe && logical.session.is_none() || not_sent {
+            self.retry_or_end(now, id, Duration::from_millis(200), Ending::Lost);
+        } else {
+            self.end(now, id, Ending::Lost);
+        }
+    }
+
+    fn retry_or_end(&mut self, now: Time, id: u64, wait: Duration, ending: Ending) {
+        let logical = &self.requests[&id];
+        if logical.open > 0 {
+            return;
+        }
+        if logical.tries < MAX_TRIES {
+            self.again.insert((now + wait, id));
+        } else {
+            self.end(now, id, ending);
+        }
+    }
+
+    fn end(&mut self, now: Time, id: u64, ending: Ending) {
+        let Some(logical) = self.requests.get_mut(&id) else {
+            return;
+        };
+        logical.ended = true;
+        let logical = logical.clone();
+        if let Some(index) = logical.session {
+            self.end_turn(&logical, index, &ending);
+        }
+        self.push_ended(&logical, ending, now.since(logical.sent));
+    }
+
+    /// A session goes on after an answered turn; after one whose outcome is
+    /// not known another session begins, since its text cannot be foretold.
+    fn end_turn(&mut self, logical: &Logical, index: usize, ending: &Ending) {
+        let session = &mut self.sessions[logical.stream][index];
+        session.busy = false;
+        let goes_on = matches!(ending, Ending::Answered | Ending::NotRun);
+        if !goes_on || session.turn >= TURNS_PER_SESSION {
+            let base = session.id.split('~').next().unwrap_or("").to_string();
+            session.id = format!("{base}~{}", self.next_id);
+            session.transcript.clear();
+            session.turn = 0;
+        }
+    }
+
+    fn check_answer(&mut self, logical: &Logical, response: &WholeResponse) -> Result<(), String> {
+        let settings = &self.streams[logical.stream];
+        if !settings.path.is_empty() {
+            return check_app(settings, logical, response);
+        }
+        let answer = if settings.stream {
+            last_event(&response.body)
+        } else {
+            serde_json::from_slice::<CompletionAnswer>(&response.body).ok()
+        };
+        let answer = answer.ok_or_else(|| format!("unreadable answer: {:?}", response.body))?;
+        let expected = text::expected(
+            &logical.prompt,
+            logical.seed,
+            settings.shortest_answer,
+            settings.max_tokens,
+        );
+        let given = answer
+            .choices
+            .first()
+            .map(|choice| choice.text.clone())
+            .unwrap_or_default();
+        let truth = text::check(&given, &expected).map_err(|error| error.to_string())?;
+        let claimed: Vec<Span> = answer
+            .spans
+            .iter()
+            .map(|span| Span {
+                weights: span.weights,
+                tokens: span.tokens,
+            })
+            .collect();
+        if claimed != truth {
+            return Err(format!("claims versions {claimed:?}, has {truth:?}"));
+        }
+        if settings.stream {
+            check_streamed(&response.body, &given)?;
+        }
+        if let Some(index) = logical.session {
+            let session = &mut self.sessions[logical.stream][index];
+            session.turn += 1;
+            if answer.session_turn != u64::from(session.turn) {
+                return Err(format!(
+                    "turn {} instead of {}",
+                    answer.session_turn, session.turn
+                ));
+            }
+            session.transcript = format!("{}{given}\n", logical.prompt);
+        }
+        Ok(())
+    }
+}
+
+fn check_app(
+    settings: &StreamSettings,
+    logical: &Logical,
+    response: &WholeResponse,
+) -> Result<(), String> {
+    let document: serde_json::Value = serde_json::from_slice(&response.body)
+        .map_err(|error| format!("unreadable answer ({error}): {:?}", response.body))?;
+    let path = &logical.request.path[1 + settings.tenant.len()..];
+    let digest = answer_digest(
+        &logical.request.method,
+        path,
+        &logical.request.body,
+        &logical.request_id,
+    );
+    let wanted = format!("{digest:016x}");
+    if document["digest"] == wanted.as_str() {
+        Ok(())
+    } else {
+        Err(format!("answer is for another request: {document}"))
+    }
+}
+
+/// The whole answer, which is the last event before `[DONE]`.
+fn last_event(body: &[u8]) -> Option<CompletionAnswer> {
+    let text = std::str::from_utf8(body).ok()?;
+    let mut events = text
+        .split("\n\n")
+        .filter_map(|event| event.strip_prefix("data: "));
+    events.find_map(|event| serde_json::from_str(event).ok())
+}
+
+/// The streamed pieces together are the answer.
+fn check_streamed(body: &[u8], whole: &str) -> Result<(), String> {
+    let text = String::from_utf8_lossy(body);
+    let events = text
+        .split("\n\n")
+        .filter_map(|event| event.strip_prefix("data: "));
+    let pieces = events.filter_map(|event| serde_json::from_str::<serde_json::Value>(event).ok());
+    let joined: String = pieces
+        .filter_map(|piece| {
+            piece
+                .get("text")
+                .and_then(|t| t.as_str())
+                .map(str::to_string)
+        })
+        .collect();
+    if joined == whole {
+        Ok(())
+    } else {
+        Err(format!(
+            "streamed {} bytes of {}",
+            joined.len(),
+            whole.len()
+        ))
+    }
+}
--- a/crates/node-core/src/reader.rs
+++ b/crates/node-core/src/reader.rs
@@ -1,9 +1,12 @@
 //! The role that reads the platform's store, held by one node of a region.
 //!
-//! A change counts as accepted once its status says so; the status, which also
-//! names the document in force, is written before the change is pushed. So
-//! whatever was accepted can be found again by the next reader, and nothing
-//! goes back, whichever reader dies when.
+//! A change passes through three steps, so that nothing goes back and what is
+//! accepted spreads, whichever reader dies when:
+//!
+//! 1. its status is written with the document that will be in force, not yet
+//!    accepted: the next reader falls back to the same document;
+//! 2. it is pushed: from here on nodes repair each other without the store;
+//! 3. a moment later its status is written again, accepted.
 
 use peatgrade_config::{reconcile, Machine, ObjectStatus, RawObject};
 use peatgrade_schema::peer::Channel;
@@ -23,6 +26,8 @@
 const RETRY: Duration = Duration::from_millis(500);
 /// Time between two reads of the machine list.
 const MACHINES_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between the push of a change and its acceptance.
+const ACCEPT_AFTER: Duration = Duration::from_millis(800);
 
 /// Objects as the store lists them, or changes as it reports them.
 #[derive(Debug, Deserialize)]
@@ -57,6 +62,9 @@
     unwritten: BTreeMap<String, ObjectStatus>,
     writing: BTreeSet<String>,
     publish: Option<u64>,
+    /// Statuses that will say "accepted", and when.
+    to_accept: BTreeMap<String, ObjectStatus>,
+    accept_at: Option<Time>,
     bodies: BTreeMap<HttpPurposeKey, (u16, Vec<u8>)>,
 }
 
@@ -85,9 +93,17 @@
             self.watch(ctx);
         }
         self.read_machines(ctx);
+        self.accept_if_due(ctx);
         self.write_statuses(ctx);
     }
 
+    fn accept_if_due(&mut self, ctx: &Context) {
+        if self.accept_at.is_some_and(|at| ctx.now >= at) {
+            self.accept_at = None;
+            self.unwritten.append(&mut self.to_accept);
+        }
+    }
+
     /// A node that knows nobody reads the machine list itself, once a second,
     /// until others tell it.
     fn read_machines_at_start(&mut self, ctx: &mut Context) {
@@ -276,6 +292,7 @@
         let Some(number) = self.publish.take() else {
             return;
         };
+        self.accept_at = Some(ctx.now + ACCEPT_AFTER);
         let documents = reconcile(self.objects.values()).documents;
         let base = ctx.config.number();
         if ctx.config.advance(number, documents) {
--- a/crates/routing/src/select.rs
+++ b/crates/routing/src/select.rs
@@ -45,7 +45,7 @@
     pub preferred: Option<EngineId>,
     /// Lowest weight version that will do.
     pub oldest_weights: u64,
-    /// Whether only an engine that reported weights will do.
+    /// Whether only an engine whose weights were reported of late will do.
     pub needs_weights: bool,
 }
 
@@ -134,9 +134,8 @@
         match view.load.latest(now, info.id) {
             None => !want.needs_weights,
             Some((report, age)) => {
-                let current = !want.needs_weights || report.weights > 0;
                 let fresh = age < SILENT || !want.needs_weights;
-                !report.leaving && current && fresh && report.weights >= want.oldest_weights
+                !report.leaving && fresh && report.weights >= want.oldest_weights
             }
         }
     }
