Run the whole path on sockets: node, dev, emulate and plan

Cause: the core ran only in simulation. Change: monoio drivers (epoll named explicitly, checked at run time), HTTP server and client, peer sockets, disk thread, emulator, embedded deployment, clients judged by the oracle.

--- /dev/null
+++ b/crates/app/src/lib.rs
@@ -0,0 +1,9 @@
+//! Wiring of the programs; all logic lives in the other crates.
+
+pub mod dev;
+pub mod emulate;
+pub mod length;
+pub mod node;
+pub mod plan;
+pub mod signals;
+pub mod status_view;
--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,15 @@
+//! Experiments on nodes: load, faults, measurements and their reports.
+//!
+//! ```text
+//!  embedded   nodes, platform and clients in one process, a thread each
+//!  clients    Workload and trainers over HTTP, judged by the oracle
+//!  report     figures as JSON and as a page with plots
+//! ```
+
+pub mod clients;
+pub mod embedded;
+pub mod ports;
+pub mod report;
+
+pub use clients::{ClientPlan, ClientReport};
+pub use embedded::Embedded;
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -20,5 +20,5 @@
 pub use expand::{expand, validate_template, FieldError};
 pub use machines::{Machine, MachineKind};
 pub use reconcile::{reconcile, ObjectStatus, RawObject, Reconciled};
-pub use settings::{load_settings, validate_settings, SettingsError};
+pub use settings::{load_settings, parse_seed, validate_settings, SettingsError};
 pub use snapshot::Snapshot;
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -73,13 +73,20 @@
         ("peer_address", &settings.peer_address),
         ("platform_address", &settings.platform_address),
     ];
-    let seeds = settings.seeds.iter().map(|seed| ("seeds", seed));
-    for (field, value) in addresses.into_iter().chain(seeds) {
+    for (field, value) in addresses {
         if value.parse::<SocketAddr>().is_err() {
             let reason = format!("{value:?} is not an IP number with a port");
             errors.push(FieldError::new(field, reason));
         }
     }
+    for seed in &settings.seeds {
+        if parse_seed(seed).is_none() {
+            errors.push(FieldError::new(
+                "seeds",
+                format!("{seed:?} is not name=IP:port"),
+            ));
+        }
+    }
     if !LOG_LEVELS.contains(&settings.log_level.as_str()) {
         errors.push(FieldError::new(
             "log_level",
@@ -92,3 +99,10 @@
         Err(SettingsError::Invalid(errors))
     }
 }
+
+/// Name and peer address of a seed written `name=IP:port`.
+pub fn parse_seed(text: &str) -> Option<(String, String)> {
+    let (name, address) = text.split_once('=')?;
+    address.parse::<SocketAddr>().ok()?;
+    (!name.is_empty()).then(|| (name.to_string(), address.to_string()))
+}
--- a/crates/models/src/lib.rs
+++ b/crates/models/src/lib.rs
@@ -30,13 +30,14 @@
 pub use engine::{EngineModel, EngineSettings};
 pub use faults::{Fault, FaultKind};
 pub use platform::{Platform, RequestId};
-pub use trainer::{DeliveredStep, TrainerModel, TrainerSettings, TrainerStats};
+pub use trainer::{DeliveredStep, TrainerFigures, TrainerModel, TrainerSettings, TrainerStats};
 pub use workload::{Workload, WorkloadEvent};
 
 use peatgrade_types::{EngineId, Time};
+use serde::{Deserialize, Serialize};
 
 /// Something an engine ran, as the engine saw it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Execution {
     /// When it began.
     pub at: Time,
--- a/crates/models/src/trainer.rs
+++ b/crates/models/src/trainer.rs
@@ -65,6 +65,18 @@
         }
     }
 
+    /// The figures of a report.
+    pub fn figures(&self) -> TrainerFigures {
+        let count = self.staleness.len().max(1) as f64;
+        TrainerFigures {
+            steps: self.steps,
+            idle_share: self.idle_share(),
+            staleness_p50: self.staleness_quantile(0.5),
+            staleness_p99: self.staleness_quantile(0.99),
+            staleness_mean: self.staleness.iter().sum::<u64>() as f64 / count,
+        }
+    }
+
     /// A quantile of staleness.
     pub fn staleness_quantile(&self, quantile: f64) -> u64 {
         let mut sorted = self.staleness.clone();
@@ -74,6 +86,21 @@
     }
 }
 
+/// What a trainer got.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct TrainerFigures {
+    /// Steps committed.
+    pub steps: u64,
+    /// Share of its time spent waiting.
+    pub idle_share: f64,
+    /// Median staleness, in versions.
+    pub staleness_p50: u64,
+    /// Staleness of the oldest hundredth.
+    pub staleness_p99: u64,
+    /// Mean staleness.
+    pub staleness_mean: f64,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
     Fetching,
--- a/crates/models/src/workload.rs
+++ b/crates/models/src/workload.rs
@@ -97,6 +97,20 @@
     Lost,
 }
 
+impl Ending {
+    /// Short name, for counts.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Ending::Answered => "answered",
+            Ending::Wrong(_) => "wrong",
+            Ending::NotRun => "not-run",
+            Ending::Unknown => "outcome-unknown",
+            Ending::Invalid(_) => "invalid",
+            Ending::Lost => "lost",
+        }
+    }
+}
+
 /// Something a caller saw.
 #[derive(Clone, Debug, PartialEq)]
 pub enum WorkloadEvent {
--- a/crates/oracle/src/lib.rs
+++ b/crates/oracle/src/lib.rs
@@ -8,8 +8,10 @@
 
 mod promise;
 mod samples;
+mod terms;
 
 pub use promise::{Promise, Violation};
+pub use terms::terms_of;
 
 use peatgrade_models::workload::Ending;
 use peatgrade_models::{DeliveredStep, Execution, WorkloadEvent};
--- /dev/null
+++ b/crates/runtime/src/event_loop.rs
@@ -0,0 +1,29 @@
+//! The event loop of a thread, and the wall clock.
+
+use peatgrade_types::Time;
+use std::future::Future;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// Runs a future to its end on this thread's own epoll event loop.
+pub fn block_on<F: Future>(future: F) -> std::io::Result<F::Output> {
+    let mut runtime = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
+        .enable_timer()
+        .build()?;
+    Ok(runtime.block_on(future))
+}
+
+/// Microseconds since the Unix epoch.
+pub fn now() -> Time {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    Time(since.map_or(0, |since| since.as_micros() as u64))
+}
+
+/// Number of io_uring instances that this process has open; must be 0.
+pub fn open_rings() -> usize {
+    let Ok(entries) = std::fs::read_dir("/proc/self/fd") else {
+        return 0;
+    };
+    let targets = entries.filter_map(|entry| std::fs::read_link(entry.ok()?.path()).ok());
+    let rings = targets.filter(|target| target.to_string_lossy().contains("io_uring"));
+    rings.count()
+}
--- /dev/null
+++ b/crates/runtime/src/http_server.rs
@@ -0,0 +1,340 @@
+//! The server side of HTTP: one task per connection.
+
+use bytes::{Bytes, BytesMut};
+use futures_channel::mpsc::{unbounded, UnboundedReceiver, UnboundedSender};
+use futures_util::future::{select, Either};
+use futures_util::StreamExt;
+use monoio::buf::{IoBufMut, IoVecBufMut};
+use monoio::io::stream::Stream as _;
+use monoio::io::{AsyncReadRent, Splitable};
+use monoio::net::{TcpListener, TcpStream};
+use monoio::BufResult;
+use monoio_http::common::error::HttpError;
+use monoio_http::common::request::Request;
+use monoio_http::h1::codec::decoder::{FillPayload, RequestDecoder};
+use monoio_http::h1::payload::Payload;
+use peatgrade_schema::engine::Problem;
+use peatgrade_types::http::{HttpRequest, ResponseHead, ResponsePart};
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::response_writer::ResponseWriter;
+
+/// Largest head of a request.
+const MAX_HEAD_BYTES: usize = 32 * 1024;
+/// Largest body of a request, whatever a tenant allows.
+const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
+/// Longest time a connection may sit idle or take to send a request.
+const READ_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// A request with the way to answer it.
+pub struct Incoming {
+    /// The request.
+    pub request: HttpRequest,
+    /// Takes the parts of the response. Its other end is dropped when the
+    /// caller goes away.
+    pub respond: UnboundedSender<ResponsePart>,
+}
+
+/// Accepts connections for good and hands whole requests to `requests`.
+pub async fn serve(listener: TcpListener, requests: UnboundedSender<Incoming>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let _ = stream.set_nodelay(true);
+                monoio::spawn(connection(stream, requests.clone()));
+            }
+            Err(error) => {
+                log::warn!("step=accept error={error}");
+                monoio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
+
+/// A reader that fails once its allowance is used up, so that nobody can make
+/// the decoder buffer without bound.
+struct LimitedReader<R> {
+    io: R,
+    allowance: Rc<Cell<usize>>,
+}
+
+impl<R> LimitedReader<R> {
+    fn spend<T>(&self, (result, buffer): BufResult<usize, T>) -> BufResult<usize, T> {
+        if let Ok(count) = &result {
+            let left = self.allowance.get().checked_sub(*count);
+            match left {
+                Some(left) => self.allowance.set(left),
+                None => {
+                    let error = std::io::Error::other("request too large");
+                    return (Err(error), buffer);
+                }
+            }
+        }
+        (result, buffer)
+    }
+}
+
+impl<R: AsyncReadRent> AsyncReadRent for LimitedReader<R> {
+    async fn read<T: IoBufMut>(&mut self, buffer: T) -> BufResult<usize, T> {
+        let done = self.io.read(buffer).await;
+        self.spend(done)
+    }
+
+    async fn readv<T: IoVecBufMut>(&mut self, buffer: T) -> BufResult<usize, T> {
+        let done = self.io.readv(buffer).await;
+        self.spend(done)
+    }
+}
+
+/// Why no request came out of a connection.
+enum ReadEnd {
+    Closed,
+    Bad {
+        status: u16,
+        kind: &'static str,
+        detail: String,
+    },
+}
+
+async fn read_request<R: AsyncReadRent>(
+    decoder: &mut RequestDecoder<LimitedReader<R>>,
+    allowance: &Rc<Cell<usize>>,
+) -> Result<HttpRequest, ReadEnd> {
+    allowance.set(MAX_HEAD_BYTES);
+    let read = monoio::time::timeout(READ_TIMEOUT, decoder.next()).await;
+    let request = match read {
+        Err(_) | Ok(None) => return Err(ReadEnd::Closed),
+        Ok(Some(Err(error))) => return Err(bad(allowance, &error)),
+        Ok(Some(Ok(request))) => request,
+    };
+    if declared_length(&request) > MAX_BODY_BYTES {
+        return Err(too_large("body-too-large"));
+    }
+    allowance.set(MAX_BODY_BYTES + MAX_HEAD_BYTES);
+    let filled = monoio::time::timeout(READ_TIMEOUT, decoder.fill_payload()).await;
+    match filled {
+        Err(_) => return Err(ReadEnd::Closed),
+        Ok(Err(error)) => return Err(bad(allowance, &error)),
+        Ok(Ok(())) => {}
+    }
+    to_request(request)
+        .await
+        .map_err(|error| bad(allowance, &error))
+}
+
+fn declared_length(request: &Request<Payload>) -> usize {
+    let value = request.headers().get(http::header::CONTENT_LENGTH);
+    let parsed = value.and_then(|value| value.to_str().ok()?.parse().ok());
+    parsed.unwrap_or(0)
+}
+
+fn too_large(kind: &'static str) -> ReadEnd {
+    ReadEnd::Bad {
+        status: if kind == "head-too-large" { 431 } else { 413 },
+        kind,
+        detail: format!("at most {MAX_HEAD_BYTES} bytes of head and {MAX_BODY_BYTES} of body"),
+    }
+}
+
+fn bad(allowance: &Rc<Cell<usize>>, error: &HttpError) -> ReadEnd {
+    let text = error.to_string();
+    if text.contains("request too large") {
+        let in_head = allowance.get() <= MAX_HEAD_BYTES;
+        return too_large(if in_head {
+            "head-too-large"
+        } else {
+            "body-too-large"
+        });
+    }
+    if matches!(error, HttpError::IOError(_)) || text.contains("eof") || text.contains("io error") {
+        return ReadEnd::Closed;
+    }
+    ReadEnd::Bad {
+        status: 400,
+        kind: "malformed-http",
+        detail: text,
+    }
+}
+
+async fn to_request(request: Request<Payload>) -> Result<HttpRequest, HttpError> {
+    let (parts, payload) = request.into_parts();
+    let body = match payload {
+        Payload::None => Bytes::new(),
+        Payload::Fixed(mut fixed) => fixed.next().await.transpose()?.unwrap_or_default(),
+        Payload::Stream(mut pieces) => {
+            let mut whole = BytesMut::new();
+            while let Some(piece) = pieces.next().await {
+                whole.extend_from_slice(&piece?);
+            }
+            whole.freeze()
+        }
+    };
+    let headers = parts.headers.iter().map(|(name, value)| {
+        let text = String::from_utf8_lossy(value.as_bytes()).into_owned();
+        (name.as_str().to_string(), text)
+    });
+    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    Ok(HttpRequest {
+        method: parts.method.as_str().to_string(),
+        path: path.to_string(),
+        headers: headers.collect(),
+        body,
+    })
+}
+
+async fn connection(stream: TcpStream, requests: UnboundedSender<Incoming>) {
+    let (read_half, write_half) = stream.into_split();
+    let allowance = Rc::new(Cell::new(MAX_HEAD_BYTES));
+    let reader = LimitedReader {
+        io: read_half,
+        allowance: allowance.clone(),
+    };
+    let mut decoder = RequestDecoder::new(reader);
+    let mut writer = ResponseWriter::new(write_half);
+    let mut next = None;
+    loop {
+        let read = match next.take() {
+            Some(read) => read,
+            None => read_request(&mut decoder, &allowance).await,
+        };
+        let request = match read {
+            Ok(request) => request,
+            Err(ReadEnd::Closed) => return,
+            Err(ReadEnd::Bad {
+                status,
+                kind,
+                detail,
+            }) => {
+                return refuse(&mut writer, status, kind, detail).await;
+            }
+        };
+        let close = request
+            .header("connection")
+            .is_some_and(|v| v.eq_ignore_ascii_case("close"));
+        let (respond, mut parts) = unbounded();
+        if requests
+            .unbounded_send(Incoming { request, respond })
+            .is_err()
+        {
+            return;
+        }
+        // While the answer is made, the connection is read on, to see whether
+        // the caller goes away; a request that comes early is kept.
+        let reading = read_request(&mut decoder, &allowance);
+        futures_util::pin_mut!(reading);
+        let mut reading = Some(reading);
+        let mut early = None;
+        let mut response = Response::default();
+        let finished = loop {
+            let part = match reading.take() {
+                None => parts.next().await,
+                Some(pending) => match select(parts.next(), pending).await {
+                    Either::Left((part, pending)) => {
+                        reading = Some(pending);
+                        part
+                    }
+                    Either::Right((Err(ReadEnd::Closed), _)) => return,
+                    Either::Right((read, _)) => {
+                        early = Some(read);
+                        continue;
+                    }
+                },
+            };
+            match response.write(&mut writer, part, close).await {
+                Ok(Progress::More) => {}
+                Ok(Progress::Done) => break !close,
+                Err(_) => break false,
+            }
+        };
+        if !finished {
+            return;
+        }
+        next = match (early, reading) {
+            (Some(read), _) => Some(read),
+            (None, Some(pending)) => Some(pending.await),
+            (None, None) => None,
+        };
+    }
+}
+
+enum Progress {
+    More,
+    Done,
+}
+
+/// A response being written. A body that is whole before anything was sent
+/// goes out with its length, any other in pieces.
+#[derive(Default)]
+struct Response {
+    head: Option<ResponseHead>,
+    first: Option<Bytes>,
+    begun: bool,
+}
+
+impl Response {
+    async fn write<W: monoio::io::AsyncWriteRent>(
+        &mut self,
+        writer: &mut ResponseWriter<W>,
+        part: Option<ResponsePart>,
+        close: bool,
+    ) -> std::io::Result<Progress> {
+        match part {
+            Some(ResponsePart::Head(head)) => {
+                let streams = head.header("content-type") == Some("text/event-stream");
+                if streams {
+                    writer.begin(&head, b"").await?;
+                    self.begun = true;
+                }
+                self.head = Some(head);
+            }
+            Some(ResponsePart::Data(data)) if self.begun => writer.piece(&data).await?,
+            Some(ResponsePart::Data(data)) => match self.first.take() {
+                None => self.first = Some(data),
+                Some(first) => {
+                    let head = self.head.take().unwrap_or_default();
+                    writer.begin(&head, &first).await?;
+                    writer.piece(&data).await?;
+                    self.begun = true;
+                }
+            },
+            Some(ResponsePart::End) if self.begun => {
+                writer.end().await?;
+                return Ok(Progress::Done);
+            }
+            Some(ResponsePart::End) => {
+                let head = self.head.take().unwrap_or_default();
+                let body = self.first.take().unwrap_or_default();
+                writer.whole(&head, &body, close).await?;
+                return Ok(Progress::Done);
+            }
+            // The connection is closed, so that nobody takes half an answer
+            // for a whole one.
+            Some(ResponsePart::Failed(failure)) => return Err(std::io::Error::other(failure)),
+            None => return Err(std::io::Error::other("no more parts")),
+        }
+        Ok(Progress::More)
+    }
+}
+
+async fn refuse<W: monoio::io::AsyncWriteRent>(
+    writer: &mut ResponseWriter<W>,
+    status: u16,
+    kind: &str,
+    detail: String,
+) {
+    let problem = Problem {
+        type_: format!("urn:peatgrade:problem:{kind}"),
+        title: kind.replace('-', " "),
+        status,
+        detail,
+        outcome: String::new(),
+    };
+    let body = serde_json::to_vec(&problem).unwrap_or_default();
+    let head = ResponseHead::new(status, "application/problem+json");
+    let _ = writer.whole(&head, &body, true).await;
+}
+
+/// The receiving end for a request whose parts are wanted elsewhere.
+pub type PartReceiver = UnboundedReceiver<ResponsePart>;
--- /dev/null
+++ b/crates/runtime/src/lib.rs
@@ -0,0 +1,25 @@
+//! What turns actions into bytes on sockets and back.
+//!
+//! ```text
+//!  HttpServer: one task per connection --Incoming--> owner of the state
+//!  HttpClient: one task per request    --(id, part)--> owner of the state
+//!  PeerSocket: UDP for small messages, TCP frames for large ones
+//! ```
+//!
+//! Each task owns its socket; tasks and the owner of the state talk by
+//! channels only. The event loop is monoio on its epoll driver, named
+//! explicitly: `monoio-http` enables monoio's io_uring feature through feature
+//! unification, and this system must not open a ring. [`event_loop::open_rings`]
+//! checks that none is open.
+
+pub mod event_loop;
+pub mod http_client;
+pub mod http_server;
+pub mod logging;
+pub mod peer_socket;
+mod response_writer;
+
+pub use event_loop::{block_on, now, open_rings};
+pub use http_client::HttpClient;
+pub use http_server::{serve, Incoming};
+pub use peer_socket::PeerSocket;
--- /dev/null
+++ b/crates/runtime/src/logging.rs
@@ -0,0 +1,65 @@
+//! Logs as JSON lines on standard error.
+
+use serde_json::{json, Map, Value};
+use std::io::Write;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// Sets up the log of a process. `level` is a name such as `info`; `node`
+/// stands in every line.
+pub fn start(level: &str, node: &str) {
+    let node = node.to_string();
+    let mut builder = env_logger::Builder::new();
+    builder.parse_filters(level);
+    builder.format(move |out, record| {
+        let line = json_line(&node, record);
+        writeln!(out, "{line}")
+    });
+    // A second call in one process, as in tests, keeps the first log.
+    let _ = builder.try_init();
+}
+
+fn json_line(node: &str, record: &log::Record<'_>) -> Value {
+    let millis = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |t| t.as_millis());
+    let message = record.args().to_string();
+    let mut fields = fields_of(&message);
+    fields.insert("time_ms".into(), json!(millis as u64));
+    fields.insert("level".into(), json!(record.level().as_str()));
+    fields.insert("target".into(), json!(record.target()));
+    fields.insert("node".into(), json!(node));
+    Value::Object(fields)
+}
+
+/// Reads `name=value` pairs; the last value may hold spaces. Text without
+/// pairs becomes the field `message`.
+fn fields_of(message: &str) -> Map<String, Value> {
+    let mut fields = Map::new();
+    let mut last: Option<String> = None;
+    for word in message.split(' ') {
+        let pair = word.split_once('=').filter(|(name, _)| is_name(name));
+        match (pair, &last) {
+            (Some((name, value)), _) => {
+                fields.insert(name.to_string(), json!(value));
+                last = Some(name.to_string());
+            }
+            (None, Some(name)) => {
+                let text = fields.get(name).and_then(Value::as_str).unwrap_or("");
+                let joined = format!("{text} {word}");
+                fields.insert(name.clone(), json!(joined));
+            }
+            (None, None) => {
+                fields.insert("message".into(), json!(message));
+                return fields;
+            }
+        }
+    }
+    fields
+}
+
+fn is_name(text: &str) -> bool {
+    !text.is_empty()
+        && text
+            .bytes()
+            .all(|byte| byte.is_ascii_lowercase() || byte == b'_')
+}
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -24,7 +24,7 @@
 
 pub use network::NetworkSettings;
 pub use plan::{FaultPlan, PlanSettings, Step, StepKind};
-pub use report::{Latencies, RunReport, Traffic, TrainerReport};
+pub use report::{Latencies, RunReport, Traffic};
 pub use world::{RunSettings, World};
 
 use peatgrade_models::Deployment;
--- a/crates/simulation/src/report.rs
+++ b/crates/simulation/src/report.rs
@@ -1,6 +1,7 @@
 //! What came of a run.
 
 use peatgrade_models::workload::Ending;
+use peatgrade_models::TrainerFigures;
 use peatgrade_oracle::Violation;
 use peatgrade_types::Duration;
 use serde::Serialize;
@@ -21,15 +22,7 @@
 impl Latencies {
     /// Takes in the end of a request.
     pub fn add(&mut self, ending: &Ending, latency: Duration) {
-        let name = match ending {
-            Ending::Answered => "answered",
-            Ending::Wrong(_) => "wrong",
-            Ending::NotRun => "not-run",
-            Ending::Unknown => "outcome-unknown",
-            Ending::Invalid(_) => "invalid",
-            Ending::Lost => "lost",
-        };
-        *self.endings.entry(name.to_string()).or_default() += 1;
+        *self.endings.entry(ending.name().to_string()).or_default() += 1;
         if *ending == Ending::Answered {
             self.samples.push(latency.0);
         }
@@ -53,21 +46,6 @@
     }
 }
 
-/// What a trainer got.
-#[derive(Clone, Debug, Default, Serialize)]
-pub struct TrainerReport {
-    /// Steps committed.
-    pub steps: u64,
-    /// Share of its time spent waiting.
-    pub idle_share: f64,
-    /// Median staleness.
-    pub staleness_p50: u64,
-    /// Staleness of the oldest hundredth.
-    pub staleness_p99: u64,
-    /// Mean staleness.
-    pub staleness_mean: f64,
-}
-
 /// A whole run.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct RunReport {
@@ -88,7 +66,7 @@
     /// Streams of callers.
     pub streams: BTreeMap<String, Latencies>,
     /// Trainers.
-    pub trainers: BTreeMap<String, TrainerReport>,
+    pub trainers: BTreeMap<String, TrainerFigures>,
     /// Tokens of samples that were dropped or begun anew.
     pub wasted_tokens: u64,
     /// Samples dropped because they grew too old.
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -4,7 +4,7 @@
     Deployment, Fault, Platform, RequestId, TrainerModel, Workload, WorkloadEvent,
 };
 use peatgrade_node_core::{DiskId, HttpId, Mutation};
-use peatgrade_oracle::{Oracle, TrainerTerms};
+use peatgrade_oracle::{terms_of, Oracle};
 use peatgrade_routing::SelectorPolicy;
 use peatgrade_schema::peer::mod_Envelope::OneOfbody;
 use peatgrade_storage::DiskReply;
@@ -19,7 +19,7 @@
 use crate::plan::FaultPlan;
 use crate::process::{Arriving, Process};
 use crate::queue::Queue;
-use crate::report::{longest_and_median, Latencies, RunReport, TrainerReport};
+use crate::report::{longest_and_median, Latencies, RunReport};
 
 mod actions;
 mod clients;
@@ -442,18 +442,10 @@
     /// What came of the run.
     pub fn report(&mut self) -> RunReport {
         let seconds = self.settings.seconds as f64;
-        let trainers = self.trainers.iter().map(|trainer| {
-            let stats = trainer.stats();
-            let count = stats.staleness.len().max(1) as f64;
-            let report = TrainerReport {
-                steps: stats.steps,
-                idle_share: stats.idle_share(),
-                staleness_p50: stats.staleness_quantile(0.5),
-                staleness_p99: stats.staleness_quantile(0.99),
-                staleness_mean: stats.staleness.iter().sum::<u64>() as f64 / count,
-            };
-            (trainer.name().to_string(), report)
-        });
+        let trainers = self
+            .trainers
+            .iter()
+            .map(|trainer| (trainer.name().to_string(), trainer.stats().figures()));
         let trainers = trainers.collect();
         let statuses = self.statuses();
         let coordinated = || statuses.iter().flat_map(|status| &status.trainers);
@@ -502,41 +494,3 @@
         self.wake_platform();
     }
 }
-
-/// What each trainer of a deployment may expect.
-pub fn terms_of(deployment: &Deployment) -> BTreeMap<String, TrainerTerms> {
-    let objects = deployment
-        .documents
-        .iter()
-        .enumerate()
-        .map(|(number, (key, body))| peatgrade_config::RawObject {
-            key: key.clone(),
-            resource_version: number as u64 + 1,
-            body: body.clone(),
-            author: String::new(),
-            status: None,
-        });
-    let objects: Vec<_> = objects.collect();
-    let documents = peatgrade_config::reconcile(objects.iter()).documents;
-    let specs = documents.values().filter_map(|document| {
-        serde_json::from_slice::<peatgrade_schema::documents::TenantSpec>(document).ok()
-    });
-    let mut terms = BTreeMap::new();
-    for spec in specs {
-        let Some(training) = spec.training else {
-            continue;
-        };
-        let pool = deployment.pools.iter().find(|pool| pool.name == spec.pool);
-        let engine = pool
-            .and_then(|pool| pool.engine.clone())
-            .unwrap_or_default();
-        let known = TrainerTerms {
-            staleness_bound: training.staleness_bound,
-            samples_per_step: training.samples_per_step as usize,
-            shortest_answer: engine.shortest_answer,
-            max_tokens: spec.max_tokens,
-        };
-        terms.insert(training.trainer, known);
-    }
-    terms
-}
