--- a/crates/app/src/bin/peatgrade.rs
+++ b/crates/app/src/bin/peatgrade.rs
@@ -19,6 +19,8 @@
     Dev(peatgrade::dev::DevArgs),
     /// Run the stand-in platform as a process of its own
     Emulate(peatgrade::emulate::EmulateArgs),
+    /// Load, experiments and simulations
+    Bench(peatgrade::bench::BenchArgs),
     /// Write settings files for a deployment on one machine
     Plan(peatgrade::plan::PlanArgs),
 }
@@ -29,6 +31,7 @@
         Command::Node(args) => peatgrade::node::run(args),
         Command::Dev(args) => peatgrade::dev::run(args),
         Command::Emulate(args) => peatgrade::emulate::run(args),
+        Command::Bench(args) => peatgrade::bench::run(args),
         Command::Plan(args) => peatgrade::plan::run(args),
     };
     match ended {
--- a/crates/app/src/lib.rs
+++ b/crates/app/src/lib.rs
@@ -1,5 +1,6 @@
 //! Wiring of the programs; all logic lives in the other crates.
 
+pub mod bench;
 pub mod dev;
 pub mod emulate;
 pub mod length;
--- a/crates/bench/src/clients.rs
+++ b/crates/bench/src/clients.rs
@@ -316,7 +316,7 @@
                 histogram: Histogram::new_with_bounds(1, MAX_LATENCY, 3).expect("valid bounds"),
                 endings: BTreeMap::new(),
             });
-        *entry.endings.entry(ending.name().to_string()).or_default() += 1;
+        *entry.endings.entry(ending.name()).or_default() += 1;
         if *ending == Ending::Answered {
             let _ = entry.histogram.record(latency.0.clamp(1, MAX_LATENCY));
             let second = time.since(self.started).as_secs_f64() as usize;
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -3,11 +3,13 @@
 //! ```text
 //!  embedded   nodes, platform and clients in one process, a thread each
 //!  clients    Workload and trainers over HTTP, judged by the oracle
+//!  fuzz       simulated runs with drawn faults, shrunk when they fail
 //!  report     figures as JSON and as a page with plots
 //! ```
 
 pub mod clients;
 pub mod embedded;
+pub mod fuzz;
 pub mod ports;
 pub mod report;
 
--- a/crates/bench/src/ports.rs
+++ b/crates/bench/src/ports.rs
@@ -46,6 +46,14 @@
             name,
         });
     }
+    let seeds = deployment.seed_nodes();
+    let listed = nodes.iter().filter(|node| seeds.contains(&node.name));
+    let seeds: Vec<String> = listed
+        .map(|node| format!("{}={}", node.name, node.peer_address))
+        .collect();
+    for node in &mut nodes {
+        node.seeds.clone_from(&seeds);
+    }
     Ok(nodes)
 }
 
--- a/crates/membership/src/swim.rs
+++ b/crates/membership/src/swim.rs
@@ -188,6 +188,13 @@
         outgoing
     }
 
+    /// A probe outside the detector's turn, with the number of its answer.
+    pub fn probe(&mut self, target: NodeId) -> (u32, Outgoing) {
+        self.sequence += 1;
+        let sequence = self.sequence;
+        (sequence, self.ping(target, sequence, NodeId::default()))
+    }
+
     /// Answers a probe.
     pub fn on_ping(&mut self, now: Time, from: Identity, ping: &Ping) -> Vec<Outgoing> {
         let known = self.members.get(&from.node);
--- a/crates/models/src/deployment.rs
+++ b/crates/models/src/deployment.rs
@@ -158,6 +158,17 @@
         Ok(deployment)
     }
 
+    /// Nodes that a node asks for members when the machine list cannot be had:
+    /// the first two of each zone.
+    pub fn seed_nodes(&self) -> Vec<String> {
+        let zones = self.zones.iter();
+        zones
+            .flat_map(|zone| {
+                (0..self.nodes_per_zone.min(2)).map(move |n| format!("node-{zone}-{n}"))
+            })
+            .collect()
+    }
+
     /// Names and zones of the nodes, with whether each has a data folder.
     pub fn nodes(&self) -> Vec<(String, String, bool)> {
         let mut nodes = Vec::new();
--- a/crates/node-core/src/context.rs
+++ b/crates/node-core/src/context.rs
@@ -19,6 +19,7 @@
 use crate::mutation::Mutation;
 use crate::problem::Refusal;
 use crate::registers::{RegisterPurpose, Registers};
+use crate::resync::Resync;
 
 /// What a node is told at its start.
 #[derive(Clone, Debug)]
@@ -100,6 +101,8 @@
     pub retries: RetryBudget,
     pub metrics: Metrics,
     pub purposes: BTreeMap<HttpId, HttpPurpose>,
+    /// The wait after a pause, if this node was paused.
+    pub resync: Option<Resync>,
     /// Messages to this node itself, handled after the current event.
     pub local: VecDeque<OneOfbody>,
     next_id: u64,
@@ -144,6 +147,7 @@
             retries: RetryBudget::default(),
             metrics: Metrics::new(),
             purposes: BTreeMap::new(),
+            resync: None,
             local: VecDeque::new(),
             next_id: 1,
             actions: Vec::new(),
@@ -188,6 +192,14 @@
         }
     }
 
+    /// Probes a member outside the failure detector's turn; returns the number
+    /// that its answer will carry.
+    pub fn probe(&mut self, node: NodeId) -> u32 {
+        let (sequence, message) = self.swim.probe(node);
+        self.send(message.to, message.body);
+        sequence
+    }
+
     pub fn send_all(&mut self, outgoing: Vec<Outgoing>) {
         for message in outgoing {
             self.send(message.to, message.body);
--- a/crates/node-core/src/core.rs
+++ b/crates/node-core/src/core.rs
@@ -20,6 +20,7 @@
 use crate::reader::Reader;
 use crate::readiness::Readiness;
 use crate::registers::{RegisterDone, RegisterPurpose};
+use crate::resync;
 use crate::rollout::Rollouts;
 use crate::status::{EngineStatus, NodeStatus};
 use crate::trainer_api::{is_trainer_path, TrainerApi};
@@ -75,7 +76,11 @@
 
     /// Takes in an event and says what is to be done.
     pub fn handle(&mut self, now: Time, event: Event) -> Vec<Action> {
+        let paused = now.since(self.ctx.now) >= resync::GAP;
         self.ctx.now = now;
+        if paused {
+            resync::start(&mut self.ctx);
+        }
         match event {
             Event::Peer { from, body } => {
                 self.ctx.metrics.peer_messages_in.inc();
@@ -133,6 +138,7 @@
 
     fn tick(&mut self) {
         let ctx = &mut self.ctx;
+        resync::settle(ctx);
         let numbers = digest(ctx);
         ctx.swim.set_digest(numbers);
         let outgoing = ctx.swim.tick(ctx.now);
@@ -229,6 +235,9 @@
                 let outgoing = ctx.swim.on_ack(ctx.now, from, &ack);
                 ctx.send_all(outgoing);
                 self.on_digest(from, ack.digest.as_ref());
+                if let Some(numbers) = &ack.digest {
+                    resync::on_ack(&mut self.ctx, ack.sequence, numbers);
+                }
             }
             OneOfbody::ping_request(request) => {
                 let outgoing = ctx.swim.on_ping_request(ctx.now, from, &request);
@@ -272,6 +281,7 @@
     fn on_digest(&mut self, from: Identity, numbers: Option<&Digest>) {
         if let Some(numbers) = numbers {
             self.readiness.on_config_number(from.node, numbers.config);
+            self.reader.on_config_number(from.node, numbers.config);
             self.distribution
                 .on_digest(&mut self.ctx, from.node, numbers);
         }
--- a/crates/node-core/src/gateway/dispatch.rs
+++ b/crates/node-core/src/gateway/dispatch.rs
@@ -37,6 +37,12 @@
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
+        if ctx.resync.is_some() {
+            let until = ctx.now + ENGINE_RETRY;
+            call.engine_deadline += ENGINE_RETRY;
+            call.phase = Phase::AwaitingEngine { until };
+            return;
+        }
         let Some(engine) = choose(ctx, call) else {
             if !call.failed.is_empty() {
                 // Better an engine that failed once than none.
--- a/crates/node-core/src/lib.rs
+++ b/crates/node-core/src/lib.rs
@@ -16,6 +16,7 @@
 //! gateway, and leases and rendezvous hashing say which nodes also read the
 //! configuration, own engines, coordinate trainers or keep the roster.
 
+mod acceptance;
 mod blobs;
 mod bulletin;
 mod context;
@@ -34,6 +35,7 @@
 mod reader;
 mod readiness;
 mod registers;
+mod resync;
 mod rollout;
 mod status;
 mod trainer_api;
--- a/crates/node-core/src/reader.rs
+++ b/crates/node-core/src/reader.rs
@@ -6,15 +6,17 @@
 //! 1. its status is written with the document that will be in force, not yet
 //!    accepted: the next reader falls back to the same document;
 //! 2. it is pushed: from here on nodes repair each other without the store;
-//! 3. a moment later its status is written again, accepted.
+//! 3. once a majority of the roster has confirmed it, its status is written
+//!    again, accepted.
 
 use peatgrade_config::{reconcile, Machine, ObjectStatus, RawObject};
 use peatgrade_schema::peer::Channel;
 use peatgrade_types::http::{HttpRequest, ResponseHead, ResponsePart};
-use peatgrade_types::{Duration, Time};
+use peatgrade_types::{Duration, NodeId, Time};
 use serde::Deserialize;
 use std::collections::{BTreeMap, BTreeSet};
 
+use crate::acceptance::Acceptance;
 use crate::context::{Context, HttpPurpose};
 use crate::distribution::{changed, push_to_roots};
 
@@ -26,8 +28,6 @@
 const RETRY: Duration = Duration::from_millis(500);
 /// Time between two reads of the machine list.
 const MACHINES_INTERVAL: Duration = Duration::from_secs(1);
-/// Time between the push of a change and its acceptance.
-const ACCEPT_AFTER: Duration = Duration::from_millis(800);
 
 /// Objects as the store lists them, or changes as it reports them.
 #[derive(Debug, Deserialize)]
@@ -62,9 +62,9 @@
     unwritten: BTreeMap<String, ObjectStatus>,
     writing: BTreeSet<String>,
     publish: Option<u64>,
-    /// Statuses that will say "accepted", and when.
+    /// Statuses that will say "accepted" once `acceptance` is reached.
     to_accept: BTreeMap<String, ObjectStatus>,
-    accept_at: Option<Time>,
+    acceptance: Option<Acceptance>,
     bodies: BTreeMap<HttpPurposeKey, (u16, Vec<u8>)>,
 }
 
@@ -97,13 +97,24 @@
         self.write_statuses(ctx);
     }
 
-    fn accept_if_due(&mut self, ctx: &Context) {
-        if self.accept_at.is_some_and(|at| ctx.now >= at) {
-            self.accept_at = None;
+    fn accept_if_due(&mut self, ctx: &mut Context) {
+        let reached = self
+            .acceptance
+            .as_mut()
+            .is_some_and(|acceptance| acceptance.poll(ctx));
+        if reached {
+            self.acceptance = None;
             self.unwritten.append(&mut self.to_accept);
         }
     }
 
+    /// A node said which configuration it has in force.
+    pub fn on_config_number(&mut self, node: NodeId, number: u64) {
+        if let Some(acceptance) = &mut self.acceptance {
+            acceptance.on_number(node, number);
+        }
+    }
+
     /// A node that knows nobody reads the machine list itself, once a second,
     /// until others tell it.
     fn read_machines_at_start(&mut self, ctx: &mut Context) {
@@ -252,13 +263,25 @@
     fn settle(&mut self) {
         let reconciled = reconcile(self.objects.values());
         self.unwritten.clear();
+        self.to_accept.clear();
+        // What was pushed but not yet accepted is accepted after this change's
+        // push; accepting it now would run ahead of that.
+        self.acceptance = None;
         for (key, status) in reconciled.statuses {
-            let known = self
-                .objects
-                .get(&key)
-                .and_then(|object| object.status.as_ref());
-            if known != Some(&status) {
-                self.unwritten.insert(key, status);
+            let object = self.objects.get(&key);
+            let known = object.and_then(|object| object.status.as_ref());
+            if known == Some(&status) {
+                continue;
+            }
+            let pending = ObjectStatus {
+                accepted: false,
+                ..status.clone()
+            };
+            if known != Some(&pending) {
+                self.unwritten.insert(key.clone(), pending);
+            }
+            if status.accepted {
+                self.to_accept.insert(key, status);
             }
         }
         self.publish = self.version;
@@ -292,7 +315,7 @@
         let Some(number) = self.publish.take() else {
             return;
         };
-        self.accept_at = Some(ctx.now + ACCEPT_AFTER);
+        self.acceptance = Some(Acceptance::new(number));
         let documents = reconcile(self.objects.values()).documents;
         let base = ctx.config.number();
         if ctx.config.advance(number, documents) {
--- a/crates/node-core/src/rollout.rs
+++ b/crates/node-core/src/rollout.rs
@@ -242,7 +242,8 @@
 }
 
 fn start_generating(ctx: &mut Context, work: &mut Work) {
-    let Some(entry) = ctx.catalog.tenant(&work.order.tenant) else {
+    let entry = ctx.catalog.tenant(&work.order.tenant);
+    let Some(entry) = entry.filter(|_| ctx.resync.is_none()) else {
         work.phase = Phase::Waiting {
             until: ctx.now + RETRY,
         };
--- a/crates/simulation/src/report.rs
+++ b/crates/simulation/src/report.rs
@@ -22,7 +22,7 @@
 impl Latencies {
     /// Takes in the end of a request.
     pub fn add(&mut self, ending: &Ending, latency: Duration) {
-        *self.endings.entry(ending.name().to_string()).or_default() += 1;
+        *self.endings.entry(ending.name()).or_default() += 1;
         if *ending == Ending::Answered {
             self.samples.push(latency.0);
         }
--- a/crates/simulation/src/world/actions.rs
+++ b/crates/simulation/src/world/actions.rs
@@ -71,7 +71,8 @@
             return;
         }
         let region = self.deployment.region.clone();
-        self.nodes[node].start(self.now, &region, &self.settings);
+        let seeds = self.deployment.seed_nodes();
+        self.nodes[node].start(self.now, &region, &seeds, &self.settings);
         let generation = self.nodes[node].generation;
         self.queue
             .push(self.now, SimEvent::Tick { node, generation });
@@ -81,7 +82,7 @@
         let process = &mut self.nodes[node];
         if process.paused_until.is_some_and(|until| self.now >= until) {
             process.paused_until = None;
-            process.sound_since = self.now;
+            process.sound_since = process.sound_since.max(self.now);
             for event in std::mem::take(&mut process.deferred) {
                 self.queue.push(self.now, event);
             }
--- a/crates/types/src/time.rs
+++ b/crates/types/src/time.rs
@@ -1,7 +1,7 @@
 //! Time as a number, real or simulated.
 
 use serde::{Deserialize, Serialize};
-use std::ops::{Add, Sub};
+use std::ops::{Add, AddAssign, Sub};
 
 /// A span of time in microseconds.
 #[derive(
@@ -51,6 +51,12 @@
     }
 }
 
+impl AddAssign<Duration> for Time {
+    fn add_assign(&mut self, span: Duration) {
+        *self = *self + span;
+    }
+}
+
 impl Sub<Duration> for Time {
     type Output = Time;
     fn sub(self, span: Duration) -> Time {
