Tie answers of the store to the tenure that asked; tell leaving engines often

Change: requests of the store are known by number and whole responses are collected in one place; leaving engines are told every second; the oracle counts a refusal as invalid as a breach of the configuration promise.

--- a/crates/node-core/src/bulletin.rs
+++ b/crates/node-core/src/bulletin.rs
@@ -17,8 +17,11 @@
 const MAX_LOADS: usize = 24;
 /// Time between two tellings of an unchanged load.
 const REFRESH: Duration = Duration::from_secs(4);
+/// The same for an engine that takes no new work: one lost message must not
+/// keep others sending to it for long.
+const REFRESH_LEAVING: Duration = Duration::from_secs(1);
 /// Time between two tellings of own zone's loads to the roots of other zones.
-const FAR_INTERVAL: Duration = Duration::from_secs(2);
+const FAR_INTERVAL: Duration = Duration::from_secs(1);
 
 #[derive(Clone, Debug)]
 struct Known {
@@ -30,6 +33,18 @@
     far: bool,
 }
 
+impl Known {
+    /// Whether a load last told at `told` should be told again.
+    fn due(&self, told: Option<Time>, now: Time) -> bool {
+        let refresh = if self.load.leaving {
+            REFRESH_LEAVING
+        } else {
+            REFRESH
+        };
+        told.is_none_or(|told| now.since(told) >= refresh)
+    }
+}
+
 /// What this node knows as a root, and the orders in force.
 #[derive(Debug, Default)]
 pub(crate) struct Bulletins {
@@ -84,7 +99,7 @@
         let mut due: Vec<(Option<Time>, EngineId)> = self
             .known
             .iter()
-            .filter(|(_, known)| known.told.is_none_or(|told| now.since(told) >= REFRESH))
+            .filter(|(_, known)| known.due(known.told, now))
             .map(|(&engine, known)| (known.told, engine))
             .collect();
         due.sort();
@@ -104,7 +119,7 @@
             .known
             .values_mut()
             .filter(|known| !known.far)
-            .filter(|known| known.told_far.is_none_or(|told| now.since(told) >= REFRESH))
+            .filter(|known| known.due(known.told_far, now))
             .take(MAX_LOADS)
             .map(|known| {
                 known.told_far = Some(now);
--- a/crates/node-core/src/context.rs
+++ b/crates/node-core/src/context.rs
@@ -238,9 +238,14 @@
     }
 
     /// A request to the platform.
-    pub fn platform(&mut self, request: HttpRequest, timeout: Duration, purpose: HttpPurpose) {
+    pub fn platform(
+        &mut self,
+        request: HttpRequest,
+        timeout: Duration,
+        purpose: HttpPurpose,
+    ) -> HttpId {
         let address = self.settings.platform_address.clone();
-        self.http(&address, request, timeout, purpose);
+        self.http(&address, request, timeout, purpose)
     }
 
     pub fn cancel_http(&mut self, id: HttpId) {
--- a/crates/node-core/src/core.rs
+++ b/crates/node-core/src/core.rs
@@ -12,6 +12,7 @@
 use crate::coordinator::Coordinators;
 use crate::distribution::{digest, Distribution};
 use crate::event::{Action, CallId, Event, HttpId};
+use crate::exchange::{Ended, Exchanges};
 use crate::gateway::Gateway;
 use crate::keeper::Keeper;
 use crate::leases::{LeaseName, Leases};
@@ -41,6 +42,7 @@
     reader: Reader,
     keeper: Keeper,
     leases: Leases,
+    exchanges: Exchanges,
     readiness: Readiness,
     drain_since: Option<Time>,
 }
@@ -64,6 +66,7 @@
             reader: Reader::default(),
             keeper: Keeper::default(),
             leases: Leases::default(),
+            exchanges: Exchanges::default(),
             readiness: Readiness::default(),
             drain_since: None,
         }
@@ -298,13 +301,25 @@
         match &purpose {
             HttpPurpose::Attempt(call) => self.gateway.on_http(ctx, *call, id, part),
             HttpPurpose::Rollout(sample) => self.rollouts.on_generation(ctx, *sample, part),
-            HttpPurpose::Score(sample) => self.rollouts.on_score(ctx, *sample, part),
-            HttpPurpose::Load(engine) => self.owner.on_load(ctx, *engine, part),
-            HttpPurpose::Order(engine) => self.owner.on_order(ctx, *engine, part),
+            _ => {
+                if let Some(ended) = self.exchanges.collect(id, part) {
+                    self.on_ended(id, &purpose, ended);
+                }
+            }
+        }
+    }
+
+    /// Hands on the end of a request whose response is wanted whole.
+    fn on_ended(&mut self, id: HttpId, purpose: &HttpPurpose, ended: Ended) {
+        let ctx = &mut self.ctx;
+        match purpose {
+            HttpPurpose::Score(sample) => self.rollouts.on_score(ctx, *sample, ended),
+            HttpPurpose::Load(engine) => self.owner.on_load(ctx, *engine, ended),
+            HttpPurpose::Order(engine) => self.owner.on_order(ctx, *engine, ended),
             HttpPurpose::ReadAnchor | HttpPurpose::WriteAnchor => {
-                self.keeper.on_http(ctx, &purpose, part);
+                self.keeper.on_ended(ctx, purpose, ended);
             }
-            _ => self.reader.on_http(ctx, &purpose, part),
+            _ => self.reader.on_ended(ctx, id, purpose, ended),
         }
     }
 
--- a/crates/node-core/src/keeper.rs
+++ b/crates/node-core/src/keeper.rs
@@ -10,11 +10,12 @@
 use peatgrade_membership::State;
 use peatgrade_schema::peer::Roster as RosterMessage;
 use peatgrade_schema::{decode, encode};
-use peatgrade_types::http::{HttpRequest, ResponsePart};
+use peatgrade_types::http::HttpRequest;
 use peatgrade_types::{hash_bytes, rendezvous_order, Duration, Identity, Time};
 use std::collections::BTreeSet;
 
 use crate::context::{Context, HttpPurpose};
+use crate::exchange::{Ended, Whole};
 use crate::registers::RegisterPurpose;
 
 /// Replicas taken from one zone at most; bounds how often restarts change the
@@ -38,8 +39,6 @@
     next_change: Time,
     anchor_pending: bool,
     next_anchor: Time,
-    anchor_body: Vec<u8>,
-    anchor_status: u16,
     anchor_missing: bool,
     /// Number that the anchor is known to have.
     anchored: u64,
@@ -107,30 +106,20 @@
         ctx.platform(request, REQUEST_TIMEOUT, HttpPurpose::WriteAnchor);
     }
 
-    /// Takes in a part of a response about the anchor.
-    pub fn on_http(&mut self, ctx: &mut Context, purpose: &HttpPurpose, part: ResponsePart) {
-        match part {
-            ResponsePart::Head(head) => {
-                self.anchor_status = head.status;
-                self.anchor_body.clear();
-            }
-            ResponsePart::Data(data) => self.anchor_body.extend_from_slice(&data),
-            ResponsePart::Failed(_) => self.anchor_pending = false,
-            ResponsePart::End => {
-                self.anchor_pending = false;
-                let body = std::mem::take(&mut self.anchor_body);
-                self.on_anchor(ctx, purpose, self.anchor_status, &body);
-            }
-        }
-    }
-
-    fn on_anchor(&mut self, ctx: &mut Context, purpose: &HttpPurpose, status: u16, body: &[u8]) {
+    /// Takes in the end of a request about the anchor.
+    pub fn on_ended(&mut self, ctx: &mut Context, purpose: &HttpPurpose, ended: Ended) {
+        self.anchor_pending = false;
+        let Ok(Whole { status, body }) = ended else {
+            return;
+        };
         if *purpose == HttpPurpose::ReadAnchor {
             self.anchor_missing = status == 404;
         }
         // A write is answered with what the anchor holds now, which after a
         // lost race is the other's roster.
-        let held = decode::<RosterMessage>(body).ok().filter(|_| status == 200);
+        let held = decode::<RosterMessage>(&body)
+            .ok()
+            .filter(|_| status == 200);
         if let Some(roster) = held.filter(|roster| roster.number > 0) {
             self.anchored = roster.number;
             ctx.registers.install(Roster::from(&roster));
--- a/crates/node-core/src/lib.rs
+++ b/crates/node-core/src/lib.rs
@@ -24,6 +24,7 @@
 mod core;
 mod distribution;
 mod event;
+mod exchange;
 mod gateway;
 mod generation;
 mod keeper;
--- a/crates/node-core/src/owner.rs
+++ b/crates/node-core/src/owner.rs
@@ -5,13 +5,14 @@
 use peatgrade_schema::engine::{EngineOrder, LoadDocument, OrderKind, OrderReply};
 use peatgrade_schema::peer::mod_Envelope::OneOfbody;
 use peatgrade_schema::peer::{EngineLoad, LoadReport, WeightOrder, WeightReport};
-use peatgrade_types::http::{HttpRequest, ResponsePart};
+use peatgrade_types::http::HttpRequest;
 use peatgrade_types::{rendezvous_order, rendezvous_owner, Duration, EngineId, NodeId, Time};
 use std::collections::BTreeMap;
 
 use crate::bulletin::{note_load, rank, Bulletins};
 use crate::context::{Context, HttpPurpose};
 use crate::distribution::zone_tree;
+use crate::exchange::Ended;
 
 /// Time between two polls of an engine.
 const POLL_INTERVAL: Duration = Duration::from_secs(1);
@@ -45,10 +46,6 @@
     ordering: Option<WeightOrder>,
     next_order: Time,
     failures: u32,
-    body: Vec<u8>,
-    status: u16,
-    order_body: Vec<u8>,
-    order_status: u16,
     reported: Option<Reported>,
     boot: u64,
 }
@@ -105,28 +102,22 @@
         ctx.http(&address, request, POLL_TIMEOUT, HttpPurpose::Load(id));
     }
 
-    pub fn on_load(&mut self, ctx: &mut Context, id: EngineId, part: ResponsePart) {
+    /// Takes in the end of a poll.
+    pub fn on_load(&mut self, ctx: &mut Context, id: EngineId, ended: Ended) {
         let Some(owned) = self.engines.get_mut(&id) else {
             return;
         };
-        match part {
-            ResponsePart::Head(head) => {
-                owned.status = head.status;
-                owned.body.clear();
+        owned.polling = false;
+        match ended {
+            Ok(whole) => {
+                if let Some(document) = whole.json::<LoadDocument>() {
+                    self.on_document(ctx, id, document);
+                }
             }
-            ResponsePart::Data(data) => owned.body.extend_from_slice(&data),
-            ResponsePart::Failed(failure) => {
-                owned.polling = false;
+            Err(failure) => {
                 log::debug!("step=poll-engine error={failure}");
                 ctx.circuits.failed(ctx.now, id);
             }
-            ResponsePart::End => {
-                owned.polling = false;
-                let parsed = serde_json::from_slice::<LoadDocument>(&owned.body);
-                if let Some(document) = parsed.ok().filter(|_| owned.status == 200) {
-                    self.on_document(ctx, id, document);
-                }
-            }
         }
     }
 
@@ -222,32 +213,25 @@
         );
     }
 
-    pub fn on_order(&mut self, ctx: &mut Context, id: EngineId, part: ResponsePart) {
+    /// Takes in the end of an order.
+    pub fn on_order(&mut self, ctx: &mut Context, id: EngineId, ended: Ended) {
         let Some(owned) = self.engines.get_mut(&id) else {
             return;
         };
-        match part {
-            ResponsePart::Head(head) => {
-                owned.order_status = head.status;
-                owned.order_body.clear();
-            }
-            ResponsePart::Data(data) => owned.order_body.extend_from_slice(&data),
-            ResponsePart::Failed(failure) => {
+        owned.ordering = None;
+        let reply = match ended {
+            Ok(whole) => whole.json::<OrderReply>(),
+            Err(failure) => {
                 log::warn!("step=order-engine error={failure}");
+                None
+            }
+        };
+        match reply {
+            Some(reply) => self.on_order_reply(ctx, id, reply),
+            None => {
                 owned.failures += 1;
-                owned.ordering = None;
                 owned.next_order = ctx.now + ORDER_RETRY;
             }
-            ResponsePart::End => {
-                owned.ordering = None;
-                let parsed = serde_json::from_slice::<OrderReply>(&owned.order_body);
-                let Some(reply) = parsed.ok().filter(|_| owned.order_status == 200) else {
-                    owned.failures += 1;
-                    owned.next_order = ctx.now + ORDER_RETRY;
-                    return;
-                };
-                self.on_order_reply(ctx, id, reply);
-            }
         }
     }
 
--- a/crates/node-core/src/reader.rs
+++ b/crates/node-core/src/reader.rs
@@ -11,7 +11,7 @@
 
 use peatgrade_config::{reconcile, Machine, ObjectStatus, RawObject};
 use peatgrade_schema::peer::Channel;
-use peatgrade_types::http::{HttpRequest, ResponseHead, ResponsePart};
+use peatgrade_types::http::HttpRequest;
 use peatgrade_types::{Duration, NodeId, Time};
 use serde::Deserialize;
 use std::collections::{BTreeMap, BTreeSet};
@@ -19,6 +19,8 @@
 use crate::acceptance::Acceptance;
 use crate::context::{Context, HttpPurpose};
 use crate::distribution::{changed, push_to_roots};
+use crate::event::HttpId;
+use crate::exchange::{Ended, Whole};
 
 /// Longest time the store may hold a watch open.
 const WATCH_WAIT_MS: u64 = 10_000;
@@ -65,14 +67,8 @@
     /// Statuses that will say "accepted" once `acceptance` is reached.
     to_accept: BTreeMap<String, ObjectStatus>,
     acceptance: Option<Acceptance>,
-    bodies: BTreeMap<HttpPurposeKey, (u16, Vec<u8>)>,
-}
-
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum HttpPurposeKey {
-    Objects,
-    Status(String),
-    Machines,
+    /// Requests of this tenure under way.
+    open: BTreeSet<HttpId>,
 }
 
 impl Reader {
@@ -134,7 +130,8 @@
         self.machines_pending = true;
         self.next_machines = ctx.now + MACHINES_INTERVAL;
         let request = HttpRequest::new("GET", "/machines", "");
-        ctx.platform(request, REQUEST_TIMEOUT, HttpPurpose::Machines);
+        let id = ctx.platform(request, REQUEST_TIMEOUT, HttpPurpose::Machines);
+        self.open.insert(id);
     }
 
     fn watch(&mut self, ctx: &mut Context) {
@@ -151,7 +148,8 @@
                 HttpPurpose::Watch,
             ),
         };
-        ctx.platform(HttpRequest::new("GET", path, ""), timeout, purpose);
+        let id = ctx.platform(HttpRequest::new("GET", path, ""), timeout, purpose);
+        self.open.insert(id);
     }
 
     fn write_statuses(&mut self, ctx: &mut Context) {
@@ -169,55 +167,35 @@
             let body = serde_json::to_vec(&status).unwrap_or_default();
             let request = HttpRequest::new("PUT", format!("/objects/{key}/status"), body)
                 .with_header("if-match", status.observed_version.to_string());
-            ctx.platform(request, REQUEST_TIMEOUT, HttpPurpose::WriteStatus(key));
+            let id = ctx.platform(request, REQUEST_TIMEOUT, HttpPurpose::WriteStatus(key));
+            self.open.insert(id);
         }
         self.try_publish(ctx);
     }
 
-    /// Takes in a part of a response of the store.
-    pub fn on_http(&mut self, ctx: &mut Context, purpose: &HttpPurpose, part: ResponsePart) {
-        let key = match purpose {
-            HttpPurpose::Machines => HttpPurposeKey::Machines,
-            HttpPurpose::WriteStatus(key) => HttpPurposeKey::Status(key.clone()),
-            _ => HttpPurposeKey::Objects,
-        };
-        match part {
-            ResponsePart::Head(ResponseHead { status, .. }) => {
-                self.bodies.insert(key, (status, Vec::new()));
-            }
-            ResponsePart::Data(data) => {
-                if let Some((_, body)) = self.bodies.get_mut(&key) {
-                    body.extend_from_slice(&data);
-                }
-            }
-            ResponsePart::End => {
-                let (status, body) = self.bodies.remove(&key).unwrap_or_default();
-                self.on_answer(ctx, key, status, &body);
-            }
-            ResponsePart::Failed(failure) => {
-                log::debug!("step=platform error={failure}");
-                self.bodies.remove(&key);
-                self.on_answer(ctx, key, 0, &[]);
-            }
+    /// Takes in the end of a request to the store. One that an earlier tenure
+    /// of this reader sent is ignored: taking the answer to an old watch for
+    /// the list would lose every object that had not changed.
+    pub fn on_ended(&mut self, ctx: &mut Context, id: HttpId, purpose: &HttpPurpose, ended: Ended) {
+        if !self.open.remove(&id) {
+            return;
         }
-    }
-
-    fn on_answer(&mut self, ctx: &mut Context, key: HttpPurposeKey, status: u16, body: &[u8]) {
-        match key {
-            HttpPurposeKey::Machines => self.on_machines(ctx, status, body),
-            HttpPurposeKey::Status(key) => self.on_status_written(ctx, key, status),
-            HttpPurposeKey::Objects => self.on_objects(ctx, status, body),
+        let whole = ended.unwrap_or_else(|failure| {
+            log::debug!("step=platform error={failure}");
+            Whole::default()
+        });
+        match purpose {
+            HttpPurpose::Machines => self.on_machines(ctx, &whole),
+            HttpPurpose::WriteStatus(key) => self.on_status_written(ctx, key.clone(), whole.status),
+            _ => self.on_objects(ctx, &whole),
         }
     }
 
-    fn on_machines(&mut self, ctx: &mut Context, status: u16, body: &[u8]) {
+    fn on_machines(&mut self, ctx: &mut Context, whole: &Whole) {
         self.machines_pending = false;
-        let Ok(list) = serde_json::from_slice::<MachineList>(body) else {
+        let Some(list) = whole.json::<MachineList>() else {
             return;
         };
-        if status != 200 {
-            return;
-        }
         let documents = list.machines.iter().map(|machine| {
             let document = serde_json::to_vec(machine).unwrap_or_default();
             (machine.name.clone(), document)
@@ -231,18 +209,17 @@
         }
     }
 
-    fn on_objects(&mut self, ctx: &mut Context, status: u16, body: &[u8]) {
+    fn on_objects(&mut self, ctx: &mut Context, whole: &Whole) {
         self.watching = false;
         if !self.active {
             return;
         }
-        if status == 410 {
+        if whole.status == 410 {
             // The store no longer has the changes since then: list anew.
             self.version = None;
             return;
         }
-        let parsed = serde_json::from_slice::<ObjectList>(body);
-        let Some(list) = parsed.ok().filter(|_| status == 200) else {
+        let Some(list) = whole.json::<ObjectList>() else {
             self.next_watch = ctx.now + RETRY;
             return;
         };
--- a/crates/node-core/src/rollout.rs
+++ b/crates/node-core/src/rollout.rs
@@ -18,6 +18,7 @@
 
 use crate::blobs::{self, BlobPurpose, BlobResult};
 use crate::context::{Context, HttpPurpose};
+use crate::exchange::Ended;
 use crate::generation::{EventReader, Generation, Progress};
 use crate::mutation::Mutation;
 
@@ -39,7 +40,7 @@
         http: crate::event::HttpId,
     },
     /// A scorer reads it.
-    Scoring { until: Option<Time>, body: Vec<u8> },
+    Scoring { until: Option<Time> },
     /// It is being stored.
     Storing,
     /// It is stored on these nodes.
@@ -144,9 +145,7 @@
         };
         match &work.phase {
             Phase::Waiting { until } if ctx.now >= *until => start_generating(ctx, work),
-            Phase::Scoring {
-                until: Some(until), ..
-            } if ctx.now >= *until => start_scoring(ctx, work),
+            Phase::Scoring { until: Some(until) } if ctx.now >= *until => start_scoring(ctx, work),
             _ => {}
         }
     }
@@ -195,25 +194,21 @@
         }
     }
 
-    /// Takes in a part of a scorer's response.
-    pub fn on_score(&mut self, ctx: &mut Context, id: u64, part: ResponsePart) {
+    /// Takes in the end of a scoring.
+    pub fn on_score(&mut self, ctx: &mut Context, id: u64, ended: Ended) {
         let Some(work) = self.work.get_mut(&id) else {
             return;
         };
-        let Phase::Scoring { until, body } = &mut work.phase else {
+        let Phase::Scoring { until } = &mut work.phase else {
             return;
         };
-        match part {
-            ResponsePart::Head(_) => body.clear(),
-            ResponsePart::Data(data) => body.extend_from_slice(&data),
-            ResponsePart::Failed(_) => *until = Some(ctx.now + RETRY),
-            ResponsePart::End => match serde_json::from_slice::<ScoreReply>(body) {
-                Ok(reply) => {
-                    work.score = reply.score;
-                    store(ctx, work);
-                }
-                Err(_) => *until = Some(ctx.now + RETRY),
-            },
+        let reply = ended.ok().and_then(|whole| whole.json::<ScoreReply>());
+        match reply {
+            Some(reply) => {
+                work.score = reply.score;
+                store(ctx, work);
+            }
+            None => *until = Some(ctx.now + RETRY),
         }
     }
 
@@ -347,7 +342,6 @@
     if addresses.is_empty() {
         work.phase = Phase::Scoring {
             until: Some(ctx.now + RETRY),
-            body: Vec::new(),
         };
         return;
     }
@@ -368,10 +362,7 @@
         SCORE_TIMEOUT,
         HttpPurpose::Score(work.order.sample),
     );
-    work.phase = Phase::Scoring {
-        until: None,
-        body: Vec::new(),
-    };
+    work.phase = Phase::Scoring { until: None };
 }
 
 /// The record of a finished sample and its hash.
--- a/crates/oracle/src/lib.rs
+++ b/crates/oracle/src/lib.rs
@@ -99,6 +99,13 @@
             WorkloadEvent::Ended {
                 request_id, ending, ..
             } => {
+                if let Ending::Invalid(status) = ending {
+                    // Callers ask only for tenants that were accepted, in the
+                    // form that was accepted.
+                    let what =
+                        format!("{request_id} was told {status}, though its tenant is accepted");
+                    self.violated(at, Promise::Configuration, what);
+                }
                 if let Ending::Wrong(reason) = ending {
                     let what = format!("{request_id}: {reason}");
                     let promise = if reason.starts_with("claims versions") {
