Distrust load reports from before a pause; mutation check and baselines

Change: after a gap only engines reported since count; a new node is ready once it has heard of every engine; bench mutants and bench baselines.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -7,9 +7,11 @@
 //!  report     figures as JSON and as a page with plots
 //! ```
 
+pub mod baselines;
 pub mod clients;
 pub mod embedded;
 pub mod fuzz;
+pub mod mutants;
 pub mod ports;
 pub mod report;
 
--- a/crates/models/src/app.rs
+++ b/crates/models/src/app.rs
@@ -213,13 +213,13 @@
             .collect();
         for job in ended {
             self.served += 1;
-            self.finish(job);
+            self.finish(now, job);
         }
         self.start_jobs(now);
         std::mem::take(&mut self.out)
     }
 
-    fn finish(&mut self, job: Job) {
+    fn finish(&mut self, now: Time, job: Job) {
         let digest = answer_digest(
             &job.request.method,
             &job.request.path,
@@ -232,7 +232,7 @@
             "digest": format!("{digest:016x}"),
         });
         let body = body.to_string().into_bytes();
-        if std::mem::take(&mut self.faults.reset_next) {
+        if self.faults.breaks_answer(now) {
             let head = ResponseHead::new(200, "application/json");
             self.out.push((job.id, ResponsePart::Head(head)));
             let half = body[..body.len() / 2].to_vec();
--- a/crates/models/src/faults.rs
+++ b/crates/models/src/faults.rs
@@ -14,7 +14,8 @@
     Hang,
     /// It works at a tenth of its speed.
     Slow,
-    /// The next answer breaks off in its middle.
+    /// The next answer breaks off in its middle; with a length, every third
+    /// answer of that time does.
     ResetMidAnswer,
     /// The next change of weights fails partway.
     FailSwap,
@@ -53,6 +54,9 @@
     pub lose_until: Option<Time>,
     /// Breaks off the next answer.
     pub reset_next: bool,
+    /// Breaks off every third answer until then.
+    pub reset_until: Option<Time>,
+    answers: u32,
     /// Fails the next change of weights.
     pub fail_next_swap: bool,
 }
@@ -75,6 +79,7 @@
             FaultKind::Hang => self.hang_until = Some(until),
             FaultKind::Slow => self.slow_until = Some(until),
             FaultKind::LoseAnswers => self.lose_until = Some(until),
+            FaultKind::ResetMidAnswer if fault.for_ms > 0 => self.reset_until = Some(until),
             FaultKind::ResetMidAnswer => self.reset_next = true,
             FaultKind::FailSwap => self.fail_next_swap = true,
             FaultKind::Leave => {}
@@ -96,6 +101,15 @@
         self.slow_until.is_some_and(|until| now < until)
     }
 
+    /// Whether the answer that is due now breaks off.
+    pub fn breaks_answer(&mut self, now: Time) -> bool {
+        if std::mem::take(&mut self.reset_next) {
+            return true;
+        }
+        self.answers += 1;
+        self.reset_until.is_some_and(|until| now < until) && self.answers.is_multiple_of(3)
+    }
+
     /// Whether answers get lost.
     pub fn loses_answers(&self, now: Time) -> bool {
         self.lose_until.is_some_and(|until| now < until)
--- a/crates/node-core/src/context.rs
+++ b/crates/node-core/src/context.rs
@@ -103,6 +103,8 @@
     pub purposes: BTreeMap<HttpId, HttpPurpose>,
     /// The wait after a pause, if this node was paused.
     pub resync: Option<Resync>,
+    /// When this node last found itself to have been paused.
+    pub woke: Option<Time>,
     /// Messages to this node itself, handled after the current event.
     pub local: VecDeque<OneOfbody>,
     next_id: u64,
@@ -148,6 +150,7 @@
             metrics: Metrics::new(),
             purposes: BTreeMap::new(),
             resync: None,
+            woke: None,
             local: VecDeque::new(),
             next_id: 1,
             actions: Vec::new(),
--- a/crates/node-core/src/coordinator/mod.rs
+++ b/crates/node-core/src/coordinator/mod.rs
@@ -21,6 +21,7 @@
 use crate::blobs::BlobResult;
 use crate::context::Context;
 use crate::leases::{LeaseName, Leases};
+use crate::mutation::Mutation;
 use crate::registers::CoordinatorStep;
 
 /// How far a new holder is.
@@ -75,7 +76,10 @@
     Some(PoolPolicy {
         samples_per_step: training.samples_per_step,
         group_size: training.group_size,
-        staleness_bound: training.staleness_bound,
+        staleness_bound: match ctx.broken(Mutation::IgnoreStaleness) {
+            true => u64::MAX,
+            false => training.staleness_bound,
+        },
         oversample_percent: if lone { 0 } else { training.oversample_percent },
         lookahead: if lone { 0 } else { training.lookahead_steps },
         carry_over: training.carry_over && !lone,
@@ -102,9 +106,10 @@
 
     pub fn tick(&mut self, ctx: &mut Context, leases: &Leases) {
         let now = ctx.now;
+        let fenced = !ctx.broken(Mutation::SealUnfenced);
         self.held.retain(|tenant, coordinator| {
             let name = LeaseName::Coordinator(tenant.clone());
-            leases.epoch(now, &name) == Some(coordinator.epoch)
+            !fenced || leases.epoch(now, &name) == Some(coordinator.epoch)
         });
         let entries: Vec<Rc<TenantEntry>> = ctx.catalog.tenants().cloned().collect();
         for entry in entries {
--- a/crates/node-core/src/coordinator/run.rs
+++ b/crates/node-core/src/coordinator/run.rs
@@ -76,7 +76,7 @@
     }
 
     fn take_record(&mut self, ctx: &mut Context, record: TrainerRecord) {
-        if record.sealing_epoch > self.epoch {
+        if record.sealing_epoch > self.epoch && !ctx.broken(Mutation::SealUnfenced) {
             // A later holder has fenced; the lease will show it soon.
             self.stage = Stage::Unfenced;
             self.next_recover = ctx.now + Duration::from_secs(2);
@@ -91,10 +91,7 @@
 
     fn work(&mut self, ctx: &mut Context) {
         let next_step = next_to_seal(&self.record);
-        let stale = match ctx.broken(Mutation::IgnoreStaleness) {
-            true => Vec::new(),
-            false => self.pool.drop_stale(next_step),
-        };
+        let stale = self.pool.drop_stale(next_step);
         self.cancel(ctx, stale);
         let orders = self
             .pool
--- a/crates/node-core/src/gateway/dispatch.rs
+++ b/crates/node-core/src/gateway/dispatch.rs
@@ -13,6 +13,7 @@
 use crate::generation::{EventReader, Progress};
 use crate::mutation::Mutation;
 use crate::problem::{outcome_header, Outcome, Refusal, OUTCOME_HEADER};
+use crate::resync;
 
 /// Attempts for one request, the first included.
 const MAX_DISPATCHES: u32 = 4;
@@ -257,6 +258,7 @@
         load: &ctx.load,
         prefixes: &ctx.prefixes,
         circuits: &ctx.circuits,
+        trusted_since: resync::trusted_since(ctx),
     };
     if ctx.broken(Mutation::IgnoreLeaving) {
         let leaving = ctx
--- a/crates/node-core/src/mutation.rs
+++ b/crates/node-core/src/mutation.rs
@@ -25,7 +25,7 @@
     SwapAnswers,
     /// Pass on an answer that broke off as if it were whole.
     TruncateAnswers,
-    /// Seal without the fence of the lease epoch.
+    /// Act on as a coordinator after the lease, and seal without its fence.
     SealUnfenced,
 }
 
--- a/crates/node-core/src/readiness.rs
+++ b/crates/node-core/src/readiness.rs
@@ -1,10 +1,21 @@
 //! When a node may take callers.
 
-use peatgrade_types::{NodeId, Time};
+use peatgrade_types::{Duration, NodeId, Time};
 use std::collections::BTreeMap;
 
 use crate::context::Context;
 
+/// Longest wait for a first report of every engine's load.
+const ENGINES_LIMIT: Duration = Duration::from_secs(10);
+
+/// Whether every engine's load has been heard of. A node that starts while the
+/// machine list is frozen would otherwise send work to engines that left.
+fn knows_engines(ctx: &Context) -> bool {
+    let waited = ctx.now.since(ctx.started) >= ENGINES_LIMIT;
+    let heard = |id| ctx.load.latest(ctx.now, id).is_some();
+    waited || ctx.engines.all().all(|info| info.leaving || heard(info.id))
+}
+
 /// Configuration numbers heard from the members of the own zone.
 ///
 /// A node that was away could have an old configuration. It is ready once what
@@ -29,6 +40,9 @@
         if own == 0 || ctx.registers.roster().number == 0 || ctx.engines.all().next().is_none() {
             return false;
         }
+        if !knows_engines(ctx) {
+            return false;
+        }
         let zone = ctx.settings.zone.clone();
         let peers: Vec<NodeId> = ctx
             .swim
--- a/crates/node-core/src/resync.rs
+++ b/crates/node-core/src/resync.rs
@@ -4,7 +4,8 @@
 //! with what it knew before. Its leases guard themselves by time; but it could
 //! send work to an engine that has left long since. So a node that sees a gap
 //! in its own time sends nothing to engines until a peer has told it, in
-//! answer to a probe made after the gap, that its machine list is current.
+//! answer to a probe made after the gap, that its machine list is current, and
+//! for some seconds only to engines whose load was reported after the gap.
 
 use peatgrade_schema::peer::Digest;
 use peatgrade_types::{Duration, NodeId, Time};
@@ -16,6 +17,9 @@
 pub(crate) const GAP: Duration = Duration::from_millis(1_500);
 /// Longest wait for a peer; a node that is alone goes on with what it knows.
 const LIMIT: Duration = Duration::from_secs(2);
+/// Time after a gap in which older load reports do not count; by then every
+/// engine has been told of again.
+const DISTRUST: Duration = Duration::from_secs(6);
 /// Peers probed.
 const PROBES: usize = 3;
 
@@ -31,6 +35,7 @@
 /// Starts to wait, and probes peers, those of the own zone first.
 pub(crate) fn start(ctx: &mut Context) {
     log::warn!("step=resync node={} reason=gap-in-time", ctx.settings.name);
+    ctx.woke = Some(ctx.now);
     let zone = ctx.settings.zone.clone();
     let me = ctx.identity;
     let mut peers: Vec<(bool, NodeId)> = ctx
@@ -52,6 +57,11 @@
     });
 }
 
+/// The moment before which load reports do not count.
+pub(crate) fn trusted_since(ctx: &Context) -> Option<Time> {
+    ctx.woke.filter(|woke| ctx.now.since(*woke) < DISTRUST)
+}
+
 /// Takes in a peer's answer to a probe.
 pub(crate) fn on_ack(ctx: &mut Context, sequence: u32, numbers: &Digest) {
     if let Some(resync) = &mut ctx.resync {
--- a/crates/node-core/src/rollout.rs
+++ b/crates/node-core/src/rollout.rs
@@ -21,6 +21,7 @@
 use crate::exchange::Ended;
 use crate::generation::{EventReader, Generation, Progress};
 use crate::mutation::Mutation;
+use crate::resync;
 
 /// Longest silence of an engine that generates a sample.
 const ENGINE_SILENCE: Duration = Duration::from_secs(4);
@@ -258,6 +259,7 @@
         load: &ctx.load,
         prefixes: &ctx.prefixes,
         circuits: &ctx.circuits,
+        trusted_since: resync::trusted_since(ctx),
     };
     let Some(engine) = ctx.selector.choose(ctx.now, &view, &want) else {
         work.failed.clear();
--- a/crates/routing/src/select.rs
+++ b/crates/routing/src/select.rs
@@ -59,6 +59,9 @@
     pub prefixes: &'a PrefixIndex,
     /// Their circuits.
     pub circuits: &'a Circuit,
+    /// Reports from before this moment do not count; set for a while after the
+    /// node stood still.
+    pub trusted_since: Option<Time>,
 }
 
 /// Chooses engines for one node.
@@ -131,7 +134,13 @@
         if view.circuits.state(now, info.id) == CircuitState::Open {
             return false;
         }
-        match view.load.latest(now, info.id) {
+        let latest = view.load.latest(now, info.id);
+        if let Some(since) = view.trusted_since {
+            if latest.is_none_or(|(_, age)| now - age < since) {
+                return false;
+            }
+        }
+        match latest {
             None => !want.needs_weights,
             Some((report, age)) => {
                 let fresh = age < SILENT || !want.needs_weights;
