--- a/crates/app/src/ctl/client.rs
+++ b/crates/app/src/ctl/client.rs
@@ -61,7 +61,9 @@
     pub fn get(&self, key: &str) -> Result<Option<RawObject>, String> {
         let (status, body) = self.send(HttpRequest::new("GET", format!("/objects/{key}"), ""))?;
         match status {
-            200 => serde_json::from_slice(&body).map(Some).map_err(|e| e.to_string()),
+            200 => serde_json::from_slice(&body)
+                .map(Some)
+                .map_err(|e| e.to_string()),
             404 => Ok(None),
             _ => Err(format!("get {key}: status {status}")),
         }
@@ -78,9 +80,10 @@
         match self.send(request) {
             Ok((200, _)) => Ok(Written::Done),
             Ok((409, body)) => Ok(Written::Conflict(conflicting(&body))),
-            Ok((status, body)) => {
-                Err(format!("put {key}: status {status}: {}", String::from_utf8_lossy(&body)))
-            }
+            Ok((status, body)) => Err(format!(
+                "put {key}: status {status}: {}",
+                String::from_utf8_lossy(&body)
+            )),
             Err(error) => match self.get(key)? {
                 Some(now) if now.body == *body && now.author == self.author => Ok(Written::Done),
                 Some(now) if now.resource_version != version => Ok(Written::Conflict(Some(now))),
--- a/crates/app/src/ctl/mod.rs
+++ b/crates/app/src/ctl/mod.rs
@@ -28,7 +28,12 @@
 #[command(name = "peatgradectl", version)]
 pub struct Cli {
     /// IP:port of the platform's object API
-    #[arg(long, global = true, env = "PEATGRADE_PLATFORM", default_value = "127.0.0.1:17000")]
+    #[arg(
+        long,
+        global = true,
+        env = "PEATGRADE_PLATFORM",
+        default_value = "127.0.0.1:17000"
+    )]
     platform: String,
     /// Name under which changes are recorded
     #[arg(long, global = true, env = "USER", default_value = "operator")]
--- a/crates/app/src/dev.rs
+++ b/crates/app/src/dev.rs
@@ -1,20 +1,19 @@
 //! `peatgrade dev`: a whole deployment in one process.
 
 use clap::Args;
-use futures_channel::mpsc::unbounded;
-use futures_util::StreamExt;
 use peatgrade_bench::clients::{self, ClientPlan};
 use peatgrade_bench::{report, ClientReport, Embedded};
 use peatgrade_models::Deployment;
 use peatgrade_node_core::NodeStatus;
-use peatgrade_runtime::{block_on, logging, open_rings, HttpClient};
-use peatgrade_types::http::{HttpRequest, ResponsePart};
+use peatgrade_runtime::{block_on, logging, open_rings};
+use peatgrade_types::http::HttpRequest;
 use peatgrade_types::Duration;
 use std::io::IsTerminal;
 use std::path::PathBuf;
 use std::sync::mpsc::{channel, Receiver, RecvTimeoutError};
 
 use crate::emulate::read_faults;
+use crate::fetch::fetch;
 use crate::length::parse_length;
 use crate::signals::stop_signals;
 use crate::status_view::screen;
@@ -144,33 +143,15 @@
     let fetched = block_on(async move {
         let mut statuses = Vec::new();
         for node in nodes {
-            let body = get(&node, "/status").await;
-            statuses.extend(body.and_then(|body| serde_json::from_slice(&body).ok()));
+            let ended = fetch(&node, HttpRequest::new("GET", "/status", "")).await;
+            let body = ended.ok().filter(|(status, _)| *status == 200);
+            statuses.extend(body.and_then(|(_, body)| serde_json::from_slice(&body).ok()));
         }
         statuses
     });
     fetched.unwrap_or_default()
 }
 
-/// Body of a GET that was answered with 200.
-async fn get(address: &str, path: &str) -> Option<Vec<u8>> {
-    let (parts, mut received) = unbounded();
-    let client = HttpClient::<u8>::new(parts);
-    let silence = std::time::Duration::from_secs(2);
-    let _cancel = client.send(0, address, HttpRequest::new("GET", path, ""), silence);
-    let mut body = Vec::new();
-    while let Some((_, part)) = received.next().await {
-        match part {
-            ResponsePart::Head(head) if head.status != 200 => return None,
-            ResponsePart::Head(_) => {}
-            ResponsePart::Data(data) => body.extend_from_slice(&data),
-            ResponsePart::End => return Some(body),
-            ResponsePart::Failed(_) => return None,
-        }
-    }
-    None
-}
-
 /// Waits until every node says that it is ready.
 pub fn wait_until_ready(nodes: &[String]) -> Result<(), String> {
     let started = std::time::Instant::now();
--- a/crates/bench/src/embedded.rs
+++ b/crates/bench/src/embedded.rs
@@ -23,6 +23,8 @@
     pub platform: String,
     /// HTTP addresses of the nodes.
     pub nodes: Vec<String>,
+    /// Addresses of the platform's machines, by name.
+    machines: std::collections::BTreeMap<String, String>,
     node_parts: Vec<Part>,
     platform_part: Part,
     data: PathBuf,
@@ -84,12 +86,20 @@
         Ok(Self {
             platform,
             nodes,
+            machines: plan.machines,
             node_parts: parts?,
             platform_part,
             data,
         })
     }
 
+    /// Address of a machine whose name holds a word, in a zone.
+    pub fn machine_address(&self, word: &str, zone: &str) -> Option<String> {
+        let mut machines = self.machines.iter();
+        let found = machines.find(|(name, _)| name.contains(word) && name.contains(zone));
+        found.map(|(_, address)| address.clone())
+    }
+
     /// Folder of the bulk data.
     pub fn data(&self) -> &Path {
         &self.data
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -9,10 +9,15 @@
 
 pub mod baselines;
 pub mod clients;
+pub mod compare;
 pub mod embedded;
 pub mod fuzz;
 pub mod mutants;
+pub mod overhead;
+pub mod page;
+pub mod plot;
 pub mod ports;
+pub mod processor_time;
 pub mod report;
 
 pub use clients::{ClientPlan, ClientReport};
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -20,7 +20,7 @@
 use std::time::Duration;
 
 /// Time between two steps of the models.
-const STEP: Duration = Duration::from_millis(5);
+const STEP: Duration = Duration::from_millis(1);
 /// Executions answered at once.
 const EXECUTIONS_PAGE: usize = 2_000;
 
--- a/crates/membership/src/swim.rs
+++ b/crates/membership/src/swim.rs
@@ -180,7 +180,7 @@
                 self.suspect(now, probe.target);
             }
             outgoing.extend(self.start_probe(now));
-            self.next_probe = self.next_probe + self.settings.period;
+            self.next_probe += self.settings.period;
             if self.next_probe < now {
                 self.next_probe = now + self.settings.period;
             }
--- a/crates/models/src/platform.rs
+++ b/crates/models/src/platform.rs
@@ -26,7 +26,7 @@
 #[derive(Debug)]
 enum Model {
     Engine(Box<EngineModel>),
-    App(AppModel),
+    App(Box<AppModel>),
     Scorer(ScorerModel),
 }
 
@@ -384,6 +384,9 @@
             let settings = engine.unwrap_or_default();
             Model::Engine(Box::new(EngineModel::new(&machine.name, settings, seed)))
         }
-        _ => Model::App(AppModel::new(&machine.name, app.unwrap_or_default())),
+        _ => Model::App(Box::new(AppModel::new(
+            &machine.name,
+            app.unwrap_or_default(),
+        ))),
     }
 }
--- a/crates/simulation/tests/deployments.rs
+++ b/crates/simulation/tests/deployments.rs
@@ -2,7 +2,7 @@
 //! gives one trace.
 
 use peatgrade_models::Deployment;
-use peatgrade_simulation::{run, FaultPlan, PlanSettings, RunReport, RunSettings};
+use peatgrade_simulation::{run, FaultPlan, RunReport, RunSettings};
 use rstest::rstest;
 use std::path::Path;
 
