--- a/crates/app/src/bench/mod.rs
+++ b/crates/app/src/bench/mod.rs
@@ -5,6 +5,7 @@
 mod mutants;
 mod overhead;
 mod run;
+mod scale;
 
 use clap::{Args, Subcommand};
 
@@ -23,6 +24,10 @@
     Compare(run::CompareArgs),
     /// Measure what a node adds to a request and how many it carries
     Overhead(overhead::OverheadArgs),
+    /// Measure control traffic, processor time and memory at several sizes
+    Scale(scale::ScaleArgs),
+    /// Measure how fast a large region takes changes and failures
+    Times(scale::TimesArgs),
     /// Simulate a deployment with drawn faults, many times
     Fuzz(fuzz::FuzzArgs),
     /// Switch deliberate breaks on and see that each is noticed
@@ -37,6 +42,8 @@
         BenchCommand::Run(args) => run::run(args),
         BenchCommand::Compare(args) => run::run_compare(args),
         BenchCommand::Overhead(args) => overhead::run(args),
+        BenchCommand::Scale(args) => scale::run(args),
+        BenchCommand::Times(args) => scale::run_times(args),
         BenchCommand::Fuzz(args) => fuzz::run(args),
         BenchCommand::Mutants(args) => mutants::run(args),
         BenchCommand::Baselines(args) => baselines::run(args),
--- a/crates/node-core/src/core.rs
+++ b/crates/node-core/src/core.rs
@@ -396,6 +396,11 @@
         }
     }
 
+    /// Health of a node as this node sees it, if it knows it.
+    pub fn sees(&self, node: peatgrade_types::NodeId) -> Option<State> {
+        self.ctx.swim.member(node).map(|member| member.state)
+    }
+
     /// What this node says of itself.
     pub fn status(&mut self) -> NodeStatus {
         let ready = self.ready();
--- a/crates/simulation/src/process.rs
+++ b/crates/simulation/src/process.rs
@@ -30,17 +30,45 @@
     pub seen_head: bool,
 }
 
-/// What a node sent and received over the peer network.
+/// Messages of one kind that a node sent and received, in bytes with headers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
-pub struct NodeTraffic {
+pub struct KindTraffic {
     /// Messages sent.
     pub messages_out: u64,
-    /// Bytes sent, with headers.
+    /// Bytes sent.
     pub bytes_out: u64,
     /// Messages received.
     pub messages_in: u64,
-    /// Bytes received, with headers.
+    /// Bytes received.
     pub bytes_in: u64,
+    /// Processor time spent on those received, in nanoseconds.
+    pub handler_nanos: u64,
+}
+
+/// What a node sent, received and spent.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct NodeTraffic {
+    /// Peer messages by kind.
+    pub kinds: BTreeMap<&'static str, KindTraffic>,
+    /// Ticks, and the processor time spent on them in nanoseconds.
+    pub ticks: (u64, u64),
+    /// Parts of responses and callers' requests, and the time spent on them.
+    pub http: (u64, u64),
+}
+
+impl NodeTraffic {
+    /// Sum over the kinds that a predicate keeps.
+    pub fn total(&self, keep: impl Fn(&str) -> bool) -> KindTraffic {
+        let kept = self.kinds.iter().filter(|(kind, _)| keep(kind));
+        kept.fold(KindTraffic::default(), |mut sum, (_, traffic)| {
+            sum.messages_out += traffic.messages_out;
+            sum.bytes_out += traffic.bytes_out;
+            sum.messages_in += traffic.messages_in;
+            sum.bytes_in += traffic.bytes_in;
+            sum.handler_nanos += traffic.handler_nanos;
+            sum
+        })
+    }
 }
 
 /// One node.
--- a/crates/simulation/src/report.rs
+++ b/crates/simulation/src/report.rs
@@ -7,8 +7,6 @@
 use serde::Serialize;
 use std::collections::BTreeMap;
 
-pub use crate::process::NodeTraffic as Traffic;
-
 /// Latencies of one stream of callers, and how its requests ended.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Latencies {
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -15,6 +15,7 @@
 use std::collections::BTreeMap;
 
 use crate::config_watch::ConfigWatch;
+use crate::membership_watch::{MembershipFigures, MembershipWatch};
 use crate::network::{Network, NetworkSettings};
 use crate::plan::FaultPlan;
 use crate::process::{Arriving, Process};
@@ -179,6 +180,7 @@
     open_clients: BTreeMap<ClientRef, usize>,
     oracle: Oracle,
     config_watch: ConfigWatch,
+    membership_watch: MembershipWatch,
     streams: BTreeMap<String, Latencies>,
     faults: BTreeMap<String, u64>,
     commits: BTreeMap<String, (u64, Time)>,
@@ -252,6 +254,7 @@
             trainers,
             open_clients: BTreeMap::new(),
             config_watch: ConfigWatch::default(),
+            membership_watch: MembershipWatch::default(),
             streams: BTreeMap::new(),
             faults: BTreeMap::new(),
             commits: BTreeMap::new(),
@@ -266,19 +269,29 @@
 
     /// Runs to the end: the length of the traffic and time for what is open.
     pub fn run(&mut self) {
-        self.schedule_start();
-        let last = self.end + Duration::from_secs(45);
+        let tail = Duration::from_secs(45);
+        let whole = self.end.since(ORIGIN).as_millis() + tail.as_millis();
+        self.run_until(whole);
+        let now = self.now;
+        self.oracle.finish(now);
+    }
+
+    /// Runs until some milliseconds after the start.
+    pub fn run_until(&mut self, millis: u64) {
+        if self.events == 0 {
+            self.schedule_start();
+        }
+        let last = ORIGIN + Duration::from_millis(millis);
         while let Some((at, event)) = self.queue.pop() {
             if at > last {
-                break;
+                self.queue.push(at, event);
+                return;
             }
             self.now = at;
             self.events += 1;
             self.note(&event);
             self.handle(event);
         }
-        let now = self.now;
-        self.oracle.finish(now);
     }
 
     fn schedule_start(&mut self) {
@@ -391,6 +404,7 @@
             &mut self.oracle,
         );
         self.observe_weights();
+        self.membership_watch.observe(self.now, &self.nodes);
     }
 
     /// Notes when the last engine of a model that can be reached has taken the
@@ -469,12 +483,32 @@
             weights_spread_ms: longest_and_median(&self.weight_spread),
             store_requests: self.platform.store.requests(),
             peer_bytes_per_second: (
-                busiest(|node| node.traffic.bytes_out),
-                busiest(|node| node.traffic.bytes_in),
+                busiest(|node| node.traffic.total(|_| true).bytes_out),
+                busiest(|node| node.traffic.total(|_| true).bytes_in),
             ),
         }
     }
 
+    /// Figures of the failure detector.
+    pub fn membership(&self) -> MembershipFigures {
+        self.membership_watch.figures()
+    }
+
+    /// Names of the nodes with what each sent, received and spent.
+    pub fn traffic(&self) -> Vec<(String, crate::process::NodeTraffic)> {
+        let nodes = self.nodes.iter();
+        nodes
+            .map(|node| (node.name.clone(), node.traffic.clone()))
+            .collect()
+    }
+
+    /// Forgets what was sent, received and spent, to measure from here on.
+    pub fn reset_traffic(&mut self) {
+        for node in &mut self.nodes {
+            node.traffic = crate::process::NodeTraffic::default();
+        }
+    }
+
     /// What each running node says of itself.
     pub fn statuses(&mut self) -> Vec<peatgrade_node_core::NodeStatus> {
         let cores = self.nodes.iter_mut().filter_map(|node| node.core.as_mut());
