--- a/crates/app/src/bench/scale.rs
+++ b/crates/app/src/bench/scale.rs
@@ -4,6 +4,7 @@
 use peatgrade_bench::page::page;
 use peatgrade_bench::plot::{lines, Labels, Series};
 use peatgrade_bench::scale::{scale, times, ScaleReport, SizeReport};
+use std::collections::BTreeMap;
 use std::path::PathBuf;
 
 /// Which sizes to measure.
@@ -86,10 +87,17 @@
             figures.register_bytes
         );
     }
-    let mut kinds: Vec<_> = size.worst_out.kinds.iter().collect();
-    kinds.sort_by(|left, right| right.1 .0.total_cmp(&left.1 .0));
-    for (kind, (out, received)) in kinds.into_iter().take(8) {
-        println!("      worst out, {kind}: {out:.0} B/s out {received:.0} in");
+    print_kinds("worst out", &size.worst_out.kinds, |rates| rates.0);
+    print_kinds("worst in", &size.worst_in.kinds, |rates| rates.1);
+}
+
+/// Prints the kinds of message with the most bytes.
+fn print_kinds(whose: &str, kinds: &BTreeMap<String, (f64, f64)>, pick: fn(&(f64, f64)) -> f64) {
+    const SHOWN: usize = 6;
+    let mut kinds: Vec<_> = kinds.iter().collect();
+    kinds.sort_by(|left, right| pick(right.1).total_cmp(&pick(left.1)));
+    for (kind, (out, received)) in kinds.into_iter().take(SHOWN) {
+        println!("      {whose}, {kind}: {out:.0} B/s out {received:.0} in");
     }
 }
 
--- a/crates/bench/src/scale.rs
+++ b/crates/bench/src/scale.rs
@@ -31,8 +31,8 @@
 /// Trainers of a region at the target: five for both regions, rounded up.
 const TRAINERS: u32 = 3;
 /// Milliseconds until a region has settled, and until a measurement ends.
-const SETTLED_MS: u64 = 60_000;
-const MEASURED_MS: u64 = 120_000;
+const SETTLED_MS: u64 = 100_000;
+const MEASURED_MS: u64 = 160_000;
 
 /// Budget of a node for control, from the letter.
 pub const BUDGET_BYTES_PER_SECOND: f64 = 2_000.0;
--- a/crates/consensus/src/proposer.rs
+++ b/crates/consensus/src/proposer.rs
@@ -15,6 +15,18 @@
 /// Longest random wait after losing to another proposer.
 const MAX_BACKOFF: Duration = Duration::from_millis(80);
 
+/// Time for which a replica that did not answer is asked last.
+const SLOW_FOR: Duration = Duration::from_secs(5);
+
+/// Replicas to which a phase is sent.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum Audience {
+    /// As many as are needed.
+    Majority,
+    /// Every one that has not answered.
+    All,
+}
+
 /// Names one operation of this proposer.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug, Hash)]
 pub struct OperationId(pub u64);
@@ -107,6 +119,8 @@
     next_operation: u64,
     highest_counter: u64,
     random: SmallRng,
+    /// Replicas that left a message unanswered, and when.
+    slow: BTreeMap<NodeId, Time>,
 }
 
 impl Proposer {
@@ -118,6 +132,7 @@
             next_operation: 1,
             highest_counter: 0,
             random: SmallRng::seed_from_u64(seed),
+            slow: BTreeMap::new(),
         }
     }
 
@@ -169,7 +184,7 @@
             if restart {
                 outgoing.extend(self.prepare(now, roster, id));
             } else if now.since(operation.sent) >= RESEND {
-                outgoing.extend(self.resend(now, roster, id));
+                outgoing.extend(self.resend(now, roster, id, Audience::All));
             }
         }
         (outgoing, outcomes)
@@ -183,6 +198,7 @@
         from: NodeId,
         promise: Promise,
     ) -> (Vec<Outgoing>, Option<RegisterOutcome>) {
+        self.slow.remove(&from);
         let id = OperationId(promise.request >> 16);
         self.note_counter(&BallotNumber::from(&promise.highest));
         let Some(operation) = self.operations.get_mut(&id) else {
@@ -216,6 +232,7 @@
         from: NodeId,
         answer: &Accepted,
     ) -> Option<RegisterOutcome> {
+        self.slow.remove(&from);
         let id = OperationId(answer.request >> 16);
         self.note_counter(&BallotNumber::from(&answer.highest));
         let operation = self.operations.get_mut(&id)?;
@@ -291,7 +308,7 @@
             value,
             lifetime_ms,
         };
-        (self.resend(now, roster, id), None)
+        (self.resend(now, roster, id, Audience::Majority), None)
     }
 
     fn prepare(&mut self, now: Time, roster: &Roster, id: OperationId) -> Vec<Outgoing> {
@@ -305,14 +322,28 @@
         operation.phase = Phase::Preparing {
             promises: BTreeMap::new(),
         };
-        self.resend(now, roster, id)
+        self.resend(now, roster, id, Audience::Majority)
     }
 
-    fn resend(&mut self, now: Time, roster: &Roster, id: OperationId) -> Vec<Outgoing> {
+    /// Sends the current phase to replicas that have not answered. The first
+    /// sending goes to as many as are needed, those that answered last time;
+    /// whoever does not answer then is noted, and all are asked.
+    fn resend(
+        &mut self,
+        now: Time,
+        roster: &Roster,
+        id: OperationId,
+        audience: Audience,
+    ) -> Vec<Outgoing> {
+        self.slow.retain(|_, since| now.since(*since) < SLOW_FOR);
         let operation = self.operations.get_mut(&id).expect("caller holds the id");
         operation.sent = now;
         let request = request_number(id, operation.ballot);
-        let replicas = roster.replicas(shard_of(&operation.key));
+        let mut replicas = roster.replicas(shard_of(&operation.key));
+        if audience == Audience::Majority {
+            replicas.sort_by_key(|member| self.slow.contains_key(&member.identity.node));
+            replicas.truncate(majority(replicas.len()));
+        }
         let mut outgoing = Vec::with_capacity(replicas.len());
         for member in replicas {
             let node = member.identity.node;
@@ -339,6 +370,10 @@
             };
             outgoing.push(Outgoing::new(node, body));
         }
+        if audience == Audience::All {
+            let unanswered = outgoing.iter().map(|message| (message.to, now));
+            self.slow.extend(unanswered);
+        }
         outgoing
     }
 
--- a/crates/membership/src/gossip.rs
+++ b/crates/membership/src/gossip.rs
@@ -3,8 +3,10 @@
 use peatgrade_types::NodeId;
 use std::collections::BTreeMap;
 
-/// Updates carried by one probe or answer.
+/// Updates carried by one probe or answer, usually and while many wait, as
+/// after the start of a whole region.
 const PER_MESSAGE: usize = 5;
+const PER_MESSAGE_BUSY: usize = 12;
 
 /// Members with news, and how often each was passed on.
 #[derive(Debug, Default)]
@@ -25,11 +27,9 @@
         let limit = 3 * (usize::BITS - group.leading_zeros()).max(1);
         let mut queued: Vec<(u32, NodeId)> = self.sent.iter().map(|(&n, &c)| (c, n)).collect();
         queued.sort();
-        let chosen: Vec<NodeId> = queued
-            .into_iter()
-            .take(PER_MESSAGE)
-            .map(|(_, n)| n)
-            .collect();
+        let busy = queued.len() > 2 * PER_MESSAGE_BUSY;
+        let count = if busy { PER_MESSAGE_BUSY } else { PER_MESSAGE };
+        let chosen: Vec<NodeId> = queued.into_iter().take(count).map(|(_, n)| n).collect();
         for node in &chosen {
             if let Some(count) = self.sent.get_mut(node) {
                 *count += 1;
--- a/crates/node-core/src/bulletin.rs
+++ b/crates/node-core/src/bulletin.rs
@@ -23,6 +23,9 @@
 /// Time between two tellings of own zone's loads to the roots of other zones.
 const FAR_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Engines of a pool with which a zone gets by without those of other zones.
+const ENOUGH_ENGINES: usize = 6;
+
 #[derive(Clone, Debug)]
 struct Known {
     load: EngineLoad,
@@ -115,24 +118,24 @@
 
     fn tell_other_zones(&mut self, ctx: &mut Context) {
         let now = ctx.now;
-        let due: Vec<EngineLoad> = self
+        let due: Vec<EngineId> = self
             .known
-            .values_mut()
-            .filter(|known| !known.far)
-            .filter(|known| known.due(known.told_far, now))
-            .take(MAX_LOADS)
-            .map(|known| {
-                known.told_far = Some(now);
-                aged(known, now)
-            })
+            .iter()
+            .filter(|(_, known)| !known.far && known.due(known.told_far, now))
+            .map(|(&engine, _)| engine)
             .collect();
-        if due.is_empty() {
-            return;
-        }
         let mine = ctx.settings.zone.clone();
         for zone in zones(ctx).into_iter().filter(|zone| *zone != mine) {
-            if let Some(root) = zone_tree(ctx, &zone).root() {
-                let loads = due.clone();
+            let wanted = due.iter().filter(|engine| relies_on(ctx, &zone, **engine));
+            let wanted: Vec<EngineId> = wanted.copied().take(MAX_LOADS).collect();
+            let loads = wanted.iter().filter_map(|engine| {
+                let known = self.known.get_mut(engine)?;
+                known.told_far = Some(now);
+                Some(aged(known, now))
+            });
+            let loads: Vec<EngineLoad> = loads.collect();
+            let root = zone_tree(ctx, &zone).root().filter(|_| !loads.is_empty());
+            if let Some(root) = root {
                 ctx.send(root, OneOfbody::load_report(LoadMessage { loads }));
             }
         }
@@ -227,6 +230,19 @@
     (order.epoch, order.version, order.activate)
 }
 
+/// Whether nodes of a zone may have to use an engine: it is theirs, or they
+/// have few engines of its pool.
+pub(crate) fn relies_on(ctx: &Context, zone: &str, engine: EngineId) -> bool {
+    let Some(info) = ctx.engines.get(engine) else {
+        return false;
+    };
+    let own = ctx
+        .engines
+        .pool(&info.pool)
+        .filter(|other| other.zone == zone);
+    info.zone == zone || own.take(ENOUGH_ENGINES).count() < ENOUGH_ENGINES
+}
+
 fn aged(known: &Known, now: Time) -> EngineLoad {
     let mut load = known.load.clone();
     load.age = now.since(known.measured).as_millis() as u32;
@@ -234,7 +250,7 @@
 }
 
 /// Whether two loads differ too little to be told.
-fn same_bucket(left: &EngineLoad, right: &EngineLoad) -> bool {
+pub(crate) fn same_bucket(left: &EngineLoad, right: &EngineLoad) -> bool {
     let bucket = |value: u32| (value + 1).ilog2();
     bucket(left.waiting) == bucket(right.waiting)
         && left.running / 4 == right.running / 4
--- a/crates/node-core/src/coordinator/mod.rs
+++ b/crates/node-core/src/coordinator/mod.rs
@@ -12,9 +12,9 @@
 
 use peatgrade_config::TenantEntry;
 use peatgrade_consensus::RegisterError;
-use peatgrade_schema::peer::{PromptOffer, RolloutReport, TrainerRecord, WeightReport};
+use peatgrade_schema::peer::{PromptOffer, RolloutReport, StepNotice, TrainerRecord, WeightReport};
 use peatgrade_training::{PoolPolicy, Prompt, SamplePool, WeightRollout};
-use peatgrade_types::{Identity, Time};
+use peatgrade_types::{Identity, NodeId, Time};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
@@ -63,6 +63,8 @@
     next_orders: Time,
     next_recover: Time,
     deleted_before: u64,
+    /// Nodes that serve a fetch of a step that is not sealed yet.
+    waiting: BTreeMap<NodeId, u64>,
 }
 
 /// Register of a trainer.
@@ -142,6 +144,7 @@
                 next_orders: Time::default(),
                 next_recover: Time::default(),
                 deleted_before: 0,
+                waiting: BTreeMap::new(),
             }
         });
         if held.pool.policy() != &policy {
@@ -211,6 +214,12 @@
         }
     }
 
+    pub fn on_notice(&mut self, ctx: &mut Context, from: Identity, notice: &StepNotice) {
+        if let Some(coordinator) = self.held.get_mut(&notice.tenant) {
+            coordinator.on_notice(ctx, from.node, notice);
+        }
+    }
+
     pub fn on_weight_report(&mut self, report: &WeightReport) {
         for coordinator in self.held.values_mut() {
             coordinator.on_weight_report(report);
--- a/crates/node-core/src/coordinator/run.rs
+++ b/crates/node-core/src/coordinator/run.rs
@@ -4,8 +4,8 @@
 use peatgrade_membership::State;
 use peatgrade_schema::peer::mod_Envelope::OneOfbody;
 use peatgrade_schema::peer::{
-    Manifest, RolloutOrder, RolloutReport, RolloutState, SealedStep, TrainerRecord, WeightOrder,
-    WeightOrders, WeightReport,
+    Manifest, RolloutOrder, RolloutReport, RolloutState, SealedStep, StepEvent, StepNotice,
+    TrainerRecord, WeightOrder, WeightOrders, WeightReport,
 };
 use peatgrade_schema::{decode, encode};
 use peatgrade_training::{
@@ -23,8 +23,9 @@
 use crate::status::TrainerStatus;
 
 const REGISTER_LIMIT: Duration = Duration::from_secs(3);
-/// Time between two reads of the trainer's register.
-const POLL_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Time between two reads of the trainer's register; a notice of a commit
+/// brings the next read forward.
+const POLL_INTERVAL: Duration = Duration::from_secs(5);
 /// Time between two looks at the pool.
 const WORK_INTERVAL: Duration = Duration::from_millis(200);
 /// Time between two tellings of the weight order in force.
@@ -261,6 +262,7 @@
             return;
         }
         ctx.metrics.steps_sealed.inc();
+        self.tell_waiting(ctx, step);
         if !ctx.broken(Mutation::ReuseSamples) {
             self.pool.mark_used(sealing.samples);
         }
@@ -268,6 +270,40 @@
         self.cancel(ctx, surplus);
     }
 
+    /// Takes in word of a commit, or that a node waits for a step.
+    pub(super) fn on_notice(&mut self, ctx: &mut Context, from: NodeId, notice: &StepNotice) {
+        match notice.event {
+            StepEvent::COMMITTED => self.next_poll = ctx.now,
+            StepEvent::WAITING if notice.step < next_to_seal(&self.record) => {
+                self.tell_sealed(ctx, from, notice.step);
+            }
+            StepEvent::WAITING => {
+                self.waiting.insert(from, notice.step);
+            }
+            StepEvent::SEALED => {}
+        }
+    }
+
+    fn tell_waiting(&mut self, ctx: &mut Context, step: u64) {
+        let waiting = std::mem::take(&mut self.waiting);
+        for (node, wanted) in waiting {
+            if wanted <= step {
+                self.tell_sealed(ctx, node, wanted);
+            } else {
+                self.waiting.insert(node, wanted);
+            }
+        }
+    }
+
+    fn tell_sealed(&self, ctx: &mut Context, node: NodeId, step: u64) {
+        let notice = StepNotice {
+            tenant: self.entry.name.clone(),
+            step,
+            event: StepEvent::SEALED,
+        };
+        ctx.send(node, OneOfbody::step_notice(notice));
+    }
+
     /// Goes through recovery again under the same epoch. The fence stays, and
     /// writing it again changes nothing.
     fn epoch_restart(&mut self, ctx: &mut Context) {
--- a/crates/node-core/src/core.rs
+++ b/crates/node-core/src/core.rs
@@ -262,6 +262,10 @@
             OneOfbody::rollout_order(order) => self.rollouts.on_order(ctx, from, order),
             OneOfbody::rollout_report(report) => self.coordinators.on_report(ctx, from, report),
             OneOfbody::prompt_offer(offer) => self.coordinators.on_prompt(offer),
+            OneOfbody::step_notice(notice) => {
+                self.coordinators.on_notice(ctx, from, &notice);
+                self.trainers.on_notice(ctx, &notice);
+            }
             other => self.on_shared_message(from, other),
         }
     }
--- a/crates/node-core/src/owner.rs
+++ b/crates/node-core/src/owner.rs
@@ -9,7 +9,7 @@
 use peatgrade_types::{rendezvous_order, rendezvous_owner, Duration, EngineId, NodeId, Time};
 use std::collections::BTreeMap;
 
-use crate::bulletin::{note_load, rank, Bulletins};
+use crate::bulletin::{note_load, rank, same_bucket, Bulletins};
 use crate::context::{Context, HttpPurpose};
 use crate::distribution::zone_tree;
 use crate::exchange::Ended;
@@ -18,6 +18,12 @@
 const POLL_INTERVAL: Duration = Duration::from_secs(1);
 const POLL_TIMEOUT: Duration = Duration::from_millis(1_500);
 const ORDER_TIMEOUT: Duration = Duration::from_secs(8);
+/// Time between two tellings of an unchanged load, and of one that tells of an
+/// engine on its way out.
+const TELL: Duration = Duration::from_secs(3);
+const TELL_LEAVING: Duration = Duration::from_millis(900);
+/// Time between two choices of the engines to own.
+const CHOICE_INTERVAL: Duration = Duration::from_millis(500);
 /// Wait after an order that failed.
 const ORDER_RETRY: Duration = Duration::from_millis(500);
 /// Engines that copy straight from the weight store; the others copy from the
@@ -48,12 +54,15 @@
     failures: u32,
     reported: Option<Reported>,
     boot: u64,
+    /// Load last told to the zone's root, and when.
+    told: Option<(Time, EngineLoad)>,
 }
 
 /// Engines owned by this node.
 #[derive(Debug, Default)]
 pub(crate) struct Owner {
     engines: BTreeMap<EngineId, Owned>,
+    next_choice: Time,
 }
 
 impl Owner {
@@ -73,6 +82,10 @@
 
     /// Takes up engines that hash to this node and lays down others.
     fn choose(&mut self, ctx: &Context) {
+        if ctx.now < self.next_choice {
+            return;
+        }
+        self.next_choice = ctx.now + CHOICE_INTERVAL;
         let me = ctx.identity.node;
         let mine = ctx
             .engines
@@ -145,6 +158,15 @@
         };
         owned.load = Some(document);
         note_load(ctx, &load);
+        let refresh = if load.leaving { TELL_LEAVING } else { TELL };
+        let told = owned
+            .told
+            .as_ref()
+            .filter(|(at, told)| ctx.now.since(*at) < refresh && same_bucket(told, &load));
+        if told.is_some() {
+            return;
+        }
+        owned.told = Some((ctx.now, load.clone()));
         let zone = ctx.settings.zone.clone();
         if let Some(root) = zone_tree(ctx, &zone).root() {
             let loads = vec![load];
--- a/crates/node-core/src/readiness.rs
+++ b/crates/node-core/src/readiness.rs
@@ -3,6 +3,7 @@
 use peatgrade_types::{Duration, NodeId, Time};
 use std::collections::BTreeMap;
 
+use crate::bulletin::relies_on;
 use crate::context::Context;
 
 /// Longest wait for a first report of every engine's load.
@@ -13,7 +14,9 @@
 fn knows_engines(ctx: &Context) -> bool {
     let waited = ctx.now.since(ctx.started) >= ENGINES_LIMIT;
     let heard = |id| ctx.load.latest(ctx.now, id).is_some();
-    waited || ctx.engines.all().all(|info| info.leaving || heard(info.id))
+    let needed = |id| relies_on(ctx, &ctx.settings.zone, id);
+    let mut engines = ctx.engines.all();
+    waited || engines.all(|info| info.leaving || heard(info.id) || !needed(info.id))
 }
 
 /// Configuration numbers heard from the members of the own zone.
--- a/crates/node-core/src/trainer_api.rs
+++ b/crates/node-core/src/trainer_api.rs
@@ -8,7 +8,10 @@
 use bytes::Bytes;
 use peatgrade_consensus::{Decision, RegisterError};
 use peatgrade_schema::engine::{StepDocument, StepSample};
-use peatgrade_schema::peer::{Manifest, SampleRecord, SealedStep, TrainerRecord};
+use peatgrade_schema::peer::mod_Envelope::OneOfbody;
+use peatgrade_schema::peer::{
+    Manifest, SampleRecord, SealedStep, StepEvent, StepNotice, TrainerRecord,
+};
 use peatgrade_schema::{decode, encode};
 use peatgrade_training::{commit, CommitOutcome};
 use peatgrade_types::http::{HttpRequest, ResponseHead};
@@ -20,13 +23,15 @@
 use crate::coordinator::trainer_key;
 use crate::event::CallId;
 use crate::generation::weight_spans;
+use crate::leases::LeaseName;
 use crate::problem::Refusal;
 use crate::registers::RegisterPurpose;
 use crate::rollout::sample_key;
 
 const REGISTER_LIMIT: Duration = Duration::from_secs(3);
-/// Time between two looks for a step that is not sealed yet.
-const POLL_INTERVAL: Duration = Duration::from_millis(300);
+/// Time between two looks for a step that is not sealed yet; the coordinator's
+/// notice brings the next look forward.
+const POLL_INTERVAL: Duration = Duration::from_secs(2);
 /// Longest wait that a fetch may ask for, and the wait if it names none.
 const MAX_WAIT_MS: u64 = 30_000;
 const DEFAULT_WAIT_MS: u64 = 10_000;
@@ -174,6 +179,20 @@
         fetch.phase = Phase::Waiting {
             until: (ctx.now + POLL_INTERVAL).min(fetch.give_up),
         };
+        let (tenant, step) = (fetch.tenant.clone(), fetch.step);
+        notify(ctx, tenant, step, StepEvent::WAITING);
+    }
+
+    /// Takes in word that a step is sealed.
+    pub fn on_notice(&mut self, ctx: &Context, notice: &StepNotice) {
+        for fetch in self.fetches.values_mut() {
+            let awaited = fetch.tenant == notice.tenant && fetch.step == notice.step;
+            if let Phase::Waiting { until } = &mut fetch.phase {
+                if awaited && notice.event == StepEvent::SEALED {
+                    *until = ctx.now;
+                }
+            }
+        }
     }
 
     fn refuse(&mut self, ctx: &mut Context, call: CallId, refusal: &Refusal) {
@@ -282,9 +301,9 @@
         step: u64,
         result: Result<Vec<u8>, RegisterError>,
     ) {
-        if self.commits.remove(&call).is_none() {
+        let Some(tenant) = self.commits.remove(&call) else {
             return;
-        }
+        };
         let record = match result {
             Ok(value) => decode::<TrainerRecord>(&value).unwrap_or_default(),
             Err(RegisterError::NotWritten { .. }) => {
@@ -297,6 +316,7 @@
             }
         };
         if record.committed >= step {
+            notify(ctx, tenant, step, StepEvent::COMMITTED);
             let body = Bytes::from(format!("{{\"committed\":{}}}", record.committed));
             return ctx.respond_whole(call, ResponseHead::new(200, "application/json"), body);
         }
@@ -308,6 +328,19 @@
     }
 }
 
+/// Tells the tenant's coordinator of a step.
+fn notify(ctx: &mut Context, tenant: String, step: u64, event: StepEvent) {
+    let key = LeaseName::Coordinator(tenant.clone()).key();
+    if let Some(coordinator) = ctx.rendezvous_member(&key) {
+        let notice = StepNotice {
+            tenant,
+            step,
+            event,
+        };
+        ctx.send(coordinator, OneOfbody::step_notice(notice));
+    }
+}
+
 fn entry_key(tenant: &str, entry: &peatgrade_schema::peer::ManifestEntry) -> String {
     sample_key(
         tenant,
--- a/crates/routing/src/select.rs
+++ b/crates/routing/src/select.rs
@@ -110,12 +110,21 @@
     /// whole pool when none of it will do.
     fn eligible<'a>(&self, now: Time, view: &View<'a>, want: &Want<'_>) -> Vec<&'a EngineInfo> {
         let fit = |info: &&EngineInfo| Self::fits(now, view, want, info);
-        let pool = rendezvous_order(
+        let mut pool = rendezvous_order(
             self.node,
             view.engines.all().filter(|info| info.pool == want.pool),
             |info| u64::from(info.id.0),
         );
+        // The own zone comes first; of engines elsewhere little is known once
+        // zones are large.
+        pool.sort_by_key(|info| info.zone != self.zone);
         let subset: Vec<&EngineInfo> = pool.iter().take(SUBSET).copied().filter(fit).collect();
+        // Engines of which no load was ever reported are a last resort.
+        let known = |info: &&EngineInfo| view.load.latest(now, info.id).is_some();
+        let subset = match subset.iter().any(known) {
+            true => subset.into_iter().filter(known).collect(),
+            false => subset,
+        };
         let stray = want
             .preferred
             .and_then(|id| view.engines.get(id))
--- a/crates/simulation/src/kinds.rs
+++ b/crates/simulation/src/kinds.rs
@@ -31,6 +31,7 @@
         OneOfbody::blob_list_reply(_) => "blob-list-reply",
         OneOfbody::blob_delete(_) => "blob-delete",
         OneOfbody::prompt_offer(_) => "prompt-offer",
+        OneOfbody::step_notice(_) => "step-notice",
         OneOfbody::weight_report(_) => "weight-report",
         OneOfbody::weight_orders(_) => "weight-orders",
         OneOfbody::None => "none",
