Do not restore samples that a forgotten manifest may have used

Cause: a coordinator that recovered took samples of step 1 for step 6 once the manifest of step 1 had been pruned and the staleness bound was wide; found by pausing coordinators for 25 s with a bound of 8. Change: what is old enough to have been used in a step whose manifest is gone is not restored.

--- a/crates/node-core/src/coordinator/recover.rs
+++ b/crates/node-core/src/coordinator/recover.rs
@@ -115,9 +115,15 @@
         if self.stage != Stage::Recovering {
             return;
         }
+        // Manifests of steps before the lowest listed one are gone. A sample
+        // used in step s has a version of at most s - 1, so whatever is that
+        // old may have been used.
+        let lowest = self.record.sealed.iter().map(|sealed| sealed.step).min();
+        let maybe_used = |oldest: u64| lowest.is_some_and(|step| oldest + 2 <= step);
         for (key, nodes) in names {
             // One copy is not enough for a sample to count.
-            if let Some(entry) = parse_sample_key(&key, &nodes).filter(|_| nodes.len() > 1) {
+            let entry = parse_sample_key(&key, &nodes).filter(|_| nodes.len() > 1);
+            if let Some(entry) = entry.filter(|entry| !maybe_used(entry.oldest)) {
                 self.pool.restore(entry);
             }
         }
