--- a/crates/bench/src/scale.rs
+++ b/crates/bench/src/scale.rs
@@ -31,8 +31,8 @@
 /// Trainers of a region at the target: five for both regions, rounded up.
 const TRAINERS: u32 = 3;
 /// Milliseconds until a region has settled, and until a measurement ends.
-const SETTLED_MS: u64 = 100_000;
-const MEASURED_MS: u64 = 160_000;
+const SETTLED_MS: u64 = 200_000;
+const MEASURED_MS: u64 = 260_000;
 
 /// Budget of a node for control, from the letter.
 pub const BUDGET_BYTES_PER_SECOND: f64 = 2_000.0;
@@ -97,7 +97,7 @@
 }
 
 /// A region of some size with light traffic.
-pub fn region(nodes_per_zone: u32, model_rate: f64) -> Deployment {
+pub fn region(nodes_per_zone: u32, model_rate: f64, train_ms: u64) -> Deployment {
     let engines = (nodes_per_zone * TARGET_ENGINES_PER_ZONE).div_ceil(TARGET_NODES_PER_ZONE);
     let pools = (0..TRAINERS).map(|number| PoolSettings {
         name: format!("llm{number}"),
@@ -111,7 +111,7 @@
     let trainers = (0..TRAINERS).map(|number| TrainerSettings {
         name: format!("trainer{number}"),
         model: format!("model{number}"),
-        train_ms: 20_000,
+        train_ms,
     });
     let traffic = (0..TRAINERS).map(|number| StreamSettings {
         name: format!("stream{number}"),
@@ -121,14 +121,14 @@
         ..stream_defaults()
     });
     let template = json!({ "name": "t", "parameters": [
-        { "name": "n", "type": "string" }, { "name": "model", "type": "string" },
+        { "name": "pool", "type": "string" }, { "name": "model", "type": "string" },
         { "name": "trainer", "type": "string" }, { "name": "oversample", "type": "integer", "default": 10 } ],
-        "spec": { "pool": "${n}", "kind": "model", "model": "${model}", "max_tokens": 64,
+        "spec": { "pool": "${pool}", "kind": "model", "model": "${model}", "max_tokens": 64,
             "training": { "trainer": "${trainer}", "samples_per_step": 16, "oversample_percent": "${oversample}" } } });
     let mut documents = vec![("template/t".to_string(), template)];
     for number in 0..TRAINERS {
         let body = json!({ "name": format!("tenant{number}"), "template": "t", "parameters": {
-            "n": format!("llm{number}"), "model": format!("model{number}"), "trainer": format!("trainer{number}") } });
+            "pool": format!("llm{number}"), "model": format!("model{number}"), "trainer": format!("trainer{number}") } });
         documents.push((format!("tenant/tenant{number}"), body));
     }
     Deployment {
@@ -166,7 +166,7 @@
 }
 
 fn measure(nodes_per_zone: u32) -> SizeReport {
-    let deployment = region(nodes_per_zone, 0.5);
+    let deployment = region(nodes_per_zone, 0.5, 120_000);
     let before = resident_bytes();
     let settings = RunSettings {
         seconds: MEASURED_MS / 1_000 + 30,
@@ -367,8 +367,8 @@
     pub nodes: u32,
     /// Whether the store was down from the first fault on.
     pub store_down: bool,
-    /// Milliseconds from acceptance of a configuration until every sound node
-    /// had it; longest and median.
+    /// Milliseconds from an operator's change until every sound node had it in
+    /// force; longest and median.
     pub config_ms: (u64, u64),
     /// Milliseconds from a commit until every engine used the version; longest
     /// and median.
@@ -384,7 +384,7 @@
 /// Fails a node, five nodes of a zone as a rack would, and a whole zone, and
 /// measures how the region takes it.
 pub fn times(nodes_per_zone: u32, seed: u64, store_down: bool) -> TimesReport {
-    let deployment = region(nodes_per_zone, 1.0);
+    let deployment = region(nodes_per_zone, 1.0, 20_000);
     let rack = 5.min(nodes_per_zone as usize / 2).max(1);
     let zone = nodes_per_zone as usize;
     let crash = |at_ms: u64, node: usize| Step {
--- a/crates/node-core/src/registers.rs
+++ b/crates/node-core/src/registers.rs
@@ -13,6 +13,10 @@
 
 /// Time between two reports of complete copies to the roster keeper.
 const SYNC_REPORT: Duration = Duration::from_secs(2);
+/// The same once a few reports under one roster have said "complete"; they go
+/// on for the sake of a new keeper.
+const SYNC_REPORT_SETTLED: Duration = Duration::from_secs(30);
+const REPORTS_TO_SETTLE: u32 = 3;
 
 /// What a register operation is for, and so who is told its end.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -71,6 +75,9 @@
     purposes: BTreeMap<OperationId, RegisterPurpose>,
     pub done: VecDeque<RegisterDone>,
     next_report: Time,
+    /// Reports of complete copies under the current roster, and to whom.
+    reports: u32,
+    last_keeper: Option<NodeId>,
     /// Members that reported complete copies under the current roster.
     pub synced: BTreeMap<Identity, u64>,
 }
@@ -84,6 +91,8 @@
             purposes: BTreeMap::new(),
             done: VecDeque::new(),
             next_report: Time::default(),
+            reports: 0,
+            last_keeper: None,
             synced: BTreeMap::new(),
         }
     }
@@ -106,6 +115,7 @@
             );
             self.acceptor.install(roster);
             self.next_report = Time::default();
+            self.reports = 0;
         }
     }
 
@@ -132,11 +142,21 @@
         }
         outgoing.extend(self.acceptor.tick(now));
         let member = self.roster().contains(self.identity);
-        if let Some(keeper) = keeper.filter(|_| member && now >= self.next_report) {
-            self.next_report = now + SYNC_REPORT;
+        let changed = keeper != self.last_keeper;
+        if let Some(keeper) = keeper.filter(|_| member && (changed || now >= self.next_report)) {
+            let complete = self.acceptor.complete();
+            self.reports = if complete { self.reports + 1 } else { 0 };
+            let settled = self.reports > REPORTS_TO_SETTLE && self.last_keeper == Some(keeper);
+            self.last_keeper = Some(keeper);
+            self.next_report = now
+                + if settled {
+                    SYNC_REPORT_SETTLED
+                } else {
+                    SYNC_REPORT
+                };
             let report = ShardsSynced {
                 roster: self.roster().number,
-                complete: self.acceptor.complete(),
+                complete,
             };
             outgoing.push(Outgoing::new(keeper, OneOfbody::shards_synced(report)));
         }
--- a/crates/simulation/src/config_watch.rs
+++ b/crates/simulation/src/config_watch.rs
@@ -3,7 +3,7 @@
 use peatgrade_models::objects::ObjectStore;
 use peatgrade_oracle::{Oracle, CONFIG_LIMIT};
 use peatgrade_types::{Duration, Time};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::process::Process;
 
@@ -16,7 +16,8 @@
 pub(crate) struct ConfigWatch {
     accepted: BTreeMap<u64, Time>,
     reported: BTreeMap<(String, u64), u64>,
-    /// Time from acceptance until the last sound node had it in force.
+    changed: BTreeSet<u64>,
+    /// Time from a change until the last sound node had it in force.
     pub spread: Vec<Duration>,
     open: BTreeMap<u64, Time>,
 }
@@ -31,13 +32,20 @@
         oracle: &mut Oracle,
     ) {
         for object in store.objects() {
-            let status = object.status.as_ref().filter(|status| status.accepted);
-            if let Some(status) = status {
-                let version = status.observed_version;
-                self.accepted.entry(version).or_insert_with(|| {
-                    self.open.insert(version, now);
-                    now
-                });
+            let version = object.resource_version;
+            let status = object.status.as_ref();
+            let current = status.filter(|status| status.observed_version == version);
+            if current.is_some_and(|status| status.error.is_some()) {
+                self.changed.remove(&version);
+                self.open.remove(&version);
+                continue;
+            }
+            if current.is_some_and(|status| status.accepted) {
+                self.accepted.entry(version).or_insert(now);
+            }
+            if !self.changed.contains(&version) {
+                self.changed.insert(version);
+                self.open.insert(version, now);
             }
         }
         let mut lowest = u64::MAX;
--- a/crates/simulation/src/report.rs
+++ b/crates/simulation/src/report.rs
@@ -69,8 +69,8 @@
     pub wasted_tokens: u64,
     /// Samples dropped because they grew too old.
     pub dropped_stale: u64,
-    /// Time from acceptance of a configuration until it was in force on every
-    /// sound node, in milliseconds; the longest and the median.
+    /// Time from an operator's change until it was in force on every sound
+    /// node, in milliseconds, in steps of 500; the longest and the median.
     pub config_spread_ms: (u64, u64),
     /// Time from a commit until the last reachable engine used the version, in
     /// milliseconds; the longest and the median.
