Start part of the next step's groups ahead; send weight orders at once

Cause: after a step was sealed only the surplus groups were in work until the next commit, and a new weight order waited for the repetition of the old one.

--- a/crates/bench/src/scale.rs
+++ b/crates/bench/src/scale.rs
@@ -120,14 +120,14 @@
         max_tokens: 64,
         ..stream_defaults()
     });
-    let template = json!({ "name": "t", "parameters": [
+    let template = json!({ "name": "trained-model", "parameters": [
         { "name": "pool", "type": "string" }, { "name": "model", "type": "string" },
         { "name": "trainer", "type": "string" }, { "name": "oversample", "type": "integer", "default": 10 } ],
         "spec": { "pool": "${pool}", "kind": "model", "model": "${model}", "max_tokens": 64,
             "training": { "trainer": "${trainer}", "samples_per_step": 16, "oversample_percent": "${oversample}" } } });
-    let mut documents = vec![("template/t".to_string(), template)];
+    let mut documents = vec![("template/trained-model".to_string(), template)];
     for number in 0..TRAINERS {
-        let body = json!({ "name": format!("tenant{number}"), "template": "t", "parameters": {
+        let body = json!({ "name": format!("tenant{number}"), "template": "trained-model", "parameters": {
             "pool": format!("llm{number}"), "model": format!("model{number}"), "trainer": format!("trainer{number}") } });
         documents.push((format!("tenant/tenant{number}"), body));
     }
--- a/crates/node-core/src/coordinator/mod.rs
+++ b/crates/node-core/src/coordinator/mod.rs
@@ -86,6 +86,7 @@
         },
         oversample_percent: if lone { 0 } else { training.oversample_percent },
         lookahead: if lone { 0 } else { training.lookahead_steps },
+        ahead_percent: training.ahead_percent,
         carry_over: training.carry_over && !lone,
     })
 }
--- a/crates/node-core/src/coordinator/run.rs
+++ b/crates/node-core/src/coordinator/run.rs
@@ -86,7 +86,12 @@
         if record.committed >= self.record.committed {
             self.record = record;
         }
-        self.weights.aim(ctx.now, self.record.committed);
+        if self.record.committed > self.weights.version() {
+            self.weights.aim(ctx.now, self.record.committed);
+            // The new order goes out with the next tick, not with the next
+            // repetition of the old one.
+            self.next_orders = ctx.now;
+        }
         self.delete_old(ctx);
     }
 
--- a/crates/training/src/pool.rs
+++ b/crates/training/src/pool.rs
@@ -27,6 +27,8 @@
     pub oversample_percent: u32,
     /// Steps sealed ahead of the trainer.
     pub lookahead: u32,
+    /// Share of a step's groups started before the step may be sealed.
+    pub ahead_percent: u32,
     /// Whether surplus samples are kept for the next step.
     pub carry_over: bool,
 }
@@ -37,6 +39,12 @@
         (self.samples_per_step / self.group_size.max(1)) as usize
     }
 
+    /// Groups kept in work while no further step may be sealed.
+    fn groups_ahead(&self) -> usize {
+        let share = self.groups_per_step() * self.ahead_percent as usize / 100;
+        share + self.groups_in_flight() - self.groups_per_step()
+    }
+
     fn groups_in_flight(&self) -> usize {
         let percent = 100 + self.oversample_percent as usize;
         (self.groups_per_step() * percent).div_ceil(100)
@@ -254,9 +262,7 @@
         let steps = (horizon + 1).saturating_sub(next_step) as usize;
         let ahead = steps.saturating_sub(1) * self.policy.groups_per_step();
         let wanted = match steps {
-            0 if self.policy.carry_over => {
-                self.policy.groups_in_flight() - self.policy.groups_per_step()
-            }
+            0 if self.policy.carry_over => self.policy.groups_ahead(),
             0 => 0,
             _ => self.policy.groups_in_flight() + ahead,
         };
--- a/crates/training/tests/training.rs
+++ b/crates/training/tests/training.rs
@@ -18,6 +18,7 @@
         staleness_bound: 1,
         oversample_percent: 50,
         lookahead: 0,
+        ahead_percent: 0,
         carry_over: true,
     }
 }
