--- a/crates/bench/src/embedded.rs
+++ b/crates/bench/src/embedded.rs
@@ -25,7 +25,7 @@
     pub nodes: Vec<String>,
     /// Addresses of the platform's machines, by name.
     machines: std::collections::BTreeMap<String, String>,
-    node_parts: Vec<Part>,
+    node_parts: NodeThreads,
     platform_part: Part,
     data: PathBuf,
 }
@@ -70,6 +70,28 @@
     Ok(Part { stop, thread })
 }
 
+/// Nodes of this process, a thread each.
+pub struct NodeThreads {
+    parts: Vec<Part>,
+}
+
+impl NodeThreads {
+    /// Starts a thread for each node.
+    pub fn start(settings: Vec<NodeSettings>) -> std::io::Result<Self> {
+        let parts: std::io::Result<Vec<Part>> = settings.into_iter().map(start_node).collect();
+        Ok(Self { parts: parts? })
+    }
+
+    /// Drains and stops all at once; returns what went wrong.
+    pub fn stop(self) -> Vec<String> {
+        for part in &self.parts {
+            let _ = part.stop.unbounded_send(());
+        }
+        let ended = self.parts.into_iter().map(|part| join(part.thread));
+        ended.filter_map(Result::err).collect()
+    }
+}
+
 impl Embedded {
     /// Starts everything. Bulk data goes to a temporary folder.
     pub fn start(deployment: &Deployment, faults: Vec<Fault>, seed: u64) -> std::io::Result<Self> {
@@ -82,12 +104,11 @@
             .iter()
             .map(|node| node.http_address.clone())
             .collect();
-        let parts: std::io::Result<Vec<Part>> = plan.nodes.into_iter().map(start_node).collect();
         Ok(Self {
             platform,
             nodes,
             machines: plan.machines,
-            node_parts: parts?,
+            node_parts: NodeThreads::start(plan.nodes)?,
             platform_part,
             data,
         })
@@ -108,13 +129,7 @@
     /// Drains and stops every node at once, then the platform. Returns what
     /// went wrong.
     pub fn stop(self) -> Vec<String> {
-        let mut errors = Vec::new();
-        for part in &self.node_parts {
-            let _ = part.stop.unbounded_send(());
-        }
-        for part in self.node_parts {
-            errors.extend(join(part.thread).err());
-        }
+        let mut errors = self.node_parts.stop();
         let _ = self.platform_part.stop.unbounded_send(());
         errors.extend(join(self.platform_part.thread).err());
         let _ = std::fs::remove_dir_all(&self.data);
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod embedded;
 pub mod fit;
 pub mod fuzz;
+pub mod hollow;
 pub mod mutants;
 pub mod overhead;
 pub mod page;
