Remove samples and transcripts that nobody can use any more

Cause: blobs of used samples and of earlier turns stayed for good. Change: after each commit the coordinator lists stored samples and removes those in no step that can be fetched and too old for any to come; a saved turn removes the blob of the turn before. Test: stored bytes do not pile up.

--- a/crates/node-core/src/blobs.rs
+++ b/crates/node-core/src/blobs.rs
@@ -38,6 +38,8 @@
     RecoverList(String),
     /// A sealed manifest, read in recovery.
     RecoverManifest(String, u64),
+    /// Names of stored samples, to remove those too old for any step.
+    CollectGarbage(String),
     /// Read a session's transcript.
     ReadTranscript(CallId),
     /// Store a session's transcript.
--- a/crates/node-core/src/coordinator/mod.rs
+++ b/crates/node-core/src/coordinator/mod.rs
@@ -198,6 +198,12 @@
         }
     }
 
+    pub fn on_stored_names(&mut self, ctx: &mut Context, tenant: &str, result: BlobResult) {
+        if let (Some(coordinator), BlobResult::Names(names)) = (self.held.get(tenant), result) {
+            coordinator.remove_old_samples(ctx, names.into_keys());
+        }
+    }
+
     pub fn on_prompt(&mut self, offer: PromptOffer) {
         if let Some(coordinator) = self.held.get_mut(&offer.tenant) {
             coordinator.pool.offer_prompt(Prompt {
--- a/crates/node-core/src/coordinator/recover.rs
+++ b/crates/node-core/src/coordinator/recover.rs
@@ -139,7 +139,7 @@
 }
 
 /// What the name of a sample's blob says of it.
-fn parse_sample_key(key: &str, nodes: &[NodeId]) -> Option<ManifestEntry> {
+pub(super) fn parse_sample_key(key: &str, nodes: &[NodeId]) -> Option<ManifestEntry> {
     let mut parts = key.split('/').skip(2);
     let group = u64::from_str_radix(parts.next()?, 16).ok()?;
     let sample = u64::from_str_radix(parts.next()?, 16).ok()?;
--- a/crates/node-core/src/coordinator/run.rs
+++ b/crates/node-core/src/coordinator/run.rs
@@ -14,6 +14,7 @@
 use peatgrade_types::{hash_bytes, Duration, EngineId, Identity, NodeId};
 use std::collections::BTreeMap;
 
+use super::recover::parse_sample_key;
 use super::{manifest_key, trainer_key, Coordinator, Sealing, Stage};
 use crate::blobs::{self, BlobPurpose, BlobResult};
 use crate::context::Context;
@@ -26,6 +27,8 @@
 /// Time between two reads of the trainer's register; a notice of a commit
 /// brings the next read forward.
 const POLL_INTERVAL: Duration = Duration::from_secs(5);
+/// Blobs named in one request to remove them.
+const DELETE_AT_ONCE: usize = 64;
 /// Time between two looks at the pool.
 const WORK_INTERVAL: Duration = Duration::from_millis(200);
 /// Time between two tellings of the weight order in force.
@@ -374,6 +377,35 @@
             .map(|step| manifest_key(&self.entry.name, step, self.epoch))
             .collect();
         blobs::delete(ctx, keys);
+        let prefix = format!("sample/{}/", self.entry.name);
+        blobs::list(
+            ctx,
+            prefix,
+            BlobPurpose::CollectGarbage(self.entry.name.clone()),
+        );
+    }
+
+    /// Removes samples that are in no step a trainer can still fetch and too
+    /// old for any step to come.
+    pub(super) fn remove_old_samples(
+        &self,
+        ctx: &mut Context,
+        names: impl Iterator<Item = String>,
+    ) {
+        let reach = self
+            .pool
+            .policy()
+            .staleness_bound
+            .saturating_add(KEPT_STEPS + 1);
+        let oldest_kept = self.record.committed.saturating_sub(reach);
+        let old = names.filter(|key| {
+            let entry = parse_sample_key(key, &[]);
+            entry.is_some_and(|entry| entry.oldest < oldest_kept)
+        });
+        let old: Vec<String> = old.collect();
+        for keys in old.chunks(DELETE_AT_ONCE) {
+            blobs::delete(ctx, keys.to_vec());
+        }
     }
 
     pub(super) fn status(&self, tenant: &str) -> TrainerStatus {
--- a/crates/node-core/src/core.rs
+++ b/crates/node-core/src/core.rs
@@ -381,6 +381,9 @@
             BlobPurpose::RecoverList(tenant) => {
                 self.coordinators.on_recovered_names(&tenant, result);
             }
+            BlobPurpose::CollectGarbage(tenant) => {
+                self.coordinators.on_stored_names(ctx, &tenant, result);
+            }
             BlobPurpose::RecoverManifest(tenant, step) => {
                 self.coordinators
                     .on_recovered_manifest(ctx, &tenant, step, result);
--- a/crates/node-core/src/gateway/call.rs
+++ b/crates/node-core/src/gateway/call.rs
@@ -60,6 +60,8 @@
     /// Whether this node holds the turn.
     pub held: bool,
     pub transcript: String,
+    /// Blob of the turn before, which is removed once this one is saved.
+    pub previous_key: String,
 }
 
 /// Kind of a request.
--- a/crates/node-core/src/gateway/session.rs
+++ b/crates/node-core/src/gateway/session.rs
@@ -180,6 +180,7 @@
             return;
         };
         let transcript = format!("{}{}\n", model.request.prompt, model.generation.text);
+        turn.previous_key.clone_from(&turn.record.key);
         turn.record.engine = engine.0;
         turn.record.turn += 1;
         turn.record.tokens += model.generation.tokens;
@@ -259,6 +260,10 @@
         }
         turn.held = false;
         let number = turn.record.turn;
+        let previous = std::mem::take(&mut turn.previous_key);
+        if !previous.is_empty() {
+            blobs::delete(ctx, vec![previous]);
+        }
         self.answer_model(ctx, id, number);
     }
 
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -502,6 +502,11 @@
             .collect()
     }
 
+    /// Bytes in all data folders.
+    pub fn stored_bytes(&self) -> u64 {
+        self.nodes.iter().map(|node| node.disk.used()).sum()
+    }
+
     /// Forgets what was sent, received and spent, to measure from here on.
     pub fn reset_traffic(&mut self) {
         for node in &mut self.nodes {
--- a/crates/simulation/tests/deployments.rs
+++ b/crates/simulation/tests/deployments.rs
@@ -279,3 +279,19 @@
     };
     assert_promises(&run(&deployment, &settings(1, 240), &plan));
 }
+
+/// Samples that no step can use any more are removed from the data folders.
+#[test]
+fn stored_samples_do_not_pile_up() {
+    let mut world = World::new(
+        &deployment("alumni"),
+        settings(1, 120),
+        FaultPlan::default(),
+    );
+    world.run_until(70_000);
+    let early = world.stored_bytes();
+    world.run_until(160_000);
+    let late = world.stored_bytes();
+    assert!(early > 0);
+    assert!(late < early * 2, "{early} bytes at 70 s, {late} at 160 s");
+}
