--- a/crates/bench/src/hollow.rs
+++ b/crates/bench/src/hollow.rs
@@ -31,8 +31,8 @@
     pub config: (u64, u64),
 }
 
-/// Settings of the nodes in a folder that `peatgrade plan` wrote, in the order
-/// of their names, without the first `skip`.
+/// Settings of the nodes in a folder that `peatgrade plan` wrote, short names
+/// first, without the first `skip`.
 pub fn read_settings(folder: &Path, skip: usize) -> Result<Vec<NodeSettings>, String> {
     let entries =
         std::fs::read_dir(folder).map_err(|e| format!("read {}: {e}", folder.display()))?;
@@ -43,7 +43,8 @@
                 .is_some_and(|extension| extension == "toml")
         })
         .collect();
-    files.sort();
+    // As `plan` gives them out: node-zone0-2 before node-zone0-10.
+    files.sort_by_key(|path| (path.as_os_str().len(), path.clone()));
     let read = |path: &PathBuf| {
         let table = load_settings(path).map_err(|error| error.to_string())?;
         validate_settings(table).map_err(|error| format!("{}: {error}", path.display()))
--- a/crates/consensus/tests/registers.rs
+++ b/crates/consensus/tests/registers.rs
@@ -117,7 +117,7 @@
     }
 
     fn step(&mut self) {
-        self.now = self.now + Duration::from_millis(5);
+        self.now += Duration::from_millis(5);
         for index in 0..self.proposers.len() {
             let (me, engine) = &mut self.proposers[index];
             let (outgoing, outcomes) = engine.tick(self.now, &self.roster);
@@ -325,7 +325,7 @@
     // The first holder stands still; the second watches the record.
     let mut now = start;
     for _ in 0..50 {
-        now = now + Duration::from_millis(500);
+        now += Duration::from_millis(500);
         poll_and_write(&mut second, now, &mut record);
         let both = matches!(first.state(now), LeaseState::Held { .. })
             && matches!(second.state(now), LeaseState::Held { .. });
--- a/crates/membership/tests/swim.rs
+++ b/crates/membership/tests/swim.rs
@@ -68,7 +68,7 @@
 
     fn run(&mut self, seconds: u64) {
         for _ in 0..seconds * 20 {
-            self.now = self.now + STEP;
+            self.now += STEP;
             let mut wire: Vec<(Identity, Outgoing)> = Vec::new();
             for swim in self.nodes.values_mut() {
                 let from = swim.me().identity;
--- a/crates/models/src/workload.rs
+++ b/crates/models/src/workload.rs
@@ -11,75 +11,24 @@
 use peatgrade_types::{Duration, Time};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use serde::{Deserialize, Serialize};
 use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use crate::app::answer_digest;
 use crate::client::{ClientRequest, Target, WholeResponse};
 use crate::text;
 
+mod answers;
+mod stream;
+
+use answers::{announced_break, check_app, check_streamed, last_event};
+pub use stream::StreamSettings;
+
 /// Tries of one request by its caller.
 const MAX_TRIES: u32 = 4;
 const TIMEOUT: Duration = Duration::from_secs(40);
 /// Turns after which a session ends and another begins.
 const TURNS_PER_SESSION: u32 = 8;
 
-/// One stream of requests of the same kind.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct StreamSettings {
-    /// Name in reports.
-    pub name: String,
-    /// Tenant.
-    pub tenant: String,
-    /// Requests a second.
-    pub rate: f64,
-    /// Method, for app engines.
-    #[serde(default = "default_method")]
-    pub method: String,
-    /// Path below the tenant's prefix, for app engines; empty for models.
-    #[serde(default)]
-    pub path: String,
-    /// Whether each request carries an idempotency key.
-    #[serde(default)]
-    pub keyed: bool,
-    /// Whether the request may run at most once, as the tenant declares it.
-    #[serde(default)]
-    pub non_repeatable: bool,
-    /// Share of keyed requests that are sent twice, to two nodes.
-    #[serde(default)]
-    pub duplicates: f64,
-    /// Bytes of prompt, for models.
-    #[serde(default = "default_prompt")]
-    pub prompt_bytes: usize,
-    /// Longest answer, for models.
-    #[serde(default = "default_tokens")]
-    pub max_tokens: u32,
-    /// Shortest answer of the pool's engines, to check answers.
-    #[serde(default = "default_shortest")]
-    pub shortest_answer: u32,
-    /// Sessions kept at once; 0 for requests without a session.
-    #[serde(default)]
-    pub sessions: usize,
-    /// Whether answers are streamed.
-    #[serde(default)]
-    pub stream: bool,
-}
-
-fn default_method() -> String {
-    "GET".into()
-}
-fn default_prompt() -> usize {
-    400
-}
-fn default_tokens() -> u32 {
-    256
-}
-fn default_shortest() -> u32 {
-    24
-}
-
 /// How a request ended, as its caller saw it.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Ending {
@@ -553,7 +502,7 @@
     fn check_answer(&mut self, logical: &Logical, response: &WholeResponse) -> Result<(), String> {
         let settings = &self.streams[logical.stream];
         if !settings.path.is_empty() {
-            return check_app(settings, logical, response);
+            return check_app(settings, &logical.request, &logical.request_id, response);
         }
         let answer = if settings.stream {
             last_event(&response.body)
@@ -601,67 +550,3 @@
         Ok(())
     }
 }
-
-fn check_app(
-    settings: &StreamSettings,
-    logical: &Logical,
-    response: &WholeResponse,
-) -> Result<(), String> {
-    let document: serde_json::Value = serde_json::from_slice(&response.body)
-        .map_err(|error| format!("unreadable answer ({error}): {:?}", response.body))?;
-    let path = &logical.request.path[1 + settings.tenant.len()..];
-    let digest = answer_digest(
-        &logical.request.method,
-        path,
-        &logical.request.body,
-        &logical.request_id,
-    );
-    let wanted = format!("{digest:016x}");
-    if document["digest"] == wanted.as_str() {
-        Ok(())
-    } else {
-        Err(format!("answer is for another request: {document}"))
-    }
-}
-
-/// The whole answer, which is the last event before `[DONE]`.
-fn last_event(body: &[u8]) -> Option<CompletionAnswer> {
-    let text = std::str::from_utf8(body).ok()?;
-    let mut events = text
-        .split("\n\n")
-        .filter_map(|event| event.strip_prefix("data: "));
-    events.find_map(|event| serde_json::from_str(event).ok())
-}
-
-/// The problem with which a stream says that it broke off.
-fn announced_break(body: &[u8]) -> Option<Problem> {
-    let text = std::str::from_utf8(body).ok()?;
-    let (_, event) = text.split_once("event: error\ndata: ")?;
-    serde_json::from_str(event.trim_end()).ok()
-}
-
-/// The streamed pieces together are the answer.
-fn check_streamed(body: &[u8], whole: &str) -> Result<(), String> {
-    let text = String::from_utf8_lossy(body);
-    let events = text
-        .split("\n\n")
-        .filter_map(|event| event.strip_prefix("data: "));
-    let pieces = events.filter_map(|event| serde_json::from_str::<serde_json::Value>(event).ok());
-    let joined: String = pieces
-        .filter_map(|piece| {
-            piece
-                .get("text")
-                .and_then(|t| t.as_str())
-                .map(str::to_string)
-        })
-        .collect();
-    if joined == whole {
-        Ok(())
-    } else {
-        Err(format!(
-            "streamed {} bytes of {}",
-            joined.len(),
-            whole.len()
-        ))
-    }
-}
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -9,22 +9,24 @@
 use peatgrade_schema::peer::mod_Envelope::OneOfbody;
 use peatgrade_storage::DiskReply;
 use peatgrade_types::http::{HttpFailure, HttpRequest, HttpStep, ResponsePart};
-use peatgrade_types::{hash_pair, Duration, Identity, NodeId, Time};
+use peatgrade_types::{Duration, Identity, NodeId, Time};
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
 use std::collections::BTreeMap;
 
 use crate::config_watch::ConfigWatch;
-use crate::membership_watch::{MembershipFigures, MembershipWatch};
+use crate::membership_watch::MembershipWatch;
 use crate::network::{Network, NetworkSettings};
 use crate::plan::FaultPlan;
 use crate::process::{Arriving, Process};
 use crate::queue::Queue;
-use crate::report::{longest_and_median, Latencies, RunReport};
+use crate::report::Latencies;
 
 mod actions;
 mod clients;
 mod faults;
+mod figures;
+mod trace;
 
 /// Origin of the virtual clock. Not zero, so that "long ago" exists.
 const ORIGIN: Time = Time(1_000_000_000);
@@ -316,41 +318,6 @@
         }
     }
 
-    /// Mixes an event into the trace.
-    fn note(&mut self, event: &SimEvent) {
-        let (kind, detail): (u64, u64) = match event {
-            SimEvent::Tick { node, .. } => (1, *node as u64),
-            SimEvent::Peer { node, from, body } => {
-                let size =
-                    quick_protobuf::MessageWrite::get_size(&peatgrade_schema::peer::Envelope {
-                        from: from.node.0,
-                        generation: from.generation,
-                        body: body.clone(),
-                    });
-                (2, hash_pair(*node as u64, size as u64))
-            }
-            SimEvent::Call { node, .. } => (3, *node as u64),
-            SimEvent::HttpOut { id, .. } => (4, id.0),
-            SimEvent::HttpPart { id, .. } => (5, id.0),
-            SimEvent::HttpTimeout { id, .. } => (6, id.0),
-            SimEvent::Disk { id, .. } => (7, id.0),
-            SimEvent::CancelPlatform { id } => (8, id.0),
-            SimEvent::PlatformWake => (9, 0),
-            SimEvent::ClientDone { result, .. } => (10, u64::from(result.is_ok())),
-            SimEvent::ClientTimeout { .. } => (11, 0),
-            SimEvent::PlatformCall { .. } => (12, 0),
-            SimEvent::WorkloadWake => (13, 0),
-            SimEvent::TrainerWake { trainer } => (14, *trainer as u64),
-            SimEvent::PlanStep { index } => (15, *index as u64),
-            SimEvent::NodeStart { node } => (16, *node as u64),
-            SimEvent::NodeResume { node } => (17, *node as u64),
-            SimEvent::DiskLimit { limit, .. } => (18, *limit),
-            SimEvent::Observe => (19, 0),
-            SimEvent::OperatorChange => (20, 0),
-        };
-        self.trace = hash_pair(hash_pair(self.trace, self.now.0), hash_pair(kind, detail));
-    }
-
     fn handle(&mut self, event: SimEvent) {
         if let Some(event) = self.defer_if_paused(event) {
             match event {
@@ -453,73 +420,6 @@
         }
     }
 
-    /// What came of the run.
-    pub fn report(&mut self) -> RunReport {
-        let seconds = self.settings.seconds as f64;
-        let trainers = self
-            .trainers
-            .iter()
-            .map(|trainer| (trainer.name().to_string(), trainer.stats().figures()));
-        let trainers = trainers.collect();
-        let statuses = self.statuses();
-        let coordinated = || statuses.iter().flat_map(|status| &status.trainers);
-        let busiest = |bytes: fn(&Process) -> u64| {
-            let most = self.nodes.iter().map(bytes).max().unwrap_or(0);
-            most as f64 / self.now.since(ORIGIN).as_secs_f64()
-        };
-        RunReport {
-            seed: self.settings.seed,
-            seconds,
-            trace: format!("{:016x}", self.trace),
-            events: self.events,
-            observations: self.oracle.observations,
-            violations: self.oracle.violations().to_vec(),
-            faults: self.faults.clone(),
-            streams: self.streams.clone(),
-            trainers,
-            wasted_tokens: coordinated().map(|trainer| trainer.wasted_tokens).sum(),
-            dropped_stale: coordinated().map(|trainer| trainer.dropped_stale).sum(),
-            config_spread_ms: longest_and_median(&self.config_watch.spread),
-            weights_spread_ms: longest_and_median(&self.weight_spread),
-            store_requests: self.platform.store.requests(),
-            peer_bytes_per_second: (
-                busiest(|node| node.traffic.total(|_| true).bytes_out),
-                busiest(|node| node.traffic.total(|_| true).bytes_in),
-            ),
-        }
-    }
-
-    /// Figures of the failure detector.
-    pub fn membership(&self) -> MembershipFigures {
-        self.membership_watch.figures()
-    }
-
-    /// Names of the nodes with what each sent, received and spent.
-    pub fn traffic(&self) -> Vec<(String, crate::process::NodeTraffic)> {
-        let nodes = self.nodes.iter();
-        nodes
-            .map(|node| (node.name.clone(), node.traffic.clone()))
-            .collect()
-    }
-
-    /// Bytes in all data folders.
-    pub fn stored_bytes(&self) -> u64 {
-        self.nodes.iter().map(|node| node.disk.used()).sum()
-    }
-
-    /// Forgets what was sent, received and spent, to measure from here on.
-    pub fn reset_traffic(&mut self) {
-        for node in &mut self.nodes {
-            node.traffic = crate::process::NodeTraffic::default();
-        }
-    }
-
-    /// What each running node says of itself.
-    pub fn statuses(&mut self) -> Vec<peatgrade_node_core::NodeStatus> {
-        let cores = self.nodes.iter_mut().filter_map(|node| node.core.as_mut());
-        cores.map(|core| core.status()).collect()
-    }
-
     fn failure(&self, step: HttpStep, reason: &str) -> HttpFailure {
         HttpFailure {
             peer: "node".into(),
