Answer whoever knows only an earlier life with the present one

Cause: with 180 nodes started at once some held others for dead for good, since the news of their start had been passed on as often as it ever would; their trees of a zone then differed and weight orders reached no engine (100 engines stayed on version 0 while the trainer starved). Change: an update about an earlier generation makes a node pass on its present one. Test fails without it.

--- a/crates/membership/src/swim.rs
+++ b/crates/membership/src/swim.rs
@@ -431,6 +431,12 @@
             self.me.refutation = update.refutation + 1;
             self.gossip.add(self.me.identity.node);
         }
+        // Someone knows only an earlier life of this node, or only its address.
+        // The answer has to carry the present one: the news of its start may
+        // have been passed on as often as it ever will.
+        if update.generation < self.me.identity.generation {
+            self.gossip.add(self.me.identity.node);
+        }
     }
 
     fn suspect(&mut self, now: Time, node: NodeId) {
--- a/crates/membership/tests/swim.rs
+++ b/crates/membership/tests/swim.rs
@@ -199,3 +199,25 @@
     assert_eq!(reached.len(), 45);
     assert_eq!(depth, tree.depth());
 }
+
+/// With 180 nodes started at once, some were held for dead for good: the news
+/// of their start had been passed on to others only.
+#[test]
+fn a_node_known_by_address_only_is_learnt_of_once_it_answers() {
+    let mut group = Group::new(2);
+    group.run(60);
+    // Node 1 forgets everything and is told an address; node 2 has long
+    // stopped passing on the news of its own start.
+    let now = group.now;
+    let mut fresh = Swim::new(SwimSettings::default(), member(1, 1, now), 9);
+    let mut listed = member(2, 0, now);
+    listed.state = State::Suspect;
+    fresh.introduce(now, listed);
+    group.nodes.insert(NodeId(1), fresh);
+    group.silent.insert(NodeId(2));
+    group.run(10);
+    assert_eq!(group.view(1, 2), Some(State::Dead));
+    group.silent.remove(&NodeId(2));
+    group.run(30);
+    assert_eq!(group.view(1, 2), Some(State::Alive));
+}
--- a/crates/simulation/src/membership_watch.rs
+++ b/crates/simulation/src/membership_watch.rs
@@ -67,7 +67,7 @@
                 let mut viewers = nodes.iter().filter(|node| sound(now, node));
                 viewers.all(|viewer| {
                     let core = viewer.core.as_ref();
-                    core.is_none_or(|core| core.sees(*subject) == Some(State::Dead))
+                    core.is_none_or(|core| matches!(core.sees(*subject), None | Some(State::Dead)))
                 })
             })
             .collect();
