--- a/crates/bench/src/clients.rs
+++ b/crates/bench/src/clients.rs
@@ -11,7 +11,7 @@
 };
 use peatgrade_oracle::{terms_of, Oracle, Violation};
 use peatgrade_runtime::http_client::Cancel;
-use peatgrade_runtime::{now, HttpClient};
+use peatgrade_runtime::{now, HttpClient, SendOptions};
 use peatgrade_types::http::{HttpFailure, HttpRequest, HttpStep, ResponseHead, ResponsePart};
 use peatgrade_types::{Duration, Time};
 use serde::{Deserialize, Serialize};
@@ -214,7 +214,9 @@
         let id = self.next;
         self.next += 1;
         let silence = std::time::Duration::from_micros(request.timeout.0);
-        let cancel = self.client.send(id, &address, request.request, silence);
+        let cancel = self
+            .client
+            .send(id, &address, request.request, SendOptions::reusing(silence));
         let open = Open {
             client: Some(client),
             deadline: now() + request.timeout,
--- a/crates/bench/src/overhead.rs
+++ b/crates/bench/src/overhead.rs
@@ -3,7 +3,7 @@
 use futures_channel::mpsc::unbounded;
 use futures_util::StreamExt;
 use hdrhistogram::Histogram;
-use peatgrade_runtime::{now, HttpClient};
+use peatgrade_runtime::{now, HttpClient, SendOptions};
 use peatgrade_types::http::{HttpRequest, ResponsePart};
 use serde::Serialize;
 use std::collections::BTreeMap;
@@ -78,7 +78,9 @@
     /// Sends one request and waits for its end; returns microseconds.
     async fn once(&mut self, id: u64, address: &str, request: HttpRequest) -> Option<u64> {
         let start = now();
-        let _cancel = self.client.send(id, address, request, SILENCE);
+        let _cancel = self
+            .client
+            .send(id, address, request, SendOptions::reusing(SILENCE));
         let mut good = false;
         while let Some((ended, part)) = self.received.next().await {
             match part {
@@ -146,9 +148,12 @@
     while next < concurrency {
         open.insert(
             next,
-            sender
-                .client
-                .send(next, &probe.node, probe.node_request.clone(), SILENCE),
+            sender.client.send(
+                next,
+                &probe.node,
+                probe.node_request.clone(),
+                SendOptions::reusing(SILENCE),
+            ),
         );
         next += 1;
     }
@@ -175,9 +180,12 @@
         }
         open.insert(
             next,
-            sender
-                .client
-                .send(next, &probe.node, probe.node_request.clone(), SILENCE),
+            sender.client.send(
+                next,
+                &probe.node,
+                probe.node_request.clone(),
+                SendOptions::reusing(SILENCE),
+            ),
         );
         next += 1;
     }
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,14 @@
+//! What is known of engines, and which weight version each should have.
+//!
+//! - [`EngineDirectory`]: the discovery list with this machine's own
+//!   experience of each engine: requests under way, pace, failures.
+//! - [`VersionCoordinator`]: brings engines to the versions that trainers
+//!   have named, with fenced orders of one holder at a time.
+
+mod coordinator;
+mod directory;
+mod experience;
+
+pub use coordinator::{CoordinatorAction, OrderOutcome, VersionCoordinator};
+pub use directory::{EngineDirectory, EngineState};
+pub use experience::Experience;
--- /dev/null
+++ b/crates/gateway/src/gateway.rs
@@ -0,0 +1,276 @@
+//! Routes each caller's message and joins the parts of the gateway.
+
+use bytes::Bytes;
+use peatgrade_fleet::EngineDirectory;
+use peatgrade_ports::{
+    Answer, CallerMessage, CallerRequest, Codec, Configuration, Refusal, RouteKind,
+};
+use peatgrade_schema::replication::mod_JobCall::OneOfbody;
+use peatgrade_schema::replication::{EndJob, JobCall, JobReply, ReadItem, ReadJob};
+use peatgrade_types::http::{HttpRequest, ResponseHead, ResponsePart};
+use peatgrade_types::{Duration, Time};
+use std::rc::Rc;
+
+use crate::forward::{Forwarder, HttpId, Part};
+use crate::relay::{JobRelay, RelaySettings};
+
+/// Most bytes of results in one answer.
+const MAX_RESULT_BYTES: u64 = 900_000;
+/// When a caller may come back after a refusal.
+pub(crate) const COME_BACK: Duration = Duration::from_millis(50);
+/// When a caller may come back to a gateway that knows nothing yet.
+const COME_BACK_STARTING: Duration = Duration::from_millis(200);
+
+/// Names a request of a caller; the driver chooses the number.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
+pub struct CallId(pub u64);
+
+/// What the gateway wants done.
+#[derive(Clone, Debug)]
+pub enum GatewayAction {
+    /// Send a part of an answer to a caller.
+    Respond {
+        /// The caller's request.
+        call: CallId,
+        /// The part.
+        part: ResponsePart,
+    },
+    /// Send a request to an engine.
+    Http {
+        /// Names it in later parts.
+        id: HttpId,
+        /// IP and port.
+        address: String,
+        /// The request.
+        request: HttpRequest,
+        /// Whether it must not go over a connection that was used before.
+        fresh: bool,
+    },
+    /// Break a request to an engine off.
+    CancelHttp(HttpId),
+    /// Send a batch-job call to a replica.
+    Job {
+        /// IP and port.
+        address: String,
+        /// The call.
+        call: JobCall,
+    },
+}
+
+/// What a gateway is told at its start.
+#[derive(Clone, Debug)]
+pub struct GatewaySettings {
+    /// Zone of this machine.
+    pub zone: String,
+    /// Seed of random choices.
+    pub seed: u64,
+}
+
+/// The core of a gateway.
+pub struct Gateway {
+    codec: Rc<dyn Codec>,
+    forwarder: Forwarder,
+    relay: JobRelay,
+    /// Newest configuration; none before the first.
+    pub configuration: Option<Rc<Configuration>>,
+    /// Engines.
+    pub directory: EngineDirectory,
+}
+
+impl Gateway {
+    /// A gateway that knows nothing yet.
+    pub fn new(settings: GatewaySettings, codec: Rc<dyn Codec>) -> Self {
+        Self {
+            forwarder: Forwarder::new(codec.clone(), settings.zone, settings.seed),
+            relay: JobRelay::new(RelaySettings::default()),
+            codec,
+            configuration: None,
+            directory: EngineDirectory::default(),
+        }
+    }
+
+    /// Takes a newer configuration; an older one changes nothing.
+    pub fn configure(&mut self, configuration: Configuration) -> bool {
+        let held = self.configuration.as_ref().map_or(0, |c| c.version);
+        if configuration.version <= held {
+            return false;
+        }
+        self.configuration = Some(Rc::new(configuration));
+        true
+    }
+
+    /// Addresses of replicas to ask for the leader.
+    pub fn set_replicas(&mut self, addresses: Vec<String>) {
+        self.relay.set_replicas(addresses);
+    }
+
+    /// Whether no replica leads, as far as this gateway knows, though calls
+    /// wait for one.
+    pub fn misses_leader(&self, now: Time) -> bool {
+        self.relay.misses_leader(now)
+    }
+
+    /// Requests under way.
+    pub fn in_flight(&self) -> usize {
+        self.forwarder.in_flight() + self.relay.in_flight()
+    }
+
+    /// Takes a caller's message.
+    pub fn on_call(
+        &mut self,
+        now: Time,
+        call: CallId,
+        message: CallerMessage,
+    ) -> Vec<GatewayAction> {
+        let mut actions = Vec::new();
+        match message {
+            CallerMessage::Bad(bad) => {
+                self.refuse(&mut actions, call, Refusal::Malformed, &bad.reason, None);
+            }
+            CallerMessage::Request(request) => self.on_request(now, call, request, &mut actions),
+            CallerMessage::ReadJob(read) => {
+                let wait = read.wait;
+                let body = OneOfbody::read(ReadJob {
+                    job: read.job,
+                    position: read.position,
+                    wait_ms: wait.as_millis(),
+                    max_bytes: MAX_RESULT_BYTES,
+                });
+                self.relay.start(now, call, body, wait, &mut actions);
+            }
+            CallerMessage::ReadItem { job, item } => {
+                let body = OneOfbody::item(ReadItem { job, item });
+                self.relay.start(now, call, body, Duration(0), &mut actions);
+            }
+            CallerMessage::EndJob { job } => {
+                let body = OneOfbody::end(EndJob { job });
+                self.relay.start(now, call, body, Duration(0), &mut actions);
+            }
+        }
+        actions
+    }
+
+    fn on_request(
+        &mut self,
+        now: Time,
+        call: CallId,
+        request: CallerRequest,
+        actions: &mut Vec<GatewayAction>,
+    ) {
+        let Some(configuration) = self.configuration.clone() else {
+            let reason = "no configuration is known yet";
+            let later = Some(COME_BACK_STARTING);
+            return self.refuse(actions, call, Refusal::NotRun, reason, later);
+        };
+        let route = configuration.route(&request.host, &request.http.path);
+        let Some(route) = route else {
+            log::info!(
+                "decision=refuse request={} reason=no-route host={} configuration={}",
+                request.id,
+                request.host,
+                configuration.version
+            );
+            let reason = "no route matches host and path";
+            return self.refuse(actions, call, Refusal::NoRoute, reason, None);
+        };
+        if request.http.body.len() > configuration.limits.body_bytes {
+            let reason = "the body is longer than allowed";
+            return self.refuse(actions, call, Refusal::Malformed, reason, None);
+        }
+        if route.kind != RouteKind::Batch {
+            let version = configuration.version;
+            let directory = &mut self.directory;
+            return self
+                .forwarder
+                .start(now, call, request, route, version, directory, actions);
+        }
+        match self.codec.submission(&request) {
+            Ok(submission) => {
+                let body = OneOfbody::submit(submission);
+                self.relay.start(now, call, body, Duration(0), actions);
+            }
+            Err(bad) => self.refuse(actions, call, Refusal::Malformed, &bad.reason, None),
+        }
+    }
+
+    fn refuse(
+        &self,
+        actions: &mut Vec<GatewayAction>,
+        call: CallId,
+        refusal: Refusal,
+        detail: &str,
+        retry_after: Option<Duration>,
+    ) {
+        let answer = Answer::Refused {
+            refusal,
+            detail: detail.to_string(),
+            retry_after,
+        };
+        respond(self.codec.as_ref(), call, &answer, actions);
+    }
+
+    /// A caller has gone away.
+    pub fn on_gone(&mut self, call: CallId) -> Vec<GatewayAction> {
+        let mut actions = Vec::new();
+        self.forwarder
+            .caller_gone(call, &mut self.directory, &mut actions);
+        self.relay.caller_gone(call);
+        actions
+    }
+
+    /// A part of an engine's answer has come.
+    pub fn on_part(&mut self, now: Time, id: HttpId, part: Part) -> Vec<GatewayAction> {
+        let mut actions = Vec::new();
+        self.forwarder
+            .on_part(now, id, part, &mut self.directory, &mut actions);
+        actions
+    }
+
+    /// A replica has answered.
+    pub fn on_reply(&mut self, now: Time, from: &str, reply: JobReply) -> Vec<GatewayAction> {
+        let mut actions = Vec::new();
+        let answered = self.relay.on_reply(now, from, reply, &mut actions);
+        if let Some((call, answer)) = answered {
+            respond(self.codec.as_ref(), call, &answer, &mut actions);
+        }
+        actions
+    }
+
+    /// Time has passed.
+    pub fn tick(&mut self, now: Time) -> Vec<GatewayAction> {
+        let mut actions = Vec::new();
+        self.forwarder.tick(now, &mut self.directory, &mut actions);
+        for (call, answer) in self.relay.tick(now, &mut actions) {
+            respond(self.codec.as_ref(), call, &answer, &mut actions);
+        }
+        actions
+    }
+}
+
+pub(crate) fn respond(
+    codec: &dyn Codec,
+    call: CallId,
+    answer: &Answer,
+    actions: &mut Vec<GatewayAction>,
+) {
+    let (head, body) = codec.answer(answer);
+    respond_whole(call, head, body, actions);
+}
+
+pub(crate) fn respond_whole(
+    call: CallId,
+    head: ResponseHead,
+    body: Bytes,
+    actions: &mut Vec<GatewayAction>,
+) {
+    let mut parts = vec![ResponsePart::Head(head)];
+    if !body.is_empty() {
+        parts.push(ResponsePart::Data(body));
+    }
+    parts.push(ResponsePart::End);
+    actions.extend(
+        parts
+            .into_iter()
+            .map(|part| GatewayAction::Respond { call, part }),
+    );
+}
--- /dev/null
+++ b/crates/gateway/src/relay.rs
@@ -0,0 +1,276 @@
+//! Calls about batch jobs, passed to the leader of the replica group.
+//!
+//! A call that has been sent may have been carried out, whatever became of its
+//! answer; only one that was never sent is refused as not run.
+
+use bytes::Bytes;
+use peatgrade_ports::{Answer, ListedItem, Refusal};
+use peatgrade_schema::replication::mod_JobCall::OneOfbody;
+use peatgrade_schema::replication::{JobCall, JobReply, JobStatus};
+use peatgrade_types::{Duration, Time};
+use std::collections::BTreeMap;
+
+use crate::gateway::{CallId, GatewayAction, COME_BACK};
+
+/// Spans of the relay.
+#[derive(Clone, Copy, Debug)]
+pub struct RelaySettings {
+    /// Time after which an unanswered call goes to another replica, beyond the
+    /// time that the call may wait by itself.
+    pub resend: Duration,
+    /// Pause before a call that found no leader is sent again.
+    pub pause: Duration,
+    /// Time after which a call is given up, beyond its own wait.
+    pub give_up: Duration,
+}
+
+impl Default for RelaySettings {
+    fn default() -> Self {
+        Self {
+            resend: Duration::from_millis(350),
+            pause: Duration::from_millis(40),
+            give_up: Duration::from_millis(1_300),
+        }
+    }
+}
+
+struct Pending {
+    caller: CallId,
+    body: OneOfbody,
+    wait: Duration,
+    started: Time,
+    next: Time,
+    sent: bool,
+    tried: usize,
+}
+
+/// Batch-job calls under way.
+pub struct JobRelay {
+    settings: RelaySettings,
+    replicas: Vec<String>,
+    leader: Option<String>,
+    calls: BTreeMap<u64, Pending>,
+    next_call: u64,
+    leaderless_since: Option<Time>,
+}
+
+impl JobRelay {
+    /// A relay that knows no replica.
+    pub fn new(settings: RelaySettings) -> Self {
+        Self {
+            settings,
+            replicas: Vec::new(),
+            leader: None,
+            calls: BTreeMap::new(),
+            next_call: 1,
+            leaderless_since: Some(Time(0)),
+        }
+    }
+
+    /// Replaces the addresses to ask.
+    pub fn set_replicas(&mut self, addresses: Vec<String>) {
+        self.replicas = addresses;
+    }
+
+    /// Calls under way.
+    pub fn in_flight(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// Whether no replica is known, or calls have found no leader for some time.
+    pub fn misses_leader(&self, now: Time) -> bool {
+        if self.replicas.is_empty() {
+            return true;
+        }
+        if self.calls.is_empty() {
+            return false;
+        }
+        let since = self.leaderless_since;
+        since.is_some_and(|since| now.since(since) >= Duration::from_millis(700))
+    }
+
+    /// Starts a call.
+    pub fn start(
+        &mut self,
+        now: Time,
+        caller: CallId,
+        body: OneOfbody,
+        wait: Duration,
+        actions: &mut Vec<GatewayAction>,
+    ) {
+        let id = self.next_call;
+        self.next_call += 1;
+        let pending = Pending {
+            caller,
+            body,
+            wait,
+            started: now,
+            next: now,
+            sent: false,
+            tried: 0,
+        };
+        self.calls.insert(id, pending);
+        self.send(now, id, actions);
+    }
+
+    fn send(&mut self, now: Time, id: u64, actions: &mut Vec<GatewayAction>) {
+        let Some(pending) = self.calls.get_mut(&id) else {
+            return;
+        };
+        let others = self.replicas.len();
+        let address = match &self.leader {
+            Some(leader) => leader.clone(),
+            None if others > 0 => self.replicas[(pending.tried + id as usize) % others].clone(),
+            None => {
+                pending.next = now + self.settings.pause;
+                return;
+            }
+        };
+        pending.tried += 1;
+        pending.sent = true;
+        pending.next = now + self.settings.resend + pending.wait;
+        let call = JobCall {
+            call: id,
+            body: pending.body.clone(),
+        };
+        actions.push(GatewayAction::Job { address, call });
+    }
+
+    /// Takes a reply; the caller's answer, if the call is done.
+    pub fn on_reply(
+        &mut self,
+        now: Time,
+        from: &str,
+        reply: JobReply,
+        actions: &mut Vec<GatewayAction>,
+    ) -> Option<(CallId, Answer)> {
+        if matches!(reply.status, JobStatus::NOT_LEADER) {
+            return self.on_not_leader(now, from, &reply, actions);
+        }
+        self.leader = Some(from.to_string());
+        self.leaderless_since = None;
+        let pending = self.calls.remove(&reply.call)?;
+        let answer = answer_of(&pending.body, reply);
+        Some((pending.caller, answer))
+    }
+
+    fn on_not_leader(
+        &mut self,
+        now: Time,
+        from: &str,
+        reply: &JobReply,
+        actions: &mut Vec<GatewayAction>,
+    ) -> Option<(CallId, Answer)> {
+        let known = !reply.leader_address.is_empty() && reply.leader_address != from;
+        if known {
+            if self.leader.as_deref() != Some(reply.leader_address.as_str()) {
+                log::info!(
+                    "belief=leader address={} told_by={from}",
+                    reply.leader_address
+                );
+            }
+            self.leader = Some(reply.leader_address.clone());
+        } else if self.leader.as_deref() == Some(from) {
+            self.lose_leader(now);
+        }
+        let pause = self.settings.pause;
+        let pending = self.calls.get_mut(&reply.call)?;
+        if known && pending.tried % 4 != 0 {
+            self.send(now, reply.call, actions);
+        } else {
+            pending.next = now + pause;
+        }
+        None
+    }
+
+    fn lose_leader(&mut self, now: Time) {
+        if let Some(leader) = self.leader.take() {
+            log::info!("belief=leader-lost address={leader}");
+        }
+        self.leaderless_since.get_or_insert(now);
+    }
+
+    /// Sends again and gives up what is due; answers for callers.
+    pub fn tick(&mut self, now: Time, actions: &mut Vec<GatewayAction>) -> Vec<(CallId, Answer)> {
+        let due: Vec<u64> = self
+            .calls
+            .iter()
+            .filter(|(_, pending)| now >= pending.next)
+            .map(|(id, _)| *id)
+            .collect();
+        let mut answers = Vec::new();
+        for id in due {
+            let pending = &self.calls[&id];
+            let age = now.since(pending.started);
+            if age >= self.settings.give_up + pending.wait {
+                let pending = self.calls.remove(&id);
+                answers.extend(pending.map(|p| (p.caller, given_up(&p))));
+                continue;
+            }
+            if pending.sent && self.leader.is_some() && pending.tried > 0 {
+                // It did not answer in time: ask the others.
+                self.lose_leader(now);
+            }
+            self.send(now, id, actions);
+        }
+        answers
+    }
+
+    /// A caller has gone away.
+    pub fn caller_gone(&mut self, caller: CallId) {
+        self.calls.retain(|_, pending| pending.caller != caller);
+    }
+}
+
+fn given_up(pending: &Pending) -> Answer {
+    let submits = matches!(pending.body, OneOfbody::submit(_));
+    let refusal = if submits && pending.sent {
+        Refusal::Unknown
+    } else {
+        Refusal::NotRun
+    };
+    Answer::Refused {
+        refusal,
+        detail: "no replica could answer".into(),
+        retry_after: (refusal == Refusal::NotRun).then_some(COME_BACK),
+    }
+}
+
+fn answer_of(body: &OneOfbody, reply: JobReply) -> Answer {
+    let refused = |refusal, detail: &str, retry_after| Answer::Refused {
+        refusal,
+        detail: detail.into(),
+        retry_after,
+    };
+    match reply.status {
+        JobStatus::OK => match body {
+            OneOfbody::submit(_) => Answer::JobAccepted,
+            OneOfbody::end(_) => Answer::JobEnded,
+            OneOfbody::item(_) => Answer::ItemBody(Bytes::from(reply.body)),
+            _ => results(reply),
+        },
+        JobStatus::UNKNOWN_JOB => refused(Refusal::NotFound, "no such batch job", None),
+        JobStatus::UNKNOWN_ITEM => refused(Refusal::NotFound, "no such item", None),
+        JobStatus::CONFLICT => refused(Refusal::Malformed, "another job has this id", None),
+        // Something may have been written: promise nothing for a submission.
+        _ if matches!(body, OneOfbody::submit(_)) => {
+            refused(Refusal::Unknown, "the leader changed", None)
+        }
+        _ => refused(Refusal::NotRun, "no leader can be sure", Some(COME_BACK)),
+    }
+}
+
+fn results(reply: JobReply) -> Answer {
+    let next = reply.position + reply.results.len() as u64;
+    let listed = reply.results.into_iter().map(|result| ListedItem {
+        item: result.item,
+        completed: result.completed,
+        text: Bytes::from(result.text),
+        versions: result.versions,
+    });
+    Answer::Results {
+        total: reply.total,
+        next,
+        results: listed.collect(),
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/store.rs
@@ -0,0 +1,178 @@
+//! The replicated state: jobs, their results by position, their ends.
+
+use bytes::Bytes;
+use peatgrade_schema::decode;
+use peatgrade_schema::replication::mod_JobCommand::OneOfbody;
+use peatgrade_schema::replication::{AcceptJob, JobCommand, ListResults};
+use peatgrade_types::{Duration, Time};
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+
+/// A listed result. Its position and content never change.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoredResult {
+    /// Index of the item in its job.
+    pub item: usize,
+    /// Whether it is whole; otherwise it was given up.
+    pub completed: bool,
+    /// Its text.
+    pub text: Bytes,
+    /// Versions that made an event of it.
+    pub versions: Vec<u64>,
+}
+
+/// A batch job.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// As it was handed in.
+    pub spec: Rc<AcceptJob>,
+    /// When this replica first knew of it.
+    pub known_since: Time,
+    /// Results by position.
+    pub results: Vec<StoredResult>,
+    /// Position of each item's result.
+    pub positions: HashMap<usize, usize>,
+    /// Whether it is ended.
+    pub ended: bool,
+    /// Index of its first log entry.
+    pub first_index: u64,
+}
+
+impl Job {
+    /// Index of an item by its id.
+    pub fn item_index(&self, id: &str) -> Option<usize> {
+        self.spec.items.iter().position(|item| item.id == id)
+    }
+}
+
+/// What a command did.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Applied {
+    /// A job is new.
+    Accepted(String),
+    /// Results were added to a job.
+    Listed(String),
+    /// A job is ended.
+    Ended(String),
+    /// Nothing changed.
+    Nothing,
+}
+
+/// All jobs of a replica group.
+#[derive(Clone, Debug, Default)]
+pub struct JobStore {
+    jobs: BTreeMap<String, Job>,
+}
+
+impl JobStore {
+    /// Applies a committed command.
+    pub fn apply(&mut self, now: Time, index: u64, command: &[u8]) -> Applied {
+        if command.is_empty() {
+            return Applied::Nothing;
+        }
+        match decode::<JobCommand>(command).map(|command| command.body) {
+            Ok(OneOfbody::accept(spec)) => self.accept(now, index, spec),
+            Ok(OneOfbody::results(list)) => self.list(list),
+            Ok(OneOfbody::end(end)) => self.end(&end.job),
+            Ok(OneOfbody::None) => Applied::Nothing,
+            Err(error) => {
+                log::error!("step=apply-command index={index} error={error}");
+                Applied::Nothing
+            }
+        }
+    }
+
+    fn accept(&mut self, now: Time, first_index: u64, spec: AcceptJob) -> Applied {
+        if self.jobs.contains_key(&spec.job) {
+            return Applied::Nothing;
+        }
+        let id = spec.job.clone();
+        let job = Job {
+            spec: Rc::new(spec),
+            known_since: now,
+            results: Vec::new(),
+            positions: HashMap::new(),
+            ended: false,
+            first_index,
+        };
+        self.jobs.insert(id.clone(), job);
+        Applied::Accepted(id)
+    }
+
+    fn list(&mut self, list: ListResults) -> Applied {
+        let Some(job) = self.jobs.get_mut(&list.job).filter(|job| !job.ended) else {
+            return Applied::Nothing;
+        };
+        let before = job.results.len();
+        for result in list.results {
+            let item = result.item as usize;
+            // The first result of an item stands, whoever else made one.
+            if item >= job.spec.items.len() || job.positions.contains_key(&item) {
+                continue;
+            }
+            job.positions.insert(item, job.results.len());
+            job.results.push(StoredResult {
+                item,
+                completed: result.completed,
+                text: Bytes::from(result.text),
+                versions: result.versions,
+            });
+        }
+        if job.results.len() == before {
+            return Applied::Nothing;
+        }
+        Applied::Listed(list.job)
+    }
+
+    fn end(&mut self, id: &str) -> Applied {
+        match self.jobs.get_mut(id) {
+            Some(job) if !job.ended => {
+                job.ended = true;
+                Applied::Ended(id.to_string())
+            }
+            _ => Applied::Nothing,
+        }
+    }
+
+    /// Forgets everything.
+    pub fn clear(&mut self) {
+        self.jobs.clear();
+    }
+
+    /// A job.
+    pub fn get(&self, id: &str) -> Option<&Job> {
+        self.jobs.get(id)
+    }
+
+    /// All jobs by id.
+    pub fn iter(&self) -> impl Iterator<Item = (&String, &Job)> {
+        self.jobs.iter()
+    }
+
+    /// Drops jobs that are older than `keep`, if they are ended, or than twice
+    /// that. Returns the log index before which nothing is needed any more.
+    pub fn expire(&mut self, now: Time, keep: Duration, applied: u64) -> u64 {
+        let twice = Duration(keep.0 * 2);
+        self.jobs.retain(|_, job| {
+            let age = now.since(job.known_since);
+            age < keep || (!job.ended && age < twice)
+        });
+        let oldest = self.jobs.values().map(|job| job.first_index).min();
+        oldest.map_or(applied, |index| index.saturating_sub(1))
+    }
+
+    /// An earlier whole result of an item that a later job brings back.
+    pub fn earlier_result(&self, job: &str, item: usize) -> Option<&StoredResult> {
+        let spec = &self.jobs.get(job)?.spec.items.get(item)?;
+        let others = self.jobs.iter().filter(|(id, _)| *id != job);
+        others.rev().find_map(|(_, other)| {
+            let index = other.item_index(&spec.id)?;
+            let same = other.spec.items[index].body == spec.body;
+            let position = other.positions.get(&index).filter(|_| same)?;
+            other
+                .results
+                .get(*position)
+                .filter(|result| result.completed)
+        })
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/streams.rs
@@ -0,0 +1,81 @@
+//! What arrives from an engine that runs an item.
+
+use peatgrade_ports::{AnswerHead, EventReader, GenerationEvent, Instance};
+use peatgrade_types::Time;
+
+use crate::item::{ItemKey, OpenItem, TextEvent};
+
+/// A run under way.
+pub(crate) struct Run {
+    pub key: ItemKey,
+    pub instance: Instance,
+    pub started: Time,
+    /// When the last event came.
+    pub last: Option<Time>,
+    /// Events of this run.
+    pub events: u32,
+    /// Version of the weights as the engine named it last.
+    pub version: u64,
+    pub head: Option<AnswerHead>,
+    pub reader: Box<dyn EventReader>,
+}
+
+/// Why a run's bytes cannot be used.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub(crate) enum StreamError {
+    #[error("unreadable: {0}")]
+    Unreadable(String),
+    #[error("event {got} after {after:?}")]
+    Gap { got: u64, after: Option<u64> },
+    #[error("version {got} below {least}")]
+    Stale { got: u64, least: u64 },
+}
+
+/// Adds the events in `bytes` to the item's text.
+pub(crate) fn take_bytes(
+    run: &mut Run,
+    item: &mut OpenItem,
+    bytes: &[u8],
+) -> Result<usize, StreamError> {
+    let events = run.reader.feed(bytes).map_err(StreamError::Unreadable)?;
+    let count = events.len();
+    for event in events {
+        take_event(run, item, event)?;
+    }
+    Ok(count)
+}
+
+fn take_event(
+    run: &mut Run,
+    item: &mut OpenItem,
+    event: GenerationEvent,
+) -> Result<(), StreamError> {
+    if let Some(version) = event.version {
+        run.version = version;
+    }
+    let after = item.last_event;
+    let follows = match after {
+        Some(last) => event.id == last + 1,
+        None => event.id <= 1,
+    };
+    if !follows {
+        return Err(StreamError::Gap {
+            got: event.id,
+            after,
+        });
+    }
+    let least = item.spec.min_version;
+    if run.version < least {
+        return Err(StreamError::Stale {
+            got: run.version,
+            least,
+        });
+    }
+    item.last_event = Some(event.id);
+    item.events.push(TextEvent {
+        version: run.version,
+        data: event.data,
+    });
+    run.events += 1;
+    Ok(())
+}
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -9,7 +9,7 @@
 use peatgrade_routing::SelectorPolicy;
 use peatgrade_runtime::http_client::Cancel;
 use peatgrade_runtime::peer_socket::PeerMessage;
-use peatgrade_runtime::{now, open_rings, serve, HttpClient, Incoming, PeerSocket};
+use peatgrade_runtime::{now, open_rings, serve, HttpClient, Incoming, PeerSocket, SendOptions};
 use peatgrade_schema::settings::NodeSettings;
 use peatgrade_storage::{DiskReply, DiskStore, StorageError};
 use peatgrade_types::http::ResponsePart;
@@ -261,8 +261,11 @@
                     request,
                     timeout,
                 } => {
-                    let silence = Duration::from_micros(timeout.0);
-                    let cancel = self.client.send(id, &address, request, silence);
+                    let options = SendOptions {
+                        silence: Duration::from_micros(timeout.0),
+                        fresh: false,
+                    };
+                    let cancel = self.client.send(id, &address, request, options);
                     self.requests.insert(id, cancel);
                 }
                 Action::CancelHttp { id } => {
--- /dev/null
+++ b/crates/ports/src/configuration.rs
@@ -0,0 +1,123 @@
+//! What operators have declared.
+
+use peatgrade_types::Duration;
+use std::collections::BTreeMap;
+
+/// A whole configuration.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Configuration {
+    /// Rises with every change.
+    pub version: u64,
+    /// Routes in no order.
+    pub routes: Vec<Route>,
+    /// Services by name.
+    pub services: BTreeMap<String, Service>,
+    /// Bounds on what a caller may send.
+    pub limits: Limits,
+}
+
+/// What a route's requests allow.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum RouteKind {
+    /// May run more than once.
+    Safe,
+    /// Runs at most once for an attempt of a caller.
+    Unsafe,
+    /// Answered with a series of events.
+    Streaming,
+    /// Takes batch jobs.
+    Batch,
+}
+
+/// A service and its share of a route.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Target {
+    /// Name of the service.
+    pub service: String,
+    /// Its share, relative to the others.
+    pub weight: u32,
+}
+
+/// Requests of one host whose path begins with a prefix.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    /// Name.
+    pub name: String,
+    /// Host, in small letters.
+    pub host: String,
+    /// Prefix of the path, with a slash at both ends.
+    pub prefix: String,
+    /// What its requests allow.
+    pub kind: RouteKind,
+    /// Longest time that a request may be held.
+    pub timeout: Duration,
+    /// Time within which an answer is worth most.
+    pub target_latency: Duration,
+    /// Rank, 0 first.
+    pub priority: u32,
+    /// Where its requests go.
+    pub targets: Vec<Target>,
+    /// Engines that one attempt of a caller may be sent to.
+    pub max_attempts: u32,
+    /// Whether a stream may be taken up at another engine.
+    pub resumable: bool,
+    /// Batch jobs: time after which an item may be given up.
+    pub max_queue: Duration,
+    /// Batch jobs: time within which each result is due.
+    pub result_deadline: Duration,
+    /// Batch jobs: whether one version must make the whole of a result.
+    pub single_version: bool,
+}
+
+/// A service that engines belong to.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Service {
+    /// Name.
+    pub name: String,
+    /// Path of its health check.
+    pub health_path: String,
+    /// Connections that one engine takes from all callers together.
+    pub max_connections: u32,
+    /// Requests that a model engine runs at once; 0 for other services.
+    pub slots: u32,
+    /// Tokens that a model engine's memory holds.
+    pub memory_tokens: u64,
+    /// Models that its engines serve.
+    pub models: Vec<String>,
+}
+
+/// Bounds on what a caller may send.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Limits {
+    /// Bytes of a request's head.
+    pub head_bytes: usize,
+    /// Bytes of a request's body.
+    pub body_bytes: usize,
+    /// Time to send a head.
+    pub head_time: Duration,
+    /// Time that a connection may rest.
+    pub idle_time: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            head_bytes: 32 * 1024,
+            body_bytes: 32 * 1024 * 1024,
+            head_time: Duration::from_secs(10),
+            idle_time: Duration::from_secs(60),
+        }
+    }
+}
+
+impl Configuration {
+    /// The route of a request: of its host, the one with the longest prefix.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        let host = host.split(':').next().unwrap_or(host);
+        let path = path.split('?').next().unwrap_or(path);
+        let matching = self.routes.iter().filter(|route| {
+            route.host.eq_ignore_ascii_case(host) && path.starts_with(&route.prefix)
+        });
+        matching.max_by_key(|route| route.prefix.len())
+    }
+}
--- /dev/null
+++ b/crates/replication/src/group.rs
@@ -0,0 +1,267 @@
+//! Which machines should be members of the group, and the next step there.
+//!
+//! Voters change one at a time. A voter whose disk is gone, or that is gone
+//! itself, is removed before its successor gets a vote: it cannot help a
+//! majority any more, and a larger group would need more of the others. A
+//! healthy voter that is to leave is removed after its successor has a vote.
+
+use peatgrade_schema::replication::Member;
+use peatgrade_types::{Duration, Time};
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::message::ReplicaId;
+use crate::replica::{Replica, Role};
+
+/// Voters of a full group: a majority survives the loss of one.
+const VOTERS: usize = 3;
+/// Silence after which a voter is replaced if another machine can take over.
+const GONE_AFTER: Duration = Duration::from_millis(1_500);
+/// A replica that has answered within this span counts as alive.
+const ALIVE: Duration = Duration::from_millis(500);
+/// Silence after which a learner is given up.
+const LEARNER_GONE_AFTER: Duration = Duration::from_millis(2_000);
+/// How long a learner that was given up comes last.
+const FAILED_LEARNER_WAIT: Duration = Duration::from_secs(20);
+/// Entries that a learner may lack when it gets its vote.
+const CAUGHT_UP_WITHIN: u64 = 64;
+
+/// A machine that could be a member, as it was last heard of.
+#[derive(Clone, Debug, PartialEq)]
+pub struct MachineReport {
+    /// Its member record; the vote flag means nothing.
+    pub member: Member,
+    /// When it said so, or was read of.
+    pub heard: Time,
+    /// Whether it is to be emptied.
+    pub retiring: bool,
+}
+
+/// Machines known, by name.
+#[derive(Clone, Debug, Default)]
+pub struct Group {
+    machines: BTreeMap<String, MachineReport>,
+    /// Incarnations that a newer one of the same machine has replaced.
+    superseded: BTreeSet<u64>,
+    /// Learners that went away, and when.
+    failed: BTreeMap<u64, Time>,
+}
+
+impl Group {
+    /// Takes note of a machine; true if its incarnation is new.
+    pub fn report(&mut self, now: Time, member: Member) -> bool {
+        if self.superseded.contains(&member.replica) {
+            return false;
+        }
+        let known = self.machines.get_mut(&member.name);
+        if let Some(known) = known {
+            if known.member.replica != member.replica {
+                self.superseded.insert(known.member.replica);
+            }
+            let fresh = known.member.replica != member.replica;
+            known.member = member;
+            known.heard = now;
+            return fresh;
+        }
+        let report = MachineReport {
+            member: member.clone(),
+            heard: now,
+            retiring: false,
+        };
+        self.machines.insert(member.name, report);
+        true
+    }
+
+    /// Takes note of which machines are to be emptied.
+    pub fn set_retiring(&mut self, names: &[String]) {
+        for (name, report) in &mut self.machines {
+            report.retiring = names.contains(name);
+        }
+    }
+
+    /// Machines known.
+    pub fn machines(&self) -> impl Iterator<Item = &MachineReport> {
+        self.machines.values()
+    }
+
+    /// Whether a machine is no member any more.
+    pub fn is_out(&self, replica: &Replica, name: &str) -> bool {
+        replica.members_committed() && !replica.members().iter().any(|m| m.name == name)
+    }
+
+    /// The members that the group should have next, if that is not what it has.
+    pub fn next_members(&mut self, now: Time, replica: &Replica) -> Option<Vec<Member>> {
+        if replica.role() != Role::Leader || !replica.members_committed() {
+            return None;
+        }
+        let members = replica.members();
+        self.note_failed(now, replica, &members);
+        self.remove_lost_voter(now, replica, &members)
+            .or_else(|| self.promote(now, replica, &members))
+            .or_else(|| self.remove_surplus_voter(replica, &members))
+            .or_else(|| self.drop_useless_learner(now, replica, &members))
+            .or_else(|| self.add_learner(now, replica, &members))
+    }
+
+    fn note_failed(&mut self, now: Time, replica: &Replica, members: &[Member]) {
+        for member in members.iter().filter(|member| !member.voter) {
+            if learner_gone(now, replica, member) {
+                self.failed.insert(member.replica, now);
+            }
+        }
+        self.failed
+            .retain(|_, at| now.since(*at) < FAILED_LEARNER_WAIT);
+    }
+
+    fn is_retiring(&self, name: &str) -> bool {
+        self.machines.get(name).is_some_and(|m| m.retiring)
+    }
+
+    /// Whether a member's disk is known to be gone.
+    fn is_emptied(&self, member: &Member) -> bool {
+        let machine = self.machines.get(&member.name);
+        machine.is_some_and(|m| m.member.replica != member.replica)
+    }
+
+    fn is_lost(&self, now: Time, replica: &Replica, member: &Member) -> bool {
+        if member.replica == replica.id().0 {
+            return false;
+        }
+        let settled = now.since(replica.leader_since()) >= GONE_AFTER;
+        let progress = replica.progress(ReplicaId(member.replica));
+        let silent = settled && !progress.is_some_and(|p| p.alive(now, GONE_AFTER));
+        self.is_emptied(member) || silent
+    }
+
+    fn caught_up(now: Time, replica: &Replica, member: &Member) -> bool {
+        let progress = replica.progress(ReplicaId(member.replica));
+        progress.is_some_and(|p| {
+            p.alive(now, ALIVE) && p.match_index + CAUGHT_UP_WITHIN >= replica.commit_index()
+        })
+    }
+
+    /// Whether a majority of `voters` has answered lately.
+    fn majority_alive(now: Time, replica: &Replica, voters: &[&Member]) -> bool {
+        let alive = voters.iter().filter(|member| {
+            let progress = replica.progress(ReplicaId(member.replica));
+            member.replica == replica.id().0 || progress.is_some_and(|p| p.alive(now, ALIVE))
+        });
+        alive.count() * 2 > voters.len()
+    }
+
+    fn remove_lost_voter(
+        &self,
+        now: Time,
+        replica: &Replica,
+        members: &[Member],
+    ) -> Option<Vec<Member>> {
+        let successor = members
+            .iter()
+            .any(|m| !m.voter && Self::caught_up(now, replica, m));
+        let voters = members.iter().filter(|member| member.voter);
+        let lost = voters
+            .clone()
+            .find(|member| successor && self.is_lost(now, replica, member))?;
+        let rest: Vec<&Member> = voters.filter(|m| m.replica != lost.replica).collect();
+        Self::majority_alive(now, replica, &rest).then(|| without(members, lost))
+    }
+
+    fn promote(&self, now: Time, replica: &Replica, members: &[Member]) -> Option<Vec<Member>> {
+        let voters = members.iter().filter(|member| member.voter);
+        let staying = voters.filter(|member| !self.is_retiring(&member.name));
+        if staying.count() >= VOTERS {
+            return None;
+        }
+        let ready = members
+            .iter()
+            .find(|m| !m.voter && Self::caught_up(now, replica, m))?;
+        let mut next = members.to_vec();
+        for member in &mut next {
+            if member.replica == ready.replica {
+                member.voter = true;
+            }
+        }
+        Some(next)
+    }
+
+    fn remove_surplus_voter(&self, replica: &Replica, members: &[Member]) -> Option<Vec<Member>> {
+        let voters: Vec<&Member> = members.iter().filter(|member| member.voter).collect();
+        if voters.len() <= VOTERS {
+            return None;
+        }
+        let leaving = voters
+            .iter()
+            .filter(|member| self.is_retiring(&member.name))
+            .min_by_key(|member| member.replica == replica.id().0)?;
+        Some(without(members, leaving))
+    }
+
+    /// A learner that went away, lost its disk or is not needed.
+    fn drop_useless_learner(
+        &self,
+        now: Time,
+        replica: &Replica,
+        members: &[Member],
+    ) -> Option<Vec<Member>> {
+        let missing = self.missing_voters(now, replica, members);
+        let learners: Vec<&Member> = members.iter().filter(|m| !m.voter).collect();
+        let gone = learners.iter().find(|member| {
+            self.is_emptied(member)
+                || self.is_retiring(&member.name)
+                || learner_gone(now, replica, member)
+        });
+        let surplus = learners.iter().skip(missing).next_back();
+        let dropped = gone.or(surplus)?;
+        Some(without(members, dropped))
+    }
+
+    /// Voters that are lost, leave or were never there.
+    fn missing_voters(&self, now: Time, replica: &Replica, members: &[Member]) -> usize {
+        let voters = members.iter().filter(|member| member.voter);
+        let staying = voters.filter(|member| {
+            !self.is_retiring(&member.name) && !self.is_lost(now, replica, member)
+        });
+        VOTERS.saturating_sub(staying.count())
+    }
+
+    fn add_learner(&self, now: Time, replica: &Replica, members: &[Member]) -> Option<Vec<Member>> {
+        let missing = self.missing_voters(now, replica, members);
+        let learners = members.iter().filter(|member| !member.voter).count();
+        if learners >= missing {
+            return None;
+        }
+        let zones: Vec<&str> = members
+            .iter()
+            .filter(|m| m.voter && !self.is_lost(now, replica, m) && !self.is_retiring(&m.name))
+            .map(|member| member.zone.as_str())
+            .collect();
+        let free = self.machines.values().filter(|report| {
+            let id = report.member.replica;
+            !report.retiring && !members.iter().any(|member| member.replica == id)
+        });
+        // A machine that speaks now, in a zone without a voter, goes first.
+        let best = free.max_by_key(|report| {
+            let fresh_zone = !zones.contains(&report.member.zone.as_str());
+            let failed = self.failed.contains_key(&report.member.replica);
+            (!failed, fresh_zone, report.heard)
+        })?;
+        let mut next = members.to_vec();
+        let mut member = best.member.clone();
+        member.voter = false;
+        next.push(member);
+        Some(next)
+    }
+}
+
+/// Whether a learner has been silent for too long to wait for it.
+fn learner_gone(now: Time, replica: &Replica, member: &Member) -> bool {
+    let Some(progress) = replica.progress(ReplicaId(member.replica)) else {
+        return false;
+    };
+    let since = progress.heard.unwrap_or(progress.since);
+    now.since(since) > LEARNER_GONE_AFTER
+}
+
+fn without(members: &[Member], gone: &Member) -> Vec<Member> {
+    let rest = members.iter().filter(|m| m.replica != gone.replica);
+    rest.cloned().collect()
+}
--- /dev/null
+++ b/crates/replication/src/lib.rs
@@ -0,0 +1,36 @@
+//! A replicated log on the disks of a small group of machines.
+//!
+//! ```text
+//!  messages --step--> +---------+ --Ready--> entries and state to persist
+//!  commands -propose->| Replica |            messages to send
+//!  clock ----tick---> +---------+            committed entries to apply
+//!                          ^---persisted--- driver, after one sync
+//! ```
+//!
+//! The algorithm is Raft with pre-votes, leader leases, learners and changes of
+//! one voter at a time. What differs from the usual description:
+//!
+//! - A replica is named by the **incarnation of its disk** ([`ReplicaId`]),
+//!   drawn when the data folder is empty. A machine that lost its disk is a new
+//!   replica and never votes or counts as its former self.
+//! - There are no snapshots. The state is a set of jobs with a bounded life, so
+//!   a log is trimmed at its front ([`Replica::trim`]) and a replica that is too
+//!   far behind gets the base and all entries after it.
+//!
+//! No socket, clock or unseeded random number is used here.
+
+mod election;
+mod group;
+mod lease;
+mod log_file;
+mod log_store;
+mod message;
+mod progress;
+mod replica;
+mod replicate;
+
+pub use group::{Group, MachineReport};
+pub use log_file::{LogFile, LogFileError, Recovered};
+pub use log_store::LogStore;
+pub use message::{Outgoing, ReplicaId};
+pub use replica::{Ready, Replica, ReplicaSettings, Role, Timing};
--- a/crates/runtime/src/http_client.rs
+++ b/crates/runtime/src/http_client.rs
@@ -1,50 +1,98 @@
 //! The client side of HTTP: one task per request, with reuse of connections.
 
+use bytes::{BufMut, Bytes, BytesMut};
 use futures_channel::mpsc::UnboundedSender;
 use futures_channel::oneshot;
-use futures_util::future::{select, Either};
-use http::{HeaderName, HeaderValue, Method, Uri};
-use monoio::io::sink::SinkExt;
-use monoio::io::stream::Stream;
+use futures_util::future::{select, Either, FutureExt};
+use monoio::io::{AsyncWriteRentExt, OwnedReadHalf, OwnedWriteHalf, Splitable};
 use monoio::net::TcpStream;
-use monoio_http::common::body::Body;
-use monoio_http::h1::codec::ClientCodec;
-use monoio_http::h1::payload::{FixedPayload, Payload};
-use peatgrade_types::http::{HttpFailure, HttpRequest, HttpStep, ResponseHead, ResponsePart};
+use peatgrade_types::http::{HttpFailure, HttpRequest, HttpStep, ResponsePart};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use crate::response_reader::{Piece, ResponseReader};
+
 /// Longest time to make a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Idle connections kept per address, and for how long.
+/// Idle connections kept per address, and for how long at most.
 const IDLE_PER_ADDRESS: usize = 32;
 const IDLE_TIME: Duration = Duration::from_secs(10);
+/// An announced idle time is used up to this much before its end.
+const IDLE_MARGIN: Duration = Duration::from_millis(700);
 /// Header of requests that must not be sent over a connection that the other
 /// side may just be closing.
 const NON_REPEATABLE: &str = "x-non-repeatable";
 
-type Connection = ClientCodec<TcpStream>;
+struct Connection {
+    reader: ResponseReader<OwnedReadHalf<TcpStream>>,
+    writer: OwnedWriteHalf<TcpStream>,
+}
+
+struct Kept {
+    until: Instant,
+    connection: Connection,
+}
+
+impl Kept {
+    /// Whether it is still silent and open. Bytes that nobody asked for belong
+    /// to no request, so such a connection is as bad as a closed one.
+    fn is_sound(&mut self) -> bool {
+        Instant::now() < self.until && self.connection.reader.fill().now_or_never().is_none()
+    }
+}
 
 /// Idle connections of one thread.
 #[derive(Default)]
 struct Idle {
-    connections: HashMap<SocketAddr, Vec<(Instant, Connection)>>,
+    connections: HashMap<SocketAddr, Vec<Kept>>,
 }
 
 impl Idle {
     fn take(&mut self, address: SocketAddr) -> Option<Connection> {
         let kept = self.connections.get_mut(&address)?;
-        kept.retain(|(since, _)| since.elapsed() < IDLE_TIME);
-        kept.pop().map(|(_, connection)| connection)
+        while let Some(mut newest) = kept.pop() {
+            if newest.is_sound() {
+                return Some(newest.connection);
+            }
+        }
+        None
     }
 
-    fn put(&mut self, address: SocketAddr, connection: Connection) {
+    fn put(&mut self, address: SocketAddr, connection: Connection, idle: Duration) {
         let kept = self.connections.entry(address).or_default();
+        kept.retain_mut(Kept::is_sound);
         if kept.len() < IDLE_PER_ADDRESS {
-            kept.push((Instant::now(), connection));
+            let until = Instant::now() + idle;
+            kept.push(Kept { until, connection });
+        }
+    }
+
+    fn sweep(&mut self) {
+        for kept in self.connections.values_mut() {
+            kept.retain_mut(Kept::is_sound);
+        }
+        self.connections.retain(|_, kept| !kept.is_empty());
+    }
+}
+
+/// How a request is sent.
+#[derive(Clone, Copy, Debug)]
+pub struct SendOptions {
+    /// Longest wait for the next part of the response.
+    pub silence: Duration,
+    /// Never over a connection that was used before.
+    pub fresh: bool,
+}
+
+impl SendOptions {
+    /// Over any sound connection, with this longest silence.
+    pub fn reusing(silence: Duration) -> Self {
+        Self {
+            silence,
+            fresh: false,
         }
     }
 }
@@ -67,13 +115,24 @@
         }
     }
 
-    /// Sends a request. `silence` is the longest wait for the next part. The
-    /// request is given up when the returned value is dropped.
-    pub fn send(&self, id: Id, address: &str, request: HttpRequest, silence: Duration) -> Cancel {
+    /// Closes idle connections that ended or are past their time.
+    pub fn sweep(&self) {
+        self.idle.borrow_mut().sweep();
+    }
+
+    /// Sends a request. The request is given up when the returned value is
+    /// dropped.
+    pub fn send(
+        &self,
+        id: Id,
+        address: &str,
+        request: HttpRequest,
+        options: SendOptions,
+    ) -> Cancel {
         let (cancel, cancelled) = oneshot::channel::<()>();
         let exchange = Exchange {
             peer: address.to_string(),
-            silence,
+            options,
             idle: self.idle.clone(),
         };
         let parts = self.parts.clone();
@@ -91,9 +150,34 @@
     }
 }
 
+impl<Id> HttpClient<Id> {
+    /// Sends a request and waits for the whole response.
+    pub async fn fetch(
+        &self,
+        address: &str,
+        request: HttpRequest,
+        options: SendOptions,
+    ) -> Result<(u16, Bytes), HttpFailure> {
+        let exchange = Exchange {
+            peer: address.to_string(),
+            options,
+            idle: self.idle.clone(),
+        };
+        let whole = RefCell::new((0, BytesMut::new()));
+        let emit = |part| match part {
+            ResponsePart::Head(head) => whole.borrow_mut().0 = head.status,
+            ResponsePart::Data(data) => whole.borrow_mut().1.extend_from_slice(&data),
+            ResponsePart::End | ResponsePart::Failed(_) => {}
+        };
+        exchange.run(request, &emit).await?;
+        let (status, body) = whole.into_inner();
+        Ok((status, body.freeze()))
+    }
+}
+
 struct Exchange {
     peer: String,
-    silence: Duration,
+    options: SendOptions,
     idle: Rc<RefCell<Idle>>,
 }
 
@@ -113,7 +197,9 @@
     ) -> Result<(), HttpFailure> {
         let parsed = self.peer.parse::<SocketAddr>();
         let address = parsed.map_err(|error| self.failure(HttpStep::Connect, error))?;
-        let once = request.header(NON_REPEATABLE).is_some();
+        let once = self.options.fresh || request.header(NON_REPEATABLE).is_some();
+        let bytes = to_wire(&request, &self.peer);
+        let bodyless = request.method == "HEAD";
         let kept = if once {
             None
         } else {
@@ -122,19 +208,27 @@
         if let Some(connection) = kept {
             // A kept connection may be half closed. If it breaks before any
             // part of a response, a fresh one is tried.
-            match self.exchange(address, connection, &request, emit).await {
+            let sent = self
+                .exchange(address, connection, bytes.clone(), bodyless, emit)
+                .await;
+            match sent {
                 Err(failure) if failure.step != HttpStep::Body && !timed_out(&failure) => {}
                 ended => return ended,
             }
         }
         let connecting = monoio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect_addr(address));
         let stream = match connecting.await {
-            Err(_) => return Err(self.failure(HttpStep::Connect, "timeout")),
+            Err(_) => return Err(self.failure(HttpStep::Connect, TIMEOUT)),
             Ok(Err(error)) => return Err(self.failure(HttpStep::Connect, error)),
             Ok(Ok(stream)) => stream,
         };
         let _ = stream.set_nodelay(true);
-        self.exchange(address, ClientCodec::new(stream), &request, emit)
+        let (read_half, writer) = stream.into_split();
+        let connection = Connection {
+            reader: ResponseReader::new(read_half),
+            writer,
+        };
+        self.exchange(address, connection, bytes, bodyless, emit)
             .await
     }
 
@@ -142,72 +236,99 @@
         &self,
         address: SocketAddr,
         mut connection: Connection,
-        request: &HttpRequest,
+        bytes: Bytes,
+        bodyless: bool,
         emit: &impl Fn(ResponsePart),
     ) -> Result<(), HttpFailure> {
-        let wire = self.to_wire(request)?;
-        let sending = monoio::time::timeout(self.silence, connection.send_and_flush(wire));
-        match sending.await {
-            Err(_) => return Err(self.failure(HttpStep::Send, TIMEOUT)),
-            Ok(Err(error)) => return Err(self.failure(HttpStep::Send, error)),
-            Ok(Ok(())) => {}
-        }
-        let response = match monoio::time::timeout(self.silence, connection.next()).await {
+        let silence = self.options.silence;
+        let (head, sent_whole) = {
+            // The other side may answer before it has read the whole request.
+            let writing = connection.writer.write_all(bytes);
+            let reading = monoio::time::timeout(silence, connection.reader.head(bodyless));
+            futures_util::pin_mut!(writing, reading);
+            match select(writing, reading).await {
+                Either::Left(((Err(error), _), _)) => {
+                    return Err(self.failure(HttpStep::Send, error));
+                }
+                Either::Left(((Ok(_), _), reading)) => (reading.await, true),
+                Either::Right((head, _)) => (head, false),
+            }
+        };
+        let head = match head {
             Err(_) => return Err(self.failure(HttpStep::Head, TIMEOUT)),
-            Ok(None) => return Err(self.failure(HttpStep::Head, "connection closed")),
-            Ok(Some(Err(error))) => return Err(self.failure(HttpStep::Head, error)),
-            Ok(Some(Ok(response))) => response,
+            Ok(Err(error)) => return Err(self.failure(HttpStep::Head, error)),
+            Ok(Ok(head)) => head,
         };
-        let (head, payload) = response.into_parts();
-        let head = to_head(&head);
-        let reusable = head
-            .header("connection")
-            .is_none_or(|v| !v.eq_ignore_ascii_case("close"));
+        let idle = idle_time(head.header("keep-alive"));
         emit(ResponsePart::Head(head));
-        {
-            let mut body = payload.with_io(&mut connection);
-            loop {
-                match monoio::time::timeout(self.silence, body.next_data()).await {
-                    Err(_) => return Err(self.failure(HttpStep::Body, TIMEOUT)),
-                    Ok(Some(Err(error))) => return Err(self.failure(HttpStep::Body, error)),
-                    Ok(Some(Ok(data))) => emit(ResponsePart::Data(data)),
-                    Ok(None) => break,
-                }
+        loop {
+            match monoio::time::timeout(silence, connection.reader.piece()).await {
+                Err(_) => return Err(self.failure(HttpStep::Body, TIMEOUT)),
+                Ok(Err(error)) => return Err(self.failure(HttpStep::Body, error)),
+                Ok(Ok(Piece::Data(data))) => emit(ResponsePart::Data(data)),
+                Ok(Ok(Piece::End)) => break,
             }
         }
         emit(ResponsePart::End);
-        if reusable {
-            self.idle.borrow_mut().put(address, connection);
+        // Where the rest of a request is due, nothing else may be sent.
+        if sent_whole && connection.reader.reusable() && !idle.is_zero() {
+            self.idle.borrow_mut().put(address, connection, idle);
         }
         Ok(())
     }
+}
 
-    fn to_wire(&self, request: &HttpRequest) -> Result<http::Request<Payload>, HttpFailure> {
-        let fail = |error: &dyn std::fmt::Display| self.failure(HttpStep::Connect, error);
-        let method = Method::from_bytes(request.method.as_bytes()).map_err(|e| fail(&e))?;
-        let uri: Uri = request.path.parse().map_err(|e| fail(&e))?;
-        let body = if request.body.is_empty() {
-            Payload::None
-        } else {
-            Payload::Fixed(FixedPayload::new(request.body.clone()))
-        };
-        let mut wire = http::Request::new(body);
-        *wire.method_mut() = method;
-        *wire.uri_mut() = uri;
-        let host = HeaderValue::from_str(&self.peer).map_err(|e| fail(&e))?;
-        wire.headers_mut().insert(http::header::HOST, host);
-        if request.body.is_empty() && request.method != "GET" {
-            let zero = HeaderValue::from_static("0");
-            wire.headers_mut()
-                .insert(http::header::CONTENT_LENGTH, zero);
+/// How long a connection may rest, by the `Keep-Alive` header.
+fn idle_time(header: Option<&str>) -> Duration {
+    let told = header.and_then(|value| {
+        let pairs = value.split(',').filter_map(|pair| pair.split_once('='));
+        let timeout = pairs.into_iter().find(|(name, _)| name.trim() == "timeout");
+        timeout.and_then(|(_, seconds)| seconds.trim().parse::<u64>().ok())
+    });
+    match told {
+        Some(seconds) => {
+            let told = Duration::from_secs(seconds);
+            told.saturating_sub(IDLE_MARGIN).min(IDLE_TIME)
         }
-        for (name, value) in &request.headers {
-            let name = HeaderName::from_bytes(name.as_bytes()).map_err(|e| fail(&e))?;
-            let value = HeaderValue::from_str(value).map_err(|e| fail(&e))?;
-            wire.headers_mut().append(name, value);
+        None => IDLE_TIME,
+    }
+}
+
+fn to_wire(request: &HttpRequest, peer: &str) -> Bytes {
+    let mut bytes = BytesMut::with_capacity(512 + request.body.len());
+    bytes.put_slice(format!("{} {} HTTP/1.1\r\n", request.method, request.path).as_bytes());
+    if request.header("host").is_none() {
+        bytes.put_slice(format!("host: {peer}\r\n").as_bytes());
+    }
+    for (name, value) in &request.headers {
+        if is_framing(name) || value.bytes().any(|byte| byte == b'\r' || byte == b'\n') {
+            continue;
         }
-        Ok(wire)
+        bytes.put_slice(format!("{name}: {value}\r\n").as_bytes());
     }
+    let bodyless = request.method == "GET" || request.method == "HEAD";
+    if !request.body.is_empty() || !bodyless {
+        bytes.put_slice(format!("content-length: {}\r\n", request.body.len()).as_bytes());
+    }
+    bytes.put_slice(b"\r\n");
+    bytes.put_slice(&request.body);
+    bytes.freeze()
+}
+
+/// Headers that belong to one connection, set here.
+fn is_framing(name: &str) -> bool {
+    let names = [
+        "content-length",
+        "transfer-encoding",
+        "connection",
+        "keep-alive",
+        "upgrade",
+        "te",
+        "trailer",
+        "expect",
+        "proxy-connection",
+    ];
+    names.iter().any(|own| name.eq_ignore_ascii_case(own))
 }
 
 const TIMEOUT: &str = "timeout";
@@ -215,14 +336,3 @@
 fn timed_out(failure: &HttpFailure) -> bool {
     failure.reason == TIMEOUT
 }
-
-fn to_head(head: &http::response::Parts) -> ResponseHead {
-    let headers = head.headers.iter().map(|(name, value)| {
-        let text = String::from_utf8_lossy(value.as_bytes()).into_owned();
-        (name.as_str().to_string(), text)
-    });
-    ResponseHead {
-        status: head.status.as_u16(),
-        headers: headers.collect(),
-    }
-}
--- a/crates/runtime/src/http_server.rs
+++ b/crates/runtime/src/http_server.rs
@@ -24,7 +24,7 @@
 /// Largest head of a request.
 const MAX_HEAD_BYTES: usize = 32 * 1024;
 /// Largest body of a request, whatever a tenant allows.
-const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
+const MAX_BODY_BYTES: usize = 34 * 1024 * 1024;
 /// Longest time a connection may sit idle or take to send a request.
 const READ_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -37,13 +37,25 @@
     pub respond: UnboundedSender<ResponsePart>,
 }
 
+/// Set when a server is about to stop: each answer then closes its connection.
+pub type Stopping = Rc<Cell<bool>>;
+
 /// Accepts connections for good and hands whole requests to `requests`.
 pub async fn serve(listener: TcpListener, requests: UnboundedSender<Incoming>) {
+    serve_until_stopping(listener, requests, Stopping::default()).await;
+}
+
+/// Like [`serve`]; once `stopping` is set, answers close their connections.
+pub async fn serve_until_stopping(
+    listener: TcpListener,
+    requests: UnboundedSender<Incoming>,
+    stopping: Stopping,
+) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
                 let _ = stream.set_nodelay(true);
-                monoio::spawn(connection(stream, requests.clone()));
+                monoio::spawn(connection(stream, requests.clone(), stopping.clone()));
             }
             Err(error) => {
                 log::warn!("step=accept error={error}");
@@ -184,7 +196,7 @@
     })
 }
 
-async fn connection(stream: TcpStream, requests: UnboundedSender<Incoming>) {
+async fn connection(stream: TcpStream, requests: UnboundedSender<Incoming>, stopping: Stopping) {
     let (read_half, write_half) = stream.into_split();
     let allowance = Rc::new(Cell::new(MAX_HEAD_BYTES));
     let reader = LimitedReader {
@@ -242,9 +254,10 @@
                     }
                 },
             };
-            match response.write(&mut writer, part, close).await {
+            let last = close || stopping.get();
+            match response.write(&mut writer, part, last).await {
                 Ok(Progress::More) => {}
-                Ok(Progress::Done) => break !close,
+                Ok(Progress::Done) => break !last,
                 Err(_) => break false,
             }
         };
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -15,11 +15,14 @@
 pub mod event_loop;
 pub mod http_client;
 pub mod http_server;
+pub mod link_socket;
 pub mod logging;
 pub mod peer_socket;
+mod response_reader;
 mod response_writer;
 
 pub use event_loop::{block_on, now, open_rings};
-pub use http_client::HttpClient;
-pub use http_server::{serve, Incoming};
+pub use http_client::{HttpClient, SendOptions};
+pub use http_server::{serve, serve_until_stopping, Incoming, Stopping};
+pub use link_socket::{Delivery, LinkSocket};
 pub use peer_socket::PeerSocket;
--- /dev/null
+++ b/crates/runtime/src/link_socket.rs
@@ -0,0 +1,176 @@
+//! Messages between processes as bytes: datagrams for small ones, frames on a
+//! connection for large ones and for those that should not get lost.
+//!
+//! Both may lose messages; who sends expects that. A frame is a length of four
+//! bytes, big-endian, and the message. A connection on which nothing came back
+//! for a while may be dead without a sign, so it is made anew.
+
+use bytes::{BufMut, BytesMut};
+use futures_channel::mpsc::{unbounded, UnboundedReceiver, UnboundedSender};
+use futures_util::StreamExt;
+use monoio::io::{AsyncReadRentExt, AsyncWriteRentExt};
+use monoio::net::udp::UdpSocket;
+use monoio::net::{TcpListener, TcpStream};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Largest message sent in one datagram; larger ones could be fragmented.
+const MAX_DATAGRAM: usize = 1_200;
+/// Largest frame accepted.
+const MAX_FRAME: usize = 40 * 1024 * 1024;
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest time that one frame may take to be handed to the system.
+const WRITE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time after which an idle connection is closed.
+const IDLE: Duration = Duration::from_secs(20);
+/// Messages waiting for one connection; more are lost.
+const MAX_WAITING: usize = 4_096;
+/// A connection to a silent peer is made anew this often.
+const SILENT_RENEWAL: Duration = Duration::from_millis(1_000);
+
+/// How much a message matters.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Delivery {
+    /// By datagram if it fits.
+    Light,
+    /// By connection.
+    Connected,
+}
+
+struct Sending {
+    queue: UnboundedSender<Vec<u8>>,
+    opened: Instant,
+}
+
+/// The sockets of one process.
+pub struct LinkSocket {
+    udp: Rc<UdpSocket>,
+    connections: HashMap<SocketAddr, Sending>,
+    heard: HashMap<SocketAddr, Instant>,
+}
+
+impl LinkSocket {
+    /// Opens UDP and TCP on `address` and starts to hand on what arrives.
+    pub fn open(address: &str, received: UnboundedSender<Vec<u8>>) -> std::io::Result<Self> {
+        let udp = Rc::new(UdpSocket::bind(address)?);
+        let listener = TcpListener::bind(address)?;
+        monoio::spawn(receive_datagrams(udp.clone(), received.clone()));
+        monoio::spawn(accept_frames(listener, received));
+        Ok(Self {
+            udp,
+            connections: HashMap::new(),
+            heard: HashMap::new(),
+        })
+    }
+
+    /// Takes note that a message came from `address`.
+    pub fn heard(&mut self, address: &str) {
+        if let Ok(address) = address.parse() {
+            self.heard.insert(address, Instant::now());
+        }
+    }
+
+    /// Sends a message; it may get lost.
+    pub fn send(&mut self, address: &str, bytes: Vec<u8>, delivery: Delivery) {
+        let Ok(address) = address.parse::<SocketAddr>() else {
+            return;
+        };
+        if delivery == Delivery::Light && bytes.len() <= MAX_DATAGRAM {
+            let udp = self.udp.clone();
+            monoio::spawn(async move {
+                let _ = udp.send_to(bytes, address).await;
+            });
+            return;
+        }
+        self.drop_dead(address);
+        let sending = self.connections.entry(address).or_insert_with(|| {
+            let (queue, receiver) = unbounded();
+            monoio::spawn(send_frames(address, receiver));
+            Sending {
+                queue,
+                opened: Instant::now(),
+            }
+        });
+        if sending.queue.len() < MAX_WAITING {
+            let _ = sending.queue.unbounded_send(bytes);
+        }
+    }
+
+    fn drop_dead(&mut self, address: SocketAddr) {
+        let Some(sending) = self.connections.get(&address) else {
+            return;
+        };
+        let heard = self.heard.get(&address);
+        let last = heard.map_or(sending.opened, |heard| (*heard).max(sending.opened));
+        if sending.queue.is_closed() || last.elapsed() > SILENT_RENEWAL {
+            self.connections.remove(&address);
+        }
+    }
+}
+
+async fn receive_datagrams(udp: Rc<UdpSocket>, received: UnboundedSender<Vec<u8>>) {
+    let mut buffer = vec![0_u8; 4 * 1024];
+    loop {
+        let (result, returned) = udp.recv_from(buffer).await;
+        buffer = returned;
+        match result {
+            Ok((count, _)) => {
+                if received.unbounded_send(buffer[..count].to_vec()).is_err() {
+                    return;
+                }
+            }
+            Err(error) => log::debug!("step=receive-datagram error={error}"),
+        }
+    }
+}
+
+async fn accept_frames(listener: TcpListener, received: UnboundedSender<Vec<u8>>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                monoio::spawn(receive_frames(stream, received.clone()));
+            }
+            Err(error) => {
+                log::warn!("step=accept-link error={error}");
+                monoio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
+
+async fn receive_frames(mut stream: TcpStream, received: UnboundedSender<Vec<u8>>) {
+    loop {
+        let (result, length) = stream.read_exact(vec![0_u8; 4]).await;
+        if result.is_err() {
+            return;
+        }
+        let length = u32::from_be_bytes([length[0], length[1], length[2], length[3]]) as usize;
+        if length > MAX_FRAME {
+            return log::warn!("step=receive-frame reason=too-large bytes={length}");
+        }
+        let (result, frame) = stream.read_exact(vec![0_u8; length]).await;
+        if result.is_err() || received.unbounded_send(frame).is_err() {
+            return;
+        }
+    }
+}
+
+async fn send_frames(address: SocketAddr, mut queue: UnboundedReceiver<Vec<u8>>) {
+    let connecting = monoio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect_addr(address));
+    let Ok(Ok(mut stream)) = connecting.await else {
+        return log::debug!("step=connect-link peer={address}");
+    };
+    let _ = stream.set_nodelay(true);
+    while let Ok(Some(bytes)) = monoio::time::timeout(IDLE, queue.next()).await {
+        let mut frame = BytesMut::with_capacity(4 + bytes.len());
+        frame.put_u32(bytes.len() as u32);
+        frame.put_slice(&bytes);
+        let writing = monoio::time::timeout(WRITE_TIMEOUT, stream.write_all(frame.freeze()));
+        match writing.await {
+            Ok((Ok(_), _)) => {}
+            _ => return,
+        }
+    }
+}
--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! ```text
 //! proto/peer.proto     --pb-rs-->   generated/peer.rs       peer messages, register values
+//! proto/replication.proto --pb-rs--> generated/replication.rs  replica groups, batch jobs
 //! json/documents.json  --typify-->  generated/documents.rs  templates, tenants
 //! json/engine.json     --typify-->  generated/engine.rs     bodies towards engines, callers, trainers
 //! json/settings.json   --typify-->  generated/settings.rs   node settings
@@ -23,6 +24,18 @@
 #[path = "generated/peer.rs"]
 pub mod peer;
 
+#[allow(
+    missing_docs,
+    clippy::all,
+    unused_imports,
+    non_snake_case,
+    non_camel_case_types,
+    bare_trait_objects
+)]
+#[rustfmt::skip]
+#[path = "generated/replication.rs"]
+pub mod replication;
+
 #[allow(clippy::all)]
 #[rustfmt::skip]
 #[path = "generated/documents.rs"]
--- a/crates/schema/tests/generated.rs
+++ b/crates/schema/tests/generated.rs
@@ -37,18 +37,24 @@
     }
 }
 
-#[test]
-fn peer_messages_match_generated_code() {
-    let out = std::env::temp_dir().join(format!("peatgrade-pb-{}", std::process::id()));
+fn generated_messages(name: &str) -> String {
+    let out = std::env::temp_dir().join(format!("peatgrade-pb-{name}-{}", std::process::id()));
     fs::create_dir_all(&out).unwrap();
-    let proto = root().join("proto/peer.proto");
+    let proto = root().join(format!("proto/{name}.proto"));
     let config = pb_rs::ConfigBuilder::new(&[proto], None, Some(&out), &[root().join("proto")])
         .unwrap()
         .dont_use_cow(true)
         .headers(false)
         .single_module(true);
     pb_rs::types::FileDescriptor::run(&config.build()).unwrap();
-    let written = fs::read_to_string(out.join("peer.rs")).unwrap();
+    let written = fs::read_to_string(out.join(format!("{name}.rs"))).unwrap();
     fs::remove_dir_all(&out).unwrap();
-    check("peer.rs", written);
+    written
+}
+
+#[test]
+fn messages_match_generated_code() {
+    for name in ["peer", "replication"] {
+        check(&format!("{name}.rs"), generated_messages(name));
+    }
 }
--- /dev/null
+++ b/crates/server/src/gateway_process.rs
@@ -0,0 +1,415 @@
+//! The gateway process.
+
+use futures_channel::mpsc::{unbounded, UnboundedReceiver, UnboundedSender};
+use futures_util::{select_biased, FutureExt, StreamExt};
+use monoio::net::TcpListener;
+use peatgrade_gateway::{CallId, Gateway, GatewayAction, GatewaySettings, HttpId, Part};
+use peatgrade_ports::{Answer, Codec, ObjectKind, StoreEvent, StoreObject};
+use peatgrade_runtime::http_client::Cancel;
+use peatgrade_runtime::{
+    serve_until_stopping, Delivery, HttpClient, Incoming, LinkSocket, SendOptions, Stopping,
+};
+use peatgrade_schema::replication::mod_ReplicaMessage::OneOfbody;
+use peatgrade_schema::replication::ReplicaMessage;
+use peatgrade_schema::{decode, encode};
+use peatgrade_types::http::ResponsePart;
+use peatgrade_types::{hash_bytes, Time};
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::clock::steady_now;
+use crate::settings::ServerSettings;
+use crate::signals::{process_signals, ProcessSignal};
+use crate::store_client::StoreClient;
+use crate::watcher::{list_all, watch, StoreUpdate, Wanted};
+use crate::ServerError;
+
+/// Time between two looks at what is due, with and without requests under way.
+const BUSY_TICK: Duration = Duration::from_millis(15);
+const IDLE_TICK: Duration = Duration::from_millis(100);
+/// Longest silence within an exchange with an engine.
+const ENGINE_SILENCE: Duration = Duration::from_secs(60);
+/// Time between two looks for replicas while no leader is known.
+const REPLICA_SEARCH: Duration = Duration::from_millis(900);
+/// After a stop signal new connections may still come for this long.
+const LEAVE_AFTER: peatgrade_types::Duration = peatgrade_types::Duration::from_millis(3_300);
+/// Kept back from the time to stop, for the last answers.
+const GRACE_MARGIN_MS: u64 = 600;
+
+/// Runs a gateway until it has been told to stop and has drained.
+pub async fn run_gateway(
+    settings: ServerSettings,
+    codec: Rc<dyn Codec>,
+) -> Result<(), ServerError> {
+    let (mut process, mut inputs) = GatewayProcess::start(settings, codec)?;
+    loop {
+        let busy = process.gateway.in_flight() > 0;
+        let tick = monoio::time::sleep(if busy { BUSY_TICK } else { IDLE_TICK }).fuse();
+        futures_util::pin_mut!(tick);
+        select_biased! {
+            signal = inputs.signals.next() => process.on_signal(signal),
+            part = inputs.parts.next() => process.on_part(part),
+            call = inputs.calls.next() => process.on_call(call),
+            message = inputs.messages.next() => process.on_message(message),
+            update = inputs.updates.next() => process.on_update(update),
+            replicas = inputs.replicas.next() => process.on_replicas(replicas),
+            _ = tick => {}
+        }
+        process.tick();
+        if process.may_exit() {
+            log::info!("step=exit in_flight={}", process.gateway.in_flight());
+            monoio::time::sleep(Duration::from_millis(30)).await;
+            return Ok(());
+        }
+    }
+}
+
+struct Inputs {
+    signals: UnboundedReceiver<ProcessSignal>,
+    parts: UnboundedReceiver<(HttpId, Part)>,
+    calls: UnboundedReceiver<Incoming>,
+    messages: UnboundedReceiver<Vec<u8>>,
+    updates: UnboundedReceiver<StoreUpdate>,
+    replicas: UnboundedReceiver<Vec<String>>,
+}
+
+struct GatewayProcess {
+    settings: ServerSettings,
+    codec: Rc<dyn Codec>,
+    gateway: Gateway,
+    client: HttpClient<HttpId>,
+    link: LinkSocket,
+    store: StoreClient,
+    calls: BTreeMap<CallId, UnboundedSender<ResponsePart>>,
+    requests: HashMap<HttpId, Cancel>,
+    next_call: u64,
+    engines_known: bool,
+    stopping: Stopping,
+    stop_at: Option<Time>,
+    last_sweep: Time,
+    last_search: Time,
+    replica_lists: UnboundedSender<Vec<String>>,
+    ready_before: bool,
+}
+
+impl GatewayProcess {
+    fn start(
+        settings: ServerSettings,
+        codec: Rc<dyn Codec>,
+    ) -> Result<(Self, Inputs), ServerError> {
+        let signals = process_signals().map_err(|source| ServerError::System {
+            step: "install signal handlers",
+            source,
+        })?;
+        let stopping = Stopping::default();
+        let (calls, call_inputs) = unbounded();
+        for (what, address) in [
+            ("front", &settings.front_address),
+            ("ready", &settings.ready_address),
+        ] {
+            let listener = TcpListener::bind(address).map_err(socket_error(what, address))?;
+            monoio::spawn(serve_until_stopping(
+                listener,
+                calls.clone(),
+                stopping.clone(),
+            ));
+        }
+        let (messages, message_inputs) = unbounded();
+        let link = LinkSocket::open(&settings.peer_address, messages)
+            .map_err(socket_error("peer", &settings.peer_address))?;
+        let store = StoreClient::new(&settings.store_address, codec.clone());
+        let (updates, update_inputs) = unbounded();
+        let wanted = Wanted::new(true.into());
+        for kind in [ObjectKind::Configuration, ObjectKind::Engines] {
+            monoio::spawn(watch(store.clone(), kind, wanted.clone(), updates.clone()));
+        }
+        let (parts, part_inputs) = unbounded();
+        let (replica_lists, replica_inputs) = unbounded();
+        let seed = hash_bytes(settings.name.as_bytes()) ^ u64::from(std::process::id());
+        log::info!(
+            "step=start role=gateway front={} ready={} peer={} store={} zone={}",
+            settings.front_address,
+            settings.ready_address,
+            settings.peer_address,
+            settings.store_address,
+            settings.zone
+        );
+        let process = Self {
+            gateway: Gateway::new(
+                GatewaySettings {
+                    zone: settings.zone.clone(),
+                    seed,
+                },
+                codec.clone(),
+            ),
+            settings,
+            codec,
+            client: HttpClient::new(parts),
+            link,
+            store,
+            calls: BTreeMap::new(),
+            requests: HashMap::new(),
+            next_call: 1,
+            engines_known: false,
+            stopping,
+            stop_at: None,
+            last_sweep: steady_now(),
+            last_search: Time(0),
+            replica_lists,
+            ready_before: false,
+        };
+        let inputs = Inputs {
+            signals,
+            parts: part_inputs,
+            calls: call_inputs,
+            messages: message_inputs,
+            updates: update_inputs,
+            replicas: replica_inputs,
+        };
+        Ok((process, inputs))
+    }
+
+    fn ready(&self) -> bool {
+        self.stop_at.is_none() && self.gateway.configuration.is_some() && self.engines_known
+    }
+
+    fn on_signal(&mut self, signal: Option<ProcessSignal>) {
+        match signal {
+            Some(ProcessSignal::Stop) if self.stop_at.is_none() => {
+                self.stop_at = Some(steady_now());
+                self.stopping.set(true);
+                log::info!("step=stop in_flight={}", self.gateway.in_flight());
+            }
+            Some(ProcessSignal::Reload) => log::info!("step=reload"),
+            _ => {}
+        }
+    }
+
+    fn may_exit(&self) -> bool {
+        let Some(since) = self.stop_at else {
+            return false;
+        };
+        let age = steady_now().since(since);
+        let limit = self.settings.grace_ms.saturating_sub(GRACE_MARGIN_MS);
+        let drained = age >= LEAVE_AFTER && self.gateway.in_flight() == 0;
+        drained || age.as_millis() >= limit
+    }
+
+    fn on_call(&mut self, incoming: Option<Incoming>) {
+        let Some(Incoming { request, respond }) = incoming else {
+            return;
+        };
+        if self.codec.is_ready_check(&request) {
+            let (head, body) = self.codec.answer(&Answer::Ready(self.ready()));
+            let parts = [
+                ResponsePart::Head(head),
+                ResponsePart::Data(body),
+                ResponsePart::End,
+            ];
+            for part in parts {
+                let _ = respond.unbounded_send(part);
+            }
+            return;
+        }
+        let call = CallId(self.next_call);
+        self.next_call += 1;
+        self.calls.insert(call, respond);
+        let message = self.codec.caller_message(request);
+        let actions = self.gateway.on_call(steady_now(), call, message);
+        self.carry_out(actions);
+    }
+
+    fn on_part(&mut self, part: Option<(HttpId, Part)>) {
+        let Some((id, part)) = part else {
+            return;
+        };
+        if matches!(part, ResponsePart::End | ResponsePart::Failed(_)) {
+            self.requests.remove(&id);
+        }
+        let actions = self.gateway.on_part(steady_now(), id, part);
+        self.carry_out(actions);
+    }
+
+    fn on_message(&mut self, bytes: Option<Vec<u8>>) {
+        let message = bytes.and_then(|bytes| decode::<ReplicaMessage>(&bytes).ok());
+        let Some(message) = message else {
+            return;
+        };
+        self.link.heard(&message.from_address);
+        if let OneOfbody::job_reply(reply) = message.body {
+            let from = message.from_address;
+            let actions = self.gateway.on_reply(steady_now(), &from, reply);
+            self.carry_out(actions);
+        }
+    }
+
+    fn on_update(&mut self, update: Option<StoreUpdate>) {
+        let now = steady_now();
+        match update {
+            Some(StoreUpdate::Listed { kind, at, objects }) => match kind {
+                ObjectKind::Engines => {
+                    let records = objects.into_iter().filter_map(|(_, object)| match object {
+                        StoreObject::Engine(record) => Some(record),
+                        _ => None,
+                    });
+                    self.gateway.directory.replace(at, records.collect());
+                    self.engines_known = true;
+                    log::info!("belief=engines count={}", self.gateway.directory.len());
+                }
+                _ => objects
+                    .into_iter()
+                    .for_each(|(_, object)| self.take_configuration(object)),
+            },
+            Some(StoreUpdate::Changed { kind, at, events }) => match kind {
+                ObjectKind::Engines => self.take_engine_events(at, events),
+                _ => events
+                    .into_iter()
+                    .filter_map(|event| event.object)
+                    .for_each(|object| self.take_configuration(object)),
+            },
+            None => {}
+        }
+        let ready = self.ready();
+        if ready != self.ready_before {
+            log::info!("belief=ready value={ready} at_us={}", now.0);
+            self.ready_before = ready;
+        }
+    }
+
+    fn take_engine_events(&mut self, at: Time, events: Vec<StoreEvent>) {
+        for event in events {
+            if let Some(StoreObject::Engine(record)) = &event.object {
+                log::info!(
+                    "belief=engine instance={} address={} draining={}",
+                    record.instance,
+                    record.address,
+                    record.draining
+                );
+            }
+            if let Some(instance) = self.gateway.directory.apply(event) {
+                log::info!("belief=engine-gone instance={instance}");
+            }
+        }
+        self.gateway.directory.confirmed = at;
+    }
+
+    fn take_configuration(&mut self, object: StoreObject) {
+        match object {
+            StoreObject::Configuration(configuration) => {
+                let (version, routes) = (configuration.version, configuration.routes.len());
+                if self.gateway.configure(*configuration) {
+                    log::info!("belief=configuration version={version} routes={routes}");
+                }
+            }
+            StoreObject::Unreadable { name, reason } => {
+                log::error!("step=read-configuration object={name} error={reason}");
+            }
+            _ => {}
+        }
+    }
+
+    fn on_replicas(&mut self, addresses: Option<Vec<String>>) {
+        if let Some(addresses) = addresses {
+            log::info!("belief=replicas addresses={addresses:?}");
+            self.gateway.set_replicas(addresses);
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = steady_now();
+        let gone: Vec<CallId> = self
+            .calls
+            .iter()
+            .filter(|(_, respond)| respond.is_closed())
+            .map(|(call, _)| *call)
+            .collect();
+        for call in gone {
+            self.calls.remove(&call);
+            let actions = self.gateway.on_gone(call);
+            self.carry_out(actions);
+        }
+        let actions = self.gateway.tick(now);
+        self.carry_out(actions);
+        if now.since(self.last_sweep).as_millis() >= 1_000 {
+            self.last_sweep = now;
+            self.client.sweep();
+        }
+        let searched = now.since(self.last_search).0;
+        if self.gateway.misses_leader(now) && searched >= REPLICA_SEARCH.as_micros() as u64 {
+            self.last_search = now;
+            monoio::spawn(find_replicas(
+                self.store.clone(),
+                self.replica_lists.clone(),
+            ));
+        }
+    }
+
+    fn carry_out(&mut self, actions: Vec<GatewayAction>) {
+        for action in actions {
+            match action {
+                GatewayAction::Respond { call, part } => {
+                    let last = matches!(part, ResponsePart::End | ResponsePart::Failed(_));
+                    if let Some(respond) = self.calls.get(&call) {
+                        let _ = respond.unbounded_send(part);
+                    }
+                    if last {
+                        self.calls.remove(&call);
+                    }
+                }
+                GatewayAction::Http {
+                    id,
+                    address,
+                    request,
+                    fresh,
+                } => {
+                    let options = SendOptions {
+                        silence: ENGINE_SILENCE,
+                        fresh,
+                    };
+                    let cancel = self.client.send(id, &address, request, options);
+                    self.requests.insert(id, cancel);
+                }
+                GatewayAction::CancelHttp(id) => {
+                    self.requests.remove(&id);
+                }
+                GatewayAction::Job { address, call } => {
+                    let message = ReplicaMessage {
+                        from: 0,
+                        to: 0,
+                        term: 0,
+                        from_address: self.settings.peer_address.clone(),
+                        body: OneOfbody::job_call(call),
+                    };
+                    self.link
+                        .send(&address, encode(&message), Delivery::Connected);
+                }
+            }
+        }
+    }
+}
+
+async fn find_replicas(store: StoreClient, found: UnboundedSender<Vec<String>>) {
+    match list_all(&store, ObjectKind::Replicas).await {
+        Ok((objects, _)) => {
+            let addresses = objects.into_iter().filter_map(|(_, object)| match object {
+                StoreObject::Own { fields, .. } => fields.get("address").cloned(),
+                _ => None,
+            });
+            let _ = found.unbounded_send(addresses.collect());
+        }
+        Err(reason) => log::warn!("dependency=lost kind=Replicas reason={reason}"),
+    }
+}
+
+pub(crate) fn socket_error(
+    what: &'static str,
+    address: &str,
+) -> impl FnOnce(std::io::Error) -> ServerError {
+    let address = address.to_string();
+    move |source| ServerError::Socket {
+        what,
+        address,
+        source,
+    }
+}
--- /dev/null
+++ b/crates/server/src/signals.rs
@@ -0,0 +1,36 @@
+//! Signals as messages.
+
+use futures_channel::mpsc::{unbounded, UnboundedReceiver};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+
+/// What a signal asks for.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum ProcessSignal {
+    /// Stop after what is under way.
+    Stop,
+    /// Read the settings again.
+    Reload,
+}
+
+/// A channel that gets a message at each SIGTERM, SIGINT and SIGHUP.
+pub fn process_signals() -> std::io::Result<UnboundedReceiver<ProcessSignal>> {
+    let (sender, receiver) = unbounded();
+    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
+    let forward = move || {
+        for signal in signals.forever() {
+            let meaning = match signal {
+                SIGHUP => ProcessSignal::Reload,
+                _ => ProcessSignal::Stop,
+            };
+            if sender.unbounded_send(meaning).is_err() {
+                return;
+            }
+        }
+    };
+    std::thread::Builder::new()
+        .name("signals".into())
+        .stack_size(64 * 1024)
+        .spawn(forward)?;
+    Ok(receiver)
+}
--- /dev/null
+++ b/crates/server/src/storage/calls.rs
@@ -0,0 +1,235 @@
+//! Batch-job calls that gateways pass on.
+
+use peatgrade_schema::encode;
+use peatgrade_schema::replication::mod_JobCall::OneOfbody as CallBody;
+use peatgrade_schema::replication::mod_JobCommand::OneOfbody as CommandBody;
+use peatgrade_schema::replication::mod_ReplicaMessage::OneOfbody;
+use peatgrade_schema::replication::{
+    AcceptJob, EndJob, JobCall, JobCommand, JobReply, JobStatus, ListedResult, ReadItem, ReadJob,
+};
+use peatgrade_types::{Duration, Time};
+use std::collections::{BTreeSet, HashMap};
+
+use super::process::StorageProcess;
+
+/// Longest time that a read waits for a result.
+const MAX_WAIT: Duration = Duration::from_millis(1_500);
+
+/// Who waits for an answer.
+#[derive(Clone, Debug)]
+struct Caller {
+    address: String,
+    call: u64,
+}
+
+#[derive(Clone, Debug)]
+struct WaitingRead {
+    caller: Caller,
+    read: ReadJob,
+    until: Time,
+}
+
+/// Calls that wait for a commit or a result.
+#[derive(Debug, Default)]
+pub(super) struct JobCalls {
+    submits: HashMap<String, Vec<Caller>>,
+    ends: HashMap<String, Vec<Caller>>,
+    reads: Vec<WaitingRead>,
+    /// Jobs of which something was committed since the last look.
+    changed: BTreeSet<String>,
+    done: Vec<Caller>,
+}
+
+impl JobCalls {
+    pub fn accepted(&mut self, job: &str) {
+        self.done
+            .extend(self.submits.remove(job).unwrap_or_default());
+    }
+
+    pub fn ended(&mut self, job: &str) {
+        self.done.extend(self.ends.remove(job).unwrap_or_default());
+        self.changed.insert(job.to_string());
+    }
+
+    pub fn listed(&mut self, job: &str) {
+        self.changed.insert(job.to_string());
+    }
+
+    /// Everyone who waits, when this machine leads no more.
+    fn take_all(&mut self) -> Vec<Caller> {
+        let submits = self.submits.drain().flat_map(|(_, callers)| callers);
+        let ends = self.ends.drain().flat_map(|(_, callers)| callers);
+        let mut all: Vec<Caller> = submits.chain(ends).collect();
+        all.extend(self.reads.drain(..).map(|read| read.caller));
+        all
+    }
+}
+
+impl StorageProcess {
+    pub(super) fn on_job_call(&mut self, now: Time, address: &str, call: JobCall) {
+        let caller = Caller {
+            address: address.to_string(),
+            call: call.call,
+        };
+        if !self.replica.may_answer(now) || !self.working {
+            return self.reply_status(&caller, JobStatus::NOT_LEADER);
+        }
+        match call.body {
+            CallBody::submit(submit) => self.on_submit(now, caller, submit),
+            CallBody::read(read) => self.on_read(now, caller, read),
+            CallBody::item(item) => self.on_read_item(&caller, &item),
+            CallBody::end(end) => self.on_end(now, caller, end),
+            CallBody::None => {}
+        }
+    }
+
+    fn on_submit(&mut self, now: Time, caller: Caller, submit: AcceptJob) {
+        if self.jobs.get(&submit.job).is_some() {
+            return self.reply_status(&caller, JobStatus::OK);
+        }
+        let job = submit.job.clone();
+        if !self.calls.submits.contains_key(&job) {
+            log::info!(
+                "decision=accept job={job} items={} step={} model={} min_version={} desired={}",
+                submit.items.len(),
+                submit.step,
+                submit.model,
+                submit.min_version,
+                submit.desired
+            );
+            let command = JobCommand {
+                body: CommandBody::accept(submit),
+            };
+            if self.replica.propose(now, encode(&command)).is_none() {
+                return self.reply_status(&caller, JobStatus::NOT_LEADER);
+            }
+        }
+        self.calls.submits.entry(job).or_default().push(caller);
+    }
+
+    fn on_end(&mut self, now: Time, caller: Caller, end: EndJob) {
+        let Some(job) = self.jobs.get(&end.job) else {
+            return self.reply_status(&caller, JobStatus::UNKNOWN_JOB);
+        };
+        if job.ended {
+            return self.reply_status(&caller, JobStatus::OK);
+        }
+        let id = end.job.clone();
+        if !self.calls.ends.contains_key(&id) {
+            log::info!(
+                "decision=end job={id} listed={} items={}",
+                job.results.len(),
+                job.spec.items.len()
+            );
+            let command = JobCommand {
+                body: CommandBody::end(end),
+            };
+            if self.replica.propose(now, encode(&command)).is_none() {
+                return self.reply_status(&caller, JobStatus::NOT_LEADER);
+            }
+        }
+        self.calls.ends.entry(id).or_default().push(caller);
+    }
+
+    fn on_read(&mut self, now: Time, caller: Caller, read: ReadJob) {
+        let Some(job) = self.jobs.get(&read.job) else {
+            return self.reply_status(&caller, JobStatus::UNKNOWN_JOB);
+        };
+        let has_results = (read.position as usize) < job.results.len();
+        let complete = job.results.len() == job.spec.items.len() || job.ended;
+        if has_results || complete || read.wait_ms == 0 {
+            return self.reply_results(&caller, &read);
+        }
+        let wait = Duration::from_millis(read.wait_ms).min(MAX_WAIT);
+        self.calls.reads.push(WaitingRead {
+            caller,
+            read,
+            until: now + wait,
+        });
+    }
+
+    fn on_read_item(&mut self, caller: &Caller, item: &ReadItem) {
+        let Some(job) = self.jobs.get(&item.job) else {
+            return self.reply_status(caller, JobStatus::UNKNOWN_JOB);
+        };
+        let Some(index) = job.item_index(&item.item) else {
+            return self.reply_status(caller, JobStatus::UNKNOWN_ITEM);
+        };
+        let reply = JobReply {
+            call: caller.call,
+            status: JobStatus::OK,
+            body: job.spec.items[index].body.clone(),
+            ..JobReply::default()
+        };
+        self.reply(&caller.address, OneOfbody::job_reply(reply));
+    }
+
+    fn reply_status(&mut self, caller: &Caller, status: JobStatus) {
+        let reply = JobReply {
+            call: caller.call,
+            status,
+            leader_address: self.replica.leader_address().unwrap_or("").to_string(),
+            ..JobReply::default()
+        };
+        self.reply(&caller.address, OneOfbody::job_reply(reply));
+    }
+
+    fn reply_results(&mut self, caller: &Caller, read: &ReadJob) {
+        let Some(job) = self.jobs.get(&read.job) else {
+            return;
+        };
+        let from = (read.position as usize).min(job.results.len());
+        let mut bytes = 0;
+        let mut results = Vec::new();
+        for result in &job.results[from..] {
+            bytes += result.text.len() + 200;
+            if !results.is_empty() && bytes as u64 > read.max_bytes {
+                break;
+            }
+            results.push(ListedResult {
+                item: job.spec.items[result.item].id.clone(),
+                completed: result.completed,
+                text: result.text.to_vec(),
+                versions: result.versions.clone(),
+            });
+        }
+        let reply = JobReply {
+            call: caller.call,
+            status: JobStatus::OK,
+            total: job.spec.items.len() as u64,
+            position: read.position,
+            results,
+            ..JobReply::default()
+        };
+        self.reply(&caller.address, OneOfbody::job_reply(reply));
+    }
+
+    /// Answers those whose wait is over, one way or the other.
+    pub(super) fn answer_waiting(&mut self, now: Time) {
+        for caller in std::mem::take(&mut self.calls.done) {
+            self.reply_status(&caller, JobStatus::OK);
+        }
+        let changed = std::mem::take(&mut self.calls.changed);
+        if self.calls.reads.is_empty() {
+            return;
+        }
+        if !self.replica.may_answer(now) {
+            return;
+        }
+        let reads = std::mem::take(&mut self.calls.reads);
+        let (due, waiting): (Vec<_>, Vec<_>) = reads
+            .into_iter()
+            .partition(|read| now >= read.until || changed.contains(&read.read.job));
+        self.calls.reads = waiting;
+        for read in due {
+            self.reply_results(&read.caller, &read.read);
+        }
+    }
+
+    /// This machine leads no more: nobody may wait here for an answer.
+    pub(super) fn abandon_calls(&mut self) {
+        for caller in self.calls.take_all() {
+            self.reply_status(&caller, JobStatus::NOT_LEADER);
+        }
+    }
+}
--- /dev/null
+++ b/crates/server/src/storage/engines.rs
@@ -0,0 +1,179 @@
+//! Exchanges of the leader with engines.
+
+use bytes::BytesMut;
+use peatgrade_fleet::{CoordinatorAction, OrderOutcome};
+use peatgrade_jobs::{DispatchAction, RunId, RunPart};
+use peatgrade_ports::{EngineCall, Instance};
+use peatgrade_runtime::SendOptions;
+use peatgrade_schema::encode;
+use peatgrade_schema::replication::mod_JobCommand::OneOfbody;
+use peatgrade_schema::replication::JobCommand;
+use peatgrade_types::http::{HttpFailure, HttpStep, ResponsePart};
+use peatgrade_types::Time;
+use std::time::Duration;
+
+use crate::clock::steady_now;
+
+use super::process::StorageProcess;
+
+/// Longest silence within a run; the dispatcher moves it long before.
+const RUN_SILENCE: Duration = Duration::from_secs(60);
+/// Longest wait for the answer to an order or for a report.
+const CONTROL_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Names an exchange with an engine.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
+pub(super) struct ExchangeId(pub u64);
+
+/// What an exchange is for.
+#[derive(Debug)]
+pub(super) enum EngineExchange {
+    Run(RunId),
+    Order(Instance, u16),
+    Report(Instance, u16, BytesMut),
+}
+
+impl StorageProcess {
+    fn begin(&mut self, exchange: EngineExchange, address: &str, call: &EngineCall) {
+        let id = ExchangeId(self.next_exchange);
+        self.next_exchange += 1;
+        let silence = match exchange {
+            EngineExchange::Run(_) => RUN_SILENCE,
+            _ => CONTROL_TIMEOUT,
+        };
+        let request = self.codec.engine_request(call);
+        let cancel = self
+            .client
+            .send(id, address, request, SendOptions::reusing(silence));
+        self.exchanges.insert(id, exchange);
+        self.cancels.insert(id, cancel);
+    }
+
+    pub(super) fn carry_out_dispatch(&mut self, actions: Vec<DispatchAction>) {
+        let now = steady_now();
+        for action in actions {
+            match action {
+                DispatchAction::Run { run, address, call } => {
+                    self.begin(EngineExchange::Run(run), &address, &call);
+                }
+                DispatchAction::Cancel(run) => self.cancel_run(run),
+                DispatchAction::List(results) => {
+                    let command = JobCommand {
+                        body: OneOfbody::results(results),
+                    };
+                    if self.replica.propose(now, encode(&command)).is_none() {
+                        log::info!("step=propose-results reason=not-leading");
+                    }
+                }
+            }
+        }
+    }
+
+    fn cancel_run(&mut self, run: RunId) {
+        let found = self.exchanges.iter().find_map(|(id, exchange)| {
+            matches!(exchange, EngineExchange::Run(other) if *other == run).then_some(*id)
+        });
+        if let Some(id) = found {
+            self.exchanges.remove(&id);
+            self.cancels.remove(&id);
+        }
+    }
+
+    pub(super) fn carry_out_coordination(&mut self, action: CoordinatorAction) {
+        let instance = match &action {
+            CoordinatorAction::Order(order) => order.instance.clone(),
+            CoordinatorAction::Report(instance) => instance.clone(),
+        };
+        let state = self.directory.get(&instance);
+        let Some(address) = state.map(|state| state.record.address.clone()) else {
+            return;
+        };
+        match action {
+            CoordinatorAction::Order(order) => {
+                log::info!(
+                    "decision=order engine={instance} model={} version={} fence={} expected={:?}",
+                    order.model,
+                    order.version,
+                    order.fence,
+                    order.expected
+                );
+                let exchange = EngineExchange::Order(instance, 0);
+                self.begin(exchange, &address, &EngineCall::Order(order));
+            }
+            CoordinatorAction::Report(instance) => {
+                let exchange = EngineExchange::Report(instance.clone(), 0, BytesMut::new());
+                self.begin(exchange, &address, &EngineCall::Report(instance));
+            }
+        }
+    }
+
+    pub(super) fn on_part(&mut self, id: ExchangeId, part: ResponsePart) {
+        let now = steady_now();
+        let last = matches!(part, ResponsePart::End | ResponsePart::Failed(_));
+        match self.exchanges.get_mut(&id) {
+            None => {}
+            Some(EngineExchange::Run(run)) => {
+                let run = *run;
+                self.on_run_part(now, run, part);
+            }
+            Some(EngineExchange::Order(_, status)) => match part {
+                ResponsePart::Head(head) => *status = head.status,
+                ResponsePart::Data(_) => {}
+                ResponsePart::End => self.on_order_end(now, id, None),
+                ResponsePart::Failed(failure) => self.on_order_end(now, id, Some(failure)),
+            },
+            Some(EngineExchange::Report(_, status, body)) => match part {
+                ResponsePart::Head(head) => *status = head.status,
+                ResponsePart::Data(data) => body.extend_from_slice(&data),
+                ResponsePart::End => self.on_report_end(now, id, true),
+                ResponsePart::Failed(_) => self.on_report_end(now, id, false),
+            },
+        }
+        if last {
+            self.exchanges.remove(&id);
+            self.cancels.remove(&id);
+        }
+    }
+
+    fn on_run_part(&mut self, now: Time, run: RunId, part: ResponsePart) {
+        let part = match part {
+            ResponsePart::Head(head) => RunPart::Head(self.codec.answer_head(&head)),
+            ResponsePart::Data(data) => RunPart::Data(data),
+            ResponsePart::End => RunPart::End,
+            ResponsePart::Failed(failure) => RunPart::Failed(failure.to_string()),
+        };
+        let (configuration, directory) = (&self.configuration, &mut self.directory);
+        self.dispatcher
+            .on_part(now, run, part, configuration, directory);
+        let actions = self.dispatcher.take_actions();
+        self.carry_out_dispatch(actions);
+    }
+
+    fn on_order_end(&mut self, now: Time, id: ExchangeId, failure: Option<HttpFailure>) {
+        let Some(EngineExchange::Order(instance, status)) = self.exchanges.remove(&id) else {
+            return;
+        };
+        let outcome = match failure {
+            None => OrderOutcome::Answered(self.codec.order_answer(status)),
+            Some(failure) if failure.step == HttpStep::Connect => OrderOutcome::NotSent,
+            Some(_) => OrderOutcome::Unknown,
+        };
+        log::info!("belief=order engine={instance} status={status} outcome={outcome:?}");
+        if let Some(coordinator) = &mut self.coordinator {
+            coordinator.on_order(now, &instance, outcome);
+        }
+    }
+
+    fn on_report_end(&mut self, now: Time, id: ExchangeId, whole: bool) {
+        let Some(EngineExchange::Report(instance, status, body)) = self.exchanges.remove(&id)
+        else {
+            return;
+        };
+        let report = (whole && status == 200)
+            .then(|| self.codec.report(&body))
+            .flatten();
+        if let Some(coordinator) = &mut self.coordinator {
+            coordinator.on_report(now, &instance, report.as_ref(), &mut self.directory);
+        }
+    }
+}
--- /dev/null
+++ b/crates/server/src/storage/leadership.rs
@@ -0,0 +1,163 @@
+//! What only the leader does.
+
+use peatgrade_fleet::VersionCoordinator;
+use peatgrade_ports::{ObjectKind, ObjectWrite, StoreCall, StoreReply};
+use peatgrade_replication::{ReplicaId, Role};
+use peatgrade_types::{Duration, Time};
+use std::collections::BTreeMap;
+
+use crate::watcher::{watch, Wanted};
+
+use super::process::StorageProcess;
+
+/// Beyond the lease of an earlier holder's orders.
+const ORDER_SLACK: Duration = Duration::from_millis(400);
+/// How long a status write may take.
+const STATUS_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(1_000);
+
+impl StorageProcess {
+    /// Begins and ends the leader's work as the role changes.
+    pub(super) fn follow_role(&mut self, now: Time) {
+        self.note_role();
+        if self.replica.role() != Role::Leader {
+            if self.working {
+                self.stop_leading();
+            }
+            return;
+        }
+        if !self.working && self.replica.may_answer(now) {
+            self.start_leading(now);
+        }
+    }
+
+    fn start_leading(&mut self, now: Time) {
+        self.working = true;
+        let lease = Duration::from_millis(self.settings.order_lease_ms);
+        // An earlier leader may have given orders until its own lease ended,
+        // which is before any that this replica heard of it could lapse.
+        let quiet_until = self.replica.leader_heard() + lease + ORDER_SLACK;
+        let mut coordinator = VersionCoordinator::new(
+            self.settings.name.clone(),
+            self.replica.term(),
+            quiet_until,
+            self.settings.loads_at_once,
+        );
+        for (model, version) in &self.versions {
+            coordinator.named(model, *version);
+        }
+        self.coordinator = Some(coordinator);
+        let open: Vec<String> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| !job.ended)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for job in &open {
+            self.dispatcher.open_job(job, &self.jobs);
+        }
+        let wanted = Wanted::new(true.into());
+        self.leader_watches = wanted.clone();
+        for kind in [
+            ObjectKind::Versions,
+            ObjectKind::Retirements,
+            ObjectKind::Replicas,
+        ] {
+            let (store, updates) = (self.store.clone(), self.updates.clone());
+            monoio::spawn(watch(store, kind, wanted.clone(), updates));
+        }
+        log::info!(
+            "step=lead term={} open_jobs={} open_items={} orders_in_ms={}",
+            self.replica.term(),
+            open.len(),
+            self.dispatcher.open_items(),
+            quiet_until.since(now).as_millis()
+        );
+    }
+
+    fn stop_leading(&mut self) {
+        self.working = false;
+        self.leader_watches.set(false);
+        self.coordinator = None;
+        self.dispatcher.stop(&mut self.directory);
+        let dropped = self.dispatcher.take_actions();
+        self.carry_out_dispatch(dropped);
+        self.abandon_calls();
+        log::info!("step=follow term={}", self.replica.term());
+    }
+
+    /// The leader's work: items, versions, members.
+    pub(super) fn lead(&mut self, now: Time) {
+        if !self.working || !self.replica.may_answer(now) {
+            return;
+        }
+        if self.engines_known && self.configuration.version > 0 {
+            self.dispatcher
+                .poll(now, &self.configuration, &mut self.directory);
+            let actions = self.dispatcher.take_actions();
+            self.carry_out_dispatch(actions);
+            self.coordinate(now);
+        }
+        self.change_members(now);
+    }
+
+    fn coordinate(&mut self, now: Time) {
+        let Some(coordinator) = &mut self.coordinator else {
+            return;
+        };
+        let actions = coordinator.poll(now, &mut self.directory);
+        for action in actions {
+            self.carry_out_coordination(action);
+        }
+    }
+
+    fn change_members(&mut self, now: Time) {
+        let me = self.own_member();
+        self.group.report(now, me);
+        if let Some(members) = self.group.next_members(now, &self.replica) {
+            let names: Vec<String> = members
+                .iter()
+                .map(|m| format!("{}:{}:{}", m.name, ReplicaId(m.replica), m.voter))
+                .collect();
+            if self.replica.change_members(now, members) {
+                log::info!("decision=change-members set={}", names.join(","));
+            }
+        }
+        self.report_retirements();
+    }
+
+    fn report_retirements(&mut self) {
+        let waiting: Vec<(String, u64)> = self
+            .retirements
+            .iter()
+            .filter(|(_, (_, told))| !told)
+            .map(|(node, (revision, _))| (node.clone(), *revision))
+            .collect();
+        for (node, revision) in waiting {
+            if !self.group.is_out(&self.replica, &node) {
+                continue;
+            }
+            self.retirements.insert(node.clone(), (revision, true));
+            log::info!("decision=retired node={node}");
+            let write = ObjectWrite {
+                kind: ObjectKind::Retirements,
+                name: node,
+                revision: Some(revision),
+                fields: BTreeMap::from([("state".to_string(), "completed".to_string())]),
+                status: true,
+            };
+            let store = self.store.clone();
+            monoio::spawn(async move {
+                let call = StoreCall::Write(write);
+                for _ in 0..20 {
+                    match store.call(&call, STATUS_TIMEOUT).await {
+                        Ok(StoreReply::Object(..) | StoreReply::Conflict | StoreReply::Missing) => {
+                            return;
+                        }
+                        other => log::warn!("step=report-retirement reply={other:?}"),
+                    }
+                    monoio::time::sleep(std::time::Duration::from_millis(300)).await;
+                }
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/server/src/storage/mod.rs
@@ -0,0 +1,22 @@
+//! The storage process: a replica of the job log, and, while it leads, the
+//! work for all open jobs.
+//!
+//! ```text
+//!  replicas --messages--> Replica --committed--> JobStore
+//!  gateways --job calls-> JobCalls --proposals--> Replica
+//!  leader:  JobStore --> Dispatcher <--> engines
+//!           versions --> VersionCoordinator <--> engines
+//!           registrations, WrongReplica --> Group --> changes of members
+//! ```
+//!
+//! The main task handles what has arrived, then persists once for all of it.
+
+mod calls;
+mod engines;
+mod leadership;
+mod process;
+mod registration;
+mod replication;
+mod updates;
+
+pub use process::run_storage;
--- /dev/null
+++ b/crates/server/src/storage/process.rs
@@ -0,0 +1,325 @@
+//! State and main loop of the storage process.
+
+use futures_channel::mpsc::{unbounded, UnboundedReceiver, UnboundedSender};
+use futures_util::{select_biased, FutureExt, StreamExt};
+use peatgrade_fleet::{EngineDirectory, VersionCoordinator};
+use peatgrade_jobs::{Dispatcher, JobStore};
+use peatgrade_ports::{Codec, Configuration, ObjectKind};
+use peatgrade_replication::{
+    Group, LogFile, LogFileError, Recovered, Replica, ReplicaId, ReplicaSettings, Role, Timing,
+};
+use peatgrade_runtime::http_client::Cancel;
+use peatgrade_runtime::{HttpClient, LinkSocket};
+use peatgrade_schema::replication::Member;
+use peatgrade_types::http::ResponsePart;
+use peatgrade_types::{hash_bytes, Duration as Span, Time};
+use std::collections::{BTreeMap, HashMap};
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::clock::steady_now;
+use crate::gateway_process::socket_error;
+use crate::settings::ServerSettings;
+use crate::signals::{process_signals, ProcessSignal};
+use crate::store_client::StoreClient;
+use crate::watcher::{watch, StoreUpdate, Wanted};
+use crate::ServerError;
+
+use super::calls::JobCalls;
+use super::engines::{EngineExchange, ExchangeId};
+use super::registration::{self, Founding};
+
+/// Time between two looks at what is due.
+const LEADER_TICK: Duration = Duration::from_millis(15);
+const FOLLOWER_TICK: Duration = Duration::from_millis(40);
+/// Inputs handled before the log is persisted once for all of them.
+const MAX_BATCH: usize = 256;
+/// Kept back from the time to stop.
+const GRACE_MARGIN_MS: u64 = 600;
+/// Time between two looks at jobs past their time.
+const EXPIRE_EVERY: Span = Span::from_secs(2);
+
+/// Runs a storage process until it has been told to stop.
+pub async fn run_storage(
+    settings: ServerSettings,
+    codec: Rc<dyn Codec>,
+) -> Result<(), ServerError> {
+    let (mut process, mut inputs) = StorageProcess::start(settings, codec)?;
+    loop {
+        let leads = process.replica.role() == Role::Leader;
+        let tick = monoio::time::sleep(if leads { LEADER_TICK } else { FOLLOWER_TICK }).fuse();
+        futures_util::pin_mut!(tick);
+        let first = select_biased! {
+            signal = inputs.signals.next() => signal.map(Input::Signal),
+            message = inputs.messages.next() => message.map(Input::Message),
+            part = inputs.parts.next() => part.map(|(id, part)| Input::Part(id, part)),
+            update = inputs.updates.next() => update.map(Input::Update),
+            founding = inputs.foundings.next() => founding.map(Input::Founding),
+            _ = tick => None,
+        };
+        let mut next = first;
+        let mut handled = 0;
+        while let Some(input) = next {
+            process.handle(input);
+            handled += 1;
+            next = if handled < MAX_BATCH {
+                inputs.take_waiting()
+            } else {
+                None
+            };
+        }
+        process.work()?;
+        if process.may_exit() {
+            log::info!("step=exit leads={}", process.replica.role() == Role::Leader);
+            return Ok(());
+        }
+    }
+}
+
+/// Something that arrived.
+pub(super) enum Input {
+    Signal(ProcessSignal),
+    Message(Vec<u8>),
+    Part(ExchangeId, ResponsePart),
+    Update(StoreUpdate),
+    Founding(Founding),
+}
+
+struct Inputs {
+    signals: UnboundedReceiver<ProcessSignal>,
+    messages: UnboundedReceiver<Vec<u8>>,
+    parts: UnboundedReceiver<(ExchangeId, ResponsePart)>,
+    updates: UnboundedReceiver<StoreUpdate>,
+    foundings: UnboundedReceiver<Founding>,
+}
+
+impl Inputs {
+    fn take_waiting(&mut self) -> Option<Input> {
+        if let Ok(message) = self.messages.try_recv() {
+            return Some(Input::Message(message));
+        }
+        if let Ok((id, part)) = self.parts.try_recv() {
+            return Some(Input::Part(id, part));
+        }
+        self.updates.try_recv().ok().map(Input::Update)
+    }
+}
+
+pub(super) struct StorageProcess {
+    pub settings: ServerSettings,
+    pub codec: Rc<dyn Codec>,
+    pub replica: Replica,
+    pub log_file: LogFile,
+    pub link: LinkSocket,
+    pub store: StoreClient,
+    pub jobs: JobStore,
+    pub calls: JobCalls,
+    pub dispatcher: Dispatcher,
+    pub coordinator: Option<VersionCoordinator>,
+    pub group: Group,
+    pub configuration: Configuration,
+    pub directory: EngineDirectory,
+    pub engines_known: bool,
+    pub client: HttpClient<ExchangeId>,
+    pub exchanges: HashMap<ExchangeId, EngineExchange>,
+    pub cancels: HashMap<ExchangeId, Cancel>,
+    pub next_exchange: u64,
+    pub updates: UnboundedSender<StoreUpdate>,
+    /// Newest version of each model, as the store told.
+    pub versions: BTreeMap<String, u64>,
+    /// Watches that only a leader needs.
+    pub leader_watches: Wanted,
+    /// Whether the leader's work has begun in this term.
+    pub working: bool,
+    /// Machines to be emptied that have been reported as done.
+    pub retirements: BTreeMap<String, (u64, bool)>,
+    pub stop_at: Option<Time>,
+    pub last_expire: Time,
+    pub last_sweep: Time,
+    pub last_role: Role,
+    pub last_leader: Option<String>,
+    pub store_heard: Time,
+}
+
+impl StorageProcess {
+    fn start(
+        settings: ServerSettings,
+        codec: Rc<dyn Codec>,
+    ) -> Result<(Self, Inputs), ServerError> {
+        let now = steady_now();
+        let signals = process_signals().map_err(|source| ServerError::System {
+            step: "install signal handlers",
+            source,
+        })?;
+        let (log_file, recovered) = open_log(&settings)?;
+        let id = ReplicaId(recovered.state.replica);
+        log::info!(
+            "step=start role=storage replica={id} fresh={} entries={} term={} torn_bytes={} peer={} zone={}",
+            recovered.fresh,
+            recovered.log.last_index(),
+            recovered.state.term,
+            recovered.torn_bytes,
+            settings.peer_address,
+            settings.zone
+        );
+        let replica_settings = ReplicaSettings {
+            id,
+            address: settings.peer_address.clone(),
+            seed: hash_bytes(settings.name.as_bytes()),
+            timing: Timing::default(),
+        };
+        let replica = Replica::new(now, replica_settings, &recovered.state, recovered.log);
+        let (messages, message_inputs) = unbounded();
+        let link = LinkSocket::open(&settings.peer_address, messages)
+            .map_err(socket_error("peer", &settings.peer_address))?;
+        let store = StoreClient::new(&settings.store_address, codec.clone());
+        let (updates, update_inputs) = unbounded();
+        for kind in [ObjectKind::Configuration, ObjectKind::Engines] {
+            let wanted = Wanted::new(true.into());
+            monoio::spawn(watch(store.clone(), kind, wanted, updates.clone()));
+        }
+        let (foundings, founding_inputs) = unbounded();
+        let me = own_member(&settings, id);
+        monoio::spawn(registration::register(store.clone(), me.clone()));
+        if replica.members().is_empty() {
+            monoio::spawn(registration::found(store.clone(), me, foundings));
+        }
+        let (parts, part_inputs) = unbounded();
+        let reader_codec = codec.clone();
+        let process = Self {
+            dispatcher: Dispatcher::new(Box::new(move || reader_codec.event_reader())),
+            settings,
+            codec,
+            replica,
+            log_file,
+            link,
+            store,
+            jobs: JobStore::default(),
+            calls: JobCalls::default(),
+            coordinator: None,
+            group: Group::default(),
+            configuration: Configuration::default(),
+            directory: EngineDirectory::default(),
+            engines_known: false,
+            client: HttpClient::new(parts),
+            exchanges: HashMap::new(),
+            cancels: HashMap::new(),
+            next_exchange: 1,
+            updates,
+            versions: BTreeMap::new(),
+            leader_watches: Wanted::default(),
+            working: false,
+            retirements: BTreeMap::new(),
+            stop_at: None,
+            last_expire: now,
+            last_sweep: now,
+            last_role: Role::Follower,
+            last_leader: None,
+            store_heard: now,
+        };
+        let inputs = Inputs {
+            signals,
+            messages: message_inputs,
+            parts: part_inputs,
+            updates: update_inputs,
+            foundings: founding_inputs,
+        };
+        Ok((process, inputs))
+    }
+
+    pub fn own_member(&self) -> Member {
+        own_member(&self.settings, self.replica.id())
+    }
+
+    fn handle(&mut self, input: Input) {
+        match input {
+            Input::Signal(signal) => self.on_signal(signal),
+            Input::Message(bytes) => self.on_message(&bytes),
+            Input::Part(id, part) => self.on_part(id, part),
+            Input::Update(update) => self.on_update(update),
+            Input::Founding(founding) => self.on_founding(founding),
+        }
+    }
+
+    fn on_signal(&mut self, signal: ProcessSignal) {
+        match signal {
+            ProcessSignal::Stop if self.stop_at.is_none() => {
+                let now = steady_now();
+                self.stop_at = Some(now);
+                let handed = self.replica.hand_over(now, None);
+                log::info!("step=stop handover={handed}");
+            }
+            ProcessSignal::Reload => log::info!("step=reload"),
+            ProcessSignal::Stop => {}
+        }
+    }
+
+    fn on_founding(&mut self, founding: Founding) {
+        let me = self.replica.id().0;
+        let member = founding.members.iter().any(|m| m.replica == me);
+        log::info!(
+            "belief=first-members count={} member={member}",
+            founding.members.len()
+        );
+        if member {
+            self.replica.found(founding.members);
+        }
+    }
+
+    /// All that is due after inputs were handled.
+    fn work(&mut self) -> Result<(), ServerError> {
+        let now = steady_now();
+        self.replica.set_store_age(now.since(self.store_heard));
+        if now >= self.replica.next_tick() {
+            self.replica.tick(now);
+        }
+        self.follow_role(now);
+        self.pump()?;
+        self.lead(now);
+        self.pump()?;
+        self.answer_waiting(now);
+        self.housekeeping(now)?;
+        Ok(())
+    }
+
+    fn housekeeping(&mut self, now: Time) -> Result<(), ServerError> {
+        if now.since(self.last_sweep) >= Span::from_secs(1) {
+            self.last_sweep = now;
+            self.client.sweep();
+        }
+        if now.since(self.last_expire) >= EXPIRE_EVERY {
+            self.last_expire = now;
+            self.expire_jobs(now)?;
+        }
+        Ok(())
+    }
+
+    fn may_exit(&self) -> bool {
+        let Some(since) = self.stop_at else {
+            return false;
+        };
+        let age = steady_now().since(since).as_millis();
+        let limit = self.settings.grace_ms.saturating_sub(GRACE_MARGIN_MS);
+        let handed = self.replica.role() != Role::Leader && age >= 100;
+        handed || age >= limit.min(2_000)
+    }
+}
+
+fn own_member(settings: &ServerSettings, id: ReplicaId) -> Member {
+    Member {
+        replica: id.0,
+        name: settings.name.clone(),
+        address: settings.peer_address.clone(),
+        zone: settings.zone.clone(),
+        voter: false,
+    }
+}
+
+fn open_log(settings: &ServerSettings) -> Result<(LogFile, Recovered), LogFileError> {
+    let mut fresh = 0;
+    while fresh == 0 {
+        fresh = rand::random();
+    }
+    LogFile::open(Path::new(&settings.data_folder), fresh)
+}
--- /dev/null
+++ b/crates/server/src/storage/registration.rs
@@ -0,0 +1,190 @@
+//! How a storage machine becomes known, and how a group begins.
+//!
+//! Each machine writes its address and incarnation into the object store. The
+//! first members are written once, under one name: whoever comes first wins,
+//! and all others read what it wrote. That object is never changed, so a start
+//! that was cut short anywhere is simply made again.
+
+use futures_channel::mpsc::UnboundedSender;
+use peatgrade_ports::{ObjectKind, ObjectWrite, StoreCall, StoreObject, StoreReply};
+use peatgrade_schema::replication::Member;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use crate::clock::steady_now;
+use crate::store_client::StoreClient;
+use crate::watcher::list_all;
+
+/// Name of the object with the first members.
+const GROUP_NAME: &str = "jobs";
+/// Members of a full group.
+const FULL_GROUP: usize = 3;
+/// How long to wait for a full group before a smaller one begins.
+const FOUNDING_WAIT: peatgrade_types::Duration = peatgrade_types::Duration::from_millis(4_000);
+const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+const PAUSE: Duration = Duration::from_millis(250);
+
+/// The first members of the group.
+#[derive(Clone, Debug)]
+pub(super) struct Founding {
+    pub members: Vec<Member>,
+}
+
+fn fields_of(member: &Member) -> BTreeMap<String, String> {
+    BTreeMap::from([
+        ("address".to_string(), member.address.clone()),
+        ("zone".to_string(), member.zone.clone()),
+        ("replica".to_string(), format!("{:016x}", member.replica)),
+    ])
+}
+
+/// The member that a registration describes.
+pub(super) fn member_of(name: &str, fields: &BTreeMap<String, String>) -> Option<Member> {
+    Some(Member {
+        replica: u64::from_str_radix(fields.get("replica")?, 16).ok()?,
+        name: name.to_string(),
+        address: fields.get("address")?.clone(),
+        zone: fields.get("zone")?.clone(),
+        voter: false,
+    })
+}
+
+/// Writes this machine's registration until the store holds it.
+pub(super) async fn register(store: StoreClient, me: Member) {
+    loop {
+        match try_register(&store, &me).await {
+            Ok(true) => return log::info!("step=register name={}", me.name),
+            Ok(false) => {}
+            Err(reason) => {
+                log::warn!("step=register error={reason}");
+                monoio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+/// True once a read has shown that the registration stands.
+async fn try_register(store: &StoreClient, me: &Member) -> Result<bool, String> {
+    let get = StoreCall::Get {
+        kind: ObjectKind::Replicas,
+        name: me.name.clone(),
+    };
+    let found = store.call(&get, CALL_TIMEOUT).await;
+    let revision = match found.map_err(|error| error.to_string())? {
+        StoreReply::Object(
+            _,
+            StoreObject::Own {
+                fields, revision, ..
+            },
+        ) => {
+            if fields == fields_of(me) {
+                return Ok(true);
+            }
+            Some(revision)
+        }
+        StoreReply::Missing => None,
+        other => return Err(format!("{other:?}")),
+    };
+    let write = StoreCall::Write(ObjectWrite {
+        kind: ObjectKind::Replicas,
+        name: me.name.clone(),
+        revision,
+        fields: fields_of(me),
+        status: false,
+    });
+    let written = store.call(&write, CALL_TIMEOUT).await;
+    match written.map_err(|error| error.to_string())? {
+        StoreReply::Object(..) => Ok(true),
+        StoreReply::Conflict => Ok(false),
+        other => Err(format!("{other:?}")),
+    }
+}
+
+/// Finds or makes the first members and reports them.
+pub(super) async fn found(store: StoreClient, me: Member, found: UnboundedSender<Founding>) {
+    let started = steady_now();
+    loop {
+        let patient = steady_now().since(started) < FOUNDING_WAIT;
+        match try_found(&store, patient).await {
+            Ok(Some(members)) => {
+                log::info!("step=found name={} members={}", me.name, members.len());
+                let _ = found.unbounded_send(Founding { members });
+                return;
+            }
+            Ok(None) => {}
+            Err(reason) => log::warn!("step=found error={reason}"),
+        }
+        monoio::time::sleep(PAUSE).await;
+        if found.is_closed() {
+            return;
+        }
+    }
+}
+
+async fn try_found(store: &StoreClient, patient: bool) -> Result<Option<Vec<Member>>, String> {
+    let get = StoreCall::Get {
+        kind: ObjectKind::Groups,
+        name: GROUP_NAME.to_string(),
+    };
+    let read = store.call(&get, CALL_TIMEOUT).await;
+    match read.map_err(|error| error.to_string())? {
+        StoreReply::Object(_, StoreObject::Own { fields, .. }) => {
+            return Ok(Some(members_of(&fields)));
+        }
+        StoreReply::Missing => {}
+        other => return Err(format!("{other:?}")),
+    }
+    let (objects, _) = list_all(store, ObjectKind::Replicas).await?;
+    let registered: Vec<Member> = objects
+        .iter()
+        .filter_map(|(name, object)| match object {
+            StoreObject::Own { fields, .. } => member_of(name, fields),
+            _ => None,
+        })
+        .collect();
+    let first = first_members(&registered);
+    if first.len() < FULL_GROUP && patient || first.is_empty() {
+        return Ok(None);
+    }
+    let write = StoreCall::Write(ObjectWrite {
+        kind: ObjectKind::Groups,
+        name: GROUP_NAME.to_string(),
+        revision: None,
+        fields: first.iter().map(|m| (m.name.clone(), line_of(m))).collect(),
+        status: false,
+    });
+    // Whatever came of it, the next read tells.
+    let written = store.call(&write, CALL_TIMEOUT).await;
+    written.map_err(|error| error.to_string())?;
+    Ok(None)
+}
+
+/// One machine of each zone first, then others by name.
+fn first_members(registered: &[Member]) -> Vec<Member> {
+    let mut zones = BTreeSet::new();
+    let (mut chosen, rest): (Vec<Member>, Vec<Member>) = registered
+        .iter()
+        .cloned()
+        .partition(|member| zones.insert(member.zone.clone()));
+    chosen.extend(rest);
+    chosen.truncate(FULL_GROUP);
+    chosen
+}
+
+fn line_of(member: &Member) -> String {
+    format!("{:016x} {} {}", member.replica, member.address, member.zone)
+}
+
+fn members_of(fields: &BTreeMap<String, String>) -> Vec<Member> {
+    let members = fields.iter().filter_map(|(name, line)| {
+        let mut words = line.split(' ');
+        Some(Member {
+            replica: u64::from_str_radix(words.next()?, 16).ok()?,
+            name: name.clone(),
+            address: words.next()?.to_string(),
+            zone: words.next()?.to_string(),
+            voter: true,
+        })
+    });
+    members.collect()
+}
--- /dev/null
+++ b/crates/server/src/storage/replication.rs
@@ -0,0 +1,184 @@
+//! Messages of replicas, and what a replica wants done.
+
+use peatgrade_jobs::Applied;
+use peatgrade_replication::{Outgoing, ReplicaId, Role};
+use peatgrade_runtime::Delivery;
+use peatgrade_schema::replication::mod_ReplicaMessage::OneOfbody;
+use peatgrade_schema::replication::{ReplicaMessage, WrongReplica};
+use peatgrade_schema::{decode, encode};
+use peatgrade_types::{Duration, Time};
+
+use crate::clock::steady_now;
+use crate::ServerError;
+
+use super::process::StorageProcess;
+
+/// The log file is rewritten once it is this much longer than it must be.
+const REWRITE_BYTES: u64 = 64 * 1024 * 1024;
+
+impl StorageProcess {
+    pub(super) fn on_message(&mut self, bytes: &[u8]) {
+        let Ok(message) = decode::<ReplicaMessage>(bytes) else {
+            return log::warn!("step=decode-message bytes={}", bytes.len());
+        };
+        self.link.heard(&message.from_address);
+        let now = steady_now();
+        match message.body {
+            OneOfbody::job_call(call) => self.on_job_call(now, &message.from_address, call),
+            OneOfbody::wrong_replica(told) => self.on_wrong_replica(now, told),
+            OneOfbody::job_reply(_) | OneOfbody::None => {}
+            _ if message.to != self.replica.id().0 => {
+                let told = WrongReplica {
+                    member: Some(self.own_member()),
+                    empty: self.replica.members().is_empty(),
+                };
+                self.send(Outgoing {
+                    to: ReplicaId(message.from),
+                    address: message.from_address,
+                    term: 0,
+                    body: OneOfbody::wrong_replica(told),
+                });
+            }
+            _ => self.replica.step(now, message),
+        }
+    }
+
+    fn on_wrong_replica(&mut self, now: Time, told: WrongReplica) {
+        if let Some(member) = told.member {
+            let (name, replica) = (member.name.clone(), ReplicaId(member.replica));
+            if self.group.report(now, member) {
+                log::info!("belief=machine name={name} replica={replica} told_by=itself");
+            }
+        }
+    }
+
+    pub(super) fn send(&mut self, outgoing: Outgoing) {
+        let message = ReplicaMessage {
+            from: self.replica.id().0,
+            to: outgoing.to.0,
+            term: outgoing.term,
+            from_address: self.settings.peer_address.clone(),
+            body: outgoing.body,
+        };
+        let bytes = encode(&message);
+        self.link.send(&outgoing.address, bytes, Delivery::Light);
+    }
+
+    pub(super) fn reply(&mut self, address: &str, body: OneOfbody) {
+        let message = ReplicaMessage {
+            from: self.replica.id().0,
+            to: 0,
+            term: self.replica.term(),
+            from_address: self.settings.peer_address.clone(),
+            body,
+        };
+        self.link
+            .send(address, encode(&message), Delivery::Connected);
+    }
+
+    /// Sends, persists and applies until the replica wants nothing more.
+    pub(super) fn pump(&mut self) -> Result<(), ServerError> {
+        while self.replica.has_ready() {
+            let ready = self.replica.ready();
+            for message in ready.early {
+                self.send(message);
+            }
+            if let Some(base) = ready.base {
+                self.log_file.reset(&self.replica.hard_state(), base)?;
+            }
+            self.log_file.append(ready.state.as_ref(), &ready.entries)?;
+            self.replica.persisted();
+            for message in ready.messages {
+                self.send(message);
+            }
+            if ready.reset {
+                log::info!("step=reset-state index={}", self.replica.log().base().index);
+                self.jobs.clear();
+            }
+            let now = steady_now();
+            for entry in ready.committed {
+                if entry.members.is_some() {
+                    self.log_members();
+                }
+                let applied = self.jobs.apply(now, entry.index, &entry.command);
+                self.on_applied(now, applied);
+            }
+        }
+        Ok(())
+    }
+
+    fn log_members(&self) {
+        let members = self.replica.members();
+        let names: Vec<String> = members
+            .iter()
+            .map(|m| format!("{}:{}:{}", m.name, ReplicaId(m.replica), m.voter))
+            .collect();
+        log::info!("belief=members set={}", names.join(","));
+    }
+
+    fn on_applied(&mut self, now: Time, applied: Applied) {
+        match applied {
+            Applied::Accepted(job) => {
+                if self.working {
+                    self.dispatcher.open_job(&job, &self.jobs);
+                }
+                self.calls.accepted(&job);
+            }
+            Applied::Listed(job) => {
+                self.dispatcher.listed(&job, &self.jobs);
+                self.calls.listed(&job);
+            }
+            Applied::Ended(job) => {
+                self.dispatcher.end_job(now, &job, &mut self.directory);
+                self.calls.ended(&job);
+            }
+            Applied::Nothing => {}
+        }
+    }
+
+    pub(super) fn expire_jobs(&mut self, now: Time) -> Result<(), ServerError> {
+        let keep = Duration::from_millis(self.settings.job_keep_ms);
+        let applied = self.replica.log().last_index().min(self.applied_index());
+        let needless = self.jobs.expire(now, keep, applied);
+        if self.replica.trim(needless) {
+            log::debug!("step=trim index={needless}");
+        }
+        let kept = self.log_bytes();
+        if self.log_file.length() > kept + REWRITE_BYTES {
+            let state = self.replica.hard_state();
+            self.log_file.rewrite(&state, self.replica.log())?;
+            log::info!("step=rewrite-log bytes={}", self.log_file.length());
+        }
+        Ok(())
+    }
+
+    fn applied_index(&self) -> u64 {
+        self.replica.commit_index()
+    }
+
+    fn log_bytes(&self) -> u64 {
+        let entries = self.replica.log().iter();
+        entries.map(|entry| entry.command.len() as u64 + 64).sum()
+    }
+
+    /// Logs changes of role and leader.
+    pub(super) fn note_role(&mut self) {
+        let role = self.replica.role();
+        if role != self.last_role {
+            let candidate = |role| matches!(role, Role::PreCandidate | Role::Candidate);
+            if !(candidate(role) && candidate(self.last_role)) {
+                log::info!("belief=role role={role:?} term={}", self.replica.term());
+            }
+            self.last_role = role;
+        }
+        let leader = self.replica.leader_address().map(str::to_string);
+        if leader != self.last_leader {
+            log::info!(
+                "belief=leader address={} term={}",
+                leader.as_deref().unwrap_or("none"),
+                self.replica.term()
+            );
+            self.last_leader = leader;
+        }
+    }
+}
--- /dev/null
+++ b/crates/server/src/storage/updates.rs
@@ -0,0 +1,123 @@
+//! News from the object store.
+
+use peatgrade_ports::{Configuration, ObjectKind, StoreEvent, StoreObject};
+use peatgrade_schema::replication::Member;
+use peatgrade_types::Time;
+
+use crate::clock::steady_now;
+use crate::watcher::StoreUpdate;
+
+use super::process::StorageProcess;
+use super::registration::member_of;
+
+impl StorageProcess {
+    pub(super) fn on_update(&mut self, update: StoreUpdate) {
+        match update {
+            StoreUpdate::Listed { kind, at, objects } => {
+                self.store_heard = steady_now();
+                self.on_listed(kind, at, objects);
+            }
+            StoreUpdate::Changed { kind, at, events } => {
+                self.store_heard = steady_now();
+                self.on_changed(kind, at, events);
+            }
+        }
+    }
+
+    fn on_listed(&mut self, kind: ObjectKind, at: Time, objects: Vec<(String, StoreObject)>) {
+        if kind == ObjectKind::Engines {
+            let records = objects.into_iter().filter_map(|(_, object)| match object {
+                StoreObject::Engine(record) => Some(record),
+                _ => None,
+            });
+            self.directory.replace(at, records.collect());
+            self.engines_known = true;
+            return log::info!("belief=engines count={}", self.directory.len());
+        }
+        if kind == ObjectKind::Retirements {
+            self.retirements.clear();
+        }
+        for (name, object) in objects {
+            self.take_object(kind, &name, object);
+        }
+        self.pass_on_retirements();
+    }
+
+    fn on_changed(&mut self, kind: ObjectKind, at: Time, events: Vec<StoreEvent>) {
+        for event in events {
+            if kind == ObjectKind::Engines {
+                if let Some(instance) = self.directory.apply(event) {
+                    log::info!("belief=engine-gone instance={instance}");
+                }
+                continue;
+            }
+            match event.object {
+                Some(object) => self.take_object(kind, &event.name, object),
+                None if kind == ObjectKind::Retirements => {
+                    self.retirements.remove(&event.name);
+                }
+                None => {}
+            }
+        }
+        if kind == ObjectKind::Engines {
+            self.directory.confirmed = at;
+        }
+        self.pass_on_retirements();
+    }
+
+    fn take_object(&mut self, kind: ObjectKind, name: &str, object: StoreObject) {
+        match object {
+            StoreObject::Configuration(configuration) => self.configure(*configuration),
+            StoreObject::Version { model, version } => self.take_version(model, version),
+            StoreObject::Retirement {
+                node,
+                revision,
+                completed,
+                ..
+            } => {
+                log::info!("belief=retirement node={node} completed={completed}");
+                self.retirements.insert(node, (revision, completed));
+            }
+            StoreObject::Own { fields, .. } if kind == ObjectKind::Replicas => {
+                if let Some(member) = member_of(name, &fields) {
+                    self.take_registration(member);
+                }
+            }
+            StoreObject::Unreadable { name, reason } => {
+                log::error!("step=read-object kind={kind:?} name={name} error={reason}");
+            }
+            _ => {}
+        }
+    }
+
+    fn configure(&mut self, configuration: Configuration) {
+        if configuration.version > self.configuration.version {
+            log::info!("belief=configuration version={}", configuration.version);
+            self.configuration = configuration;
+        }
+    }
+
+    fn take_version(&mut self, model: String, version: u64) {
+        let known = self.versions.entry(model.clone()).or_insert(0);
+        if version > *known {
+            *known = version;
+            log::info!("belief=version model={model} version={version}");
+            if let Some(coordinator) = &mut self.coordinator {
+                coordinator.named(&model, version);
+            }
+        }
+    }
+
+    fn take_registration(&mut self, member: Member) {
+        let name = member.name.clone();
+        if self.group.report(steady_now(), member) {
+            log::info!("belief=machine name={name} told_by=store");
+        }
+    }
+
+    fn pass_on_retirements(&mut self) {
+        let open = self.retirements.keys().cloned();
+        let names: Vec<String> = open.collect();
+        self.group.set_retiring(&names);
+    }
+}
--- /dev/null
+++ b/crates/server/src/watcher.rs
@@ -0,0 +1,147 @@
+//! Follows one kind of objects: lists it, then waits for changes.
+//!
+//! Waits are short, so that a connection that died without a sign, or a store
+//! that forgot the wait, is noticed within a fraction of the time in which a
+//! change must be in force.
+
+use futures_channel::mpsc::UnboundedSender;
+use peatgrade_ports::{ObjectKind, StoreCall, StoreEvent, StoreObject, StoreReply};
+use peatgrade_types::{Duration as Span, Time};
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::clock::steady_now;
+use crate::store_client::StoreClient;
+
+/// How long a watch may wait at the store.
+const WATCH_WAIT: Span = Span::from_millis(2_500);
+/// Time beyond that after which a watch counts as lost.
+const WATCH_SLACK: Duration = Duration::from_millis(700);
+/// Time after which a list counts as lost.
+const LIST_TIMEOUT: Duration = Duration::from_millis(800);
+/// First pause after a failure, and the longest.
+const FIRST_PAUSE: Duration = Duration::from_millis(60);
+const MAX_PAUSE: Duration = Duration::from_millis(500);
+
+/// News of a kind.
+#[derive(Debug)]
+pub enum StoreUpdate {
+    /// All objects of a kind, as of a list that began at `at`.
+    Listed {
+        /// The kind.
+        kind: ObjectKind,
+        /// When the list began.
+        at: Time,
+        /// Names and objects.
+        objects: Vec<(String, StoreObject)>,
+    },
+    /// Changes in order; none if the wait ended.
+    Changed {
+        /// The kind.
+        kind: ObjectKind,
+        /// When the wait began.
+        at: Time,
+        /// The changes.
+        events: Vec<StoreEvent>,
+    },
+}
+
+/// Whether a watcher is wanted; it ends soon after this is cleared.
+pub type Wanted = Rc<Cell<bool>>;
+
+/// Follows a kind while it is wanted.
+pub async fn watch(
+    store: StoreClient,
+    kind: ObjectKind,
+    wanted: Wanted,
+    updates: UnboundedSender<StoreUpdate>,
+) {
+    let mut pause = FIRST_PAUSE;
+    let mut revision = None;
+    let mut lost = false;
+    while wanted.get() && !updates.is_closed() {
+        let step = match revision {
+            None => list(&store, kind, &updates).await,
+            Some(revision) => follow(&store, kind, revision, &updates).await,
+        };
+        match step {
+            Ok(next) => {
+                if lost {
+                    log::info!("dependency=regained kind={kind:?}");
+                }
+                lost = false;
+                pause = FIRST_PAUSE;
+                revision = next;
+            }
+            Err(reason) => {
+                if !lost {
+                    log::warn!("dependency=lost kind={kind:?} reason={reason}");
+                }
+                lost = true;
+                monoio::time::sleep(pause).await;
+                pause = (pause * 2).min(MAX_PAUSE);
+            }
+        }
+    }
+}
+
+async fn list(
+    store: &StoreClient,
+    kind: ObjectKind,
+    updates: &UnboundedSender<StoreUpdate>,
+) -> Result<Option<u64>, String> {
+    let at = steady_now();
+    let (objects, revision) = list_all(store, kind).await?;
+    let _ = updates.unbounded_send(StoreUpdate::Listed { kind, at, objects });
+    Ok(Some(revision))
+}
+
+/// All objects of a kind, and the revision from which changes are missing.
+pub async fn list_all(
+    store: &StoreClient,
+    kind: ObjectKind,
+) -> Result<(Vec<(String, StoreObject)>, u64), String> {
+    let mut objects: Vec<(String, StoreObject)> = Vec::new();
+    let mut revision = None;
+    loop {
+        let after = objects.last().map(|(name, _)| name.clone());
+        let call = StoreCall::List { kind, after };
+        match store.call(&call, LIST_TIMEOUT).await {
+            Ok(StoreReply::Page(page)) => {
+                let first = *revision.get_or_insert(page.revision);
+                let empty = page.objects.is_empty();
+                objects.extend(page.objects);
+                if !page.more || empty {
+                    return Ok((objects, first));
+                }
+            }
+            Ok(other) => return Err(format!("list: {other:?}")),
+            Err(error) => return Err(format!("list: {error}")),
+        }
+    }
+}
+
+async fn follow(
+    store: &StoreClient,
+    kind: ObjectKind,
+    revision: u64,
+    updates: &UnboundedSender<StoreUpdate>,
+) -> Result<Option<u64>, String> {
+    let at = steady_now();
+    let call = StoreCall::Watch {
+        kind,
+        revision,
+        wait: WATCH_WAIT,
+    };
+    let timeout = Duration::from_micros(WATCH_WAIT.0) + WATCH_SLACK;
+    match store.call(&call, timeout).await {
+        Ok(StoreReply::Events { events, revision }) => {
+            let _ = updates.unbounded_send(StoreUpdate::Changed { kind, at, events });
+            Ok(Some(revision))
+        }
+        Ok(StoreReply::Compacted) => Ok(None),
+        Ok(other) => Err(format!("watch: {other:?}")),
+        Err(error) => Err(format!("watch: {error}")),
+    }
+}
--- a/crates/types/src/time.rs
+++ b/crates/types/src/time.rs
@@ -31,6 +31,13 @@
     }
 }
 
+impl Add for Duration {
+    type Output = Duration;
+    fn add(self, more: Duration) -> Duration {
+        Duration(self.0.saturating_add(more.0))
+    }
+}
+
 /// Microseconds since an origin that the driver chooses.
 #[derive(
     Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug, Default, Serialize, Deserialize,
