Keep unfinished texts in the log; load weights by need; move long texts to faster engines

Loads were chosen by parity and every engine two versions behind was loaded at once, so that two loads at a time of 1.0 s each could not keep up after a pause.

Change: what is new of unfinished texts goes into the log each 300 ms and a result adds only the rest; half of a model's engines take each version, oldest first, the model that lacks most first; a run of 20 events or more moves to an engine that is 1.2 times as fast and has room.

--- a/crates/fleet/src/coordinator.rs
+++ b/crates/fleet/src/coordinator.rs
@@ -1,9 +1,11 @@
 //! Which weight version each engine should have, and the orders towards it.
 //!
-//! A step allows the newest version and the one before. So engines alternate:
-//! those of one parity load the even versions, the others the odd ones. Each
-//! loads every second version, and while one half loads, the other holds a
-//! version that may be used. Who falls behind further loads the newest at once.
+//! A step allows the newest version and the one before. So half of a model's
+//! engines take each version, those with the oldest one first: each loads every
+//! second version, and while one half loads, the other holds a version that may
+//! be used. The model that lacks most goes first, since only a few engines may
+//! load at once. An engine that is of no use to a model any more takes its
+//! newest version when nothing else is to be loaded.
 //!
 //! Orders carry a fencing token and the number of orders that the engine must
 //! have taken so far, so that a lost order that is carried out late changes
@@ -12,7 +14,7 @@
 
 use peatgrade_ports::{EngineReport, Instance, OrderAnswer, OrderMode, VersionOrder};
 use peatgrade_types::{Duration, Time};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::directory::{EngineDirectory, EngineState};
 
@@ -79,8 +81,6 @@
     quiet_until: Time,
     named: BTreeMap<String, u64>,
     engines: BTreeMap<Instance, EngineProgress>,
-    /// Which versions an engine loads: the even (0) or the odd ones (1).
-    parities: BTreeMap<Instance, u64>,
     at_once: usize,
     /// Told of a higher token: this holder is one of the past.
     fenced: bool,
@@ -95,7 +95,6 @@
             quiet_until,
             named: BTreeMap::new(),
             engines: BTreeMap::new(),
-            parities: BTreeMap::new(),
             at_once,
             fenced: false,
         }
@@ -117,48 +116,6 @@
         self.fenced
     }
 
-    /// Version that an engine should load now, if any.
-    fn wanted(&self, state: &EngineState) -> Option<(String, u64)> {
-        let parity = self.parities.get(&state.record.instance)?;
-        let candidates = self.named.iter().filter_map(|(model, &newest)| {
-            let has = state.version(model);
-            let serves = state.record.models.contains_key(model);
-            if !serves || has >= newest {
-                return None;
-            }
-            let behind = newest - has;
-            let turn = newest % 2 == *parity;
-            let due = behind >= 2 || turn;
-            due.then(|| (behind, model.clone(), newest))
-        });
-        let most = candidates.max_by_key(|(behind, ..)| *behind);
-        most.map(|(_, model, newest)| (model, newest))
-    }
-
-    /// Gives each engine a parity, such that those of a service divide evenly;
-    /// one that holds a version of its parity keeps it.
-    fn assign_parities(&mut self, directory: &EngineDirectory) {
-        self.parities
-            .retain(|instance, _| directory.get(instance).is_some());
-        for state in directory.iter() {
-            let instance = &state.record.instance;
-            if self.parities.contains_key(instance) || state.record.models.is_empty() {
-                continue;
-            }
-            let peers = directory.serving(&state.record.service);
-            let known = peers.filter_map(|peer| self.parities.get(&peer.record.instance));
-            let mut counts = [0_usize; 2];
-            for parity in known {
-                counts[*parity as usize] += 1;
-            }
-            let own = state.record.models.values().next().map_or(0, |v| v & 1);
-            let fewer = u64::from(counts[1] < counts[0]);
-            let balanced = counts[own as usize] <= counts[1 - own as usize];
-            let parity = if balanced { own } else { fewer };
-            self.parities.insert(instance.clone(), parity);
-        }
-    }
-
     /// What to do now.
     pub fn poll(&mut self, now: Time, directory: &mut EngineDirectory) -> Vec<CoordinatorAction> {
         let mut actions = Vec::new();
@@ -167,7 +124,6 @@
         }
         self.engines
             .retain(|instance, _| directory.get(instance).is_some());
-        self.assign_parities(directory);
         self.expire(now);
         let mut loading = self.engines.values().filter(|e| e.is_loading()).count();
         let candidates = self.candidates(directory);
@@ -207,22 +163,43 @@
         actions
     }
 
+    /// Engines to bring to a version, the most wanted first; an engine stands
+    /// there once.
     fn candidates(&self, directory: &EngineDirectory) -> Vec<(Instance, (String, u64))> {
-        let open = directory.iter().filter(|state| !state.record.draining);
-        let mut wanted: Vec<_> = open
-            .filter_map(|state| {
-                let target = self.wanted(state)?;
-                let behind = target.1 - state.version(&target.0);
-                Some((behind, state, target))
-            })
-            .collect();
-        // The furthest behind first, then the emptiest.
-        wanted.sort_by_key(|(behind, state, _)| {
-            (std::cmp::Reverse(*behind), state.experience.running)
-        });
-        let named = wanted.into_iter();
-        named
-            .map(|(_, state, target)| (state.record.instance.clone(), target))
+        let mut ranked = Vec::new();
+        for (model, &newest) in &self.named {
+            let engines: Vec<&EngineState> = directory
+                .iter()
+                .filter(|state| !state.record.draining)
+                .filter(|state| state.record.models.contains_key(model))
+                .collect();
+            let needed = engines.len().div_ceil(2);
+            let (has, mut lack): (Vec<&EngineState>, Vec<&EngineState>) = engines
+                .into_iter()
+                .partition(|state| state.version(model) >= newest);
+            lack.sort_by_key(|state| {
+                let loads = state.loading.contains(model);
+                (!loads, state.version(model), state.experience.running)
+            });
+            for (position, state) in lack.into_iter().enumerate() {
+                let rank = has.len() + position;
+                let useless = state.version(model) + 1 < newest;
+                if rank >= needed && !useless {
+                    continue;
+                }
+                let surplus = rank >= needed;
+                // Thousandths of what the model needs that it would have before.
+                let share = rank * 1_000 / needed.max(1);
+                let target = (model.clone(), newest);
+                ranked.push((surplus, share, state.record.instance.clone(), target));
+            }
+        }
+        ranked.sort();
+        let mut seen = BTreeSet::new();
+        let once = ranked
+            .into_iter()
+            .filter(|(_, _, instance, _)| seen.insert(instance.clone()));
+        once.map(|(_, _, instance, target)| (instance, target))
             .collect()
     }
 
--- a/crates/fleet/src/experience.rs
+++ b/crates/fleet/src/experience.rs
@@ -2,8 +2,11 @@
 
 use peatgrade_types::{Duration, Time};
 
-/// Weight of a new observation in a running mean.
-const NEW_WEIGHT: f64 = 0.2;
+/// Weight of a new latency in its running mean.
+const LATENCY_WEIGHT: f64 = 0.2;
+/// Weight of a new gap between events in its running mean. Gaps come in whole
+/// steps of an engine's batch, so that few of them tell little.
+const PACE_WEIGHT: f64 = 0.06;
 /// First time that an engine is avoided after a failure; doubles each time.
 const FIRST_BLOCK: Duration = Duration::from_millis(400);
 /// Longest such time.
@@ -37,14 +40,14 @@
         self.failures = 0;
         self.blocked_until = Time(0);
         self.heard = now;
-        self.latency = mean(self.latency, took.0 as f64);
+        self.latency = mean(self.latency, took.0 as f64, LATENCY_WEIGHT);
     }
 
     /// Takes note of the time between two events.
     pub fn event(&mut self, now: Time, gap: Duration) {
         self.failures = 0;
         self.heard = now;
-        self.pace = mean(self.pace, gap.0 as f64);
+        self.pace = mean(self.pace, gap.0 as f64, PACE_WEIGHT);
     }
 
     /// Takes note of a failure.
@@ -74,9 +77,9 @@
     }
 }
 
-fn mean(old: f64, new: f64) -> f64 {
+fn mean(old: f64, new: f64, weight: f64) -> f64 {
     if old == 0.0 {
         return new;
     }
-    old + (new - old) * NEW_WEIGHT
+    old + (new - old) * weight
 }
--- a/crates/jobs/src/dispatcher.rs
+++ b/crates/jobs/src/dispatcher.rs
@@ -5,7 +5,9 @@
 use peatgrade_ports::{
     AnswerHead, Configuration, EngineCall, EventReader, Instance, Route, RouteKind,
 };
-use peatgrade_schema::replication::{ItemResult, ListResults};
+use peatgrade_schema::replication::{
+    ItemProgress, ItemResult, KeepProgress, ListResults, ProgressEvent,
+};
 use peatgrade_types::http::HttpRequest;
 use peatgrade_types::{hash_bytes, Duration, Time};
 use std::collections::{BTreeMap, HashMap};
@@ -13,8 +15,9 @@
 
 use crate::item::{ItemKey, OpenItem};
 use crate::placement::{self, Need, SLOW_FACTOR};
-use crate::store::JobStore;
+use crate::store::{Earlier, JobStore};
 use crate::streams::{take_bytes, Run};
+use crate::text::PartialText;
 
 /// Names a run of an item.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
@@ -32,8 +35,14 @@
 const SILENCE_FACTOR: f64 = 8.0;
 /// Moves of one item away from slow engines.
 const MAX_MOVES: u32 = 4;
+/// Events of one run after which its text is likely to go on for long.
+const LONG_EVENTS: u32 = 20;
 /// Events after which an engine's pace is believed.
 const PACE_EVENTS: u32 = 3;
+/// Time between two records of unfinished texts.
+const PROGRESS_EVERY: Duration = Duration::from_millis(300);
+/// Events that make such a record worth its place.
+const PROGRESS_EVENTS: usize = 3;
 /// Partial texts kept for later jobs.
 const MAX_KEPT: usize = 4_096;
 /// How long they are kept.
@@ -55,6 +64,8 @@
     Cancel(RunId),
     /// Put results into the log.
     List(ListResults),
+    /// Put unfinished texts into the log.
+    Keep(KeepProgress),
 }
 
 /// What came of a run.
@@ -70,8 +81,31 @@
     Failed(String),
 }
 
+/// Why a run is moved to another engine.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum MoveReason {
+    /// The engine is not in the list any more.
+    Gone,
+    /// The engine leaves.
+    Draining,
+    /// Nothing comes from it.
+    Silent,
+    /// It is far slower than others.
+    Slow,
+    /// A faster one has room.
+    FasterFree,
+}
+
+impl MoveReason {
+    /// Whether the run gets nowhere where it is.
+    fn is_urgent(self) -> bool {
+        matches!(self, MoveReason::Gone | MoveReason::Silent)
+    }
+}
+
 struct Kept {
-    item: OpenItem,
+    text: PartialText,
+    body: Vec<u8>,
     at: Time,
 }
 
@@ -83,6 +117,7 @@
     /// Results that wait for the next proposal, by job.
     done: BTreeMap<Rc<str>, Vec<ItemResult>>,
     next_run: u64,
+    progress_at: Time,
     reader: Box<dyn Fn() -> Box<dyn EventReader>>,
     actions: Vec<DispatchAction>,
 }
@@ -96,6 +131,7 @@
             kept: HashMap::new(),
             done: BTreeMap::new(),
             next_run: 1,
+            progress_at: Time(0),
             reader,
             actions: Vec::new(),
         }
@@ -121,44 +157,60 @@
             if job.positions.contains_key(&index) {
                 continue;
             }
-            let earlier = store.earlier_result(id, index);
-            let fits = |versions: &[u64]| versions.iter().all(|v| *v >= job.spec.min_version);
-            if let Some(result) = earlier.filter(|result| fits(&result.versions)) {
-                let again = ItemResult {
-                    item: index as u64,
-                    completed: true,
-                    text: result.text.to_vec(),
-                    versions: result.versions.clone(),
-                };
-                log::info!(
-                    "decision=relist item={} job={id} versions={:?}",
-                    job.spec.items[index].id,
-                    result.versions
-                );
-                self.done.entry(name.clone()).or_default().push(again);
-                continue;
+            let least = job.spec.min_version;
+            match store.earlier(id, index) {
+                Some(Earlier::Whole(result)) if result.versions.iter().all(|v| *v >= least) => {
+                    log::info!(
+                        "decision=relist item={} job={id} versions={:?}",
+                        job.spec.items[index].id,
+                        result.versions
+                    );
+                    let again = ItemResult {
+                        item: index as u64,
+                        completed: true,
+                        text: result.text.to_vec(),
+                        versions: result.versions.clone(),
+                        logged_events: 0,
+                    };
+                    self.done.entry(name.clone()).or_default().push(again);
+                    continue;
+                }
+                _ => {}
             }
             let mut open = OpenItem::new(job.spec.clone(), index, job.known_since);
-            self.take_kept(&mut open);
+            match job.progress.get(&index) {
+                Some(text) => {
+                    open.logged_events = text.events.len();
+                    open.text = text.clone();
+                }
+                None => self.take_earlier(&mut open, store.earlier(id, index)),
+            }
             self.items.insert((name.clone(), index), open);
         }
         self.flush();
     }
 
-    fn take_kept(&mut self, open: &mut OpenItem) {
-        let Some(kept) = self.kept.remove(&open.item().id) else {
-            return;
+    /// Begins an item that comes back with what is known of its text.
+    fn take_earlier(&mut self, open: &mut OpenItem, earlier: Option<Earlier<'_>>) {
+        let least = open.spec.min_version;
+        let kept = self.kept.remove(&open.item().id);
+        let kept = kept.filter(|kept| kept.body == open.item().body);
+        let logged = match earlier {
+            Some(Earlier::Partial(text)) => Some(text.clone()),
+            _ => None,
         };
-        let same = kept.item.item().body == open.item().body;
-        if same && kept.item.fits(open.spec.min_version) {
+        let texts = kept.map(|kept| kept.text).into_iter().chain(logged);
+        let longest = texts
+            .filter(|text| text.fits(least))
+            .max_by_key(|text| text.events.len());
+        if let Some(text) = longest {
             log::info!(
                 "decision=continue item={} job={} events={}",
                 open.item().id,
                 open.spec.job,
-                kept.item.events.len()
+                text.events.len()
             );
-            open.events = kept.item.events;
-            open.last_event = kept.item.last_event;
+            open.text = text;
         }
     }
 
@@ -174,9 +226,13 @@
         for key in keys {
             self.break_off(&key, directory);
             if let Some(item) = self.items.remove(&key) {
-                if !item.events.is_empty() && self.kept.len() < MAX_KEPT {
-                    self.kept
-                        .insert(item.item().id.clone(), Kept { item, at: now });
+                if !item.text.events.is_empty() && self.kept.len() < MAX_KEPT {
+                    let kept = Kept {
+                        body: item.item().body.clone(),
+                        at: now,
+                        text: item.text.clone(),
+                    };
+                    self.kept.insert(item.item().id.clone(), kept);
                 }
             }
         }
@@ -209,6 +265,40 @@
         self.watch_runs(now, directory);
         self.start_waiting(now, configuration, directory);
         self.flush();
+        if now.since(self.progress_at) >= PROGRESS_EVERY {
+            self.progress_at = now;
+            self.keep_progress();
+        }
+    }
+
+    /// Puts what is new of unfinished texts into the log, so that another
+    /// leader goes on from there.
+    fn keep_progress(&mut self) {
+        let mut jobs: BTreeMap<Rc<str>, Vec<ItemProgress>> = BTreeMap::new();
+        for (key, item) in &mut self.items {
+            let count = item.text.events.len();
+            if item.proposed || count < item.logged_events + PROGRESS_EVENTS {
+                continue;
+            }
+            let fresh = &item.text.events[item.logged_events..];
+            let events = fresh.iter().map(|event| ProgressEvent {
+                version: event.version,
+                data: event.data.to_vec(),
+            });
+            let progress = ItemProgress {
+                item: key.1 as u64,
+                logged_events: item.logged_events as u64,
+                last_event: item.text.last_event.unwrap_or(0),
+                events: events.collect(),
+            };
+            item.logged_events = count;
+            jobs.entry(key.0.clone()).or_default().push(progress);
+        }
+        for (job, items) in jobs {
+            let job = job.to_string();
+            self.actions
+                .push(DispatchAction::Keep(KeepProgress { job, items }));
+        }
     }
 
     fn start_waiting(
@@ -275,9 +365,10 @@
             .map(|(key, item)| {
                 let spec = item.item();
                 let group = longest[&(&key.0, spec.group.as_str())];
-                let started = item.runs > 0 || !item.events.is_empty();
+                let started = item.runs > 0 || !item.text.events.is_empty();
                 let order = (
                     !started,
+                    item.known_since,
                     std::cmp::Reverse(group),
                     spec.group.as_str(),
                     std::cmp::Reverse(spec.length_hint),
@@ -330,20 +421,20 @@
         http.headers = headers
             .map(|header| (header.name.to_ascii_lowercase(), header.value.clone()))
             .collect();
-        log::debug!(
+        log::info!(
             "decision=run item={} job={} engine={instance} version={} running={} after={:?}",
             spec.id,
             key.0,
             state.version(&item.spec.model),
             state.experience.running,
-            item.last_event
+            item.text.last_event
         );
         let call = EngineCall::Run {
             id: spec.id.clone(),
             host: item.spec.host.clone(),
             instance: instance.clone(),
             deadline: Some(left),
-            last_event: item.last_event,
+            last_event: item.text.last_event,
             priority: Some(priority.min(9)),
             http,
         };
@@ -387,12 +478,20 @@
     /// Moves runs away from engines that are silent, slow, gone or leaving.
     fn watch_runs(&mut self, now: Time, directory: &mut EngineDirectory) {
         let mut moves = Vec::new();
+        let mut chances = Vec::new();
         for (id, run) in &self.runs {
-            let reason = self.reason_to_move(now, run, directory);
-            if let Some(reason) = reason {
-                moves.push((*id, reason));
+            match self.reason_to_move(now, run, directory) {
+                Some(reason) if reason.is_urgent() => moves.push((*id, reason)),
+                Some(reason) => chances.push((run.events, *id, reason)),
+                None => {}
             }
         }
+        // One at a time, since each takes a place that the others saw free; the
+        // longest text first.
+        let chance = chances
+            .into_iter()
+            .max_by_key(|(events, id, _)| (*events, *id));
+        moves.extend(chance.map(|(_, id, reason)| (id, reason)));
         moves.sort_by_key(|(id, _)| *id);
         for (id, reason) in moves {
             let Some(run) = self.runs.get(&id) else {
@@ -400,12 +499,12 @@
             };
             let (key, instance) = (run.key.clone(), run.instance.clone());
             log::info!(
-                "decision=move item={} job={} engine={instance} reason={reason} events={}",
+                "decision=move item={} job={} engine={instance} reason={reason:?} events={}",
                 self.items[&key].item().id,
                 key.0,
                 run.events
             );
-            if reason == "silent" {
+            if reason == MoveReason::Silent {
                 if let Some(state) = directory.get_mut(&instance) {
                     state.experience.failed(now);
                 }
@@ -423,10 +522,10 @@
         now: Time,
         run: &Run,
         directory: &EngineDirectory,
-    ) -> Option<&'static str> {
+    ) -> Option<MoveReason> {
         let item = self.items.get(&run.key)?;
         let Some(state) = directory.get(&run.instance) else {
-            return Some("gone");
+            return Some(MoveReason::Gone);
         };
         let model = &item.spec.model;
         let service = state.record.service.as_str();
@@ -439,7 +538,7 @@
         };
         let room = || placement::choose(now, directory, &need).is_some();
         if state.record.draining && room() {
-            return Some("draining");
+            return Some(MoveReason::Draining);
         }
         if state.loading.iter().any(|loading| loading == model) {
             return None;
@@ -452,11 +551,19 @@
             (_, Some(pace)) => SILENCE_MIN.max(Duration((pace * SILENCE_FACTOR) as u64)),
         };
         if silence >= limit {
-            return Some("silent");
+            return Some(MoveReason::Silent);
         }
-        let slow = placement::relative_pace(state, median) >= SLOW_FACTOR;
         let known = run.events >= PACE_EVENTS && item.moves < MAX_MOVES;
-        (slow && known && room()).then_some("slow")
+        if !known {
+            return None;
+        }
+        let slow = placement::relative_pace(state, median) >= SLOW_FACTOR;
+        if slow && room() {
+            return Some(MoveReason::Slow);
+        }
+        let long = run.events >= LONG_EVENTS;
+        let faster = || placement::faster(now, directory, &need, state).is_some();
+        (long && faster()).then_some(MoveReason::FasterFree)
     }
 
     /// Takes a part of an engine's answer.
@@ -605,17 +712,22 @@
         let result = ItemResult {
             item: run.key.1 as u64,
             completed: true,
-            text: item.text(),
-            versions: item.versions(),
+            text: item.text.joined_after(item.logged_events),
+            versions: item.text.versions(),
+            logged_events: item.logged_events as u64,
         };
-        log::debug!(
-            "decision=complete item={} job={} engine={} events={} versions={:?} runs={}",
+        log::info!(
+            "decision=complete item={} job={} engine={} events={} versions={:?} runs={} hint={} age_ms={} run_ms={} run_events={}",
             item.item().id,
             run.key.0,
             run.instance,
-            item.events.len(),
+            item.text.events.len(),
             result.versions,
-            item.runs
+            item.runs,
+            item.item().length_hint,
+            now.since(item.known_since).as_millis(),
+            now.since(run.started).as_millis(),
+            run.events
         );
         self.done.entry(run.key.0.clone()).or_default().push(result);
     }
@@ -636,7 +748,7 @@
             item.item().id,
             run.key.0,
             run.instance,
-            item.events.len()
+            item.text.events.len()
         );
         item.run = None;
         item.avoid = Some(run.instance);
@@ -660,6 +772,7 @@
             completed: false,
             text: Vec::new(),
             versions: Vec::new(),
+            logged_events: 0,
         };
         self.done.entry(key.0.clone()).or_default().push(result);
     }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -17,7 +17,9 @@
 mod placement;
 mod store;
 mod streams;
+mod text;
 
 pub use dispatcher::{DispatchAction, Dispatcher, RunId, RunPart};
 pub use item::ItemKey;
-pub use store::{Applied, Job, JobStore, StoredResult};
+pub use store::{Applied, Earlier, Job, JobStore, StoredResult};
+pub use text::{PartialText, TextEvent};
--- a/crates/jobs/src/placement.rs
+++ b/crates/jobs/src/placement.rs
@@ -5,10 +5,12 @@
 use peatgrade_types::Time;
 
 /// Worth of sharing a prompt with another item of the group, in units of a
-/// run's usual time.
-const AFFINITY: f64 = 0.5;
+/// run's usual time: reading a prompt takes about one event's time.
+const AFFINITY: f64 = 0.05;
 /// How much a full engine is slower than an empty one.
-const LOAD_WEIGHT: f64 = 0.4;
+const LOAD_WEIGHT: f64 = 0.12;
+/// A run moves to an engine that is this much faster, if it has room.
+pub const FASTER_FACTOR: f64 = 1.2;
 /// An engine this much slower than the median counts as slow.
 pub const SLOW_FACTOR: f64 = 1.7;
 
@@ -72,6 +74,20 @@
     best.map(|state| state.record.instance.clone())
 }
 
+/// The engine with room that would run a request faster than `state` does, by
+/// more than the move costs.
+pub fn faster(
+    now: Time,
+    directory: &EngineDirectory,
+    need: &Need<'_>,
+    state: &EngineState,
+) -> Option<Instance> {
+    let chosen = choose(now, directory, need)?;
+    let pace = directory.get(&chosen)?.experience.pace;
+    let gains = pace > 0.0 && state.experience.pace >= pace * FASTER_FACTOR;
+    gains.then_some(chosen)
+}
+
 fn cost(state: &EngineState, need: &Need<'_>, median: Option<f64>) -> f64 {
     let pace = relative_pace(state, median);
     let load = f64::from(state.experience.running) / f64::from(state.record.slots.max(1));
--- a/crates/jobs/src/store.rs
+++ b/crates/jobs/src/store.rs
@@ -3,11 +3,13 @@
 use bytes::Bytes;
 use peatgrade_schema::decode;
 use peatgrade_schema::replication::mod_JobCommand::OneOfbody;
-use peatgrade_schema::replication::{AcceptJob, JobCommand, ListResults};
+use peatgrade_schema::replication::{AcceptJob, ItemResult, JobCommand, KeepProgress, ListResults};
 use peatgrade_types::{Duration, Time};
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 
+use crate::text::{PartialText, TextEvent};
+
 /// A listed result. Its position and content never change.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StoredResult {
@@ -32,6 +34,8 @@
     pub results: Vec<StoredResult>,
     /// Position of each item's result.
     pub positions: HashMap<usize, usize>,
+    /// Texts that are not whole, by item.
+    pub progress: HashMap<usize, PartialText>,
     /// Whether it is ended.
     pub ended: bool,
     /// Index of its first log entry.
@@ -74,6 +78,7 @@
             Ok(OneOfbody::accept(spec)) => self.accept(now, index, spec),
             Ok(OneOfbody::results(list)) => self.list(list),
             Ok(OneOfbody::end(end)) => self.end(&end.job),
+            Ok(OneOfbody::progress(progress)) => self.keep_progress(progress),
             Ok(OneOfbody::None) => Applied::Nothing,
             Err(error) => {
                 log::error!("step=apply-command index={index} error={error}");
@@ -92,6 +97,7 @@
             known_since: now,
             results: Vec::new(),
             positions: HashMap::new(),
+            progress: HashMap::new(),
             ended: false,
             first_index,
         };
@@ -110,11 +116,17 @@
             if item >= job.spec.items.len() || job.positions.contains_key(&item) {
                 continue;
             }
+            let logged = job.progress.get(&item);
+            let Some(text) = whole_text(logged, &result) else {
+                log::error!("step=list-result job={} item={item} error=gap", list.job);
+                continue;
+            };
+            job.progress.remove(&item);
             job.positions.insert(item, job.results.len());
             job.results.push(StoredResult {
                 item,
                 completed: result.completed,
-                text: Bytes::from(result.text),
+                text,
                 versions: result.versions,
             });
         }
@@ -124,6 +136,32 @@
         Applied::Listed(list.job)
     }
 
+    /// Adds events to texts that are not whole. Records of one item follow each
+    /// other without a gap, since one leader at a time adds them; what doesn't
+    /// follow stems from a leader of the past.
+    fn keep_progress(&mut self, progress: KeepProgress) -> Applied {
+        let Some(job) = self.jobs.get_mut(&progress.job) else {
+            return Applied::Nothing;
+        };
+        for item in progress.items {
+            let index = item.item as usize;
+            if index >= job.spec.items.len() || job.positions.contains_key(&index) {
+                continue;
+            }
+            let text = job.progress.entry(index).or_default();
+            if text.events.len() as u64 != item.logged_events {
+                continue;
+            }
+            let events = item.events.into_iter().map(|event| TextEvent {
+                version: event.version,
+                data: Bytes::from(event.data),
+            });
+            text.events.extend(events);
+            text.last_event = Some(item.last_event);
+        }
+        Applied::Nothing
+    }
+
     fn end(&mut self, id: &str) -> Applied {
         match self.jobs.get_mut(id) {
             Some(job) if !job.ended => {
@@ -161,18 +199,46 @@
         oldest.map_or(applied, |index| index.saturating_sub(1))
     }
 
-    /// An earlier whole result of an item that a later job brings back.
-    pub fn earlier_result(&self, job: &str, item: usize) -> Option<&StoredResult> {
+    /// What earlier jobs hold of an item that a later job brings back.
+    pub fn earlier(&self, job: &str, item: usize) -> Option<Earlier<'_>> {
         let spec = &self.jobs.get(job)?.spec.items.get(item)?;
         let others = self.jobs.iter().filter(|(id, _)| *id != job);
-        others.rev().find_map(|(_, other)| {
+        let mut held = others.filter_map(|(_, other)| {
             let index = other.item_index(&spec.id)?;
             let same = other.spec.items[index].body == spec.body;
-            let position = other.positions.get(&index).filter(|_| same)?;
-            other
-                .results
-                .get(*position)
-                .filter(|result| result.completed)
-        })
+            same.then(|| other.held(index)).flatten()
+        });
+        held.next()
+    }
+}
+
+/// What a job holds of an item.
+#[derive(Clone, Copy, Debug)]
+pub enum Earlier<'a> {
+    /// Its result.
+    Whole(&'a StoredResult),
+    /// Its beginning.
+    Partial(&'a PartialText),
+}
+
+impl Job {
+    fn held(&self, item: usize) -> Option<Earlier<'_>> {
+        if let Some(position) = self.positions.get(&item) {
+            let result = self.results.get(*position)?;
+            return result.completed.then_some(Earlier::Whole(result));
+        }
+        self.progress.get(&item).map(Earlier::Partial)
+    }
+}
+
+/// The events that the log holds already, and what the result adds to them.
+fn whole_text(logged: Option<&PartialText>, result: &ItemResult) -> Option<Bytes> {
+    let count = result.logged_events as usize;
+    if count == 0 {
+        return Some(Bytes::from(result.text.clone()));
     }
+    let logged = logged.filter(|text| text.events.len() >= count)?;
+    let mut text = logged.joined(count);
+    text.extend_from_slice(&result.text);
+    Some(Bytes::from(text))
 }
--- a/crates/jobs/src/streams.rs
+++ b/crates/jobs/src/streams.rs
@@ -3,7 +3,8 @@
 use peatgrade_ports::{AnswerHead, EventReader, GenerationEvent, Instance};
 use peatgrade_types::Time;
 
-use crate::item::{ItemKey, OpenItem, TextEvent};
+use crate::item::{ItemKey, OpenItem};
+use crate::text::TextEvent;
 
 /// A run under way.
 pub(crate) struct Run {
@@ -53,7 +54,7 @@
     if let Some(version) = event.version {
         run.version = version;
     }
-    let after = item.last_event;
+    let after = item.text.last_event;
     let follows = match after {
         Some(last) => event.id == last + 1,
         None => event.id <= 1,
@@ -71,8 +72,8 @@
             least,
         });
     }
-    item.last_event = Some(event.id);
-    item.events.push(TextEvent {
+    item.text.last_event = Some(event.id);
+    item.text.events.push(TextEvent {
         version: run.version,
         data: event.data,
     });
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -294,12 +294,14 @@
         index <= self.applied && index > self.log.base().index && self.log.trim(index)
     }
 
-    /// Whether this leader may answer from its state: it has committed an entry
-    /// of its term and no other leader can exist yet.
+    /// Whether this leader may answer from its state: an entry of its term has
+    /// been given out to apply, and with it all earlier ones, and no other
+    /// leader can exist yet. That it is committed is not enough: between commit
+    /// and `ready` the state lacks what earlier leaders have promised.
     pub fn may_answer(&self, now: Time) -> bool {
         self.role == Role::Leader
             && self.handing_over.is_none()
-            && self.committed_in_term()
+            && self.log.term(self.applied) == Some(self.term)
             && lease::holds(now, self.vouched(now), self.settings.timing.lease)
     }
 
--- a/crates/server/src/storage/engines.rs
+++ b/crates/server/src/storage/engines.rs
@@ -57,18 +57,21 @@
                     self.begin(EngineExchange::Run(run), &address, &call);
                 }
                 DispatchAction::Cancel(run) => self.cancel_run(run),
-                DispatchAction::List(results) => {
-                    let command = JobCommand {
-                        body: OneOfbody::results(results),
-                    };
-                    if self.replica.propose(now, encode(&command)).is_none() {
-                        log::info!("step=propose-results reason=not-leading");
-                    }
-                }
+                DispatchAction::List(results) => self.propose(now, OneOfbody::results(results)),
+                DispatchAction::Keep(progress) => self.propose(now, OneOfbody::progress(progress)),
             }
         }
     }
 
+    fn propose(&mut self, now: Time, body: OneOfbody) {
+        let command = encode(&JobCommand { body });
+        if self.replica.propose(now, command).is_none() {
+            // What the dispatcher believes to be on its way into the log is not.
+            log::info!("step=propose-results reason=not-leading");
+            self.work_void = true;
+        }
+    }
+
     fn cancel_run(&mut self, run: RunId) {
         let found = self.exchanges.iter().find_map(|(id, exchange)| {
             matches!(exchange, EngineExchange::Run(other) if *other == run).then_some(*id)
--- a/crates/server/src/storage/leadership.rs
+++ b/crates/server/src/storage/leadership.rs
@@ -19,7 +19,7 @@
     /// Begins and ends the leader's work as the role changes.
     pub(super) fn follow_role(&mut self, now: Time) {
         self.note_role();
-        if self.replica.role() != Role::Leader {
+        if self.replica.role() != Role::Leader || self.work_void {
             if self.working {
                 self.stop_leading();
             }
@@ -76,6 +76,7 @@
 
     fn stop_leading(&mut self) {
         self.working = false;
+        self.work_void = false;
         self.leader_watches.set(false);
         self.coordinator = None;
         self.dispatcher.stop(&mut self.directory);
--- a/crates/server/src/storage/process.rs
+++ b/crates/server/src/storage/process.rs
@@ -132,6 +132,8 @@
     pub leader_watches: Wanted,
     /// Whether the leader's work has begun in this term.
     pub working: bool,
+    /// The leader's work must begin anew.
+    pub work_void: bool,
     /// Machines to be emptied that have been reported as done.
     pub retirements: BTreeMap<String, (u64, bool)>,
     pub stop_at: Option<Time>,
@@ -210,6 +212,7 @@
             versions: BTreeMap::new(),
             leader_watches: Wanted::default(),
             working: false,
+            work_void: false,
             retirements: BTreeMap::new(),
             stop_at: None,
             last_expire: now,
