--- /dev/null
+++ b/crates/fleet/tests/coordinator.rs
@@ -0,0 +1,197 @@
+//! Orders bring engines to named versions, one holder at a time.
+
+use peatgrade_fleet::{CoordinatorAction, EngineDirectory, OrderOutcome, VersionCoordinator};
+use peatgrade_ports::{EngineRecord, EngineReport, Instance, OrderAnswer, VersionOrder};
+use peatgrade_types::{Duration, Time};
+use std::collections::BTreeMap;
+
+struct Scene {
+    now: Time,
+    directory: EngineDirectory,
+    coordinator: VersionCoordinator,
+    /// Version of model `m`, and orders taken, of each engine.
+    engines: BTreeMap<String, (u64, u64)>,
+    orders: Vec<VersionOrder>,
+}
+
+impl Scene {
+    fn new(count: usize, quiet: u64) -> Self {
+        let now = Time(1_000_000);
+        let mut directory = EngineDirectory::default();
+        let names: Vec<String> = (0..count).map(|index| format!("e{index}")).collect();
+        let records = names.iter().map(|name| EngineRecord {
+            instance: Instance(name.clone()),
+            service: "s".into(),
+            slots: 4,
+            models: BTreeMap::from([("m".to_string(), 1)]),
+            ..EngineRecord::default()
+        });
+        directory.replace(now, records.collect());
+        let quiet_until = now + Duration::from_millis(quiet);
+        Self {
+            now,
+            directory,
+            coordinator: VersionCoordinator::new("me".into(), 7, quiet_until, 2),
+            engines: names.into_iter().map(|name| (name, (1, 0))).collect(),
+            orders: Vec::new(),
+        }
+    }
+
+    /// Lets time pass with engines that load in 900 ms and answer at once.
+    fn run(&mut self, millis: u64) {
+        let end = self.now + Duration::from_millis(millis);
+        let mut done: Vec<(Time, String, u64)> = Vec::new();
+        while self.now < end {
+            self.now += Duration::from_millis(10);
+            let now = self.now;
+            done.retain(|(at, name, version)| {
+                if now >= *at {
+                    self.engines.get_mut(name).unwrap().0 = *version;
+                }
+                now < *at
+            });
+            for action in self.coordinator.poll(now, &mut self.directory) {
+                match action {
+                    CoordinatorAction::Report(instance) => {
+                        let busy = done.iter().any(|(_, name, _)| *name == instance.0);
+                        let (version, orders) = self.engines[&instance.0];
+                        let report = EngineReport {
+                            models: BTreeMap::from([("m".to_string(), version)]),
+                            busy,
+                            orders,
+                            ..EngineReport::default()
+                        };
+                        self.coordinator.on_report(
+                            now,
+                            &instance,
+                            Some(&report),
+                            &mut self.directory,
+                        );
+                    }
+                    CoordinatorAction::Order(order) => {
+                        let engine = self.engines.get_mut(&order.instance.0).unwrap();
+                        assert_eq!(order.expected, Some(engine.1));
+                        engine.1 += 1;
+                        let at = now + Duration::from_millis(900);
+                        done.push((at, order.instance.0.clone(), order.version));
+                        assert!(done.len() <= 2, "more loads at once than allowed");
+                        let started = OrderOutcome::Answered(OrderAnswer::Started);
+                        self.coordinator.on_order(now, &order.instance, started);
+                        self.orders.push(order);
+                    }
+                }
+            }
+        }
+    }
+
+    fn at(&self, version: u64) -> usize {
+        let versions = self.engines.values();
+        versions.filter(|(has, _)| *has == version).count()
+    }
+}
+
+#[test]
+fn half_of_the_engines_take_each_version() {
+    let mut scene = Scene::new(8, 0);
+    for version in 2..8 {
+        scene.coordinator.named("m", version);
+        scene.run(4_000);
+        assert_eq!(scene.at(version), 4, "version {version}");
+        assert_eq!(scene.at(version - 1), 4, "version {version}");
+    }
+    assert_eq!(scene.orders.len(), 6 * 4);
+}
+
+#[test]
+fn engines_of_no_use_any_more_catch_up() {
+    let mut scene = Scene::new(8, 0);
+    scene.coordinator.named("m", 2);
+    scene.coordinator.named("m", 3);
+    scene.run(8_000);
+    assert_eq!(scene.at(3), 8);
+}
+
+#[test]
+fn a_new_holder_waits_out_the_lease_of_the_last_one() {
+    let mut scene = Scene::new(4, 3_000);
+    scene.coordinator.named("m", 2);
+    scene.run(2_950);
+    assert!(scene.orders.is_empty());
+    scene.run(200);
+    assert!(!scene.orders.is_empty());
+    assert!(scene.orders.iter().all(|order| order.fence == 7));
+}
+
+#[test]
+fn an_order_without_an_answer_is_looked_into_before_the_next() {
+    let mut scene = Scene::new(1, 0);
+    scene.coordinator.named("m", 2);
+    let instance = Instance("e0".into());
+    let mut reports = 0;
+    for step in 0..400 {
+        scene.now += Duration::from_millis(10);
+        for action in scene.coordinator.poll(scene.now, &mut scene.directory) {
+            match action {
+                CoordinatorAction::Report(_) => {
+                    reports += 1;
+                    let report = EngineReport {
+                        models: BTreeMap::from([("m".to_string(), 1)]),
+                        ..EngineReport::default()
+                    };
+                    let directory = &mut scene.directory;
+                    scene
+                        .coordinator
+                        .on_report(scene.now, &instance, Some(&report), directory);
+                }
+                CoordinatorAction::Order(order) => {
+                    assert!(reports > scene.orders.len(), "no look before order {step}");
+                    scene.orders.push(order);
+                    scene
+                        .coordinator
+                        .on_order(scene.now, &instance, OrderOutcome::Unknown);
+                }
+            }
+        }
+    }
+    assert!(scene.orders.len() > 2);
+}
+
+#[test]
+fn a_holder_that_was_fenced_gives_no_more_orders() {
+    let mut scene = Scene::new(4, 0);
+    scene.coordinator.named("m", 2);
+    scene.run(20);
+    let count = scene.orders.len();
+    assert!(count > 0);
+    // A later order of this holder is refused.
+    scene.coordinator.named("m", 3);
+    let mut fenced = false;
+    for _ in 0..500 {
+        scene.now += Duration::from_millis(10);
+        // Orders of one batch go out before the first answer comes.
+        let before = fenced;
+        for action in scene.coordinator.poll(scene.now, &mut scene.directory) {
+            match action {
+                CoordinatorAction::Order(order) => {
+                    assert!(!before, "an order after it was fenced");
+                    fenced = true;
+                    let answer = OrderOutcome::Answered(OrderAnswer::Fenced);
+                    scene
+                        .coordinator
+                        .on_order(scene.now, &order.instance, answer);
+                }
+                CoordinatorAction::Report(instance) => {
+                    let report = EngineReport {
+                        orders: 1,
+                        ..EngineReport::default()
+                    };
+                    let directory = &mut scene.directory;
+                    scene
+                        .coordinator
+                        .on_report(scene.now, &instance, Some(&report), directory);
+                }
+            }
+        }
+    }
+    assert!(fenced && scene.coordinator.is_fenced());
+}
--- /dev/null
+++ b/crates/jobs/tests/dispatch/mod.rs
@@ -0,0 +1,242 @@
+//! A dispatcher with a store and engines that answer as a test says.
+
+use bytes::Bytes;
+use peatgrade_fleet::EngineDirectory;
+use peatgrade_jobs::{DispatchAction, Dispatcher, JobStore, RunId, RunPart};
+use peatgrade_ports::{
+    AnswerHead, Configuration, EngineCall, EngineRecord, EventReader, GenerationEvent, Instance,
+    Route, RouteKind, Target,
+};
+use peatgrade_schema::encode;
+use peatgrade_schema::replication::mod_JobCommand::OneOfbody;
+use peatgrade_schema::replication::{AcceptJob, EndJob, JobCommand, JobItem};
+use peatgrade_types::{Duration, Time};
+use std::collections::BTreeMap;
+
+/// Events as lines `number|version|data`; version 0 stands for no change.
+#[derive(Default)]
+struct Lines(Vec<u8>);
+
+impl EventReader for Lines {
+    fn feed(&mut self, bytes: &[u8]) -> Result<Vec<GenerationEvent>, String> {
+        self.0.extend_from_slice(bytes);
+        let mut events = Vec::new();
+        while let Some(end) = self.0.iter().position(|byte| *byte == b'\n') {
+            let line: Vec<u8> = self.0.drain(..=end).collect();
+            let line = String::from_utf8(line[..end].to_vec()).map_err(|e| e.to_string())?;
+            let mut parts = line.splitn(3, '|');
+            let id = parts.next().and_then(|text| text.parse().ok());
+            let version = parts.next().and_then(|text| text.parse::<u64>().ok());
+            events.push(GenerationEvent {
+                id: id.ok_or("no number")?,
+                version: version.filter(|version| *version > 0),
+                data: Bytes::from(parts.next().unwrap_or("").to_string()),
+            });
+        }
+        Ok(events)
+    }
+
+    fn has_rest(&self) -> bool {
+        !self.0.is_empty()
+    }
+}
+
+/// A run that the dispatcher asked for.
+#[derive(Clone, Debug)]
+pub struct Started {
+    pub run: RunId,
+    pub engine: String,
+    pub after: Option<u64>,
+}
+
+pub struct Scene {
+    pub now: Time,
+    pub store: JobStore,
+    pub dispatcher: Dispatcher,
+    pub directory: EngineDirectory,
+    pub configuration: Configuration,
+    pub started: Vec<Started>,
+    pub cancelled: Vec<RunId>,
+    index: u64,
+}
+
+pub fn engine(name: &str, version: u64) -> EngineRecord {
+    EngineRecord {
+        instance: Instance(name.into()),
+        service: "models".into(),
+        address: format!("{name}:1"),
+        zone: "z".into(),
+        slots: 4,
+        draining: false,
+        models: BTreeMap::from([("m".to_string(), version)]),
+    }
+}
+
+fn route() -> Route {
+    Route {
+        name: "r".into(),
+        host: "h".into(),
+        prefix: "/p/".into(),
+        kind: RouteKind::Batch,
+        timeout: Duration::from_secs(10),
+        target_latency: Duration::from_millis(400),
+        priority: 1,
+        targets: vec![Target {
+            service: "models".into(),
+            weight: 1,
+        }],
+        max_attempts: 3,
+        resumable: true,
+        max_queue: Duration::from_secs(40),
+        result_deadline: Duration::from_secs(7),
+        single_version: false,
+    }
+}
+
+impl Scene {
+    pub fn new(engines: Vec<EngineRecord>) -> Self {
+        let now = Time(1_000_000);
+        let mut directory = EngineDirectory::default();
+        directory.replace(now, engines);
+        Self {
+            now,
+            store: JobStore::default(),
+            dispatcher: new_dispatcher(),
+            directory,
+            configuration: Configuration {
+                version: 1,
+                routes: vec![route()],
+                ..Configuration::default()
+            },
+            started: Vec::new(),
+            cancelled: Vec::new(),
+            index: 0,
+        }
+    }
+
+    fn apply(&mut self, body: OneOfbody) {
+        self.index += 1;
+        let command = encode(&JobCommand { body });
+        self.store.apply(self.now, self.index, &command);
+    }
+
+    pub fn submit(&mut self, job: &str, min_version: u64, items: &[&str]) {
+        let items = items.iter().map(|id| JobItem {
+            id: id.to_string(),
+            path: "/p/x".into(),
+            group: "g".into(),
+            ..JobItem::default()
+        });
+        self.apply(OneOfbody::accept(AcceptJob {
+            job: job.into(),
+            host: "h".into(),
+            path: "/p/".into(),
+            model: "m".into(),
+            min_version,
+            items: items.collect(),
+            ..AcceptJob::default()
+        }));
+        self.dispatcher.open_job(job, &self.store);
+    }
+
+    pub fn end(&mut self, job: &str) {
+        self.apply(OneOfbody::end(EndJob { job: job.into() }));
+        self.dispatcher.end_job(self.now, job, &mut self.directory);
+        self.take_actions();
+    }
+
+    /// Another leader takes over with what the log holds.
+    pub fn change_leader(&mut self) {
+        self.dispatcher = new_dispatcher();
+        self.started.clear();
+        let jobs: Vec<String> = self.store.iter().map(|(id, _)| id.clone()).collect();
+        for job in jobs {
+            self.dispatcher.open_job(&job, &self.store);
+        }
+    }
+
+    pub fn poll(&mut self) {
+        self.dispatcher
+            .poll(self.now, &self.configuration, &mut self.directory);
+        self.take_actions();
+    }
+
+    pub fn wait(&mut self, millis: u64) {
+        self.now += Duration::from_millis(millis);
+        self.poll();
+    }
+
+    fn take_actions(&mut self) {
+        for action in self.dispatcher.take_actions() {
+            match action {
+                DispatchAction::Run { run, call, .. } => {
+                    let EngineCall::Run {
+                        instance,
+                        last_event,
+                        ..
+                    } = call
+                    else {
+                        panic!("not a run");
+                    };
+                    self.started.push(Started {
+                        run,
+                        engine: instance.0,
+                        after: last_event,
+                    });
+                }
+                DispatchAction::Cancel(run) => self.cancelled.push(run),
+                DispatchAction::List(results) => {
+                    let job = results.job.clone();
+                    self.apply(OneOfbody::results(results));
+                    self.dispatcher.listed(&job, &self.store);
+                }
+                DispatchAction::Keep(progress) => self.apply(OneOfbody::progress(progress)),
+            }
+        }
+    }
+
+    pub fn part(&mut self, run: RunId, part: RunPart) {
+        let (configuration, directory) = (&self.configuration, &mut self.directory);
+        self.dispatcher
+            .on_part(self.now, run, part, configuration, directory);
+        self.take_actions();
+    }
+
+    pub fn head(&mut self, run: RunId, status: u16, version: u64) {
+        self.part(
+            run,
+            RunPart::Head(AnswerHead {
+                status,
+                version: Some(version),
+                not_run: status == 503,
+                ..AnswerHead::default()
+            }),
+        );
+    }
+
+    pub fn data(&mut self, run: RunId, text: &str) {
+        self.part(run, RunPart::Data(Bytes::from(text.to_string())));
+    }
+
+    pub fn last(&self) -> Started {
+        self.started.last().cloned().expect("a run was started")
+    }
+
+    /// Results of a job as (item, completed, text, versions).
+    pub fn results(&self, job: &str) -> Vec<(String, bool, String, Vec<u64>)> {
+        let job = self.store.get(job).unwrap();
+        let listed = job.results.iter().map(|result| {
+            (
+                job.spec.items[result.item].id.clone(),
+                result.completed,
+                String::from_utf8(result.text.to_vec()).unwrap(),
+                result.versions.clone(),
+            )
+        });
+        listed.collect()
+    }
+}
+
+fn new_dispatcher() -> Dispatcher {
+    Dispatcher::new(Box::new(|| Box::new(Lines::default())))
+}
--- /dev/null
+++ b/crates/jobs/tests/store.rs
@@ -0,0 +1,157 @@
+//! The replicated state of batch jobs.
+
+use peatgrade_jobs::{Applied, JobStore};
+use peatgrade_schema::encode;
+use peatgrade_schema::replication::mod_JobCommand::OneOfbody;
+use peatgrade_schema::replication::{
+    AcceptJob, EndJob, ItemProgress, ItemResult, JobCommand, JobItem, KeepProgress, ListResults,
+    ProgressEvent,
+};
+use peatgrade_types::{Duration, Time};
+
+struct Scene {
+    store: JobStore,
+    index: u64,
+}
+
+impl Scene {
+    fn new() -> Self {
+        let mut scene = Self {
+            store: JobStore::default(),
+            index: 0,
+        };
+        scene.apply(accept("j", &["a", "b"]));
+        scene
+    }
+
+    fn apply(&mut self, body: OneOfbody) -> Applied {
+        self.index += 1;
+        let command = encode(&JobCommand { body });
+        self.store.apply(Time(0), self.index, &command)
+    }
+
+    fn texts(&self) -> Vec<(usize, String)> {
+        let results = self.store.get("j").unwrap().results.iter();
+        let text = |bytes: &[u8]| String::from_utf8(bytes.to_vec()).unwrap();
+        results.map(|r| (r.item, text(&r.text))).collect()
+    }
+}
+
+fn accept(job: &str, items: &[&str]) -> OneOfbody {
+    let items = items.iter().map(|id| JobItem {
+        id: id.to_string(),
+        ..JobItem::default()
+    });
+    OneOfbody::accept(AcceptJob {
+        job: job.into(),
+        items: items.collect(),
+        ..AcceptJob::default()
+    })
+}
+
+fn result(item: u64, text: &str, logged_events: u64) -> OneOfbody {
+    OneOfbody::results(ListResults {
+        job: "j".into(),
+        results: vec![ItemResult {
+            item,
+            completed: true,
+            text: text.into(),
+            versions: vec![1],
+            logged_events,
+        }],
+    })
+}
+
+fn progress(item: u64, logged_events: u64, data: &[&str]) -> OneOfbody {
+    let events = data.iter().map(|text| ProgressEvent {
+        version: 1,
+        data: text.as_bytes().to_vec(),
+    });
+    OneOfbody::progress(KeepProgress {
+        job: "j".into(),
+        items: vec![ItemProgress {
+            item,
+            logged_events,
+            last_event: logged_events + data.len() as u64,
+            events: events.collect(),
+        }],
+    })
+}
+
+#[test]
+fn a_position_keeps_its_content() {
+    let mut scene = Scene::new();
+    scene.apply(result(1, "first", 0));
+    scene.apply(result(0, "second", 0));
+    // A leader of the past, or a second run: the first result stands.
+    assert_eq!(scene.apply(result(1, "other", 0)), Applied::Nothing);
+    let expected = vec![(1, "first".to_string()), (0, "second".to_string())];
+    assert_eq!(scene.texts(), expected);
+}
+
+#[test]
+fn a_job_that_comes_twice_is_taken_once() {
+    let mut scene = Scene::new();
+    scene.apply(result(0, "x", 0));
+    assert_eq!(scene.apply(accept("j", &["a", "b"])), Applied::Nothing);
+    assert_eq!(scene.texts().len(), 1);
+}
+
+#[test]
+fn nothing_is_listed_after_the_end() {
+    let mut scene = Scene::new();
+    let end = || OneOfbody::end(EndJob { job: "j".into() });
+    assert_eq!(scene.apply(end()), Applied::Ended("j".into()));
+    assert_eq!(scene.apply(end()), Applied::Nothing);
+    assert_eq!(scene.apply(result(0, "x", 0)), Applied::Nothing);
+}
+
+#[test]
+fn a_result_adds_to_what_was_kept() {
+    let mut scene = Scene::new();
+    scene.apply(progress(0, 0, &["one", "two"]));
+    scene.apply(progress(0, 2, &["three"]));
+    scene.apply(result(0, "\nfour", 3));
+    assert_eq!(
+        scene.texts(),
+        vec![(0, "one\ntwo\nthree\nfour".to_string())]
+    );
+}
+
+#[test]
+fn a_record_that_does_not_follow_changes_nothing() {
+    let mut scene = Scene::new();
+    scene.apply(progress(0, 0, &["one", "two"]));
+    // From a leader that had not seen these two.
+    scene.apply(progress(0, 0, &["ONE"]));
+    scene.apply(progress(0, 3, &["four"]));
+    let text = &scene.store.get("j").unwrap().progress[&0];
+    assert_eq!(text.joined(9), b"one\ntwo");
+    assert_eq!(text.last_event, Some(2));
+    // A result that needs more than was kept would have a gap.
+    assert_eq!(scene.apply(result(0, "\nfive", 4)), Applied::Nothing);
+}
+
+#[test]
+fn jobs_are_dropped_past_their_time_and_open_ones_later() {
+    let mut scene = Scene::new();
+    scene.apply(accept("k", &["c"]));
+    scene.apply(OneOfbody::end(EndJob { job: "j".into() }));
+    let keep = Duration::from_secs(120);
+    let after = |seconds| Time(0) + Duration::from_secs(seconds);
+    assert_eq!(scene.store.expire(after(119), keep, 3), 0);
+    // The log is needed from the first entry of the oldest job on.
+    assert_eq!(scene.store.expire(after(121), keep, 3), 1);
+    assert!(scene.store.get("j").is_none());
+    assert!(scene.store.get("k").is_some());
+    assert_eq!(scene.store.expire(after(241), keep, 3), 3);
+}
+
+#[test]
+fn a_broken_command_changes_nothing() {
+    let mut scene = Scene::new();
+    assert_eq!(
+        scene.store.apply(Time(0), 9, &[0xff, 0xff, 0xff]),
+        Applied::Nothing
+    );
+}
--- a/crates/replication/src/log_store.rs
+++ b/crates/replication/src/log_store.rs
@@ -9,13 +9,21 @@
 pub struct LogStore {
     base: LogBase,
     entries: VecDeque<Rc<LogEntry>>,
+    /// Indices of entries that change the members.
+    changes: VecDeque<u64>,
 }
 
 impl LogStore {
     /// A log that begins after `base`.
     pub fn new(base: LogBase, entries: Vec<LogEntry>) -> Self {
-        let entries = entries.into_iter().map(Rc::new).collect();
-        Self { base, entries }
+        let mut log = Self {
+            base,
+            ..Self::default()
+        };
+        for entry in entries {
+            log.push(entry);
+        }
+        log
     }
 
     /// Where the log begins.
@@ -68,6 +76,9 @@
     /// Adds an entry whose index must be the next one.
     pub fn push(&mut self, entry: LogEntry) {
         debug_assert_eq!(entry.index, self.last_index() + 1);
+        if entry.members.is_some() {
+            self.changes.push_back(entry.index);
+        }
         self.entries.push_back(Rc::new(entry));
     }
 
@@ -75,6 +86,9 @@
     pub fn truncate_from(&mut self, index: u64) {
         let keep = index.saturating_sub(self.base.index + 1);
         self.entries.truncate(keep as usize);
+        while self.changes.back().is_some_and(|change| *change >= index) {
+            self.changes.pop_back();
+        }
     }
 
     /// Drops entries up to and with `index`, which becomes the base.
@@ -87,6 +101,9 @@
             self.entries.pop_front();
             self.base.index += 1;
         }
+        while self.changes.front().is_some_and(|change| *change <= index) {
+            self.changes.pop_front();
+        }
         self.base.term = term;
         self.base.members = Some(Members { members });
         true
@@ -96,6 +113,7 @@
     pub fn reset(&mut self, base: LogBase) {
         self.base = base;
         self.entries.clear();
+        self.changes.clear();
     }
 
     /// Newest members, committed or not.
@@ -105,15 +123,17 @@
 
     /// Index of the newest change of members; 0 if it lies in the base.
     pub fn members_index(&self) -> u64 {
-        let newest = self.entries.iter().rev().find(|e| e.members.is_some());
-        newest.map_or(0, |entry| entry.index)
+        self.changes.back().copied().unwrap_or(0)
     }
 
     fn members_at(&self, index: u64) -> Vec<Member> {
-        let count = index.saturating_sub(self.base.index) as usize;
-        let before = self.entries.iter().take(count).rev();
-        let newest = before.into_iter().find_map(|entry| entry.members.as_ref());
-        let members = newest.or(self.base.members.as_ref());
+        let mut changes = self.changes.iter().rev();
+        let newest = changes.find(|change| **change <= index);
+        let entry = newest.and_then(|change| self.get(*change));
+        let members = match entry {
+            Some(entry) => entry.members.as_ref(),
+            None => self.base.members.as_ref(),
+        };
         members.map(|set| set.members.clone()).unwrap_or_default()
     }
 
--- /dev/null
+++ b/crates/replication/tests/cluster/mod.rs
@@ -0,0 +1,413 @@
+//! A group of replicas on a virtual clock, with disks that keep what was
+//! synced, a network that delays, loses and reorders, and an oracle.
+
+use peatgrade_replication::{
+    Group, LogStore, Outgoing, Ready, Replica, ReplicaId, ReplicaSettings, Role, Timing,
+};
+use peatgrade_schema::replication::mod_ReplicaMessage::OneOfbody;
+use peatgrade_schema::replication::{
+    HardState, LogBase, LogEntry, Member, ReplicaMessage, WrongReplica,
+};
+use peatgrade_types::{Duration, Time};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+/// What a disk holds after a sync.
+#[derive(Clone, Default)]
+struct Disk {
+    state: HardState,
+    base: LogBase,
+    entries: Vec<Rc<LogEntry>>,
+}
+
+impl Disk {
+    fn persist(&mut self, ready: &Ready) {
+        if let Some(base) = &ready.base {
+            self.base = base.clone();
+            self.entries.clear();
+        }
+        if let Some(state) = &ready.state {
+            self.state = state.clone();
+        }
+        for entry in &ready.entries {
+            let keep = entry.index - self.base.index - 1;
+            self.entries.truncate(keep as usize);
+            self.entries.push(entry.clone());
+        }
+    }
+
+    fn log(&self) -> LogStore {
+        let entries = self.entries.iter().map(|entry| (**entry).clone());
+        LogStore::new(self.base.clone(), entries.collect())
+    }
+}
+
+/// A machine with its disk and, while it runs, its replica.
+pub struct Machine {
+    pub name: String,
+    address: String,
+    disk: Disk,
+    pub replica: Option<Replica>,
+    /// Commands applied in this life, or since the last reset.
+    pub applied: BTreeSet<Vec<u8>>,
+    group: Group,
+    frozen_until: Time,
+}
+
+/// The group, its network and its oracle.
+pub struct Cluster {
+    pub now: Time,
+    pub random: SmallRng,
+    pub machines: Vec<Machine>,
+    pub loss: f64,
+    cuts: BTreeSet<(usize, usize)>,
+    flying: BTreeMap<(Time, u64), (usize, usize, ReplicaMessage)>,
+    sequence: u64,
+    next_disk: u64,
+    /// Command at each committed index, as the first replica saw it.
+    committed: BTreeMap<u64, (u64, Vec<u8>)>,
+    /// Commands that a leader has answered for.
+    pub acknowledged: BTreeSet<Vec<u8>>,
+    pub proposed: u64,
+    /// A crash between sending early messages and the sync.
+    pub crash_before_sync: f64,
+    /// When each machine with index last became the one that may answer.
+    pub answering: Option<usize>,
+}
+
+impl Cluster {
+    /// A founded group of three machines and `spares` empty ones.
+    pub fn new(seed: u64, spares: usize) -> Self {
+        let mut cluster = Self {
+            now: Time(1_000_000),
+            random: SmallRng::seed_from_u64(seed),
+            machines: Vec::new(),
+            loss: 0.0,
+            cuts: BTreeSet::new(),
+            flying: BTreeMap::new(),
+            sequence: 0,
+            next_disk: 100,
+            committed: BTreeMap::new(),
+            acknowledged: BTreeSet::new(),
+            proposed: 0,
+            crash_before_sync: 0.0,
+            answering: None,
+        };
+        for index in 0..3 + spares {
+            cluster.machines.push(Machine {
+                name: format!("machine-{index}"),
+                address: index.to_string(),
+                disk: Disk::default(),
+                replica: None,
+                applied: BTreeSet::new(),
+                group: Group::default(),
+                frozen_until: Time(0),
+            });
+            cluster.wipe(index);
+            cluster.start(index);
+        }
+        let first: Vec<Member> = (0..3).map(|index| cluster.member(index, true)).collect();
+        for index in 0..3 {
+            let replica = cluster.machines[index].replica.as_mut().unwrap();
+            replica.found(first.clone());
+            cluster.pump(index);
+        }
+        cluster
+    }
+
+    pub fn member(&self, index: usize, voter: bool) -> Member {
+        Member {
+            replica: self.machines[index].disk.state.replica,
+            name: self.machines[index].name.clone(),
+            address: index.to_string(),
+            zone: format!("zone-{}", index % 3),
+            voter,
+        }
+    }
+
+    /// Empties a disk: the machine is a new replica from its next start on.
+    pub fn wipe(&mut self, index: usize) {
+        self.next_disk += 1;
+        self.machines[index].disk = Disk {
+            state: HardState {
+                term: 0,
+                vote: 0,
+                replica: self.next_disk,
+            },
+            ..Disk::default()
+        };
+    }
+
+    pub fn stop(&mut self, index: usize) {
+        self.machines[index].replica = None;
+    }
+
+    pub fn start(&mut self, index: usize) {
+        let now = self.now;
+        let machine = &mut self.machines[index];
+        if machine.replica.is_some() {
+            return;
+        }
+        let settings = ReplicaSettings {
+            id: ReplicaId(machine.disk.state.replica),
+            address: machine.address.clone(),
+            seed: index as u64,
+            timing: Timing::default(),
+        };
+        let disk = &machine.disk;
+        machine.replica = Some(Replica::new(now, settings, &disk.state, disk.log()));
+        machine.applied.clear();
+        machine.group = Group::default();
+        machine.frozen_until = Time(0);
+    }
+
+    /// A machine stands still, and goes on later with all it had in hand.
+    pub fn freeze(&mut self, index: usize, span: Duration) {
+        self.machines[index].frozen_until = self.now + span;
+    }
+
+    pub fn cut(&mut self, from: usize, to: usize) {
+        self.cuts.insert((from, to));
+    }
+
+    pub fn heal(&mut self) {
+        self.cuts.clear();
+    }
+
+    fn send(&mut self, from: usize, outgoing: Outgoing) {
+        let to: usize = outgoing.address.parse().unwrap();
+        let message = ReplicaMessage {
+            from: self.machines[from].disk.state.replica,
+            to: outgoing.to.0,
+            term: outgoing.term,
+            from_address: from.to_string(),
+            body: outgoing.body,
+        };
+        if self.cuts.contains(&(from, to)) || self.random.random_bool(self.loss) {
+            return;
+        }
+        let delay = Duration(self.random.random_range(300..2_500));
+        self.sequence += 1;
+        let key = (self.now + delay, self.sequence);
+        self.flying.insert(key, (from, to, message));
+    }
+
+    /// Carries out what a replica wants. Returns false if it crashed.
+    fn pump(&mut self, index: usize) {
+        loop {
+            let machine = &mut self.machines[index];
+            let Some(replica) = machine.replica.as_mut() else {
+                return;
+            };
+            if !replica.has_ready() {
+                return;
+            }
+            let mut ready = replica.ready();
+            for message in std::mem::take(&mut ready.early) {
+                self.send(index, message);
+            }
+            if self.random.random_bool(self.crash_before_sync) {
+                return self.stop(index);
+            }
+            let machine = &mut self.machines[index];
+            machine.disk.persist(&ready);
+            machine.replica.as_mut().unwrap().persisted();
+            for message in std::mem::take(&mut ready.messages) {
+                self.send(index, message);
+            }
+            if ready.reset {
+                self.machines[index].applied.clear();
+            }
+            for entry in &ready.committed {
+                self.apply(index, entry);
+            }
+        }
+    }
+
+    fn apply(&mut self, index: usize, entry: &LogEntry) {
+        let seen = self
+            .committed
+            .entry(entry.index)
+            .or_insert_with(|| (entry.term, entry.command.clone()));
+        assert_eq!(
+            *seen,
+            (entry.term, entry.command.clone()),
+            "two replicas hold different entries at {}",
+            entry.index
+        );
+        let machine = &mut self.machines[index];
+        if entry.command.is_empty() {
+            return;
+        }
+        machine.applied.insert(entry.command.clone());
+        let leads = machine.replica.as_ref().unwrap().role() == Role::Leader;
+        if leads {
+            self.acknowledged.insert(entry.command.clone());
+        }
+    }
+
+    fn deliver(&mut self, from: usize, to: usize, message: ReplicaMessage) {
+        let now = self.now;
+        let me = self.member(to, false);
+        let machine = &mut self.machines[to];
+        let Some(replica) = machine.replica.as_mut() else {
+            return;
+        };
+        if let OneOfbody::wrong_replica(told) = message.body {
+            machine.group.report(now, told.member.unwrap());
+            return;
+        }
+        if message.to != replica.id().0 {
+            let empty = replica.members().is_empty();
+            let told = Outgoing {
+                to: ReplicaId(message.from),
+                address: from.to_string(),
+                term: 0,
+                body: OneOfbody::wrong_replica(WrongReplica {
+                    member: Some(me),
+                    empty,
+                }),
+            };
+            return self.send(to, told);
+        }
+        replica.step(now, message);
+        if self.answering != Some(to) && replica.may_answer(now) {
+            // Not even between a message and what follows from it.
+            let lost = self.acknowledged.difference(&machine.applied).next();
+            assert!(lost.is_none(), "machine {to} would answer without {lost:?}");
+        }
+        self.pump(to);
+    }
+
+    fn lead(&mut self, index: usize) {
+        let now = self.now;
+        let all: Vec<Member> = (0..self.machines.len())
+            .filter(|other| self.machines[*other].replica.is_some())
+            .map(|other| self.member(other, false))
+            .collect();
+        let machine = &mut self.machines[index];
+        let Some(replica) = machine.replica.as_mut() else {
+            return;
+        };
+        if !replica.may_answer(now) {
+            return;
+        }
+        for member in all {
+            machine.group.report(now, member);
+        }
+        if let Some(members) = machine.group.next_members(now, replica) {
+            replica.change_members(now, members);
+        }
+        self.pump(index);
+    }
+
+    /// Asks that machines be emptied, at every machine.
+    pub fn retire(&mut self, names: &[String]) {
+        for machine in &mut self.machines {
+            machine.group.set_retiring(names);
+        }
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now += Duration(1_000);
+            for index in 0..self.machines.len() {
+                if self.machines[index].frozen_until > self.now {
+                    continue;
+                }
+                let now = self.now;
+                if let Some(replica) = self.machines[index].replica.as_mut() {
+                    if now >= replica.next_tick() {
+                        replica.tick(now);
+                    }
+                }
+                self.pump(index);
+                self.lead(index);
+            }
+            self.check_answering();
+            while let Some((&(at, sequence), _)) = self.flying.first_key_value() {
+                if at > self.now {
+                    break;
+                }
+                let (from, to, message) = self.flying.remove(&(at, sequence)).unwrap();
+                let frozen = self.machines[to].frozen_until;
+                if frozen > self.now {
+                    self.flying.insert((frozen, sequence), (from, to, message));
+                    continue;
+                }
+                self.deliver(from, to, message);
+            }
+        }
+    }
+
+    /// Who may answer knows all that was ever acknowledged, and is alone.
+    fn check_answering(&mut self) {
+        let now = self.now;
+        let answering: Vec<usize> = (0..self.machines.len())
+            .filter(|index| {
+                let machine = &self.machines[*index];
+                let replica = machine.replica.as_ref();
+                machine.frozen_until <= now && replica.is_some_and(|r| r.may_answer(now))
+            })
+            .collect();
+        assert!(answering.len() <= 1, "two leaders answer: {answering:?}");
+        let before = self.answering;
+        self.answering = answering.first().copied();
+        // The whole comparison costs time; what changed since can only be lost
+        // by a change of who answers, or by a reset of its state.
+        let due = before != self.answering || self.now.0 % 250_000 == 0;
+        if !due {
+            return;
+        }
+        if let Some(index) = self.answering {
+            let applied = &self.machines[index].applied;
+            let lost = self.acknowledged.difference(applied).next();
+            assert!(
+                lost.is_none(),
+                "{} answers without {lost:?}, of {} acknowledged",
+                self.machines[index].name,
+                self.acknowledged.len()
+            );
+        }
+    }
+
+    /// Proposes a command at the machine that may answer.
+    pub fn propose(&mut self) -> bool {
+        let Some(index) = self.answering else {
+            return false;
+        };
+        let now = self.now;
+        self.proposed += 1;
+        let command = self.proposed.to_be_bytes().to_vec();
+        let replica = self.machines[index].replica.as_mut();
+        let taken = replica.and_then(|replica| replica.propose(now, command));
+        self.pump(index);
+        taken.is_some()
+    }
+
+    /// Members by machine name, as the leader that may answer sees them.
+    pub fn voters(&self) -> Vec<String> {
+        let Some(index) = self.answering else {
+            return Vec::new();
+        };
+        let replica = self.machines[index].replica.as_ref().unwrap();
+        let voters = replica.members().into_iter().filter(|member| member.voter);
+        voters.map(|member| member.name).collect()
+    }
+
+    /// Runs until a leader answers; the time that took.
+    pub fn run_until_led(&mut self, limit: Duration) -> Duration {
+        let start = self.now;
+        while self.now.since(start) < limit {
+            self.run(Duration(1_000));
+            if self.answering.is_some() {
+                return self.now.since(start);
+            }
+        }
+        panic!("nobody leads within {limit:?}");
+    }
+}
