Order engines sooner after a change of leader, and spend loads where they help

(1) A new leader gave no order for 3.4 s after its predecessor was last heard, to any engine. (2) An engine whose load had just ended was ordered again while others were still being asked for their report. (3) Half of nine engines, rounded up, for two models every 4 s is ten loads of 1.03 s by twos: 5.2 s. Change: each order is noted in the log before it is sent and a new leader waits a lease only for engines that a note names; an engine's turn is kept while it is asked; half rounded down, sized by a step's items; a place counts as taken for the time that a load takes, not until a late report shows its end; slow engines load last.

--- a/crates/fleet/src/coordinator.rs
+++ b/crates/fleet/src/coordinator.rs
@@ -1,11 +1,12 @@
 //! Which weight version each engine should have, and the orders towards it.
 //!
-//! A step allows the newest version and the one before. So half of a model's
-//! engines take each version, those with the oldest one first: each loads every
-//! second version, and while one half loads, the other holds a version that may
-//! be used. The model that lacks most goes first, since only a few engines may
-//! load at once. An engine that is of no use to a model any more takes its
-//! newest version when nothing else is to be loaded.
+//! A step allows the newest version and the one before. So as many engines take
+//! each version as can run half of a step's items, half of all at most, those
+//! with the oldest version first: in a small fleet each loads every second
+//! version, and while one half loads, the other holds a version that may be
+//! used. The model that lacks most goes first, since only a few engines may
+//! load at once. As many engines again that are of no use to a model any more
+//! take its newest version when nothing else is to be loaded.
 //!
 //! Orders carry a fencing token and the number of orders that the engine must
 //! have taken so far, so that a lost order that is carried out late changes
@@ -20,12 +21,18 @@
 
 /// Time after which an order or a report without an answer is given up.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(600);
-/// First look at an engine that loads.
-const FIRST_LOOK: Duration = Duration::from_millis(850);
-/// Further looks.
-const NEXT_LOOK: Duration = Duration::from_millis(150);
+/// Least time between two looks over all engines.
+const POLL_EVERY: Duration = Duration::from_millis(10);
+/// Time that a load takes, before any was seen.
+const FIRST_LOAD_TIME: Duration = Duration::from_millis(900);
+/// How much older than its arrival a report may be.
+const REPORT_LAG: Duration = Duration::from_millis(120);
+/// Further looks at an engine that loads.
+const NEXT_LOOK: Duration = Duration::from_millis(80);
 /// Wait before an engine that gave no answer is tried again.
 const RETRY: Duration = Duration::from_millis(500);
+/// An engine this much slower than the median takes a version last.
+const SLOW_FACTOR: f64 = 1.15;
 /// Time after which a load counts as failed.
 const LOAD_TIMEOUT: Duration = Duration::from_millis(8_000);
 
@@ -77,24 +84,38 @@
 pub struct VersionCoordinator {
     holder: String,
     fence: u64,
-    /// No order before then: another holder may have given one lately.
-    quiet_until: Time,
+    /// No order to an engine before then: another holder has given it one.
+    quiet: BTreeMap<Instance, Time>,
+    /// Time that a load takes, as far as seen.
+    load_time: Duration,
     named: BTreeMap<String, u64>,
     engines: BTreeMap<Instance, EngineProgress>,
+    /// Items of the largest open batch job of each model.
+    demand: BTreeMap<String, usize>,
+    polled: Time,
     at_once: usize,
     /// Told of a higher token: this holder is one of the past.
     fenced: bool,
 }
 
 impl VersionCoordinator {
-    /// A holder that may give orders from `quiet_until` on.
-    pub fn new(holder: String, fence: u64, quiet_until: Time, at_once: usize) -> Self {
+    /// A holder that may order each engine in `quiet` from that time on, and all
+    /// others at once.
+    pub fn new(
+        holder: String,
+        fence: u64,
+        quiet: BTreeMap<Instance, Time>,
+        at_once: usize,
+    ) -> Self {
         Self {
             holder,
             fence,
-            quiet_until,
+            quiet,
+            load_time: FIRST_LOAD_TIME,
             named: BTreeMap::new(),
             engines: BTreeMap::new(),
+            demand: BTreeMap::new(),
+            polled: Time(0),
             at_once,
             fenced: false,
         }
@@ -106,6 +127,22 @@
         *known = (*known).max(version);
     }
 
+    /// Takes note of a batch job's size.
+    pub fn demanded(&mut self, model: &str, items: usize) {
+        self.demand.insert(model.to_string(), items);
+    }
+
+    /// Engines that should have the newest version of a model.
+    fn needed(&self, model: &str, engines: &[&EngineState]) -> usize {
+        let half = (engines.len() / 2).max(1);
+        let Some(items) = self.demand.get(model) else {
+            return half;
+        };
+        let slots = engines.iter().map(|state| state.record.slots).max();
+        let slots = slots.unwrap_or(1).max(1) as usize;
+        half.min(items.div_ceil(2 * slots).max(1))
+    }
+
     /// Newest versions.
     pub fn newest(&self) -> &BTreeMap<String, u64> {
         &self.named
@@ -119,15 +156,22 @@
     /// What to do now.
     pub fn poll(&mut self, now: Time, directory: &mut EngineDirectory) -> Vec<CoordinatorAction> {
         let mut actions = Vec::new();
-        if self.fenced {
+        if self.fenced || now.since(self.polled) < POLL_EVERY {
             return actions;
         }
+        self.polled = now;
         self.engines
             .retain(|instance, _| directory.get(instance).is_some());
         self.expire(now);
-        let mut loading = self.engines.values().filter(|e| e.is_loading()).count();
-        let candidates = self.candidates(directory);
-        for (instance, target) in candidates {
+        let load_time = self.load_time;
+        let loads = self
+            .engines
+            .values()
+            .filter(|e| e.holds_place(now, load_time));
+        let loading = loads.count();
+        let mut free = self.at_once.saturating_sub(loading);
+        let ahead = self.loading() + 2 * self.at_once;
+        for (instance, target) in self.candidates(directory).into_iter().take(ahead) {
             let progress = self
                 .engines
                 .entry(instance.clone())
@@ -137,12 +181,17 @@
                     target: None,
                 });
             match progress.phase {
+                // Its turn is kept until its report is there: one further down
+                // the list may be of use as it is.
                 Phase::Unseen => {
+                    free = free.saturating_sub(1);
                     progress.phase = Phase::Asked(now);
                     actions.push(CoordinatorAction::Report(instance));
                 }
-                Phase::Idle if now >= self.quiet_until && loading < self.at_once => {
-                    loading += 1;
+                Phase::Asked(_) => free = free.saturating_sub(1),
+                Phase::Idle if self.quiet.get(&instance).is_some_and(|until| now < *until) => {}
+                Phase::Idle if free > 0 => {
+                    free -= 1;
                     progress.phase = Phase::Ordered(now);
                     progress.target = Some(target.clone());
                     actions.push(CoordinatorAction::Order(VersionOrder {
@@ -173,15 +222,20 @@
                 .filter(|state| !state.record.draining)
                 .filter(|state| state.record.models.contains_key(model))
                 .collect();
-            let needed = engines.len().div_ceil(2);
+            let needed = self.needed(model, &engines);
             let (has, mut lack): (Vec<&EngineState>, Vec<&EngineState>) = engines
                 .into_iter()
                 .partition(|state| state.version(model) >= newest);
+            let median = median_pace(&lack);
             lack.sort_by_key(|state| {
-                let loads = state.loading.contains(model);
-                (!loads, state.version(model), state.experience.running)
+                let loads = self.loads(&state.record.instance, model);
+                let useful = state.version(model) + 1 >= newest;
+                let slow = state.experience.pace > median * SLOW_FACTOR;
+                let running = state.experience.running;
+                (!loads, useful, slow, state.version(model), running)
             });
-            for (position, state) in lack.into_iter().enumerate() {
+            let wanted = (2 * needed).saturating_sub(has.len());
+            for (position, state) in lack.into_iter().take(wanted).enumerate() {
                 let rank = has.len() + position;
                 let useless = state.version(model) + 1 < newest;
                 if rank >= needed && !useless {
@@ -203,6 +257,15 @@
             .collect()
     }
 
+    /// Whether an engine is on its way to a version of a model.
+    fn loads(&self, instance: &Instance, model: &str) -> bool {
+        let progress = self.engines.get(instance);
+        progress.is_some_and(|progress| {
+            let target = progress.target.as_ref();
+            progress.is_loading() && target.is_some_and(|(loaded, _)| loaded == model)
+        })
+    }
+
     fn expire(&mut self, now: Time) {
         for progress in self.engines.values_mut() {
             match progress.phase {
@@ -253,7 +316,7 @@
             OrderOutcome::Answered(OrderAnswer::Started) => {
                 progress.orders += 1;
                 Phase::Loading {
-                    look: now + FIRST_LOOK,
+                    look: now + self.load_time + REPORT_LAG,
                     since: now,
                 }
             }
@@ -305,6 +368,11 @@
                 since,
             },
             Phase::Asked(_) if report.busy => Phase::Pause(now + RETRY),
+            Phase::Loading { since, .. } => {
+                let took = Duration(now.since(since).0.saturating_sub(REPORT_LAG.0));
+                self.load_time = Duration((self.load_time.0 * 3 + took.0) / 4);
+                Phase::Idle
+            }
             _ => Phase::Idle,
         };
     }
@@ -315,7 +383,25 @@
     }
 }
 
+/// Median pace of engines that have one; 0 if none has.
+fn median_pace(engines: &[&EngineState]) -> f64 {
+    let paces = engines.iter().map(|state| state.experience.pace);
+    let mut known: Vec<f64> = paces.filter(|pace| *pace > 0.0).collect();
+    known.sort_by(f64::total_cmp);
+    known.get(known.len() / 2).copied().unwrap_or(0.0)
+}
+
 impl EngineProgress {
+    /// Whether it takes part of what may load at once. Its report comes late,
+    /// so that a load counts only for as long as loads usually take.
+    fn holds_place(&self, now: Time, load_time: Duration) -> bool {
+        match self.phase {
+            Phase::Ordered(_) => true,
+            Phase::Loading { since, .. } => now.since(since) < load_time,
+            _ => false,
+        }
+    }
+
     fn is_loading(&self) -> bool {
         matches!(self.phase, Phase::Ordered(_) | Phase::Loading { .. })
     }
--- a/crates/jobs/src/dispatcher.rs
+++ b/crates/jobs/src/dispatcher.rs
@@ -6,7 +6,7 @@
     AnswerHead, Configuration, EngineCall, EventReader, Instance, Route, RouteKind,
 };
 use peatgrade_schema::replication::{
-    ItemProgress, ItemResult, KeepProgress, ListResults, ProgressEvent,
+    AcceptJob, ItemProgress, ItemResult, KeepProgress, ListResults, ProgressEvent,
 };
 use peatgrade_types::http::HttpRequest;
 use peatgrade_types::{hash_bytes, Duration, Time};
@@ -14,7 +14,7 @@
 use std::rc::Rc;
 
 use crate::item::{ItemKey, OpenItem};
-use crate::placement::{self, Need, SLOW_FACTOR};
+use crate::placement::{self, Candidates, Need, SLOW_FACTOR};
 use crate::store::{Earlier, JobStore};
 use crate::streams::{take_bytes, Run};
 use crate::text::PartialText;
@@ -39,6 +39,14 @@
 const LONG_EVENTS: u32 = 20;
 /// Events after which an engine's pace is believed.
 const PACE_EVENTS: u32 = 3;
+/// Time between two looks over all runs.
+const WATCH_EVERY: Duration = Duration::from_millis(20);
+/// An item counts as long if its expected length is this multiple of its job's
+/// median: the few that set the pace of a step.
+const LONG_FACTOR: u64 = 5;
+const LONG_DIVISOR: u64 = 2;
+/// Short items leave half of an engine's places to long ones for this long.
+const YIELD_FOR: Duration = Duration::from_millis(1_200);
 /// Time between two records of unfinished texts.
 const PROGRESS_EVERY: Duration = Duration::from_millis(300);
 /// Events that make such a record worth its place.
@@ -118,6 +126,9 @@
     done: BTreeMap<Rc<str>, Vec<ItemResult>>,
     next_run: u64,
     progress_at: Time,
+    watched_at: Time,
+    /// Expected length from which on an item of a job counts as long.
+    long_from: HashMap<Rc<str>, u64>,
     reader: Box<dyn Fn() -> Box<dyn EventReader>>,
     actions: Vec<DispatchAction>,
 }
@@ -132,6 +143,8 @@
             done: BTreeMap::new(),
             next_run: 1,
             progress_at: Time(0),
+            watched_at: Time(0),
+            long_from: HashMap::new(),
             reader,
             actions: Vec::new(),
         }
@@ -153,6 +166,7 @@
             return;
         };
         let name: Rc<str> = Rc::from(id);
+        self.long_from.insert(name.clone(), long_from(&job.spec));
         for index in 0..job.spec.items.len() {
             if job.positions.contains_key(&index) {
                 continue;
@@ -223,6 +237,7 @@
             .map(|(key, _)| key.clone())
             .collect();
         self.done.remove(&name);
+        self.long_from.remove(&name);
         for key in keys {
             self.break_off(&key, directory);
             if let Some(item) = self.items.remove(&key) {
@@ -260,9 +275,12 @@
         configuration: &Configuration,
         directory: &mut EngineDirectory,
     ) {
-        self.kept
-            .retain(|_, kept| now.since(kept.at) < KEEP_PARTIAL);
-        self.watch_runs(now, directory);
+        if now.since(self.watched_at) >= WATCH_EVERY {
+            self.watched_at = now;
+            self.kept
+                .retain(|_, kept| now.since(kept.at) < KEEP_PARTIAL);
+            self.watch_runs(now, directory);
+        }
         self.start_waiting(now, configuration, directory);
         self.flush();
         if now.since(self.progress_at) >= PROGRESS_EVERY {
@@ -307,7 +325,10 @@
         configuration: &Configuration,
         directory: &mut EngineDirectory,
     ) {
-        for key in self.waiting_in_order(now) {
+        let mut looks: HashMap<Rc<str>, Candidates> = HashMap::new();
+        let waiting = self.waiting_in_order(now);
+        let crowded = !waiting.is_empty() && self.is_crowded(directory);
+        for key in waiting {
             let Some(item) = self.items.get(&key) else {
                 continue;
             };
@@ -337,8 +358,21 @@
                 avoid: None,
                 ..need
             };
-            let chosen = placement::choose(now, directory, &need)
-                .or_else(|| placement::choose(now, directory, &without));
+            let single = route.targets.len() == 1;
+            let look = if single {
+                let look = || Candidates::find(now, directory, &without);
+                &*looks.entry(key.0.clone()).or_insert_with(look)
+            } else {
+                &Candidates::find(now, directory, &without)
+            };
+            let limit = if crowded {
+                u32::MAX
+            } else {
+                self.place_limit(now, &key, item, configuration, service)
+            };
+            let chosen = look
+                .choose(now, directory, &need, limit)
+                .or_else(|| look.choose(now, directory, &without, limit));
             if let Some(instance) = chosen {
                 let left = (item.known_since + route.max_queue).since(now);
                 self.start(now, &key, instance, left, route.priority, directory);
@@ -346,6 +380,37 @@
         }
     }
 
+    /// Whether open items would fill all places of model engines: then no place
+    /// may stay empty.
+    fn is_crowded(&self, directory: &EngineDirectory) -> bool {
+        let engines = directory.iter().filter(|state| !state.record.draining);
+        let modelled = engines.filter(|state| !state.record.models.is_empty());
+        let places: usize = modelled.map(|state| state.record.slots as usize).sum();
+        self.items.len() > places
+    }
+
+    /// Items that one engine may run before this one is added: short ones leave
+    /// room for long ones at first, whose pace they would slow.
+    fn place_limit(
+        &self,
+        now: Time,
+        key: &ItemKey,
+        item: &OpenItem,
+        configuration: &Configuration,
+        service: &str,
+    ) -> u32 {
+        let long_from = self.long_from.get(&key.0).copied().unwrap_or(0);
+        let long = item.item().length_hint >= long_from || !item.text.events.is_empty();
+        if long || now.since(item.known_since) >= YIELD_FOR {
+            return u32::MAX;
+        }
+        let slots = configuration.services.get(service).map_or(0, |s| s.slots);
+        match slots {
+            0 => u32::MAX,
+            slots => slots.div_ceil(2),
+        }
+    }
+
     /// Waiting items: those that come back first, then groups by their longest
     /// expected text, then items by theirs.
     fn waiting_in_order(&self, now: Time) -> Vec<ItemKey> {
@@ -479,8 +544,9 @@
     fn watch_runs(&mut self, now: Time, directory: &mut EngineDirectory) {
         let mut moves = Vec::new();
         let mut chances = Vec::new();
+        let mut looks: HashMap<Rc<str>, Candidates> = HashMap::new();
         for (id, run) in &self.runs {
-            match self.reason_to_move(now, run, directory) {
+            match self.reason_to_move(now, run, directory, &mut looks) {
                 Some(reason) if reason.is_urgent() => moves.push((*id, reason)),
                 Some(reason) => chances.push((run.events, *id, reason)),
                 None => {}
@@ -522,6 +588,7 @@
         now: Time,
         run: &Run,
         directory: &EngineDirectory,
+        looks: &mut HashMap<Rc<str>, Candidates>,
     ) -> Option<MoveReason> {
         let item = self.items.get(&run.key)?;
         let Some(state) = directory.get(&run.instance) else {
@@ -536,14 +603,22 @@
             companions: &[],
             avoid: Some(&run.instance),
         };
-        let room = || placement::choose(now, directory, &need).is_some();
+        let find = || {
+            let anywhere = Need {
+                avoid: None,
+                ..need
+            };
+            Candidates::find(now, directory, &anywhere)
+        };
+        let look = &*looks.entry(run.key.0.clone()).or_insert_with(find);
+        let room = || look.choose(now, directory, &need, u32::MAX).is_some();
         if state.record.draining && room() {
             return Some(MoveReason::Draining);
         }
         if state.loading.iter().any(|loading| loading == model) {
             return None;
         }
-        let median = placement::median_pace(directory, service);
+        let median = look.median;
         let silence = now.since(run.last.unwrap_or(run.started));
         let limit = match (run.last, median) {
             (None, _) => FIRST_EVENT_LIMIT,
@@ -562,7 +637,7 @@
             return Some(MoveReason::Slow);
         }
         let long = run.events >= LONG_EVENTS;
-        let faster = || placement::faster(now, directory, &need, state).is_some();
+        let faster = || look.has_faster(now, directory, &need, state);
         (long && faster()).then_some(MoveReason::FasterFree)
     }
 
@@ -810,3 +885,11 @@
     }
     route.targets.first().map(|target| target.service.as_str())
 }
+
+/// Expected length from which on an item counts as long.
+fn long_from(spec: &AcceptJob) -> u64 {
+    let mut hints: Vec<u64> = spec.items.iter().map(|item| item.length_hint).collect();
+    hints.sort_unstable();
+    let median = hints.get(hints.len() / 2).copied().unwrap_or(0);
+    median * LONG_FACTOR / LONG_DIVISOR
+}
--- a/crates/jobs/src/placement.rs
+++ b/crates/jobs/src/placement.rs
@@ -29,10 +29,75 @@
     pub avoid: Option<&'a Instance>,
 }
 
-/// Median pace of a service's engines, in microseconds an event.
-pub fn median_pace(directory: &EngineDirectory, service: &str) -> Option<f64> {
-    let mut paces: Vec<f64> = directory
-        .serving(service)
+/// Engines weighed for one job at most: more would cost time and give nothing.
+const MAX_CANDIDATES: usize = 96;
+
+/// Engines of a service that hold a version that a job allows, as of one look.
+#[derive(Clone, Debug, Default)]
+pub struct Candidates {
+    engines: Vec<Instance>,
+    /// Median pace of the service's engines, in microseconds an event.
+    pub median: Option<f64>,
+}
+
+impl Candidates {
+    /// Looks over all engines once.
+    pub fn find(now: Time, directory: &EngineDirectory, need: &Need<'_>) -> Self {
+        let serving: Vec<&EngineState> = directory.serving(need.service).collect();
+        let median = median_pace(&serving);
+        let mut fit: Vec<&EngineState> = serving
+            .into_iter()
+            .filter(|state| fits(state, need) && !state.experience.blocked(now))
+            .collect();
+        if fit.len() > MAX_CANDIDATES {
+            fit.sort_by(|a, b| cost(a, need, median).total_cmp(&cost(b, need, median)));
+            fit.truncate(MAX_CANDIDATES);
+        }
+        let engines = fit.iter().map(|state| state.record.instance.clone());
+        Self {
+            engines: engines.collect(),
+            median,
+        }
+    }
+
+    /// The engine for an item, if one can take it now. No engine gets more than
+    /// `limit` items of this machine.
+    pub fn choose(
+        &self,
+        now: Time,
+        directory: &EngineDirectory,
+        need: &Need<'_>,
+        limit: u32,
+    ) -> Option<Instance> {
+        let states = self.engines.iter().filter_map(|name| directory.get(name));
+        let free =
+            states.filter(|state| usable(now, state, need) && state.experience.running < limit);
+        let best = free.min_by(|a, b| {
+            let cost = |state: &EngineState| cost(state, need, self.median);
+            cost(a).total_cmp(&cost(b))
+        });
+        best.map(|state| state.record.instance.clone())
+    }
+
+    /// Whether an engine with room would run a request faster than `state`
+    /// does, by more than the move costs.
+    pub fn has_faster(
+        &self,
+        now: Time,
+        directory: &EngineDirectory,
+        need: &Need<'_>,
+        state: &EngineState,
+    ) -> bool {
+        let chosen = self.choose(now, directory, need, u32::MAX);
+        let other = chosen.and_then(|chosen| directory.get(&chosen));
+        let pace = other.map_or(0.0, |other| other.experience.pace);
+        pace > 0.0 && state.experience.pace >= pace * FASTER_FACTOR
+    }
+}
+
+fn median_pace(serving: &[&EngineState]) -> Option<f64> {
+    let mut paces: Vec<f64> = serving
+        .iter()
         .map(|state| state.experience.pace)
         .filter(|pace| *pace > 0.0)
         .collect();
@@ -48,46 +113,22 @@
     }
 }
 
+/// Whether an engine's weights are such as a job allows.
+fn fits(state: &EngineState, need: &Need<'_>) -> bool {
+    need.model.is_empty() || state.version(need.model) >= need.min_version.max(1)
+}
+
 /// Whether an engine may take an item now.
-pub fn usable(now: Time, state: &EngineState, need: &Need<'_>) -> bool {
-    let instance = &state.record.instance;
-    let modelled = need.model.is_empty() || state.version(need.model) >= need.min_version.max(1);
+fn usable(now: Time, state: &EngineState, need: &Need<'_>) -> bool {
     let loading = state.loading.iter().any(|model| model == need.model);
-    modelled
+    fits(state, need)
         && !loading
         && !state.record.draining
         && !state.experience.blocked(now)
-        && need.avoid != Some(instance)
+        && need.avoid != Some(&state.record.instance)
         && state.experience.running < state.record.slots.max(1)
 }
 
-/// The engine for an item, if one can take it now.
-pub fn choose(now: Time, directory: &EngineDirectory, need: &Need<'_>) -> Option<Instance> {
-    let median = median_pace(directory, need.service);
-    let candidates = directory
-        .serving(need.service)
-        .filter(|state| usable(now, state, need));
-    let best = candidates.min_by(|a, b| {
-        let cost = |state: &EngineState| cost(state, need, median);
-        cost(a).total_cmp(&cost(b))
-    });
-    best.map(|state| state.record.instance.clone())
-}
-
-/// The engine with room that would run a request faster than `state` does, by
-/// more than the move costs.
-pub fn faster(
-    now: Time,
-    directory: &EngineDirectory,
-    need: &Need<'_>,
-    state: &EngineState,
-) -> Option<Instance> {
-    let chosen = choose(now, directory, need)?;
-    let pace = directory.get(&chosen)?.experience.pace;
-    let gains = pace > 0.0 && state.experience.pace >= pace * FASTER_FACTOR;
-    gains.then_some(chosen)
-}
-
 fn cost(state: &EngineState, need: &Need<'_>, median: Option<f64>) -> f64 {
     let pace = relative_pace(state, median);
     let load = f64::from(state.experience.running) / f64::from(state.record.slots.max(1));
--- a/crates/jobs/src/store.rs
+++ b/crates/jobs/src/store.rs
@@ -58,6 +58,14 @@
     Listed(String),
     /// A job is ended.
     Ended(String),
+    /// An order to an engine is about to be sent by the holder of a fencing
+    /// token.
+    Ordered {
+        /// The engine.
+        engine: String,
+        /// The token.
+        fence: u64,
+    },
     /// Nothing changed.
     Nothing,
 }
@@ -66,6 +74,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct JobStore {
     jobs: BTreeMap<String, Job>,
+    /// Jobs that hold an item, and its index there.
+    holders: HashMap<String, Vec<(Rc<str>, usize)>>,
 }
 
 impl JobStore {
@@ -79,6 +89,10 @@
             Ok(OneOfbody::results(list)) => self.list(list),
             Ok(OneOfbody::end(end)) => self.end(&end.job),
             Ok(OneOfbody::progress(progress)) => self.keep_progress(progress),
+            Ok(OneOfbody::order(note)) => Applied::Ordered {
+                engine: note.engine,
+                fence: note.fence,
+            },
             Ok(OneOfbody::None) => Applied::Nothing,
             Err(error) => {
                 log::error!("step=apply-command index={index} error={error}");
@@ -92,6 +106,11 @@
             return Applied::Nothing;
         }
         let id = spec.job.clone();
+        let name: Rc<str> = Rc::from(id.as_str());
+        for (index, item) in spec.items.iter().enumerate() {
+            let holders = self.holders.entry(item.id.clone()).or_default();
+            holders.push((name.clone(), index));
+        }
         let job = Job {
             spec: Rc::new(spec),
             known_since: now,
@@ -175,6 +194,7 @@
     /// Forgets everything.
     pub fn clear(&mut self) {
         self.jobs.clear();
+        self.holders.clear();
     }
 
     /// A job.
@@ -195,6 +215,11 @@
             let age = now.since(job.known_since);
             age < keep || (!job.ended && age < twice)
         });
+        let jobs = &self.jobs;
+        self.holders.retain(|_, holders| {
+            holders.retain(|(job, _)| jobs.contains_key(&**job));
+            !holders.is_empty()
+        });
         let oldest = self.jobs.values().map(|job| job.first_index).min();
         oldest.map_or(applied, |index| index.saturating_sub(1))
     }
@@ -202,12 +227,14 @@
     /// What earlier jobs hold of an item that a later job brings back.
     pub fn earlier(&self, job: &str, item: usize) -> Option<Earlier<'_>> {
         let spec = &self.jobs.get(job)?.spec.items.get(item)?;
-        let others = self.jobs.iter().filter(|(id, _)| *id != job);
-        let mut held = others.filter_map(|(_, other)| {
-            let index = other.item_index(&spec.id)?;
-            let same = other.spec.items[index].body == spec.body;
-            same.then(|| other.held(index)).flatten()
-        });
+        let others = self.holders.get(&spec.id)?.iter();
+        let mut held = others
+            .filter(|(id, _)| **id != *job)
+            .filter_map(|(id, index)| {
+                let other = self.jobs.get(&**id)?;
+                let same = other.spec.items[*index].body == spec.body;
+                same.then(|| other.held(*index)).flatten()
+            });
         held.next()
     }
 }
--- a/crates/runtime/src/http_client.rs
+++ b/crates/runtime/src/http_client.rs
@@ -61,10 +61,11 @@
         None
     }
 
-    fn put(&mut self, address: SocketAddr, connection: Connection, idle: Duration) {
+    fn put(&mut self, address: SocketAddr, mut connection: Connection, idle: Duration) {
         let kept = self.connections.entry(address).or_default();
         kept.retain_mut(Kept::is_sound);
         if kept.len() < IDLE_PER_ADDRESS {
+            connection.reader.rest();
             let until = Instant::now() + idle;
             kept.push(Kept { until, connection });
         }
--- a/crates/runtime/src/response_reader.rs
+++ b/crates/runtime/src/response_reader.rs
@@ -11,7 +11,7 @@
 
 const MAX_HEADERS: usize = 96;
 const MAX_HEAD_BYTES: usize = 64 * 1024;
-const READ_BYTES: usize = 16 * 1024;
+const READ_BYTES: usize = 8 * 1024;
 const MAX_CHUNK_LINE: usize = 256;
 
 /// How a body ends.
@@ -63,6 +63,12 @@
         self.reusable && self.buffer.is_empty()
     }
 
+    /// Gives up memory that a resting connection does not need.
+    pub fn rest(&mut self) {
+        self.spare = None;
+        self.buffer = BytesMut::new();
+    }
+
     /// Reads more bytes; 0 at the end of the connection.
     pub async fn fill(&mut self) -> std::io::Result<usize> {
         let spare = self.spare.take();
--- a/crates/server/src/storage/engines.rs
+++ b/crates/server/src/storage/engines.rs
@@ -7,7 +7,7 @@
 use peatgrade_runtime::SendOptions;
 use peatgrade_schema::encode;
 use peatgrade_schema::replication::mod_JobCommand::OneOfbody;
-use peatgrade_schema::replication::JobCommand;
+use peatgrade_schema::replication::{JobCommand, OrderNote};
 use peatgrade_types::http::{HttpFailure, HttpStep, ResponsePart};
 use peatgrade_types::Time;
 use std::time::Duration;
@@ -45,6 +45,9 @@
         let cancel = self
             .client
             .send(id, address, request, SendOptions::reusing(silence));
+        if let EngineExchange::Run(run) = exchange {
+            self.run_exchanges.insert(run, id);
+        }
         self.exchanges.insert(id, exchange);
         self.cancels.insert(id, cancel);
     }
@@ -73,43 +76,61 @@
     }
 
     fn cancel_run(&mut self, run: RunId) {
-        let found = self.exchanges.iter().find_map(|(id, exchange)| {
-            matches!(exchange, EngineExchange::Run(other) if *other == run).then_some(*id)
-        });
-        if let Some(id) = found {
+        if let Some(id) = self.run_exchanges.remove(&run) {
             self.exchanges.remove(&id);
             self.cancels.remove(&id);
         }
     }
 
     pub(super) fn carry_out_coordination(&mut self, action: CoordinatorAction) {
-        let instance = match &action {
-            CoordinatorAction::Order(order) => order.instance.clone(),
-            CoordinatorAction::Report(instance) => instance.clone(),
-        };
-        let state = self.directory.get(&instance);
-        let Some(address) = state.map(|state| state.record.address.clone()) else {
-            return;
-        };
         match action {
             CoordinatorAction::Order(order) => {
-                log::info!(
-                    "decision=order engine={instance} model={} version={} fence={} expected={:?}",
-                    order.model,
-                    order.version,
-                    order.fence,
-                    order.expected
-                );
-                let exchange = EngineExchange::Order(instance, 0);
-                self.begin(exchange, &address, &EngineCall::Order(order));
+                let engine = order.instance.0.clone();
+                let note = OneOfbody::order(OrderNote {
+                    engine: engine.clone(),
+                    fence: order.fence,
+                });
+                self.pending_orders.insert(engine, order);
+                self.propose(steady_now(), note);
             }
             CoordinatorAction::Report(instance) => {
+                let Some(address) = self.address_of(&instance) else {
+                    return;
+                };
                 let exchange = EngineExchange::Report(instance.clone(), 0, BytesMut::new());
                 self.begin(exchange, &address, &EngineCall::Report(instance));
             }
         }
     }
 
+    fn address_of(&self, instance: &Instance) -> Option<String> {
+        let state = self.directory.get(instance)?;
+        Some(state.record.address.clone())
+    }
+
+    /// Sends an order whose note is committed, if this machine still leads: it
+    /// may have stood still in between.
+    pub(super) fn send_noted_order(&mut self, now: Time, engine: &str, fence: u64) {
+        let noted = self.pending_orders.remove(engine);
+        let Some(order) = noted.filter(|order| order.fence == fence) else {
+            return;
+        };
+        let Some(address) = self.address_of(&order.instance) else {
+            return;
+        };
+        if !self.replica.may_answer(now) {
+            return;
+        }
+        log::info!(
+            "decision=order engine={engine} model={} version={} fence={fence} expected={:?}",
+            order.model,
+            order.version,
+            order.expected
+        );
+        let exchange = EngineExchange::Order(order.instance.clone(), 0);
+        self.begin(exchange, &address, &EngineCall::Order(order));
+    }
+
     pub(super) fn on_part(&mut self, id: ExchangeId, part: ResponsePart) {
         let now = steady_now();
         let last = matches!(part, ResponsePart::End | ResponsePart::Failed(_));
@@ -133,7 +154,9 @@
             },
         }
         if last {
-            self.exchanges.remove(&id);
+            if let Some(EngineExchange::Run(run)) = self.exchanges.remove(&id) {
+                self.run_exchanges.remove(&run);
+            }
             self.cancels.remove(&id);
         }
     }
--- a/crates/server/src/storage/leadership.rs
+++ b/crates/server/src/storage/leadership.rs
@@ -1,7 +1,7 @@
 //! What only the leader does.
 
 use peatgrade_fleet::VersionCoordinator;
-use peatgrade_ports::{ObjectKind, ObjectWrite, StoreCall, StoreReply};
+use peatgrade_ports::{Instance, ObjectKind, ObjectWrite, StoreCall, StoreReply};
 use peatgrade_replication::{ReplicaId, Role};
 use peatgrade_types::{Duration, Time};
 use std::collections::BTreeMap;
@@ -12,6 +12,8 @@
 
 /// Beyond the lease of an earlier holder's orders.
 const ORDER_SLACK: Duration = Duration::from_millis(400);
+/// Least time between two looks over all items.
+const DISPATCH_EVERY: Duration = Duration::from_millis(4);
 /// How long a status write may take.
 const STATUS_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(1_000);
 
@@ -32,14 +34,12 @@
 
     fn start_leading(&mut self, now: Time) {
         self.working = true;
-        let lease = Duration::from_millis(self.settings.order_lease_ms);
-        // An earlier leader may have given orders until its own lease ended,
-        // which is before any that this replica heard of it could lapse.
-        let quiet_until = self.replica.leader_heard() + lease + ORDER_SLACK;
+        let quiet = self.quiet_engines();
+        let waiting = quiet.values().filter(|until| now < **until).count();
         let mut coordinator = VersionCoordinator::new(
             self.settings.name.clone(),
             self.replica.term(),
-            quiet_until,
+            quiet,
             self.settings.loads_at_once,
         );
         for (model, version) in &self.versions {
@@ -53,7 +53,7 @@
             .map(|(id, _)| id.clone())
             .collect();
         for job in &open {
-            self.dispatcher.open_job(job, &self.jobs);
+            self.open_job(job);
         }
         let wanted = Wanted::new(true.into());
         self.leader_watches = wanted.clone();
@@ -66,19 +66,38 @@
             monoio::spawn(watch(store, kind, wanted.clone(), updates));
         }
         log::info!(
-            "step=lead term={} open_jobs={} open_items={} orders_in_ms={}",
+            "step=lead term={} open_jobs={} open_items={} quiet_engines={waiting}",
             self.replica.term(),
             open.len(),
-            self.dispatcher.open_items(),
-            quiet_until.since(now).as_millis()
+            self.dispatcher.open_items()
         );
     }
 
+    /// Takes up the work for a job.
+    pub(super) fn open_job(&mut self, id: &str) {
+        self.dispatcher.open_job(id, &self.jobs);
+        if let (Some(coordinator), Some(job)) = (&mut self.coordinator, self.jobs.get(id)) {
+            coordinator.demanded(&job.spec.model, job.spec.items.len());
+        }
+    }
+
+    /// When each engine may be ordered. An earlier leader may have sent an order
+    /// until its own lease ended, a little after this replica learnt of it.
+    fn quiet_engines(&self) -> BTreeMap<Instance, Time> {
+        let lease = Duration::from_millis(self.settings.order_lease_ms);
+        let term = self.replica.term();
+        let others = self.ordered.iter().filter(|(_, (_, fence))| *fence != term);
+        others
+            .map(|(engine, (at, _))| (Instance(engine.clone()), *at + lease + ORDER_SLACK))
+            .collect()
+    }
+
     fn stop_leading(&mut self) {
         self.working = false;
         self.work_void = false;
         self.leader_watches.set(false);
         self.coordinator = None;
+        self.pending_orders.clear();
         self.dispatcher.stop(&mut self.directory);
         let dropped = self.dispatcher.take_actions();
         self.carry_out_dispatch(dropped);
@@ -91,7 +110,9 @@
         if !self.working || !self.replica.may_answer(now) {
             return;
         }
-        if self.engines_known && self.configuration.version > 0 {
+        let due = now.since(self.last_dispatch) >= DISPATCH_EVERY;
+        if due && self.engines_known && self.configuration.version > 0 {
+            self.last_dispatch = now;
             self.dispatcher
                 .poll(now, &self.configuration, &mut self.directory);
             let actions = self.dispatcher.take_actions();
--- a/crates/server/src/storage/process.rs
+++ b/crates/server/src/storage/process.rs
@@ -3,8 +3,8 @@
 use futures_channel::mpsc::{unbounded, UnboundedReceiver, UnboundedSender};
 use futures_util::{select_biased, FutureExt, StreamExt};
 use peatgrade_fleet::{EngineDirectory, VersionCoordinator};
-use peatgrade_jobs::{Dispatcher, JobStore};
-use peatgrade_ports::{Codec, Configuration, ObjectKind};
+use peatgrade_jobs::{Dispatcher, JobStore, RunId};
+use peatgrade_ports::{Codec, Configuration, ObjectKind, VersionOrder};
 use peatgrade_replication::{
     Group, LogFile, LogFileError, Recovered, Replica, ReplicaId, ReplicaSettings, Role, Timing,
 };
@@ -123,6 +123,7 @@
     pub engines_known: bool,
     pub client: HttpClient<ExchangeId>,
     pub exchanges: HashMap<ExchangeId, EngineExchange>,
+    pub run_exchanges: HashMap<RunId, ExchangeId>,
     pub cancels: HashMap<ExchangeId, Cancel>,
     pub next_exchange: u64,
     pub updates: UnboundedSender<StoreUpdate>,
@@ -130,6 +131,10 @@
     pub versions: BTreeMap<String, u64>,
     /// Watches that only a leader needs.
     pub leader_watches: Wanted,
+    /// When an order to each engine was last noted, and under which token.
+    pub ordered: HashMap<String, (Time, u64)>,
+    /// Orders whose note is on its way into the log.
+    pub pending_orders: HashMap<String, VersionOrder>,
     /// Whether the leader's work has begun in this term.
     pub working: bool,
     /// The leader's work must begin anew.
@@ -137,6 +142,7 @@
     /// Machines to be emptied that have been reported as done.
     pub retirements: BTreeMap<String, (u64, bool)>,
     pub stop_at: Option<Time>,
+    pub last_dispatch: Time,
     pub last_expire: Time,
     pub last_sweep: Time,
     pub last_role: Role,
@@ -206,15 +212,19 @@
             engines_known: false,
             client: HttpClient::new(parts),
             exchanges: HashMap::new(),
+            run_exchanges: HashMap::new(),
             cancels: HashMap::new(),
             next_exchange: 1,
             updates,
             versions: BTreeMap::new(),
             leader_watches: Wanted::default(),
+            ordered: HashMap::new(),
+            pending_orders: HashMap::new(),
             working: false,
             work_void: false,
             retirements: BTreeMap::new(),
             stop_at: None,
+            last_dispatch: Time(0),
             last_expire: now,
             last_sweep: now,
             last_role: Role::Follower,
--- a/crates/server/src/storage/replication.rs
+++ b/crates/server/src/storage/replication.rs
@@ -121,7 +121,7 @@
         match applied {
             Applied::Accepted(job) => {
                 if self.working {
-                    self.dispatcher.open_job(&job, &self.jobs);
+                    self.open_job(&job);
                 }
                 self.calls.accepted(&job);
             }
@@ -133,6 +133,10 @@
                 self.dispatcher.end_job(now, &job, &mut self.directory);
                 self.calls.ended(&job);
             }
+            Applied::Ordered { engine, fence } => {
+                self.ordered.insert(engine.clone(), (now, fence));
+                self.send_noted_order(now, &engine, fence);
+            }
             Applied::Nothing => {}
         }
     }
