Metrics, a log that never blocks, and explain ID

Logs wait in a bounded queue for a thread of their own; what finds it full is left out and counted (test with an output that takes nothing: 10,000 lines in well under 2 s, the count of the losses exact).

--- a/crates/app/src/ctl/mod.rs
+++ b/crates/app/src/ctl/mod.rs
@@ -7,6 +7,7 @@
 
 mod changes;
 mod client;
+pub mod explain;
 mod view;
 
 use clap::{CommandFactory, Parser, Subcommand, ValueEnum};
@@ -95,6 +96,14 @@
         #[arg(long)]
         version: Option<u64>,
     },
+    /// Show what the logs of several processes tell of one request, item or job
+    Explain {
+        /// Its id
+        id: String,
+        /// Log files of JSON lines
+        #[arg(long, required = true, num_args = 1.., value_name = "FILE")]
+        logs: Vec<PathBuf>,
+    },
     /// Print completions for a shell
     Completions {
         /// The shell
@@ -112,6 +121,13 @@
         Command::Describe { key } => view::describe(&store, key),
         Command::Status { watch } => view::status(&store, *watch, cli.output),
         Command::Delete { key, version } => changes::delete(&store, key, *version),
+        Command::Explain { id, logs } => {
+            let lines = explain::read_logs(logs)?;
+            for line in explain::explain(id, &lines)? {
+                println!("{line}");
+            }
+            Ok(ExitCode::SUCCESS)
+        }
         Command::Completions { shell } => {
             let mut command = Cli::command();
             clap_complete::generate(*shell, &mut command, "peatgradectl", &mut std::io::stdout());
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod http_client;
 pub mod http_server;
 pub mod link_socket;
+pub mod log_writer;
 pub mod logging;
 pub mod peer_socket;
 mod response_reader;
--- a/crates/runtime/src/logging.rs
+++ b/crates/runtime/src/logging.rs
@@ -2,7 +2,27 @@
 
 use serde_json::{json, Map, Value};
 use std::io::Write;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::sync::{Arc, OnceLock};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use crate::log_writer::{LineCounts, LogWriter};
+
+/// How long the end of a process waits for its last lines.
+const DRAIN_LIMIT: Duration = Duration::from_millis(200);
+
+static COUNTS: OnceLock<Arc<LineCounts>> = OnceLock::new();
+
+/// Lines left out since the start, because nobody read them in time.
+pub fn lines_left_out() -> u64 {
+    COUNTS.get().map_or(0, |counts| counts.left_out())
+}
+
+/// Waits a moment for lines that are not written yet.
+pub fn drain() {
+    if let Some(counts) = COUNTS.get() {
+        counts.drain(DRAIN_LIMIT);
+    }
+}
 
 /// Sets up the log of a process. `level` is a name such as `info`; `node`
 /// stands in every line.
@@ -10,6 +30,10 @@
     let node = node.to_string();
     let mut builder = env_logger::Builder::new();
     builder.parse_filters(level);
+    if let Ok((writer, counts)) = LogWriter::start(Box::new(std::io::stderr())) {
+        let _ = COUNTS.set(counts);
+        builder.target(env_logger::Target::Pipe(Box::new(writer)));
+    }
     builder.format(move |out, record| {
         let line = json_line(&node, record);
         writeln!(out, "{line}")
--- a/crates/server/src/gateway_process.rs
+++ b/crates/server/src/gateway_process.rs
@@ -19,6 +19,7 @@
 use std::time::Duration;
 
 use crate::clock::steady_now;
+use crate::metrics::{serve_metrics, Metrics};
 use crate::settings::ServerSettings;
 use crate::signals::{process_signals, ProcessSignal};
 use crate::store_client::StoreClient;
@@ -74,6 +75,12 @@
     replicas: UnboundedReceiver<Vec<String>>,
 }
 
+/// A caller that waits for its answer.
+struct OpenCall {
+    respond: UnboundedSender<ResponsePart>,
+    since: Time,
+}
+
 struct GatewayProcess {
     settings: ServerSettings,
     codec: Rc<dyn Codec>,
@@ -81,7 +88,8 @@
     client: HttpClient<HttpId>,
     link: LinkSocket,
     store: StoreClient,
-    calls: BTreeMap<CallId, UnboundedSender<ResponsePart>>,
+    calls: BTreeMap<CallId, OpenCall>,
+    metrics: Metrics,
     requests: HashMap<HttpId, Cancel>,
     next_call: u64,
     engines_known: bool,
@@ -124,6 +132,8 @@
         for kind in [ObjectKind::Configuration, ObjectKind::Engines] {
             monoio::spawn(watch(store.clone(), kind, wanted.clone(), updates.clone()));
         }
+        let metrics = Metrics::new();
+        serve_metrics(&settings.metrics_address, &metrics, &codec)?;
         let (parts, part_inputs) = unbounded();
         let (replica_lists, replica_inputs) = unbounded();
         let seed = hash_bytes(settings.name.as_bytes()) ^ u64::from(std::process::id());
@@ -149,6 +159,7 @@
             link,
             store,
             calls: BTreeMap::new(),
+            metrics,
             requests: HashMap::new(),
             next_call: 1,
             engines_known: false,
@@ -214,7 +225,8 @@
         }
         let call = CallId(self.next_call);
         self.next_call += 1;
-        self.calls.insert(call, respond);
+        let since = steady_now();
+        self.calls.insert(call, OpenCall { respond, since });
         let message = self.codec.caller_message(request);
         let actions = self.gateway.on_call(steady_now(), call, message);
         self.carry_out(actions);
@@ -321,11 +333,12 @@
         let gone: Vec<CallId> = self
             .calls
             .iter()
-            .filter(|(_, respond)| respond.is_closed())
+            .filter(|(_, open)| open.respond.is_closed())
             .map(|(call, _)| *call)
             .collect();
         for call in gone {
             self.calls.remove(&call);
+            self.metrics.count("caller_gone");
             let actions = self.gateway.on_gone(call);
             self.carry_out(actions);
         }
@@ -334,6 +347,7 @@
         if now.since(self.last_sweep).as_millis() >= 1_000 {
             self.last_sweep = now;
             self.client.sweep();
+            self.set_state(now);
         }
         let searched = now.since(self.last_search).0;
         if self.gateway.misses_leader(now) && searched >= REPLICA_SEARCH.as_micros() as u64 {
@@ -345,16 +359,36 @@
         }
     }
 
+    fn set_state(&self, now: Time) {
+        let configuration = &self.gateway.configuration;
+        let version = configuration.as_ref().map_or(0, |c| c.version);
+        let list_age = now.since(self.gateway.directory.confirmed);
+        self.metrics.set("configuration_version", version);
+        self.metrics
+            .set("engines", self.gateway.directory.len() as u64);
+        self.metrics.set("engine_list_age_ms", list_age.as_millis());
+        self.metrics
+            .set("requests_in_flight", self.gateway.in_flight() as u64);
+        self.metrics.set("ready", u64::from(self.ready()));
+    }
+
     fn carry_out(&mut self, actions: Vec<GatewayAction>) {
         for action in actions {
             match action {
                 GatewayAction::Respond { call, part } => {
                     let last = matches!(part, ResponsePart::End | ResponsePart::Failed(_));
-                    if let Some(respond) = self.calls.get(&call) {
-                        let _ = respond.unbounded_send(part);
+                    if let ResponsePart::Head(head) = &part {
+                        let status = head.status.to_string();
+                        self.metrics.answers.with_label_values(&[&status]).inc();
+                    }
+                    if let Some(open) = self.calls.get(&call) {
+                        let _ = open.respond.unbounded_send(part);
                     }
                     if last {
-                        self.calls.remove(&call);
+                        if let Some(open) = self.calls.remove(&call) {
+                            let took = steady_now().since(open.since);
+                            self.metrics.request_seconds.observe(took.as_secs_f64());
+                        }
                     }
                 }
                 GatewayAction::Http {
@@ -363,6 +397,7 @@
                     request,
                     fresh,
                 } => {
+                    self.metrics.count("engine_attempt");
                     let options = SendOptions {
                         silence: ENGINE_SILENCE,
                         fresh,
@@ -371,6 +406,7 @@
                     self.requests.insert(id, cancel);
                 }
                 GatewayAction::CancelHttp(id) => {
+                    self.metrics.count("engine_attempt_cancelled");
                     self.requests.remove(&id);
                 }
                 GatewayAction::Job { address, call } => {
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -13,6 +13,7 @@
 
 mod clock;
 mod gateway_process;
+mod metrics;
 mod settings;
 mod signals;
 mod storage;
@@ -47,6 +48,7 @@
     if let Err(error) = &ended {
         log::error!("step=fail error={error}");
     }
+    peatgrade_runtime::logging::drain();
     ended
 }
 
--- a/crates/server/src/settings.rs
+++ b/crates/server/src/settings.rs
@@ -18,6 +18,9 @@
     pub ready_address: String,
     /// IP:port for other processes of the system, TCP and UDP.
     pub peer_address: String,
+    /// IP:port for metrics at `/metrics`; none if empty.
+    #[serde(default)]
+    pub metrics_address: String,
     /// IP:port of the object store.
     pub store_address: String,
     /// Folder for the replicated log; storage only.
@@ -120,6 +123,9 @@
         not_empty("zone", &self.zone)?;
         is_address("peer_address", &self.peer_address)?;
         is_address("store_address", &self.store_address)?;
+        if !self.metrics_address.is_empty() {
+            is_address("metrics_address", &self.metrics_address)?;
+        }
         match role {
             ServerRole::Gateway => {
                 is_address("front_address", &self.front_address)?;
--- a/crates/server/src/storage/engines.rs
+++ b/crates/server/src/storage/engines.rs
@@ -57,9 +57,13 @@
         for action in actions {
             match action {
                 DispatchAction::Run { run, address, call } => {
+                    self.metrics.count("item_run");
                     self.begin(EngineExchange::Run(run), &address, &call);
                 }
-                DispatchAction::Cancel(run) => self.cancel_run(run),
+                DispatchAction::Cancel(run) => {
+                    self.metrics.count("item_run_cancelled");
+                    self.cancel_run(run);
+                }
                 DispatchAction::List(results) => self.propose(now, OneOfbody::results(results)),
                 DispatchAction::Keep(progress) => self.propose(now, OneOfbody::progress(progress)),
             }
@@ -184,6 +188,7 @@
             Some(failure) if failure.step == HttpStep::Connect => OrderOutcome::NotSent,
             Some(_) => OrderOutcome::Unknown,
         };
+        self.metrics.count("weight_order");
         log::info!("belief=order engine={instance} status={status} outcome={outcome:?}");
         if let Some(coordinator) = &mut self.coordinator {
             coordinator.on_order(now, &instance, outcome);
--- a/crates/server/src/storage/process.rs
+++ b/crates/server/src/storage/process.rs
@@ -20,6 +20,7 @@
 
 use crate::clock::steady_now;
 use crate::gateway_process::socket_error;
+use crate::metrics::{serve_metrics, Metrics};
 use crate::settings::ServerSettings;
 use crate::signals::{process_signals, ProcessSignal};
 use crate::store_client::StoreClient;
@@ -121,6 +122,7 @@
     pub configuration: Configuration,
     pub directory: EngineDirectory,
     pub engines_known: bool,
+    pub metrics: Metrics,
     pub client: HttpClient<ExchangeId>,
     pub exchanges: HashMap<ExchangeId, EngineExchange>,
     pub run_exchanges: HashMap<RunId, ExchangeId>,
@@ -193,6 +195,8 @@
         if replica.members().is_empty() {
             monoio::spawn(registration::found(store.clone(), me, foundings));
         }
+        let metrics = Metrics::new();
+        serve_metrics(&settings.metrics_address, &metrics, &codec)?;
         let (parts, part_inputs) = unbounded();
         let reader_codec = codec.clone();
         let process = Self {
@@ -210,6 +214,7 @@
             configuration: Configuration::default(),
             directory: EngineDirectory::default(),
             engines_known: false,
+            metrics,
             client: HttpClient::new(parts),
             exchanges: HashMap::new(),
             run_exchanges: HashMap::new(),
@@ -300,6 +305,7 @@
         if now.since(self.last_sweep) >= Span::from_secs(1) {
             self.last_sweep = now;
             self.client.sweep();
+            self.set_state(now);
         }
         if now.since(self.last_expire) >= EXPIRE_EVERY {
             self.last_expire = now;
@@ -308,6 +314,31 @@
         Ok(())
     }
 
+    fn set_state(&self, now: Time) {
+        let figures = [
+            ("leads", u64::from(self.replica.role() == Role::Leader)),
+            ("term", self.replica.term()),
+            ("commit_index", self.replica.commit_index()),
+            ("log_bytes", self.log_file.length()),
+            ("members", self.replica.members().len() as u64),
+            ("jobs", self.jobs.iter().count() as u64),
+            ("open_items", self.dispatcher.open_items() as u64),
+            ("item_runs", self.dispatcher.running() as u64),
+            ("configuration_version", self.configuration.version),
+            ("engines", self.directory.len() as u64),
+            (
+                "engine_list_age_ms",
+                now.since(self.directory.confirmed).as_millis(),
+            ),
+            ("store_age_ms", now.since(self.store_heard).as_millis()),
+        ];
+        for (name, value) in figures {
+            self.metrics.set(name, value);
+        }
+        let loads = self.coordinator.as_ref().map_or(0, |c| c.loading());
+        self.metrics.set("weight_loads", loads as u64);
+    }
+
     fn may_exit(&self) -> bool {
         let Some(since) = self.stop_at else {
             return false;
--- a/crates/server/src/storage/replication.rs
+++ b/crates/server/src/storage/replication.rs
@@ -87,7 +87,12 @@
             if let Some(base) = ready.base {
                 self.log_file.reset(&self.replica.hard_state(), base)?;
             }
+            let before = steady_now();
             self.log_file.append(ready.state.as_ref(), &ready.entries)?;
+            if ready.state.is_some() || !ready.entries.is_empty() {
+                let took = steady_now().since(before);
+                self.metrics.sync_seconds.observe(took.as_secs_f64());
+            }
             self.replica.persisted();
             for message in ready.messages {
                 self.send(message);
@@ -120,16 +125,19 @@
     fn on_applied(&mut self, now: Time, applied: Applied) {
         match applied {
             Applied::Accepted(job) => {
+                self.metrics.count("job_accepted");
                 if self.working {
                     self.open_job(&job);
                 }
                 self.calls.accepted(&job);
             }
             Applied::Listed(job) => {
+                self.metrics.count("results_listed");
                 self.dispatcher.listed(&job, &self.jobs);
                 self.calls.listed(&job);
             }
             Applied::Ended(job) => {
+                self.metrics.count("job_ended");
                 self.dispatcher.end_job(now, &job, &mut self.directory);
                 self.calls.ended(&job);
             }
@@ -170,6 +178,7 @@
     pub(super) fn note_role(&mut self) {
         let role = self.replica.role();
         if role != self.last_role {
+            self.metrics.count("role_change");
             let candidate = |role| matches!(role, Role::PreCandidate | Role::Candidate);
             if !(candidate(role) && candidate(self.last_role)) {
                 log::info!("belief=role role={role:?} term={}", self.replica.term());
--- a/crates/server/src/watcher.rs
+++ b/crates/server/src/watcher.rs
@@ -1,8 +1,9 @@
 //! Follows one kind of objects: lists it, then waits for changes.
 //!
-//! Waits are short, so that a connection that died without a sign, or a store
-//! that forgot the wait, is noticed within a fraction of the time in which a
-//! change must be in force.
+//! Each call has its price, and a wait that was lost without a sign is noticed
+//! only when its time is over. So a wait and its slack are a little shorter than
+//! the time that a machine has, once its path to the store is whole again, to
+//! bring a change into force: 3 s of contact and 2 s.
 
 use futures_channel::mpsc::UnboundedSender;
 use peatgrade_ports::{ObjectKind, StoreCall, StoreEvent, StoreObject, StoreReply};
@@ -15,9 +16,9 @@
 use crate::store_client::StoreClient;
 
 /// How long a watch may wait at the store.
-const WATCH_WAIT: Span = Span::from_millis(2_500);
+const WATCH_WAIT: Span = Span::from_millis(3_800);
 /// Time beyond that after which a watch counts as lost.
-const WATCH_SLACK: Duration = Duration::from_millis(700);
+const WATCH_SLACK: Duration = Duration::from_millis(600);
 /// Time after which a list counts as lost.
 const LIST_TIMEOUT: Duration = Duration::from_millis(800);
 /// First pause after a failure, and the longest.
