--- a/crates/server/src/gateway_process.rs
+++ b/crates/server/src/gateway_process.rs
@@ -20,6 +20,7 @@
 
 use crate::clock::steady_now;
 use crate::metrics::{serve_metrics, Metrics};
+use crate::pause::PauseWatch;
 use crate::settings::ServerSettings;
 use crate::signals::{process_signals, ProcessSignal};
 use crate::store_client::StoreClient;
@@ -99,6 +100,7 @@
     last_search: Time,
     replica_lists: UnboundedSender<Vec<String>>,
     ready_before: bool,
+    pauses: PauseWatch,
 }
 
 impl GatewayProcess {
@@ -169,6 +171,7 @@
             last_search: Time(0),
             replica_lists,
             ready_before: false,
+            pauses: PauseWatch::new(steady_now()),
         };
         let inputs = Inputs {
             signals,
@@ -330,6 +333,10 @@
 
     fn tick(&mut self) {
         let now = steady_now();
+        if let Some(gap) = self.pauses.round(now) {
+            self.metrics.count("paused");
+            log::warn!("step=paused paused_ms={}", gap.as_millis());
+        }
         let gone: Vec<CallId> = self
             .calls
             .iter()
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -14,6 +14,7 @@
 mod clock;
 mod gateway_process;
 mod metrics;
+mod pause;
 mod settings;
 mod signals;
 mod storage;
--- a/crates/server/src/storage/process.rs
+++ b/crates/server/src/storage/process.rs
@@ -21,6 +21,7 @@
 use crate::clock::steady_now;
 use crate::gateway_process::socket_error;
 use crate::metrics::{serve_metrics, Metrics};
+use crate::pause::PauseWatch;
 use crate::settings::ServerSettings;
 use crate::signals::{process_signals, ProcessSignal};
 use crate::store_client::StoreClient;
@@ -150,6 +151,7 @@
     pub last_role: Role,
     pub last_leader: Option<String>,
     pub store_heard: Time,
+    pub pauses: PauseWatch,
 }
 
 impl StorageProcess {
@@ -235,6 +237,7 @@
             last_role: Role::Follower,
             last_leader: None,
             store_heard: now,
+            pauses: PauseWatch::new(now),
         };
         let inputs = Inputs {
             signals,
@@ -288,6 +291,10 @@
     /// All that is due after inputs were handled.
     fn work(&mut self) -> Result<(), ServerError> {
         let now = steady_now();
+        if let Some(gap) = self.pauses.round(now) {
+            self.metrics.count("paused");
+            log::warn!("step=paused paused_ms={}", gap.as_millis());
+        }
         self.replica.set_store_age(now.since(self.store_heard));
         if now >= self.replica.next_tick() {
             self.replica.tick(now);
