--- /dev/null
+++ b/crates/gateway/src/forward/answers.rs
@@ -0,0 +1,254 @@
+//! What comes back from engines, and how a request ends.
+
+use bytes::Bytes;
+use peatgrade_fleet::EngineDirectory;
+use peatgrade_ports::{Answer, Refusal, RouteKind};
+use peatgrade_types::http::{HttpFailure, HttpStep, ResponseHead, ResponsePart};
+use peatgrade_types::{Duration, Time};
+
+use super::{Forwarder, HttpId, Part};
+use crate::gateway::{respond, respond_whole, CallId, GatewayAction, COME_BACK};
+
+/// Wait before a full engine is tried again.
+const FULL_WAIT: Duration = Duration::from_millis(50);
+
+impl Forwarder {
+    /// Takes a part of an engine's answer.
+    pub fn on_part(
+        &mut self,
+        now: Time,
+        id: HttpId,
+        part: Part,
+        directory: &mut EngineDirectory,
+        actions: &mut Vec<GatewayAction>,
+    ) {
+        match part {
+            ResponsePart::Head(head) => self.on_head(now, id, head, directory, actions),
+            ResponsePart::Data(data) => self.on_data(id, &data, actions),
+            ResponsePart::End => self.on_end(now, id, directory, actions),
+            ResponsePart::Failed(failure) => {
+                self.on_failed(now, id, &failure, directory, actions);
+            }
+        }
+    }
+
+    fn on_head(
+        &mut self,
+        now: Time,
+        id: HttpId,
+        head: ResponseHead,
+        directory: &mut EngineDirectory,
+        actions: &mut Vec<GatewayAction>,
+    ) {
+        let told = self.codec.answer_head(&head);
+        let Some(attempt) = self.attempts.get_mut(&id) else {
+            return;
+        };
+        if let Some(state) = directory.get_mut(&attempt.instance) {
+            state.experience.load = told
+                .load
+                .map(|(running, waiting, _)| (now, running, waiting));
+        }
+        let Some(forward) = self.calls.get_mut(&attempt.call) else {
+            return;
+        };
+        let foreign = told.id.as_ref().is_some_and(|id| *id != forward.request.id);
+        let streams = forward.kind == RouteKind::Streaming && told.status == 200 && told.signed;
+        attempt.head = Some((head, told));
+        if foreign {
+            let failure = HttpFailure {
+                peer: attempt.instance.to_string(),
+                step: HttpStep::Head,
+                reason: "answer of another request".into(),
+            };
+            actions.push(GatewayAction::CancelHttp(id));
+            return self.on_failed(now, id, &failure, directory, actions);
+        }
+        if streams && forward.streaming.is_none() {
+            forward.streaming = Some(id);
+            let call = attempt.call;
+            if let Some((head, _)) = &attempt.head {
+                let head = self.codec.passed_head(head, &forward.request);
+                let part = ResponsePart::Head(head);
+                actions.push(GatewayAction::Respond { call, part });
+            }
+        }
+    }
+
+    fn on_data(&mut self, id: HttpId, data: &Bytes, actions: &mut Vec<GatewayAction>) {
+        let Some(attempt) = self.attempts.get_mut(&id) else {
+            return;
+        };
+        let call = attempt.call;
+        let streaming = self.calls.get(&call).and_then(|forward| forward.streaming);
+        if streaming == Some(id) {
+            let part = ResponsePart::Data(data.clone());
+            actions.push(GatewayAction::Respond { call, part });
+        } else {
+            attempt.body.extend_from_slice(data);
+        }
+    }
+
+    fn on_end(
+        &mut self,
+        now: Time,
+        id: HttpId,
+        directory: &mut EngineDirectory,
+        actions: &mut Vec<GatewayAction>,
+    ) {
+        let Some(attempt) = self.forget(id, directory) else {
+            return;
+        };
+        let Some((head, told)) = attempt.head else {
+            return;
+        };
+        let call = attempt.call;
+        let Some(forward) = self.calls.get_mut(&call) else {
+            // The answer of an engine that another one has overtaken.
+            if let Some(state) = directory.get_mut(&attempt.instance) {
+                state.experience.answered(now, now.since(attempt.sent));
+            }
+            return;
+        };
+        if forward.streaming == Some(id) {
+            let part = ResponsePart::End;
+            actions.push(GatewayAction::Respond { call, part });
+            self.calls.remove(&call);
+            return;
+        }
+        if told.not_run || told.misdirected {
+            forward.sends -= 1;
+            forward.refusals += 1;
+            log::info!(
+                "decision=refused-by-engine request={} engine={} status={} misdirected={}",
+                forward.request.id,
+                attempt.instance,
+                told.status,
+                told.misdirected
+            );
+            if let Some(state) = directory.get_mut(&attempt.instance) {
+                state.experience.refused(now, FULL_WAIT);
+            }
+            return self.dispatch(now, call, directory, actions);
+        }
+        let took = now.since(attempt.sent);
+        let broken = told.status >= 500 || (told.status < 300 && !told.signed);
+        if let Some(state) = directory.get_mut(&attempt.instance) {
+            if broken {
+                state.experience.failed(now);
+            } else {
+                state.experience.answered(now, took);
+            }
+        }
+        if broken {
+            log::info!(
+                "decision=broken-answer request={} engine={} status={} signed={}",
+                forward.request.id,
+                attempt.instance,
+                told.status,
+                told.signed
+            );
+            forward.may_have_run = true;
+            let again = forward.kind == RouteKind::Safe && forward.sends < forward.max_attempts;
+            if again || !forward.open.is_empty() {
+                return self.dispatch(now, call, directory, actions);
+            }
+            if told.status < 500 {
+                return self.end_without_answer(now, call, actions);
+            }
+        }
+        log::info!(
+            "decision=answer request={} engine={} status={} attempts={} engine_us={} total_us={}",
+            forward.request.id,
+            attempt.instance,
+            told.status,
+            forward.tried.len(),
+            took.0,
+            now.since(forward.received).0
+        );
+        let head = self.codec.passed_head(&head, &forward.request);
+        respond_whole(call, head, attempt.body.freeze(), actions);
+        // Other attempts run to their end; breaking them off would waste what
+        // the engine has done and cost the connection.
+        self.calls.remove(&call);
+    }
+
+    fn on_failed(
+        &mut self,
+        now: Time,
+        id: HttpId,
+        failure: &HttpFailure,
+        directory: &mut EngineDirectory,
+        actions: &mut Vec<GatewayAction>,
+    ) {
+        let Some(attempt) = self.forget(id, directory) else {
+            return;
+        };
+        if let Some(state) = directory.get_mut(&attempt.instance) {
+            state.experience.failed(now);
+        }
+        let call = attempt.call;
+        let Some(forward) = self.calls.get_mut(&call) else {
+            return;
+        };
+        log::info!(
+            "decision=attempt-failed request={} engine={} error={failure}",
+            forward.request.id,
+            attempt.instance
+        );
+        if forward.streaming == Some(id) {
+            // Half a stream must not look whole.
+            let part = ResponsePart::Failed(failure.clone());
+            actions.push(GatewayAction::Respond { call, part });
+            self.calls.remove(&call);
+            return;
+        }
+        if failure.step == HttpStep::Connect {
+            forward.sends -= 1;
+            forward.refusals += 1;
+        } else {
+            forward.may_have_run = true;
+        }
+        let repeatable = forward.kind == RouteKind::Safe || !forward.may_have_run;
+        if repeatable {
+            return self.dispatch(now, call, directory, actions);
+        }
+        if forward.open.is_empty() {
+            self.end_without_answer(now, call, actions);
+        }
+    }
+
+    /// Nothing more can be done: the final answer goes out at once.
+    pub(super) fn end_without_answer(
+        &mut self,
+        now: Time,
+        call: CallId,
+        actions: &mut Vec<GatewayAction>,
+    ) {
+        let Some(forward) = self.calls.remove(&call) else {
+            return;
+        };
+        let over = now >= forward.deadline;
+        let refusal = match (forward.may_have_run, over) {
+            (false, _) => Refusal::NotRun,
+            (true, true) => Refusal::TimedOut,
+            (true, false) => Refusal::Unknown,
+        };
+        log::info!(
+            "decision=refuse request={} refusal={refusal:?} attempts={} refusals={} held_us={}",
+            forward.request.id,
+            forward.tried.len(),
+            forward.refusals,
+            now.since(forward.received).0
+        );
+        let answer = Answer::Refused {
+            refusal,
+            detail: format!(
+                "no engine of the route answered, {} tried",
+                forward.tried.len()
+            ),
+            retry_after: (refusal == Refusal::NotRun).then_some(COME_BACK),
+        };
+        respond(self.codec.as_ref(), call, &answer, actions);
+    }
+}
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -1,10 +1,8 @@
 //! Requests that go to an engine and back.
 
-use bytes::{Bytes, BytesMut};
-use peatgrade_fleet::{EngineDirectory, EngineState};
-use peatgrade_ports::{
-    Answer, AnswerHead, CallerRequest, Codec, EngineCall, Instance, Refusal, Route, RouteKind,
-};
+use bytes::BytesMut;
+use peatgrade_fleet::EngineDirectory;
+use peatgrade_ports::{AnswerHead, CallerRequest, Codec, EngineCall, Instance, Route, RouteKind};
 use peatgrade_types::http::{HttpFailure, HttpStep, ResponseHead, ResponsePart};
 use peatgrade_types::{Duration, Time};
 use rand::rngs::SmallRng;
@@ -12,7 +10,12 @@
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 
-use crate::gateway::{respond, respond_whole, CallId, GatewayAction, COME_BACK};
+mod answers;
+mod choice;
+
+use choice::choose;
+
+use crate::gateway::{CallId, GatewayAction};
 
 /// Names a request to an engine.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
@@ -27,8 +30,6 @@
 const HEDGE_FACTOR: f64 = 3.0;
 /// Time kept back from the caller's own, for the way to it.
 const RETURN_MARGIN: Duration = Duration::from_millis(15);
-/// Wait before a full engine is tried again.
-const FULL_WAIT: Duration = Duration::from_millis(50);
 /// Refusals of engines that one request may meet.
 const MAX_REFUSALS: u32 = 4;
 /// Time that a request without a deadline may take.
@@ -240,240 +241,6 @@
         Some(attempt)
     }
 
-    /// Takes a part of an engine's answer.
-    pub fn on_part(
-        &mut self,
-        now: Time,
-        id: HttpId,
-        part: Part,
-        directory: &mut EngineDirectory,
-        actions: &mut Vec<GatewayAction>,
-    ) {
-        match part {
-            ResponsePart::Head(head) => self.on_head(now, id, head, directory, actions),
-            ResponsePart::Data(data) => self.on_data(id, &data, actions),
-            ResponsePart::End => self.on_end(now, id, directory, actions),
-            ResponsePart::Failed(failure) => {
-                self.on_failed(now, id, &failure, directory, actions);
-            }
-        }
-    }
-
-    fn on_head(
-        &mut self,
-        now: Time,
-        id: HttpId,
-        head: ResponseHead,
-        directory: &mut EngineDirectory,
-        actions: &mut Vec<GatewayAction>,
-    ) {
-        let told = self.codec.answer_head(&head);
-        let Some(attempt) = self.attempts.get_mut(&id) else {
-            return;
-        };
-        if let Some(state) = directory.get_mut(&attempt.instance) {
-            state.experience.load = told
-                .load
-                .map(|(running, waiting, _)| (now, running, waiting));
-        }
-        let Some(forward) = self.calls.get_mut(&attempt.call) else {
-            return;
-        };
-        let foreign = told.id.as_ref().is_some_and(|id| *id != forward.request.id);
-        let streams = forward.kind == RouteKind::Streaming && told.status == 200 && told.signed;
-        attempt.head = Some((head, told));
-        if foreign {
-            let failure = HttpFailure {
-                peer: attempt.instance.to_string(),
-                step: HttpStep::Head,
-                reason: "answer of another request".into(),
-            };
-            actions.push(GatewayAction::CancelHttp(id));
-            return self.on_failed(now, id, &failure, directory, actions);
-        }
-        if streams && forward.streaming.is_none() {
-            forward.streaming = Some(id);
-            let call = attempt.call;
-            if let Some((head, _)) = &attempt.head {
-                let head = self.codec.passed_head(head, &forward.request);
-                let part = ResponsePart::Head(head);
-                actions.push(GatewayAction::Respond { call, part });
-            }
-        }
-    }
-
-    fn on_data(&mut self, id: HttpId, data: &Bytes, actions: &mut Vec<GatewayAction>) {
-        let Some(attempt) = self.attempts.get_mut(&id) else {
-            return;
-        };
-        let call = attempt.call;
-        let streaming = self.calls.get(&call).and_then(|forward| forward.streaming);
-        if streaming == Some(id) {
-            let part = ResponsePart::Data(data.clone());
-            actions.push(GatewayAction::Respond { call, part });
-        } else {
-            attempt.body.extend_from_slice(data);
-        }
-    }
-
-    fn on_end(
-        &mut self,
-        now: Time,
-        id: HttpId,
-        directory: &mut EngineDirectory,
-        actions: &mut Vec<GatewayAction>,
-    ) {
-        let Some(attempt) = self.forget(id, directory) else {
-            return;
-        };
-        let Some((head, told)) = attempt.head else {
-            return;
-        };
-        let call = attempt.call;
-        let Some(forward) = self.calls.get_mut(&call) else {
-            // The answer of an engine that another one has overtaken.
-            if let Some(state) = directory.get_mut(&attempt.instance) {
-                state.experience.answered(now, now.since(attempt.sent));
-            }
-            return;
-        };
-        if forward.streaming == Some(id) {
-            let part = ResponsePart::End;
-            actions.push(GatewayAction::Respond { call, part });
-            self.calls.remove(&call);
-            return;
-        }
-        if told.not_run || told.misdirected {
-            forward.sends -= 1;
-            forward.refusals += 1;
-            log::info!(
-                "decision=refused-by-engine request={} engine={} status={} misdirected={}",
-                forward.request.id,
-                attempt.instance,
-                told.status,
-                told.misdirected
-            );
-            if let Some(state) = directory.get_mut(&attempt.instance) {
-                state.experience.refused(now, FULL_WAIT);
-            }
-            return self.dispatch(now, call, directory, actions);
-        }
-        let took = now.since(attempt.sent);
-        let broken = told.status >= 500 || (told.status < 300 && !told.signed);
-        if let Some(state) = directory.get_mut(&attempt.instance) {
-            if broken {
-                state.experience.failed(now);
-            } else {
-                state.experience.answered(now, took);
-            }
-        }
-        if broken {
-            log::info!(
-                "decision=broken-answer request={} engine={} status={} signed={}",
-                forward.request.id,
-                attempt.instance,
-                told.status,
-                told.signed
-            );
-            forward.may_have_run = true;
-            let again = forward.kind == RouteKind::Safe && forward.sends < forward.max_attempts;
-            if again || !forward.open.is_empty() {
-                return self.dispatch(now, call, directory, actions);
-            }
-            if told.status < 500 {
-                return self.end_without_answer(now, call, actions);
-            }
-        }
-        log::info!(
-            "decision=answer request={} engine={} status={} attempts={} engine_us={} total_us={}",
-            forward.request.id,
-            attempt.instance,
-            told.status,
-            forward.tried.len(),
-            took.0,
-            now.since(forward.received).0
-        );
-        let head = self.codec.passed_head(&head, &forward.request);
-        respond_whole(call, head, attempt.body.freeze(), actions);
-        // Other attempts run to their end; breaking them off would waste what
-        // the engine has done and cost the connection.
-        self.calls.remove(&call);
-    }
-
-    fn on_failed(
-        &mut self,
-        now: Time,
-        id: HttpId,
-        failure: &HttpFailure,
-        directory: &mut EngineDirectory,
-        actions: &mut Vec<GatewayAction>,
-    ) {
-        let Some(attempt) = self.forget(id, directory) else {
-            return;
-        };
-        if let Some(state) = directory.get_mut(&attempt.instance) {
-            state.experience.failed(now);
-        }
-        let call = attempt.call;
-        let Some(forward) = self.calls.get_mut(&call) else {
-            return;
-        };
-        log::info!(
-            "decision=attempt-failed request={} engine={} error={failure}",
-            forward.request.id,
-            attempt.instance
-        );
-        if forward.streaming == Some(id) {
-            // Half a stream must not look whole.
-            let part = ResponsePart::Failed(failure.clone());
-            actions.push(GatewayAction::Respond { call, part });
-            self.calls.remove(&call);
-            return;
-        }
-        if failure.step == HttpStep::Connect {
-            forward.sends -= 1;
-            forward.refusals += 1;
-        } else {
-            forward.may_have_run = true;
-        }
-        let repeatable = forward.kind == RouteKind::Safe || !forward.may_have_run;
-        if repeatable {
-            return self.dispatch(now, call, directory, actions);
-        }
-        if forward.open.is_empty() {
-            self.end_without_answer(now, call, actions);
-        }
-    }
-
-    /// Nothing more can be done: the final answer goes out at once.
-    fn end_without_answer(&mut self, now: Time, call: CallId, actions: &mut Vec<GatewayAction>) {
-        let Some(forward) = self.calls.remove(&call) else {
-            return;
-        };
-        let over = now >= forward.deadline;
-        let refusal = match (forward.may_have_run, over) {
-            (false, _) => Refusal::NotRun,
-            (true, true) => Refusal::TimedOut,
-            (true, false) => Refusal::Unknown,
-        };
-        log::info!(
-            "decision=refuse request={} refusal={refusal:?} attempts={} refusals={} held_us={}",
-            forward.request.id,
-            forward.tried.len(),
-            forward.refusals,
-            now.since(forward.received).0
-        );
-        let answer = Answer::Refused {
-            refusal,
-            detail: format!(
-                "no engine of the route answered, {} tried",
-                forward.tried.len()
-            ),
-            retry_after: (refusal == Refusal::NotRun).then_some(COME_BACK),
-        };
-        respond(self.codec.as_ref(), call, &answer, actions);
-    }
-
     /// A caller has gone away: engines stop work for it.
     pub fn caller_gone(
         &mut self,
@@ -543,34 +310,3 @@
         due.map(|(call, _)| *call).collect()
     }
 }
-
-/// The engine with the shortest expected time that the request has not met;
-/// one that is avoided only if there is no other.
-fn choose(
-    now: Time,
-    directory: &EngineDirectory,
-    forward: &Forward,
-    zone: &str,
-) -> Option<Instance> {
-    let fresh = directory
-        .serving(&forward.service)
-        .filter(|state| !forward.tried.contains(&state.record.instance));
-    let key = |state: &EngineState| {
-        let blocked = state.experience.blocked(now);
-        let occupied = f64::from(state.experience.occupied(now) + 1);
-        let slots = f64::from(state.record.slots.max(1));
-        let usual = state.experience.latency.max(1_000.0);
-        let waiting = (occupied / slots).max(1.0);
-        let away = if state.record.zone == zone {
-            0.0
-        } else {
-            2_000.0
-        };
-        (blocked, usual * waiting + usual * 0.2 * occupied + away)
-    };
-    let best = fresh.min_by(|a, b| {
-        let (a, b) = (key(a), key(b));
-        a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
-    });
-    best.map(|state| state.record.instance.clone())
-}
--- /dev/null
+++ b/crates/jobs/src/dispatcher/answers.rs
@@ -0,0 +1,208 @@
+//! What comes of a run.
+
+use peatgrade_fleet::EngineDirectory;
+use peatgrade_ports::{AnswerHead, Configuration};
+use peatgrade_schema::replication::ItemResult;
+use peatgrade_types::{Duration, Time};
+
+use super::{DispatchAction, Dispatcher, RunId, RunPart};
+use crate::streams::take_bytes;
+
+/// Wait after a refusal before the item or the engine is tried again.
+const REFUSED_WAIT: Duration = Duration::from_millis(60);
+/// Wait before a failed item is tried again.
+const FAILED_WAIT: Duration = Duration::from_millis(30);
+/// Answers of 500 before an item is given up, as a multiple of what its route
+/// names: an engine that fails at random must not cost an item.
+const PATIENCE: u32 = 2;
+
+impl Dispatcher {
+    /// Takes a part of an engine's answer.
+    pub fn on_part(
+        &mut self,
+        now: Time,
+        id: RunId,
+        part: RunPart,
+        configuration: &Configuration,
+        directory: &mut EngineDirectory,
+    ) {
+        match part {
+            RunPart::Head(head) => self.on_head(now, id, head, directory),
+            RunPart::Data(bytes) => self.on_data(now, id, &bytes, directory),
+            RunPart::End => self.on_end(now, id, configuration, directory),
+            RunPart::Failed(reason) => self.on_failed(now, id, &reason, directory),
+        }
+    }
+
+    fn on_head(&mut self, now: Time, id: RunId, head: AnswerHead, directory: &mut EngineDirectory) {
+        let Some(run) = self.runs.get_mut(&id) else {
+            return;
+        };
+        let Some(item) = self.items.get(&run.key) else {
+            return;
+        };
+        if let Some(state) = directory.get_mut(&run.instance) {
+            state.experience.load = head
+                .load
+                .map(|(running, waiting, _)| (now, running, waiting));
+        }
+        if let Some(version) = head.version {
+            run.version = version;
+            directory.saw_version(&run.instance, &item.spec.model, version);
+        }
+        let foreign = head.id.as_ref().is_some_and(|told| *told != item.item().id);
+        run.head = Some(head);
+        if foreign {
+            self.on_failed(now, id, "answer of another request", directory);
+        }
+    }
+
+    fn on_data(&mut self, now: Time, id: RunId, bytes: &[u8], directory: &mut EngineDirectory) {
+        let Some(run) = self.runs.get_mut(&id) else {
+            return;
+        };
+        if run.head.as_ref().is_none_or(|head| head.status != 200) {
+            return;
+        }
+        let Some(item) = self.items.get_mut(&run.key) else {
+            return;
+        };
+        let taken = take_bytes(run, item, bytes);
+        match taken {
+            Ok(0) => {}
+            Ok(count) => {
+                if let (Some(last), Some(state)) = (run.last, directory.get_mut(&run.instance)) {
+                    let gap = Duration(now.since(last).0 / count as u64);
+                    if state.loading.is_empty() {
+                        state.experience.event(now, gap);
+                    }
+                }
+                run.last = Some(now);
+            }
+            Err(error) => {
+                let reason = error.to_string();
+                self.on_failed(now, id, &reason, directory);
+            }
+        }
+    }
+
+    fn on_end(
+        &mut self,
+        now: Time,
+        id: RunId,
+        configuration: &Configuration,
+        directory: &mut EngineDirectory,
+    ) {
+        let Some(run) = self.runs.get(&id) else {
+            return;
+        };
+        let head = run.head.clone().unwrap_or_default();
+        let key = run.key.clone();
+        if head.status == 200 {
+            if run.reader.has_rest() || run.events == 0 {
+                return self.on_failed(now, id, "ended inside an event", directory);
+            }
+            return self.complete(now, id, directory);
+        }
+        let Some(run) = self.forget_run(id, directory) else {
+            return;
+        };
+        let Some(item) = self.items.get_mut(&key) else {
+            return;
+        };
+        item.run = None;
+        item.avoid = Some(run.instance.clone());
+        let route = configuration.route(&item.spec.host, &item.item().path);
+        let max_attempts = route.map_or(1, |route| route.max_attempts);
+        let refused = head.not_run || head.misdirected || head.status == 503 || head.status == 429;
+        log::info!(
+            "decision=retry item={} job={} engine={} status={} not_run={} failures={}",
+            item.item().id,
+            key.0,
+            run.instance,
+            head.status,
+            head.not_run,
+            item.failures
+        );
+        if refused {
+            item.not_before = now + REFUSED_WAIT;
+            if let Some(state) = directory.get_mut(&run.instance) {
+                state.experience.refused(now, REFUSED_WAIT);
+            }
+            return;
+        }
+        item.not_before = now + FAILED_WAIT;
+        match head.status {
+            422 => self.give_up(&key, "can-never-be-done"),
+            500 => {
+                item.failures += 1;
+                if item.failures >= max_attempts * PATIENCE {
+                    self.give_up(&key, "failed-every-time");
+                }
+            }
+            _ => {
+                if let Some(state) = directory.get_mut(&run.instance) {
+                    state.experience.failed(now);
+                }
+            }
+        }
+    }
+
+    fn complete(&mut self, now: Time, id: RunId, directory: &mut EngineDirectory) {
+        let Some(run) = self.forget_run(id, directory) else {
+            return;
+        };
+        if let Some(state) = directory.get_mut(&run.instance) {
+            state.experience.answered(now, now.since(run.started));
+        }
+        let Some(item) = self.items.get_mut(&run.key) else {
+            return;
+        };
+        item.run = None;
+        item.proposed = true;
+        let result = ItemResult {
+            item: run.key.1 as u64,
+            completed: true,
+            text: item.text.joined_after(item.logged_events),
+            versions: item.text.versions(),
+            logged_events: item.logged_events as u64,
+        };
+        log::info!(
+            "decision=complete item={} job={} engine={} events={} versions={:?} runs={} hint={} age_ms={} run_ms={} run_events={}",
+            item.item().id,
+            run.key.0,
+            run.instance,
+            item.text.events.len(),
+            result.versions,
+            item.runs,
+            item.item().length_hint,
+            now.since(item.known_since).as_millis(),
+            now.since(run.started).as_millis(),
+            run.events
+        );
+        self.done.entry(run.key.0.clone()).or_default().push(result);
+    }
+
+    fn on_failed(&mut self, now: Time, id: RunId, reason: &str, directory: &mut EngineDirectory) {
+        self.actions.push(DispatchAction::Cancel(id));
+        let Some(run) = self.forget_run(id, directory) else {
+            return;
+        };
+        if let Some(state) = directory.get_mut(&run.instance) {
+            state.experience.failed(now);
+        }
+        let Some(item) = self.items.get_mut(&run.key) else {
+            return;
+        };
+        log::info!(
+            "decision=resume item={} job={} engine={} reason={reason} events={}",
+            item.item().id,
+            run.key.0,
+            run.instance,
+            item.text.events.len()
+        );
+        item.run = None;
+        item.avoid = Some(run.instance);
+        item.not_before = now + FAILED_WAIT;
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/dispatcher/starting.rs
@@ -0,0 +1,249 @@
+//! Waiting items: their order, and the engine for each.
+
+use peatgrade_fleet::EngineDirectory;
+use peatgrade_ports::{Configuration, EngineCall, Instance, Route, RouteKind};
+use peatgrade_schema::replication::AcceptJob;
+use peatgrade_types::http::HttpRequest;
+use peatgrade_types::{hash_bytes, Duration, Time};
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use super::{DispatchAction, Dispatcher, RunId};
+use crate::item::{ItemKey, OpenItem};
+use crate::placement::{Candidates, Need};
+use crate::streams::Run;
+
+/// An item counts as long if its expected length is this multiple of its job's
+/// median: the few that set the pace of a step.
+const LONG_FACTOR: u64 = 5;
+const LONG_DIVISOR: u64 = 2;
+/// Short items leave half of an engine's places to long ones for this long.
+const YIELD_FOR: Duration = Duration::from_millis(1_200);
+
+impl Dispatcher {
+    pub(super) fn start_waiting(
+        &mut self,
+        now: Time,
+        configuration: &Configuration,
+        directory: &mut EngineDirectory,
+    ) {
+        let mut looks: HashMap<Rc<str>, Candidates> = HashMap::new();
+        let waiting = self.waiting_in_order(now);
+        let crowded = !waiting.is_empty() && self.is_crowded(directory);
+        for key in waiting {
+            let Some(item) = self.items.get(&key) else {
+                continue;
+            };
+            let (host, path) = (&item.spec.host, &item.item().path);
+            let route = configuration.route(host, path);
+            let Some(route) = route.filter(|route| route.kind == RouteKind::Batch) else {
+                // Nothing allows it to run any more.
+                self.give_up(&key, "route-gone");
+                continue;
+            };
+            if now.since(item.known_since) >= route.max_queue {
+                self.give_up(&key, "queue-limit");
+                continue;
+            }
+            let Some(service) = target_of(route, &item.item().id) else {
+                continue;
+            };
+            let companions = self.companions(&key, item);
+            let need = Need {
+                service,
+                model: &item.spec.model,
+                min_version: item.spec.min_version,
+                companions: &companions,
+                avoid: item.avoid.as_ref(),
+            };
+            let without = Need {
+                avoid: None,
+                ..need
+            };
+            let single = route.targets.len() == 1;
+            let look = if single {
+                let look = || Candidates::find(now, directory, &without);
+                &*looks.entry(key.0.clone()).or_insert_with(look)
+            } else {
+                &Candidates::find(now, directory, &without)
+            };
+            let limit = if crowded {
+                u32::MAX
+            } else {
+                self.place_limit(now, &key, item, configuration, service)
+            };
+            // An engine that fails at once is always the emptiest: rather a full
+            // one than the one that has just failed this item.
+            let chosen = look
+                .choose(now, directory, &need, limit)
+                .or_else(|| look.choose(now, directory, &need, u32::MAX))
+                .or_else(|| look.choose(now, directory, &without, limit));
+            if let Some(instance) = chosen {
+                let left = (item.known_since + route.max_queue).since(now);
+                self.start(now, &key, instance, left, route.priority, directory);
+            }
+        }
+    }
+
+    /// Whether open items would fill all places of model engines: then no place
+    /// may stay empty.
+    fn is_crowded(&self, directory: &EngineDirectory) -> bool {
+        let engines = directory.iter().filter(|state| !state.record.draining);
+        let modelled = engines.filter(|state| !state.record.models.is_empty());
+        let places: usize = modelled.map(|state| state.record.slots as usize).sum();
+        self.items.len() > places
+    }
+
+    /// Items that one engine may run before this one is added: short ones leave
+    /// room for long ones at first, whose pace they would slow.
+    fn place_limit(
+        &self,
+        now: Time,
+        key: &ItemKey,
+        item: &OpenItem,
+        configuration: &Configuration,
+        service: &str,
+    ) -> u32 {
+        let long_from = self.long_from.get(&key.0).copied().unwrap_or(0);
+        let long = item.item().length_hint >= long_from || !item.text.events.is_empty();
+        if long || now.since(item.known_since) >= YIELD_FOR {
+            return u32::MAX;
+        }
+        let slots = configuration.services.get(service).map_or(0, |s| s.slots);
+        match slots {
+            0 => u32::MAX,
+            slots => slots.div_ceil(2),
+        }
+    }
+
+    /// Waiting items: those that come back first, then groups by their longest
+    /// expected text, then items by theirs.
+    fn waiting_in_order(&self, now: Time) -> Vec<ItemKey> {
+        let waiting: Vec<(&ItemKey, &OpenItem)> = self
+            .items
+            .iter()
+            .filter(|(_, item)| item.run.is_none() && !item.proposed && now >= item.not_before)
+            .collect();
+        let mut longest: HashMap<(&Rc<str>, &str), u64> = HashMap::new();
+        for (key, item) in &waiting {
+            let spec = item.item();
+            let entry = longest.entry((&key.0, spec.group.as_str())).or_insert(0);
+            *entry = (*entry).max(spec.length_hint);
+        }
+        let mut keyed: Vec<_> = waiting
+            .iter()
+            .map(|(key, item)| {
+                let spec = item.item();
+                let group = longest[&(&key.0, spec.group.as_str())];
+                let started = item.runs > 0 || !item.text.events.is_empty();
+                let order = (
+                    !started,
+                    item.known_since,
+                    std::cmp::Reverse(group),
+                    spec.group.as_str(),
+                    std::cmp::Reverse(spec.length_hint),
+                );
+                (order, *key)
+            })
+            .collect();
+        keyed.sort();
+        keyed.into_iter().map(|(_, key)| key.clone()).collect()
+    }
+
+    /// Engines that run items of the same group of the same job.
+    fn companions(&self, key: &ItemKey, item: &OpenItem) -> Vec<Instance> {
+        let group = &item.item().group;
+        if group.is_empty() {
+            return Vec::new();
+        }
+        let same_job = self
+            .items
+            .range((key.0.clone(), 0)..=(key.0.clone(), usize::MAX));
+        let runs = same_job
+            .filter(|(_, other)| other.item().group == *group)
+            .filter_map(|(_, other)| other.run);
+        runs.filter_map(|run| self.runs.get(&run))
+            .map(|run| run.instance.clone())
+            .collect()
+    }
+
+    fn start(
+        &mut self,
+        now: Time,
+        key: &ItemKey,
+        instance: Instance,
+        left: Duration,
+        priority: u32,
+        directory: &mut EngineDirectory,
+    ) {
+        let (Some(item), Some(state)) = (self.items.get_mut(key), directory.get_mut(&instance))
+        else {
+            return;
+        };
+        let run = RunId(self.next_run);
+        self.next_run += 1;
+        state.experience.running += 1;
+        item.run = Some(run);
+        item.runs += 1;
+        let spec = item.item();
+        let headers = spec.headers.iter();
+        let mut http = HttpRequest::new("POST", spec.path.as_str(), spec.body.clone());
+        http.headers = headers
+            .map(|header| (header.name.to_ascii_lowercase(), header.value.clone()))
+            .collect();
+        log::info!(
+            "decision=run item={} job={} engine={instance} version={} running={} after={:?}",
+            spec.id,
+            key.0,
+            state.version(&item.spec.model),
+            state.experience.running,
+            item.text.last_event
+        );
+        let call = EngineCall::Run {
+            id: spec.id.clone(),
+            host: item.spec.host.clone(),
+            instance: instance.clone(),
+            deadline: Some(left),
+            last_event: item.text.last_event,
+            priority: Some(priority.min(9)),
+            http,
+        };
+        self.actions.push(DispatchAction::Run {
+            run,
+            address: state.record.address.clone(),
+            call,
+        });
+        let started = Run {
+            key: key.clone(),
+            instance,
+            started: now,
+            last: None,
+            events: 0,
+            version: 0,
+            head: None,
+            reader: (self.reader)(),
+        };
+        self.runs.insert(run, started);
+    }
+}
+
+/// The service that an item goes to: a stable draw by the route's weights.
+fn target_of<'a>(route: &'a Route, id: &str) -> Option<&'a str> {
+    let total: u64 = route.targets.iter().map(|t| u64::from(t.weight)).sum();
+    let mut draw = hash_bytes(id.as_bytes()) % total.max(1);
+    for target in &route.targets {
+        if draw < u64::from(target.weight) {
+            return Some(&target.service);
+        }
+        draw -= u64::from(target.weight);
+    }
+    route.targets.first().map(|target| target.service.as_str())
+}
+
+/// Expected length from which on an item counts as long.
+pub(super) fn long_from(spec: &AcceptJob) -> u64 {
+    let mut hints: Vec<u64> = spec.items.iter().map(|item| item.length_hint).collect();
+    hints.sort_unstable();
+    let median = hints.get(hints.len() / 2).copied().unwrap_or(0);
+    median * LONG_FACTOR / LONG_DIVISOR
+}
--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -26,6 +26,7 @@
 mod log_store;
 mod message;
 mod progress;
+mod queries;
 mod replica;
 mod replicate;
 
--- /dev/null
+++ b/crates/server/src/gateway_process/actions.rs
@@ -0,0 +1,69 @@
+//! Carries out what the gateway's core wants done.
+
+use peatgrade_gateway::GatewayAction;
+use peatgrade_runtime::{Delivery, SendOptions};
+use peatgrade_schema::encode;
+use peatgrade_schema::replication::mod_ReplicaMessage::OneOfbody;
+use peatgrade_schema::replication::ReplicaMessage;
+use peatgrade_types::http::ResponsePart;
+use std::time::Duration;
+
+use super::GatewayProcess;
+use crate::clock::steady_now;
+
+/// Longest silence within an exchange with an engine.
+const ENGINE_SILENCE: Duration = Duration::from_secs(60);
+
+impl GatewayProcess {
+    pub(super) fn carry_out(&mut self, actions: Vec<GatewayAction>) {
+        for action in actions {
+            match action {
+                GatewayAction::Respond { call, part } => {
+                    let last = matches!(part, ResponsePart::End | ResponsePart::Failed(_));
+                    if let ResponsePart::Head(head) = &part {
+                        let status = head.status.to_string();
+                        self.metrics.answers.with_label_values(&[&status]).inc();
+                    }
+                    if let Some(open) = self.calls.get(&call) {
+                        let _ = open.respond.unbounded_send(part);
+                    }
+                    if last {
+                        if let Some(open) = self.calls.remove(&call) {
+                            let took = steady_now().since(open.since);
+                            self.metrics.request_seconds.observe(took.as_secs_f64());
+                        }
+                    }
+                }
+                GatewayAction::Http {
+                    id,
+                    address,
+                    request,
+                    fresh,
+                } => {
+                    self.metrics.count("engine_attempt");
+                    let options = SendOptions {
+                        silence: ENGINE_SILENCE,
+                        fresh,
+                    };
+                    let cancel = self.client.send(id, &address, request, options);
+                    self.requests.insert(id, cancel);
+                }
+                GatewayAction::CancelHttp(id) => {
+                    self.metrics.count("engine_attempt_cancelled");
+                    self.requests.remove(&id);
+                }
+                GatewayAction::Job { address, call } => {
+                    let message = ReplicaMessage {
+                        from: 0,
+                        to: 0,
+                        term: 0,
+                        from_address: self.settings.peer_address.clone(),
+                        body: OneOfbody::job_call(call),
+                    };
+                    self.link
+                        .send(&address, encode(&message), Delivery::Connected);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/server/src/gateway_process/beliefs.rs
@@ -0,0 +1,98 @@
+//! What the gateway believes, from the object store.
+
+use futures_channel::mpsc::UnboundedSender;
+use peatgrade_ports::{ObjectKind, StoreEvent, StoreObject};
+use peatgrade_types::Time;
+
+use super::GatewayProcess;
+use crate::clock::steady_now;
+use crate::store_client::StoreClient;
+use crate::watcher::{list_all, StoreUpdate};
+
+impl GatewayProcess {
+    pub(super) fn on_update(&mut self, update: Option<StoreUpdate>) {
+        let now = steady_now();
+        match update {
+            Some(StoreUpdate::Listed { kind, at, objects }) => match kind {
+                ObjectKind::Engines => {
+                    let records = objects.into_iter().filter_map(|(_, object)| match object {
+                        StoreObject::Engine(record) => Some(record),
+                        _ => None,
+                    });
+                    self.gateway.directory.replace(at, records.collect());
+                    self.engines_known = true;
+                    log::info!("belief=engines count={}", self.gateway.directory.len());
+                }
+                _ => objects
+                    .into_iter()
+                    .for_each(|(_, object)| self.take_configuration(object)),
+            },
+            Some(StoreUpdate::Changed { kind, at, events }) => match kind {
+                ObjectKind::Engines => self.take_engine_events(at, events),
+                _ => events
+                    .into_iter()
+                    .filter_map(|event| event.object)
+                    .for_each(|object| self.take_configuration(object)),
+            },
+            None => {}
+        }
+        let ready = self.ready();
+        if ready != self.ready_before {
+            log::info!("belief=ready value={ready} at_us={}", now.0);
+            self.ready_before = ready;
+        }
+    }
+
+    fn take_engine_events(&mut self, at: Time, events: Vec<StoreEvent>) {
+        for event in events {
+            if let Some(StoreObject::Engine(record)) = &event.object {
+                log::info!(
+                    "belief=engine instance={} address={} draining={}",
+                    record.instance,
+                    record.address,
+                    record.draining
+                );
+            }
+            if let Some(instance) = self.gateway.directory.apply(event) {
+                log::info!("belief=engine-gone instance={instance}");
+            }
+        }
+        self.gateway.directory.confirmed = at;
+    }
+
+    fn take_configuration(&mut self, object: StoreObject) {
+        match object {
+            StoreObject::Configuration(configuration) => {
+                let (version, routes) = (configuration.version, configuration.routes.len());
+                if self.gateway.configure(*configuration) {
+                    log::info!("belief=configuration version={version} routes={routes}");
+                }
+            }
+            StoreObject::Unreadable { name, reason } => {
+                log::error!("step=read-configuration object={name} error={reason}");
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn on_replicas(&mut self, addresses: Option<Vec<String>>) {
+        if let Some(addresses) = addresses {
+            log::info!("belief=replicas addresses={addresses:?}");
+            self.gateway.set_replicas(addresses);
+        }
+    }
+}
+
+/// Looks once for addresses of replicas.
+pub(super) async fn find_replicas(store: StoreClient, found: UnboundedSender<Vec<String>>) {
+    match list_all(&store, ObjectKind::Replicas).await {
+        Ok((objects, _)) => {
+            let addresses = objects.into_iter().filter_map(|(_, object)| match object {
+                StoreObject::Own { fields, .. } => fields.get("address").cloned(),
+                _ => None,
+            });
+            let _ = found.unbounded_send(addresses.collect());
+        }
+        Err(reason) => log::warn!("dependency=lost kind=Replicas reason={reason}"),
+    }
+}
--- a/crates/server/src/gateway_process.rs
+++ b/crates/server/src/gateway_process/mod.rs
@@ -3,35 +3,36 @@
 use futures_channel::mpsc::{unbounded, UnboundedReceiver, UnboundedSender};
 use futures_util::{select_biased, FutureExt, StreamExt};
 use monoio::net::TcpListener;
-use peatgrade_gateway::{CallId, Gateway, GatewayAction, GatewaySettings, HttpId, Part};
-use peatgrade_ports::{Answer, Codec, ObjectKind, StoreEvent, StoreObject};
+use peatgrade_gateway::{CallId, Gateway, GatewaySettings, HttpId, Part};
+use peatgrade_ports::{Answer, Codec, ObjectKind};
 use peatgrade_runtime::http_client::Cancel;
-use peatgrade_runtime::{
-    serve_until_stopping, Delivery, HttpClient, Incoming, LinkSocket, SendOptions, Stopping,
-};
+use peatgrade_runtime::{serve_until_stopping, HttpClient, Incoming, LinkSocket, Stopping};
+use peatgrade_schema::decode;
 use peatgrade_schema::replication::mod_ReplicaMessage::OneOfbody;
 use peatgrade_schema::replication::ReplicaMessage;
-use peatgrade_schema::{decode, encode};
 use peatgrade_types::http::ResponsePart;
 use peatgrade_types::{hash_bytes, Time};
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
 
+mod actions;
+mod beliefs;
+
+use beliefs::find_replicas;
+
 use crate::clock::steady_now;
 use crate::metrics::{serve_metrics, Metrics};
 use crate::pause::PauseWatch;
 use crate::settings::ServerSettings;
 use crate::signals::{process_signals, ProcessSignal};
 use crate::store_client::StoreClient;
-use crate::watcher::{list_all, watch, StoreUpdate, Wanted};
+use crate::watcher::{watch, StoreUpdate, Wanted};
 use crate::ServerError;
 
 /// Time between two looks at what is due, with and without requests under way.
 const BUSY_TICK: Duration = Duration::from_millis(15);
 const IDLE_TICK: Duration = Duration::from_millis(100);
-/// Longest silence within an exchange with an engine.
-const ENGINE_SILENCE: Duration = Duration::from_secs(60);
 /// Time between two looks for replicas while no leader is known.
 const REPLICA_SEARCH: Duration = Duration::from_millis(900);
 /// After a stop signal new connections may still come for this long.
@@ -259,78 +260,6 @@
         }
     }
 
-    fn on_update(&mut self, update: Option<StoreUpdate>) {
-        let now = steady_now();
-        match update {
-            Some(StoreUpdate::Listed { kind, at, objects }) => match kind {
-                ObjectKind::Engines => {
-                    let records = objects.into_iter().filter_map(|(_, object)| match object {
-                        StoreObject::Engine(record) => Some(record),
-                        _ => None,
-                    });
-                    self.gateway.directory.replace(at, records.collect());
-                    self.engines_known = true;
-                    log::info!("belief=engines count={}", self.gateway.directory.len());
-                }
-                _ => objects
-                    .into_iter()
-                    .for_each(|(_, object)| self.take_configuration(object)),
-            },
-            Some(StoreUpdate::Changed { kind, at, events }) => match kind {
-                ObjectKind::Engines => self.take_engine_events(at, events),
-                _ => events
-                    .into_iter()
-                    .filter_map(|event| event.object)
-                    .for_each(|object| self.take_configuration(object)),
-            },
-            None => {}
-        }
-        let ready = self.ready();
-        if ready != self.ready_before {
-            log::info!("belief=ready value={ready} at_us={}", now.0);
-            self.ready_before = ready;
-        }
-    }
-
-    fn take_engine_events(&mut self, at: Time, events: Vec<StoreEvent>) {
-        for event in events {
-            if let Some(StoreObject::Engine(record)) = &event.object {
-                log::info!(
-                    "belief=engine instance={} address={} draining={}",
-                    record.instance,
-                    record.address,
-                    record.draining
-                );
-            }
-            if let Some(instance) = self.gateway.directory.apply(event) {
-                log::info!("belief=engine-gone instance={instance}");
-            }
-        }
-        self.gateway.directory.confirmed = at;
-    }
-
-    fn take_configuration(&mut self, object: StoreObject) {
-        match object {
-            StoreObject::Configuration(configuration) => {
-                let (version, routes) = (configuration.version, configuration.routes.len());
-                if self.gateway.configure(*configuration) {
-                    log::info!("belief=configuration version={version} routes={routes}");
-                }
-            }
-            StoreObject::Unreadable { name, reason } => {
-                log::error!("step=read-configuration object={name} error={reason}");
-            }
-            _ => {}
-        }
-    }
-
-    fn on_replicas(&mut self, addresses: Option<Vec<String>>) {
-        if let Some(addresses) = addresses {
-            log::info!("belief=replicas addresses={addresses:?}");
-            self.gateway.set_replicas(addresses);
-        }
-    }
-
     fn tick(&mut self) {
         let now = steady_now();
         if let Some(gap) = self.pauses.round(now) {
@@ -378,71 +307,6 @@
             .set("requests_in_flight", self.gateway.in_flight() as u64);
         self.metrics.set("ready", u64::from(self.ready()));
     }
-
-    fn carry_out(&mut self, actions: Vec<GatewayAction>) {
-        for action in actions {
-            match action {
-                GatewayAction::Respond { call, part } => {
-                    let last = matches!(part, ResponsePart::End | ResponsePart::Failed(_));
-                    if let ResponsePart::Head(head) = &part {
-                        let status = head.status.to_string();
-                        self.metrics.answers.with_label_values(&[&status]).inc();
-                    }
-                    if let Some(open) = self.calls.get(&call) {
-                        let _ = open.respond.unbounded_send(part);
-                    }
-                    if last {
-                        if let Some(open) = self.calls.remove(&call) {
-                            let took = steady_now().since(open.since);
-                            self.metrics.request_seconds.observe(took.as_secs_f64());
-                        }
-                    }
-                }
-                GatewayAction::Http {
-                    id,
-                    address,
-                    request,
-                    fresh,
-                } => {
-                    self.metrics.count("engine_attempt");
-                    let options = SendOptions {
-                        silence: ENGINE_SILENCE,
-                        fresh,
-                    };
-                    let cancel = self.client.send(id, &address, request, options);
-                    self.requests.insert(id, cancel);
-                }
-                GatewayAction::CancelHttp(id) => {
-                    self.metrics.count("engine_attempt_cancelled");
-                    self.requests.remove(&id);
-                }
-                GatewayAction::Job { address, call } => {
-                    let message = ReplicaMessage {
-                        from: 0,
-                        to: 0,
-                        term: 0,
-                        from_address: self.settings.peer_address.clone(),
-                        body: OneOfbody::job_call(call),
-                    };
-                    self.link
-                        .send(&address, encode(&message), Delivery::Connected);
-                }
-            }
-        }
-    }
-}
-
-async fn find_replicas(store: StoreClient, found: UnboundedSender<Vec<String>>) {
-    match list_all(&store, ObjectKind::Replicas).await {
-        Ok((objects, _)) => {
-            let addresses = objects.into_iter().filter_map(|(_, object)| match object {
-                StoreObject::Own { fields, .. } => fields.get("address").cloned(),
-                _ => None,
-            });
-            let _ = found.unbounded_send(addresses.collect());
-        }
-        Err(reason) => log::warn!("dependency=lost kind=Replicas reason={reason}"),
-    }
 }
 
 pub(crate) fn socket_error(
