Hand leadership over only to who has the whole log

Cause: a leader that was told to stop, or whose machine is to be emptied, asked a successor at once. That one mostly lacked the last entries, got no votes, and its term deposed the leader all the same: the group waited for an election of 220 to 360 ms in place of a handover. Change: proposals stop first; the successor is asked when it has the whole log. Tried with it and taken out: a leader that the store does not answer offers its place to a voter that has heard the store.

--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -105,6 +105,8 @@
     pub(crate) progress: BTreeMap<ReplicaId, Progress>,
     /// Set while leadership is being handed over; until when.
     pub(crate) handing_over: Option<Time>,
+    /// Who is to be asked to take over once it has the whole log.
+    pub(crate) successor: Option<ReplicaId>,
     pub(crate) became_leader: Time,
     pub(crate) store_age: Duration,
     pub(crate) out: Ready,
@@ -135,6 +137,7 @@
             votes: BTreeMap::new(),
             progress: BTreeMap::new(),
             handing_over: None,
+            successor: None,
             became_leader: now,
             store_age: Duration(0),
             out: Ready::default(),
@@ -252,13 +255,31 @@
         };
         // No lease and no proposal after this: the other may lead at once.
         self.handing_over = Some(now + self.settings.timing.election_max);
-        let body = OneOfbody::handover(Handover {
-            last_index: self.log.last_index(),
-        });
-        self.send(ReplicaId(best.replica), &best.address, body);
+        self.successor = Some(ReplicaId(best.replica));
+        self.ask_successor();
         true
     }
 
+    /// Asks the successor to take over, if it has the whole log: without its
+    /// last entries nobody would vote for it.
+    pub(crate) fn ask_successor(&mut self) {
+        let Some(successor) = self.successor else {
+            return;
+        };
+        let last_index = self.log.last_index();
+        let whole = self
+            .progress
+            .get(&successor)
+            .is_some_and(|progress| progress.match_index >= last_index);
+        let members = self.log.members();
+        let member = members.iter().find(|m| m.replica == successor.0);
+        if let Some(member) = member.filter(|_| whole) {
+            self.successor = None;
+            let body = OneOfbody::handover(Handover { last_index });
+            self.send(successor, &member.address, body);
+        }
+    }
+
     /// The driver has persisted all that earlier `Ready`s held.
     pub fn persisted(&mut self) {
         self.persisted = self.log.last_index();
@@ -351,6 +372,7 @@
         }
         self.role = Role::Follower;
         self.handing_over = None;
+        self.successor = None;
     }
 
     pub(crate) fn outgoing(&self, to: ReplicaId, address: &str, body: OneOfbody) -> Outgoing {
--- a/crates/replication/src/replicate.rs
+++ b/crates/replication/src/replicate.rs
@@ -124,6 +124,7 @@
         }
         if self.handing_over.is_some_and(|until| self.now >= until) {
             self.handing_over = None;
+            self.successor = None;
         }
         if self.now >= self.heartbeat_at {
             self.heartbeat();
@@ -240,6 +241,7 @@
             progress.rewind(response.match_index.min(last));
         }
         self.advance_commit();
+        self.ask_successor();
         let member = self.log.members().into_iter().find(|m| m.replica == from.0);
         if let Some(member) = member {
             self.send_entries(&member, false);
--- a/crates/replication/tests/replica.rs
+++ b/crates/replication/tests/replica.rs
@@ -3,6 +3,7 @@
 mod cluster;
 
 use cluster::Cluster;
+use peatgrade_replication::ReplicaId;
 use peatgrade_types::Duration;
 use rand::Rng;
 use rstest::rstest;
@@ -190,6 +191,24 @@
     assert_ne!(next, leader);
 }
 
+#[test]
+fn leadership_goes_to_the_voter_that_is_preferred() {
+    for preferred in [1, 2] {
+        let mut cluster = Cluster::new(5, 0);
+        cluster.run_until_led(LONG);
+        write_for(&mut cluster, Duration::from_millis(200));
+        let leader = cluster.answering.unwrap();
+        let next = (leader + preferred) % 3;
+        let id = ReplicaId(cluster.member(next, true).replica);
+        let now = cluster.now;
+        let replica = cluster.machines[leader].replica.as_mut().unwrap();
+        assert!(replica.hand_over(now, Some(id)));
+        assert!(!replica.may_answer(now), "no lease once it is offered");
+        cluster.run(Duration::from_millis(60));
+        assert_eq!(cluster.answering, Some(next));
+    }
+}
+
 #[test]
 fn a_retiring_machine_is_replaced_by_a_spare_one() {
     for seed in 0..20 {
