Refuse requests whose length can be read in two ways

Cause: the request decoder takes a request with both a length and a transfer coding, or with two lengths, and a second request inside its body reached an engine.

--- a/crates/runtime/src/http_server.rs
+++ b/crates/runtime/src/http_server.rs
@@ -121,6 +121,13 @@
         Ok(Some(Err(error))) => return Err(bad(allowance, &error)),
         Ok(Some(Ok(request))) => request,
     };
+    if !is_framed_clearly(&request) {
+        return Err(ReadEnd::Bad {
+            status: 400,
+            kind: "ambiguous-length",
+            detail: "the length of the request can be read in more than one way".into(),
+        });
+    }
     if declared_length(&request) > MAX_BODY_BYTES {
         return Err(too_large("body-too-large"));
     }
@@ -136,6 +143,29 @@
         .map_err(|error| bad(allowance, &error))
 }
 
+/// Whether the length of a request can be read in one way only. Otherwise what
+/// one side takes for its body may be another request to the other side.
+fn is_framed_clearly(request: &Request<Payload>) -> bool {
+    let headers = request.headers();
+    let lengths: Vec<&[u8]> = headers
+        .get_all(http::header::CONTENT_LENGTH)
+        .iter()
+        .map(|value| value.as_bytes())
+        .collect();
+    let codings: Vec<&[u8]> = headers
+        .get_all(http::header::TRANSFER_ENCODING)
+        .iter()
+        .map(|value| value.as_bytes())
+        .collect();
+    let digits = |value: &&[u8]| !value.is_empty() && value.iter().all(u8::is_ascii_digit);
+    match (lengths.as_slice(), codings.as_slice()) {
+        ([], []) => true,
+        ([length], []) => digits(length),
+        ([], [coding]) => coding.eq_ignore_ascii_case(b"chunked"),
+        _ => false,
+    }
+}
+
 fn declared_length(request: &Request<Payload>) -> usize {
     let value = request.headers().get(http::header::CONTENT_LENGTH);
     let parsed = value.and_then(|value| value.to_str().ok()?.parse().ok());
