--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -92,7 +92,7 @@
     }
 
     fn event_reader(&self) -> Box<dyn EventReader> {
-        unimplemented!("a gateway reads no events")
+        panic!("a gateway reads no events")
     }
 
     fn report(&self, _: &[u8]) -> Option<EngineReport> {
--- a/crates/runtime/src/link_socket.rs
+++ b/crates/runtime/src/link_socket.rs
@@ -102,9 +102,11 @@
         let Some(sending) = self.connections.get(&address) else {
             return;
         };
+        // Who never says what it hears does not want connections made anew.
         let heard = self.heard.get(&address);
-        let last = heard.map_or(sending.opened, |heard| (*heard).max(sending.opened));
-        if sending.queue.is_closed() || last.elapsed() > SILENT_RENEWAL {
+        let last = heard.map(|heard| (*heard).max(sending.opened));
+        let silent = last.is_some_and(|last| last.elapsed() > SILENT_RENEWAL);
+        if sending.queue.is_closed() || silent {
             self.connections.remove(&address);
         }
     }
