Take a stream up at another engine inside one answer

Events go on whole, each as it comes; where a stream may be resumed another engine goes on after the last one, the first engine's head stands for all, and nothing but more of the stream may follow it.

--- a/crates/gateway/src/forward/answers.rs
+++ b/crates/gateway/src/forward/answers.rs
@@ -6,6 +6,7 @@
 use peatgrade_types::http::{HttpFailure, HttpStep, ResponseHead, ResponsePart};
 use peatgrade_types::{Duration, Time};
 
+use super::stream::PassedStream;
 use super::{Forwarder, HttpId, Part};
 use crate::gateway::{respond, respond_whole, CallId, GatewayAction, COME_BACK};
 
@@ -66,12 +67,24 @@
         }
         if streams && forward.streaming.is_none() {
             forward.streaming = Some(id);
-            let call = attempt.call;
-            if let Some((head, _)) = &attempt.head {
-                let head = self.codec.passed_head(head, &forward.request);
-                let part = ResponsePart::Head(head);
-                actions.push(GatewayAction::Respond { call, part });
-            }
+            self.begin_stream(id, actions);
+        }
+    }
+
+    /// The first engine's head stands for the whole stream.
+    fn begin_stream(&mut self, id: HttpId, actions: &mut Vec<GatewayAction>) {
+        let Some(attempt) = self.attempts.get(&id) else {
+            return;
+        };
+        let call = attempt.call;
+        let (Some(forward), Some((head, _))) = (self.calls.get_mut(&call), &attempt.head) else {
+            return;
+        };
+        if forward.stream.is_none() {
+            forward.stream = Some(PassedStream::default());
+            let head = self.codec.passed_head(head, &forward.request);
+            let part = ResponsePart::Head(head);
+            actions.push(GatewayAction::Respond { call, part });
         }
     }
 
@@ -80,13 +93,58 @@
             return;
         };
         let call = attempt.call;
-        let streaming = self.calls.get(&call).and_then(|forward| forward.streaming);
-        if streaming == Some(id) {
-            let part = ResponsePart::Data(data.clone());
+        let forward = self.calls.get_mut(&call);
+        let streaming = forward.filter(|forward| forward.streaming == Some(id));
+        match streaming.and_then(|forward| forward.stream.as_mut()) {
+            None => attempt.body.extend_from_slice(data),
+            Some(stream) => {
+                if let Some(whole) = stream.feed(data) {
+                    let part = ResponsePart::Data(whole);
+                    actions.push(GatewayAction::Respond { call, part });
+                }
+            }
+        }
+    }
+
+    /// The engine that a stream came from is done with it, or broke off.
+    fn on_stream_end(
+        &mut self,
+        now: Time,
+        call: CallId,
+        failure: Option<&HttpFailure>,
+        directory: &mut EngineDirectory,
+        actions: &mut Vec<GatewayAction>,
+    ) {
+        let Some(forward) = self.calls.get_mut(&call) else {
+            return;
+        };
+        let Some(stream) = &mut forward.stream else {
+            return;
+        };
+        let broken = failure.is_some() || (forward.resumable && stream.has_rest());
+        if !broken {
+            if let Some(rest) = stream.take_rest() {
+                let part = ResponsePart::Data(rest);
+                actions.push(GatewayAction::Respond { call, part });
+            }
+            let part = ResponsePart::End;
             actions.push(GatewayAction::Respond { call, part });
-        } else {
-            attempt.body.extend_from_slice(data);
+            self.calls.remove(&call);
+            return;
         }
+        stream.drop_rest();
+        forward.streaming = None;
+        forward.may_have_run = true;
+        if !forward.resumable {
+            return self.end_without_answer(now, call, actions);
+        }
+        forward.request.last_event = stream.last_event.or(forward.request.last_event);
+        log::info!(
+            "decision=resume request={} after={:?}",
+            forward.request.id,
+            forward.request.last_event
+        );
+        self.dispatch(now, call, directory, actions);
     }
 
     fn on_end(
@@ -111,10 +169,7 @@
             return;
         };
         if forward.streaming == Some(id) {
-            let part = ResponsePart::End;
-            actions.push(GatewayAction::Respond { call, part });
-            self.calls.remove(&call);
-            return;
+            return self.on_stream_end(now, call, None, directory, actions);
         }
         if told.not_run || told.misdirected {
             forward.sends -= 1;
@@ -132,7 +187,9 @@
             return self.dispatch(now, call, directory, actions);
         }
         let took = now.since(attempt.sent);
-        let broken = told.status >= 500 || (told.status < 300 && !told.signed);
+        // Once a stream has begun, only more of it may follow.
+        let stray = forward.stream.is_some();
+        let broken = stray || told.status >= 500 || (told.status < 300 && !told.signed);
         if let Some(state) = directory.get_mut(&attempt.instance) {
             if broken {
                 state.experience.failed(now);
@@ -149,11 +206,11 @@
                 told.signed
             );
             forward.may_have_run = true;
-            let again = forward.kind == RouteKind::Safe && forward.sends < forward.max_attempts;
+            let again = forward.is_repeatable() && forward.sends < forward.max_attempts;
             if again || !forward.open.is_empty() {
                 return self.dispatch(now, call, directory, actions);
             }
-            if told.status < 500 {
+            if stray || told.status < 500 {
                 return self.end_without_answer(now, call, actions);
             }
         }
@@ -197,11 +254,7 @@
             attempt.instance
         );
         if forward.streaming == Some(id) {
-            // Half a stream must not look whole.
-            let part = ResponsePart::Failed(failure.clone());
-            actions.push(GatewayAction::Respond { call, part });
-            self.calls.remove(&call);
-            return;
+            return self.on_stream_end(now, call, Some(failure), directory, actions);
         }
         if failure.step == HttpStep::Connect {
             forward.sends -= 1;
@@ -209,7 +262,7 @@
         } else {
             forward.may_have_run = true;
         }
-        let repeatable = forward.kind == RouteKind::Safe || !forward.may_have_run;
+        let repeatable = forward.is_repeatable() || !forward.may_have_run;
         if repeatable {
             return self.dispatch(now, call, directory, actions);
         }
@@ -241,6 +294,15 @@
             forward.refusals,
             now.since(forward.received).0
         );
+        if forward.stream.is_some() {
+            // Half a stream must not look whole.
+            let part = ResponsePart::Failed(HttpFailure {
+                peer: String::new(),
+                step: HttpStep::Body,
+                reason: "no engine goes on with the stream".into(),
+            });
+            return actions.push(GatewayAction::Respond { call, part });
+        }
         let answer = Answer::Refused {
             refusal,
             detail: format!(
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -12,8 +12,10 @@
 
 mod answers;
 mod choice;
+mod stream;
 
 use choice::choose;
+use stream::PassedStream;
 
 use crate::gateway::{CallId, GatewayAction};
 
@@ -60,10 +62,22 @@
     tried: Vec<Instance>,
     open: Vec<HttpId>,
     may_have_run: bool,
-    /// A streamed answer has begun at the caller, from this attempt.
+    /// Whether a stream may be taken up at another engine.
+    resumable: bool,
+    /// A streamed answer has begun at the caller.
+    stream: Option<PassedStream>,
+    /// The attempt that the stream comes from just now.
     streaming: Option<HttpId>,
 }
 
+impl Forward {
+    /// Whether it may run more than once.
+    fn is_repeatable(&self) -> bool {
+        let resumes = self.kind == RouteKind::Streaming && self.resumable;
+        self.kind == RouteKind::Safe || resumes
+    }
+}
+
 /// Requests under way to engines.
 pub struct Forwarder {
     codec: Rc<dyn Codec>,
@@ -121,6 +135,8 @@
             tried: Vec::new(),
             open: Vec::new(),
             may_have_run: false,
+            resumable: route.resumable,
+            stream: None,
             streaming: None,
             request,
         };
@@ -280,19 +296,8 @@
             };
             forward.may_have_run |= !forward.open.is_empty();
             let open = std::mem::take(&mut forward.open);
-            let streaming = forward.streaming.is_some();
             self.cancel_all(&open, directory, actions);
-            if streaming {
-                let part = ResponsePart::Failed(HttpFailure {
-                    peer: String::new(),
-                    step: HttpStep::Body,
-                    reason: "time-out of the route".into(),
-                });
-                actions.push(GatewayAction::Respond { call, part });
-                self.calls.remove(&call);
-            } else {
-                self.end_without_answer(now, call, actions);
-            }
+            self.end_without_answer(now, call, actions);
         }
         let silent: Vec<CallId> = self.due(|forward| {
             forward.kind == RouteKind::Safe
--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -69,7 +69,10 @@
 
     fn engine_request(&self, call: &EngineCall) -> HttpRequest {
         let EngineCall::Run {
-            instance, deadline, ..
+            instance,
+            deadline,
+            last_event,
+            ..
         } = call
         else {
             panic!("a gateway only runs requests");
@@ -78,6 +81,7 @@
         HttpRequest::new("POST", "/", "")
             .with_header("instance", instance.0.clone())
             .with_header("left", left.to_string())
+            .with_header("after", format!("{last_event:?}"))
     }
 
     fn answer_head(&self, head: &ResponseHead) -> AnswerHead {
@@ -116,6 +120,7 @@
     id: HttpId,
     engine: String,
     left: u64,
+    after: String,
     fresh: bool,
 }
 
@@ -128,6 +133,7 @@
     heads: Vec<ResponseHead>,
     bodies: Vec<u8>,
     ended: bool,
+    cut: bool,
     jobs: Vec<(String, u64)>,
 }
 
@@ -151,7 +157,7 @@
                 weight: 1,
             }],
             max_attempts: 2,
-            resumable: false,
+            resumable: kind == RouteKind::Streaming,
             max_queue: Duration::from_secs(40),
             result_deadline: Duration::from_secs(7),
             single_version: false,
@@ -179,6 +185,7 @@
             heads: Vec::new(),
             bodies: Vec::new(),
             ended: false,
+            cut: false,
             jobs: Vec::new(),
         }
     }
@@ -191,7 +198,8 @@
                     match part {
                         ResponsePart::Head(head) => self.heads.push(head),
                         ResponsePart::Data(data) => self.bodies.extend_from_slice(&data),
-                        ResponsePart::End | ResponsePart::Failed(_) => self.ended = true,
+                        ResponsePart::End => self.ended = true,
+                        ResponsePart::Failed(_) => (self.ended, self.cut) = (true, true),
                     }
                 }
                 GatewayAction::Http {
@@ -200,6 +208,7 @@
                     id,
                     engine: request.header("instance").unwrap().to_string(),
                     left: request.header("left").unwrap().parse().unwrap(),
+                    after: request.header("after").unwrap().to_string(),
                     fresh,
                 }),
                 GatewayAction::CancelHttp(id) => self.cancelled.push(id),
@@ -469,3 +478,68 @@
     assert_eq!(scene.status(), Some(503));
     assert!(scene.heads[0].header("retry-ms").is_some());
 }
+
+fn begin_stream(scene: &mut Scene, index: usize) {
+    let mut head = ResponseHead::new(200, "text/event-stream");
+    head.headers.push(("id".into(), "r1".into()));
+    head.headers.push(("signed".into(), "1".into()));
+    scene.part(index, ResponsePart::Head(head));
+}
+
+fn data(scene: &mut Scene, index: usize, text: &str) {
+    scene.part(index, ResponsePart::Data(Bytes::from(text.to_string())));
+}
+
+#[test]
+fn a_stream_that_breaks_off_goes_on_at_another_engine_after_its_last_whole_event() {
+    let mut scene = Scene::new(RouteKind::Streaming, 3);
+    scene.call();
+    begin_stream(&mut scene, 0);
+    data(&mut scene, 0, "id: 1\ndata: one\n\nid: 2\nda");
+    assert_eq!(scene.bodies, b"id: 1\ndata: one\n\n", "each as it comes");
+    scene.fail(0, HttpStep::Body);
+    assert_eq!(scene.sent[1].after, "Some(1)");
+    assert_ne!(scene.sent[1].engine, scene.sent[0].engine);
+    begin_stream(&mut scene, 1);
+    data(&mut scene, 1, "id: 2\ndata: two\n\n");
+    scene.part(1, ResponsePart::End);
+    assert_eq!(scene.heads.len(), 1);
+    assert_eq!(scene.bodies, b"id: 1\ndata: one\n\nid: 2\ndata: two\n\n");
+    assert!(scene.ended && !scene.cut);
+}
+
+#[test]
+fn half_a_stream_never_looks_whole() {
+    let mut scene = Scene::new(RouteKind::Streaming, 2);
+    scene.call();
+    for index in 0..2 {
+        begin_stream(&mut scene, index);
+        data(&mut scene, index, "id: 1\ndata: one\n\n");
+        scene.fail(index, HttpStep::Body);
+    }
+    assert!(scene.cut);
+    assert_eq!(scene.heads.len(), 1);
+}
+
+#[test]
+fn an_error_of_the_next_engine_is_not_mixed_into_a_stream() {
+    let mut scene = Scene::new(RouteKind::Streaming, 2);
+    scene.call();
+    begin_stream(&mut scene, 0);
+    data(&mut scene, 0, "id: 1\ndata: one\n\n");
+    scene.fail(0, HttpStep::Body);
+    scene.answer(1, 500, &["id", "signed"], "broken");
+    assert!(scene.cut);
+    assert_eq!(scene.bodies, b"id: 1\ndata: one\n\n");
+    assert_eq!(scene.heads.len(), 1);
+}
+
+#[test]
+fn a_stream_whose_time_is_over_is_cut() {
+    let mut scene = Scene::new(RouteKind::Streaming, 2);
+    scene.call();
+    begin_stream(&mut scene, 0);
+    scene.wait(1_000);
+    assert!(scene.cut);
+    assert_eq!(scene.cancelled.len(), 1);
+}
