--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -3,7 +3,7 @@
 use bytes::BytesMut;
 use peatgrade_fleet::EngineDirectory;
 use peatgrade_ports::{AnswerHead, CallerRequest, Codec, EngineCall, Instance, Route, RouteKind};
-use peatgrade_types::http::{HttpFailure, HttpStep, ResponseHead, ResponsePart};
+use peatgrade_types::http::{ResponseHead, ResponsePart};
 use peatgrade_types::{Duration, Time};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
