Take a text for whole when two runs add nothing to it

Ruled out: engines (all of them answered 200, each with a clean end). Change: a second run in a row that ends well without any event confirms that the text is whole; one alone may be a broken answer. Test: a_text_whose_end_was_lost_..., fails with the old rule.

--- a/crates/jobs/src/dispatcher/answers.rs
+++ b/crates/jobs/src/dispatcher/answers.rs
@@ -6,12 +6,15 @@
 use peatgrade_types::{Duration, Time};
 
 use super::{DispatchAction, Dispatcher, RunId, RunPart};
+use crate::item::ItemKey;
 use crate::streams::take_bytes;
 
 /// Wait after a refusal before the item or the engine is tried again.
 const REFUSED_WAIT: Duration = Duration::from_millis(60);
 /// Wait before a failed item is tried again.
 const FAILED_WAIT: Duration = Duration::from_millis(30);
+/// Runs without any event after which a text counts as whole.
+const EMPTY_ENDS: u32 = 2;
 /// Answers of 500 before an item is given up, as a multiple of what its route
 /// names: an engine that fails at random must not cost an item.
 const PATIENCE: u32 = 2;
@@ -71,6 +74,7 @@
         match taken {
             Ok(0) => {}
             Ok(count) => {
+                item.empty_ends = 0;
                 if let (Some(last), Some(state)) = (run.last, directory.get_mut(&run.instance)) {
                     let gap = Duration(now.since(last).0 / count as u64);
                     if state.loading.is_empty() {
@@ -99,7 +103,7 @@
         let head = run.head.clone().unwrap_or_default();
         let key = run.key.clone();
         if head.status == 200 {
-            if run.reader.has_rest() || run.events == 0 {
+            if run.reader.has_rest() || (run.events == 0 && !self.is_known_whole(&key)) {
                 return self.on_failed(now, id, "ended inside an event", directory);
             }
             return self.complete(now, id, directory);
@@ -148,6 +152,17 @@
         }
     }
 
+    /// Whether a run without any event means that the text was whole before it:
+    /// its end may have been lost with the run that made its last event. One
+    /// answer may be a broken one, so a second must say the same.
+    fn is_known_whole(&mut self, key: &ItemKey) -> bool {
+        let Some(item) = self.items.get_mut(key) else {
+            return false;
+        };
+        item.empty_ends += 1;
+        !item.text.events.is_empty() && item.empty_ends >= EMPTY_ENDS
+    }
+
     fn complete(&mut self, now: Time, id: RunId, directory: &mut EngineDirectory) {
         let Some(run) = self.forget_run(id, directory) else {
             return;
--- a/crates/jobs/src/item.rs
+++ b/crates/jobs/src/item.rs
@@ -26,6 +26,8 @@
     pub logged_events: usize,
     /// Answers of 500.
     pub failures: u32,
+    /// Runs in a row that ended well without any event.
+    pub empty_ends: u32,
     /// Its run, if it has one.
     pub run: Option<RunId>,
     /// Not tried before then.
@@ -50,6 +52,7 @@
             text: PartialText::default(),
             logged_events: 0,
             failures: 0,
+            empty_ends: 0,
             run: None,
             not_before: Time(0),
             avoid: None,
--- a/crates/jobs/tests/dispatcher.rs
+++ b/crates/jobs/tests/dispatcher.rs
@@ -283,3 +283,39 @@
     }
     assert_eq!(scene.started.len(), 2, "{:?}", scene.started);
 }
+
+#[test]
+fn a_text_whose_end_was_lost_is_whole_once_two_runs_add_nothing() {
+    let mut scene = Scene::new(vec![engine("a", 5), engine("b", 5)]);
+    scene.submit("j", 5, &["i"]);
+    scene.poll();
+    let run = scene.last().run;
+    scene.head(run, 200, 5);
+    scene.data(run, "1|0|one\n2|0|two\n");
+    // All events came, but not the end.
+    scene.part(run, RunPart::Failed("reset".into()));
+    for _ in 0..2 {
+        assert!(scene.results("j").is_empty());
+        scene.wait(600);
+        let again = scene.last();
+        assert_eq!(again.after, Some(2));
+        scene.head(again.run, 200, 5);
+        scene.part(again.run, RunPart::End);
+    }
+    scene.poll();
+    assert_eq!(scene.results("j"), vec![whole("i", "one\ntwo", &[5])]);
+}
+
+#[test]
+fn a_run_without_any_event_is_no_text() {
+    let mut scene = Scene::new(vec![engine("a", 5)]);
+    scene.submit("j", 5, &["i"]);
+    for _ in 0..4 {
+        scene.wait(5_000);
+        let run = scene.last().run;
+        scene.head(run, 200, 5);
+        scene.part(run, RunPart::End);
+    }
+    scene.poll();
+    assert!(scene.results("j").is_empty());
+}
