--- a/crates/fleet/src/coordinator/mod.rs
+++ b/crates/fleet/src/coordinator/mod.rs
@@ -19,7 +19,7 @@
 
 mod candidates;
 
-use crate::directory::EngineDirectory;
+use crate::directory::{EngineDirectory, EngineState};
 
 /// Time after which an order or a report without an answer is given up.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(600);
@@ -36,6 +36,12 @@
 /// Time after which a load counts as failed.
 const LOAD_TIMEOUT: Duration = Duration::from_millis(8_000);
 
+/// One engine in so many may load at once, where the settings name no number:
+/// weights come from one source, whose bandwidth grows with the fleet.
+const LOAD_SHARE: usize = 5;
+/// Engines that may load at once however small the fleet.
+const LEAST_AT_ONCE: usize = 2;
+
 /// What the coordinator wants done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum CoordinatorAction {
@@ -100,7 +106,8 @@
 
 impl VersionCoordinator {
     /// A holder that may order each engine in `quiet` from that time on, and all
-    /// others at once.
+    /// others at once. No more than `at_once` engines load together; 0 stands
+    /// for a share of all.
     pub fn new(
         holder: String,
         fence: u64,
@@ -158,8 +165,9 @@
             .values()
             .filter(|e| e.holds_place(now, load_time));
         let loading = loads.count();
-        let mut free = self.at_once.saturating_sub(loading);
-        let ahead = self.loading() + 2 * self.at_once;
+        let at_once = self.at_once(directory);
+        let mut free = at_once.saturating_sub(loading);
+        let ahead = self.loading() + 2 * at_once;
         for (instance, target) in self.candidates(directory).into_iter().take(ahead) {
             let progress = self
                 .engines
@@ -201,6 +209,16 @@
         actions
     }
 
+    /// Engines that may load at once.
+    fn at_once(&self, directory: &EngineDirectory) -> usize {
+        if self.at_once > 0 {
+            return self.at_once;
+        }
+        let holds = |state: &&EngineState| !state.record.models.is_empty();
+        let engines = directory.iter().filter(holds).count();
+        (engines / LOAD_SHARE).max(LEAST_AT_ONCE)
+    }
+
     fn expire(&mut self, now: Time) {
         for progress in self.engines.values_mut() {
             match progress.phase {
--- a/crates/fleet/src/experience.rs
+++ b/crates/fleet/src/experience.rs
@@ -43,11 +43,13 @@
         self.latency = mean(self.latency, took.0 as f64, LATENCY_WEIGHT);
     }
 
-    /// Takes note of the time between two events.
-    pub fn event(&mut self, now: Time, gap: Duration) {
+    /// Takes note of `count` events that came in `span`.
+    pub fn events(&mut self, now: Time, span: Duration, count: u32) {
         self.failures = 0;
         self.heard = now;
-        self.pace = mean(self.pace, gap.0 as f64, PACE_WEIGHT);
+        let gap = span.0 as f64 / f64::from(count.max(1));
+        let weight = 1.0 - (1.0 - PACE_WEIGHT).powi(count as i32);
+        self.pace = mean(self.pace, gap, weight);
     }
 
     /// Takes note of a failure.
--- a/crates/jobs/src/dispatcher/answers.rs
+++ b/crates/jobs/src/dispatcher/answers.rs
@@ -76,9 +76,9 @@
             Ok(count) => {
                 item.empty_ends = 0;
                 if let (Some(last), Some(state)) = (run.last, directory.get_mut(&run.instance)) {
-                    let gap = Duration(now.since(last).0 / count as u64);
                     if state.loading.is_empty() {
-                        state.experience.event(now, gap);
+                        let span = now.since(last);
+                        state.experience.events(now, span, count as u32);
                     }
                 }
                 run.last = Some(now);
--- a/crates/jobs/src/dispatcher/mod.rs
+++ b/crates/jobs/src/dispatcher/mod.rs
@@ -83,6 +83,10 @@
     next_run: u64,
     progress_at: Time,
     watched_at: Time,
+    /// Next look at what waits while no engine has a place.
+    full_look_at: Time,
+    /// Engines weighed for items since the start.
+    weighed: u64,
     /// Expected length from which on an item of a job counts as long.
     long_from: HashMap<Rc<str>, u64>,
     reader: Box<dyn Fn() -> Box<dyn EventReader>>,
@@ -99,6 +103,8 @@
             next_run: 1,
             progress_at: Time(0),
             watched_at: Time(0),
+            full_look_at: Time(0),
+            weighed: 0,
             long_from: HashMap::new(),
             reader,
             actions: Vec::new(),
@@ -115,6 +121,11 @@
         self.runs.len()
     }
 
+    /// Engines weighed for items since the start: what choices cost.
+    pub fn engines_weighed(&self) -> u64 {
+        self.weighed
+    }
+
     /// Takes up a job that is new, or new to this leader.
     pub fn open_job(&mut self, id: &str, store: &JobStore) {
         let Some(job) = store.get(id).filter(|job| !job.ended) else {
--- a/crates/jobs/src/dispatcher/starting.rs
+++ b/crates/jobs/src/dispatcher/starting.rs
@@ -20,16 +20,72 @@
 /// Short items leave half of an engine's places to long ones for this long.
 const YIELD_FOR: Duration = Duration::from_millis(1_200);
 
+/// Time between two looks at what waits while no engine has a place.
+const FULL_LOOK_EVERY: Duration = Duration::from_millis(100);
+
+/// Names a group: its job and its name there.
+type GroupKey = (Rc<str>, String);
+
+/// Engines that could run a job's items, looked up once for all items that go
+/// to the same service.
+#[derive(Default)]
+struct Rooms {
+    looks: HashMap<(Rc<str>, String), Option<Candidates>>,
+}
+
+impl Rooms {
+    /// The engines weighed for a job at a service; none if no place is free.
+    fn look(
+        &mut self,
+        now: Time,
+        job: &Rc<str>,
+        directory: &EngineDirectory,
+        need: &Need<'_>,
+    ) -> Option<&Candidates> {
+        let key = (job.clone(), need.service.to_string());
+        let look = self.looks.entry(key).or_insert_with(|| {
+            let look = Candidates::find(now, directory, need);
+            look.has_room(now, directory, need).then_some(look)
+        });
+        look.as_ref()
+    }
+
+    /// Takes note that an item found no place: maybe none is left for its job.
+    fn note_full(
+        &mut self,
+        job: &Rc<str>,
+        now: Time,
+        directory: &EngineDirectory,
+        need: &Need<'_>,
+    ) {
+        let key = (job.clone(), need.service.to_string());
+        if let Some(look) = self.looks.get_mut(&key) {
+            *look = look
+                .take()
+                .filter(|look| look.has_room(now, directory, need));
+        }
+    }
+}
+
 impl Dispatcher {
+    /// Starts what waits, as far as there is room. The look costs as much as
+    /// there are engines and jobs, not items, while all places are taken.
     pub(super) fn start_waiting(
         &mut self,
         now: Time,
         configuration: &Configuration,
         directory: &mut EngineDirectory,
     ) {
-        let mut looks: HashMap<Rc<str>, Candidates> = HashMap::new();
+        if !self.is_start_due(now, directory) {
+            return;
+        }
         let waiting = self.waiting_in_order(now);
-        let crowded = !waiting.is_empty() && self.is_crowded(directory);
+        if waiting.is_empty() {
+            return;
+        }
+        let mut rooms = Rooms::default();
+        let mut companions = self.companions();
+        let crowded = self.is_crowded(directory);
         for key in waiting {
             let Some(item) = self.items.get(&key) else {
                 continue;
@@ -48,24 +104,21 @@
             let Some(service) = target_of(route, &item.item().id) else {
                 continue;
             };
-            let companions = self.companions(&key, item);
-            let need = Need {
+            let group = (key.0.clone(), item.item().group.clone());
+            let beside = companions.entry(group).or_default();
+            let without = Need {
                 service,
                 model: &item.spec.model,
                 min_version: item.spec.min_version,
-                companions: &companions,
-                avoid: item.avoid.as_ref(),
-            };
-            let without = Need {
+                companions: beside,
                 avoid: None,
-                ..need
             };
-            let single = route.targets.len() == 1;
-            let look = if single {
-                let look = || Candidates::find(now, directory, &without);
-                &*looks.entry(key.0.clone()).or_insert_with(look)
-            } else {
-                &Candidates::find(now, directory, &without)
+            let Some(look) = rooms.look(now, &key.0, directory, &without) else {
+                continue;
+            };
+            let need = Need {
+                avoid: item.avoid.as_ref(),
+                ..without
             };
             let limit = if crowded {
                 u32::MAX
@@ -74,15 +127,35 @@
             };
             // An engine that fails at once is always the emptiest: rather a full
             // one than the one that has just failed this item.
+            self.weighed += look.len() as u64;
             let chosen = look
                 .choose(now, directory, &need, limit)
                 .or_else(|| look.choose(now, directory, &need, u32::MAX))
                 .or_else(|| look.choose(now, directory, &without, limit));
-            if let Some(instance) = chosen {
-                let left = (item.known_since + route.max_queue).since(now);
-                self.start(now, &key, instance, left, route.priority, directory);
+            let Some(instance) = chosen else {
+                rooms.note_full(&key.0, now, directory, &without);
+                continue;
+            };
+            if !item.item().group.is_empty() {
+                beside.push(instance.clone());
             }
+            let left = (item.known_since + route.max_queue).since(now);
+            self.start(now, &key, instance, left, route.priority, directory);
+        }
+    }
+
+    /// Whether a look at what waits can change anything: while all places are
+    /// taken, one now and then is enough for what must be given up.
+    fn is_start_due(&mut self, now: Time, directory: &EngineDirectory) -> bool {
+        let mut engines = directory.iter();
+        let place = engines.any(|state| {
+            !state.record.draining && state.experience.running < state.record.slots.max(1)
+        });
+        if !place && now < self.full_look_at {
+            return false;
         }
+        self.full_look_at = now + FULL_LOOK_EVERY;
+        true
     }
 
     /// Whether open items would fill all places of model engines: then no place
@@ -150,21 +223,21 @@
         keyed.into_iter().map(|(_, key)| key.clone()).collect()
     }
 
-    /// Engines that run items of the same group of the same job.
-    fn companions(&self, key: &ItemKey, item: &OpenItem) -> Vec<Instance> {
-        let group = &item.item().group;
-        if group.is_empty() {
-            return Vec::new();
+    /// Engines that run items of each group of each job.
+    fn companions(&self) -> HashMap<GroupKey, Vec<Instance>> {
+        let mut companions: HashMap<GroupKey, Vec<Instance>> = HashMap::new();
+        for run in self.runs.values() {
+            let Some(item) = self.items.get(&run.key) else {
+                continue;
+            };
+            let group = &item.item().group;
+            if !group.is_empty() {
+                let group = (run.key.0.clone(), group.clone());
+                let engines = companions.entry(group).or_default();
+                engines.push(run.instance.clone());
+            }
         }
-        let same_job = self
-            .items
-            .range((key.0.clone(), 0)..=(key.0.clone(), usize::MAX));
-        let runs = same_job
-            .filter(|(_, other)| other.item().group == *group)
-            .filter_map(|(_, other)| other.run);
-        runs.filter_map(|run| self.runs.get(&run))
-            .map(|run| run.instance.clone())
-            .collect()
+        companions
     }
 
     fn start(
--- a/crates/jobs/src/placement.rs
+++ b/crates/jobs/src/placement.rs
@@ -79,6 +79,17 @@
         best.map(|state| state.record.instance.clone())
     }
 
+    /// Number of engines weighed for each item.
+    pub fn len(&self) -> usize {
+        self.engines.len()
+    }
+
+    /// Whether any of them can take an item now.
+    pub fn has_room(&self, now: Time, directory: &EngineDirectory, need: &Need<'_>) -> bool {
+        let mut states = self.engines.iter().filter_map(|name| directory.get(name));
+        states.any(|state| usable(now, state, need))
+    }
+
     /// Whether an engine with room would run a request faster than `state`
     /// does, by more than the move costs.
     pub fn has_faster(
--- /dev/null
+++ b/crates/jobs/tests/scale.rs
@@ -0,0 +1,63 @@
+//! What a look over many items costs.
+
+mod dispatch;
+
+use dispatch::{engine, Scene};
+
+const ENGINES: usize = 48;
+const SLOTS: usize = 8;
+const JOBS: usize = 6;
+const ITEMS: usize = 208;
+
+fn crowded_scene() -> Scene {
+    let engines = (0..ENGINES).map(|index| {
+        let mut engine = engine(&format!("e{index}"), 5);
+        engine.slots = SLOTS as u32;
+        engine
+    });
+    let mut scene = Scene::new(engines.collect());
+    for job in 0..JOBS {
+        let ids: Vec<String> = (0..ITEMS).map(|item| format!("{job}-{item}")).collect();
+        let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
+        scene.submit(&format!("job-{job}"), 5, &ids);
+    }
+    scene
+}
+
+/// A leader that weighs all engines for each waiting item on each look has no
+/// time left for the events that arrive.
+#[test]
+fn items_that_wait_for_a_place_cost_nothing_until_there_is_one() {
+    let mut scene = crowded_scene();
+    scene.poll();
+    assert_eq!(scene.started.len(), ENGINES * SLOTS);
+    for started in scene.started.clone() {
+        scene.head(started.run, 200, 5);
+        scene.data(started.run, "1|0|one\n");
+    }
+    let before = scene.dispatcher.engines_weighed();
+    for _ in 0..100 {
+        scene.wait(4);
+    }
+    let weighed = scene.dispatcher.engines_weighed() - before;
+    assert!(weighed <= (JOBS * ENGINES) as u64, "{weighed} weighed");
+}
+
+#[test]
+fn a_place_that_becomes_free_is_taken_at_the_next_look() {
+    let mut scene = crowded_scene();
+    scene.poll();
+    for started in scene.started.clone() {
+        scene.head(started.run, 200, 5);
+        scene.data(started.run, "1|0|one\n");
+    }
+    let full = scene.started.len();
+    let run = scene.started[7].run;
+    scene.part(run, peatgrade_jobs::RunPart::End);
+    let before = scene.dispatcher.engines_weighed();
+    scene.wait(4);
+    assert_eq!(scene.started.len(), full + 1);
+    // The rest of the queue is not weighed against engines that are full.
+    let weighed = scene.dispatcher.engines_weighed() - before;
+    assert!(weighed <= (2 * JOBS * ENGINES) as u64, "{weighed} weighed");
+}
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -264,6 +264,7 @@
                     let options = SendOptions {
                         silence: Duration::from_micros(timeout.0),
                         fresh: false,
+                        gathering: false,
                     };
                     let cancel = self.client.send(id, &address, request, options);
                     self.requests.insert(id, cancel);
--- a/crates/replication/src/group.rs
+++ b/crates/replication/src/group.rs
@@ -12,8 +12,8 @@
 use crate::message::ReplicaId;
 use crate::replica::{Replica, Role};
 
-/// Voters of a full group: a majority survives the loss of one.
-const VOTERS: usize = 3;
+/// Voters of a full group where nothing else is said.
+const DEFAULT_VOTERS: usize = 3;
 /// Silence after which a voter is replaced if another machine can take over.
 const GONE_AFTER: Duration = Duration::from_millis(1_500);
 /// A replica that has answered within this span counts as alive.
@@ -37,8 +37,10 @@
 }
 
 /// Machines known, by name.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Group {
+    /// Voters of a full group.
+    voters: usize,
     machines: BTreeMap<String, MachineReport>,
     /// Incarnations that a newer one of the same machine has replaced.
     superseded: BTreeSet<u64>,
@@ -46,7 +48,29 @@
     failed: BTreeMap<u64, Time>,
 }
 
+impl Default for Group {
+    fn default() -> Self {
+        Self::new(DEFAULT_VOTERS)
+    }
+}
+
+/// Voters of a group that goes on while `lost` of them are lost at once; never
+/// fewer than one loss takes, since any disk may go.
+pub fn voters_for(lost: usize) -> usize {
+    2 * lost.max(1) + 1
+}
+
 impl Group {
+    /// A group that is full with so many voters.
+    pub fn new(voters: usize) -> Self {
+        Self {
+            voters,
+            machines: BTreeMap::new(),
+            superseded: BTreeSet::new(),
+            failed: BTreeMap::new(),
+        }
+    }
+
     /// Takes note of what a machine said of itself; true if its incarnation is
     /// new. Whatever else it was called in `members`, it is that no more.
     pub fn told_by_itself(&mut self, now: Time, member: Member, members: &[Member]) -> bool {
@@ -180,7 +204,7 @@
     fn promote(&self, now: Time, replica: &Replica, members: &[Member]) -> Option<Vec<Member>> {
         let voters = members.iter().filter(|member| member.voter);
         let staying = voters.filter(|member| !self.is_retiring(&member.name));
-        if staying.count() >= VOTERS {
+        if staying.count() >= self.voters {
             return None;
         }
         let ready = members
@@ -197,7 +221,7 @@
 
     fn remove_surplus_voter(&self, replica: &Replica, members: &[Member]) -> Option<Vec<Member>> {
         let voters: Vec<&Member> = members.iter().filter(|member| member.voter).collect();
-        if voters.len() <= VOTERS {
+        if voters.len() <= self.voters {
             return None;
         }
         let leaving = voters
@@ -232,7 +256,7 @@
         let staying = voters.filter(|member| {
             !self.is_retiring(&member.name) && !self.is_lost(now, replica, member)
         });
-        VOTERS.saturating_sub(staying.count())
+        self.voters.saturating_sub(staying.count())
     }
 
     fn add_learner(&self, now: Time, replica: &Replica, members: &[Member]) -> Option<Vec<Member>> {
@@ -246,15 +270,16 @@
             .filter(|m| m.voter && !self.is_lost(now, replica, m) && !self.is_retiring(&m.name))
             .map(|member| member.zone.as_str())
             .collect();
+        let voters_in = |zone: &str| zones.iter().filter(|other| **other == zone).count();
         let free = self.machines.values().filter(|report| {
             let id = report.member.replica;
             !report.retiring && !members.iter().any(|member| member.replica == id)
         });
-        // A machine that speaks now, in a zone without a voter, goes first.
+        // A machine that speaks now, in a zone with the fewest voters, goes first.
         let best = free.max_by_key(|report| {
-            let fresh_zone = !zones.contains(&report.member.zone.as_str());
+            let beside = voters_in(&report.member.zone);
             let failed = self.failed.contains_key(&report.member.replica);
-            (!failed, fresh_zone, report.heard)
+            (!failed, std::cmp::Reverse(beside), report.heard)
         })?;
         let mut next = members.to_vec();
         let mut member = best.member.clone();
--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -30,8 +30,9 @@
 mod replica;
 mod replicate;
 
-pub use group::{Group, MachineReport};
+pub use group::{voters_for, Group, MachineReport};
 pub use log_file::{LogFile, LogFileError, Recovered};
 pub use log_store::LogStore;
 pub use message::{Outgoing, ReplicaId};
+pub use progress::{Progress, MAX_IN_FLIGHT_BYTES};
 pub use replica::{Ready, Replica, ReplicaSettings, Role, Timing};
--- a/crates/replication/src/progress.rs
+++ b/crates/replication/src/progress.rs
@@ -1,13 +1,17 @@
 //! What a leader knows of another replica.
 
 use peatgrade_types::{Duration, Time};
+use std::collections::VecDeque;
 
 /// Bytes of entries that may be on their way to one replica.
-pub const MAX_IN_FLIGHT_BYTES: usize = 1024 * 1024;
+pub const MAX_IN_FLIGHT_BYTES: usize = 512 * 1024;
 /// Bytes of entries in one message.
-pub const MAX_MESSAGE_BYTES: usize = 256 * 1024;
-/// Without any answer for this long, what was sent counts as lost.
+pub const MAX_MESSAGE_BYTES: usize = 128 * 1024;
+/// Without any progress for this long, what was sent counts as lost.
 const RESEND_AFTER: Duration = Duration::from_millis(300);
+/// The longest such time. A slow replica has what was sent still before it:
+/// sending it again each time would bury it.
+const MAX_RESEND_AFTER: Duration = Duration::from_millis(1_200);
 
 /// Progress of one replica, as its leader sees it.
 #[derive(Clone, Debug)]
@@ -16,8 +20,11 @@
     pub match_index: u64,
     /// Next entry to send.
     pub next_index: u64,
-    /// Bytes sent after `match_index` and not yet answered.
-    pub in_flight: usize,
+    /// What was sent after `match_index` and not yet answered: last index of
+    /// each message, and its bytes.
+    in_flight: VecDeque<(u64, usize)>,
+    /// Times in a row that what was sent counted as lost.
+    resent: u32,
     /// Leader's time at which the newest answered message was sent.
     pub acknowledged_send: Option<Time>,
     /// When it last answered.
@@ -36,7 +43,8 @@
         Self {
             match_index: 0,
             next_index,
-            in_flight: 0,
+            in_flight: VecDeque::new(),
+            resent: 0,
             acknowledged_send: None,
             heard: None,
             sent: now,
@@ -49,7 +57,14 @@
     pub fn matched(&mut self, index: u64) {
         if index > self.match_index {
             self.match_index = index;
-            self.in_flight = 0;
+            self.resent = 0;
+            while self
+                .in_flight
+                .front()
+                .is_some_and(|(last, _)| *last <= index)
+            {
+                self.in_flight.pop_front();
+            }
         }
         self.next_index = self.next_index.max(self.match_index + 1);
     }
@@ -57,12 +72,36 @@
     /// Begins again behind what is known to match.
     pub fn rewind(&mut self, hint: u64) {
         self.next_index = hint.max(self.match_index) + 1;
-        self.in_flight = 0;
+        self.in_flight.clear();
+    }
+
+    /// Takes note that a message with the entries up to `last` is on its way.
+    pub fn sending(&mut self, now: Time, last: u64, bytes: usize) {
+        self.next_index = last + 1;
+        self.sent = now;
+        self.in_flight.push_back((last, bytes));
+    }
+
+    /// Bytes on their way.
+    pub fn in_flight_bytes(&self) -> usize {
+        self.in_flight.iter().map(|(_, bytes)| bytes).sum()
+    }
+
+    /// Whether more may be sent.
+    pub fn has_room(&self) -> bool {
+        self.in_flight_bytes() < MAX_IN_FLIGHT_BYTES
     }
 
     /// Whether what was sent must count as lost.
     pub fn stalled(&self, now: Time) -> bool {
-        self.in_flight > 0 && now.since(self.sent) >= RESEND_AFTER
+        let patience = Duration(RESEND_AFTER.0 << self.resent.min(8)).min(MAX_RESEND_AFTER);
+        !self.in_flight.is_empty() && now.since(self.sent) >= patience
+    }
+
+    /// Begins again behind what is known to match, since nothing came back.
+    pub fn give_up_sent(&mut self) {
+        self.rewind(0);
+        self.resent += 1;
     }
 
     /// Whether it has answered within `span`.
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -110,6 +110,8 @@
     pub(crate) became_leader: Time,
     pub(crate) store_age: Duration,
     pub(crate) out: Ready,
+    /// Entries were added that were not sent yet.
+    pub(crate) unsent: bool,
     draws: u64,
 }
 
@@ -141,6 +143,7 @@
             became_leader: now,
             store_age: Duration(0),
             out: Ready::default(),
+            unsent: false,
             draws: 0,
         };
         replica.reset_election();
@@ -290,6 +293,7 @@
 
     /// What is to be done now.
     pub fn ready(&mut self) -> Ready {
+        self.send_unsent();
         while self.applied < self.commit {
             self.applied += 1;
             if let Some(entry) = self.log.get(self.applied) {
@@ -303,6 +307,7 @@
     pub fn has_ready(&self) -> bool {
         let out = &self.out;
         self.applied < self.commit
+            || self.unsent
             || out.base.is_some()
             || out.state.is_some()
             || !out.entries.is_empty()
--- a/crates/replication/src/replicate.rs
+++ b/crates/replication/src/replicate.rs
@@ -6,7 +6,7 @@
 
 use crate::lease;
 use crate::message::ReplicaId;
-use crate::progress::{Progress, MAX_IN_FLIGHT_BYTES, MAX_MESSAGE_BYTES};
+use crate::progress::{Progress, MAX_MESSAGE_BYTES};
 use crate::replica::{Replica, Role};
 
 impl Replica {
@@ -26,7 +26,7 @@
         if changes {
             self.follow_members();
         }
-        self.send_entries_to_all();
+        self.unsent = true;
         index
     }
 
@@ -52,7 +52,11 @@
             .collect()
     }
 
-    fn send_entries_to_all(&mut self) {
+    /// Sends all that was added since the last time, together.
+    pub(crate) fn send_unsent(&mut self) {
+        if !std::mem::take(&mut self.unsent) || self.role != Role::Leader {
+            return;
+        }
         for member in self.others() {
             self.send_entries(&member, false);
         }
@@ -71,8 +75,7 @@
             base = Some(self.log.base().clone());
             next = self.log.base().index + 1;
         }
-        let room = progress.in_flight < MAX_IN_FLIGHT_BYTES;
-        let entries = if room {
+        let entries = if progress.has_room() {
             self.log.slice(next, MAX_MESSAGE_BYTES)
         } else {
             Vec::new()
@@ -91,11 +94,9 @@
             store_age: self.store_age.0,
         };
         if let Some(progress) = self.progress.get_mut(&id) {
-            progress.next_index = next + entries.len() as u64;
-            if progress.in_flight == 0 || bytes > 0 {
-                progress.sent = self.now;
+            if !entries.is_empty() {
+                progress.sending(self.now, next - 1 + entries.len() as u64, bytes);
             }
-            progress.in_flight += bytes;
         }
         let body = OneOfbody::append_request(request);
         let message = self.outgoing(id, &member.address, body);
@@ -108,7 +109,7 @@
             let id = ReplicaId(member.replica);
             if let Some(progress) = self.progress.get_mut(&id) {
                 if progress.stalled(self.now) {
-                    progress.rewind(0);
+                    progress.give_up_sent();
                 }
             }
             self.send_entries(&member, true);
--- a/crates/replication/tests/replica.rs
+++ b/crates/replication/tests/replica.rs
@@ -3,7 +3,7 @@
 mod cluster;
 
 use cluster::Cluster;
-use peatgrade_replication::ReplicaId;
+use peatgrade_replication::{voters_for, ReplicaId};
 use peatgrade_types::Duration;
 use rand::Rng;
 use rstest::rstest;
@@ -130,6 +130,47 @@
     }
 }
 
+/// Where two machines may be lost at once, three copies are too few.
+#[test]
+fn two_wiped_disks_and_no_power_for_the_others_lose_nothing_in_a_group_of_five() {
+    assert_eq!(voters_for(2), 5);
+    for seed in 0..30 {
+        let mut cluster = Cluster::with_voters(seed, voters_for(2), 2);
+        cluster.run_until_led(LONG);
+        write_for(&mut cluster, SECOND);
+        let before = cluster.acknowledged.len();
+        for index in 0..7 {
+            cluster.stop(index);
+        }
+        let first = (seed % 5) as usize;
+        let second = (first + 1 + (seed / 5 % 4) as usize) % 5;
+        cluster.wipe(first);
+        cluster.wipe(second);
+        cluster.run(SECOND);
+        for index in 0..7 {
+            cluster.start(index);
+        }
+        // The oracle checks whoever answers against all that was acknowledged.
+        cluster.run_until_led(LONG);
+        cluster.run(Duration::from_secs(5));
+        assert!(cluster.acknowledged.len() >= before);
+        assert_eq!(cluster.voters().len(), 5, "seed {seed}");
+    }
+}
+
+#[test]
+fn a_learner_of_the_zone_with_the_fewest_voters_comes_first() {
+    // Machines 0 to 6 lie in zones 0, 1, 2, 0, 1, 2, 0; the voters are 0 to 4.
+    let mut cluster = Cluster::with_voters(3, 5, 2);
+    cluster.run_until_led(LONG);
+    write_for(&mut cluster, SECOND);
+    cluster.stop(2);
+    write_for(&mut cluster, Duration::from_secs(5));
+    let voters = cluster.voters();
+    assert!(voters.contains(&"machine-5".to_string()), "{voters:?}");
+    assert_eq!(voters.len(), 5);
+}
+
 #[test]
 fn a_wiped_replica_does_not_vote_as_its_former_self() {
     // Machine 0 leads alone with 1; 2 has missed everything. 1 loses its disk.
--- a/crates/runtime/src/http_client.rs
+++ b/crates/runtime/src/http_client.rs
@@ -7,7 +7,7 @@
 use monoio::io::{AsyncWriteRentExt, OwnedReadHalf, OwnedWriteHalf, Splitable};
 use monoio::net::TcpStream;
 use peatgrade_types::http::{HttpFailure, HttpRequest, HttpStep, ResponsePart};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -86,6 +86,9 @@
     pub silence: Duration,
     /// Never over a connection that was used before.
     pub fresh: bool,
+    /// Pieces of the body may be read together, a little later: see
+    /// [`HttpClient::set_gather_time`].
+    pub gathering: bool,
 }
 
 impl SendOptions {
@@ -94,6 +97,15 @@
         Self {
             silence,
             fresh: false,
+            gathering: false,
+        }
+    }
+
+    /// As `reusing`, for long streams whose pieces nobody waits for one by one.
+    pub fn gathering(silence: Duration) -> Self {
+        Self {
+            gathering: true,
+            ..Self::reusing(silence)
         }
     }
 }
@@ -102,6 +114,7 @@
 pub struct HttpClient<Id> {
     idle: Rc<RefCell<Idle>>,
     parts: UnboundedSender<(Id, ResponsePart)>,
+    gather: Rc<Cell<Duration>>,
 }
 
 /// Ends a request when dropped.
@@ -113,9 +126,17 @@
         Self {
             idle: Rc::default(),
             parts,
+            gather: Rc::default(),
         }
     }
 
+    /// How long a gathering request waits between two reads of its body. Each
+    /// read costs the same whatever it brings, so that many streams at once are
+    /// read with a fraction of the work.
+    pub fn set_gather_time(&self, gather: Duration) {
+        self.gather.set(gather);
+    }
+
     /// Closes idle connections that ended or are past their time.
     pub fn sweep(&self) {
         self.idle.borrow_mut().sweep();
@@ -135,6 +156,7 @@
             peer: address.to_string(),
             options,
             idle: self.idle.clone(),
+            gather: self.gather.clone(),
         };
         let parts = self.parts.clone();
         monoio::spawn(async move {
@@ -163,6 +185,7 @@
             peer: address.to_string(),
             options,
             idle: self.idle.clone(),
+            gather: self.gather.clone(),
         };
         let whole = RefCell::new((0, BytesMut::new()));
         let emit = |part| match part {
@@ -180,6 +203,7 @@
     peer: String,
     options: SendOptions,
     idle: Rc<RefCell<Idle>>,
+    gather: Rc<Cell<Duration>>,
 }
 
 impl Exchange {
@@ -269,6 +293,12 @@
                 Ok(Ok(Piece::Data(data))) => emit(ResponsePart::Data(data)),
                 Ok(Ok(Piece::End)) => break,
             }
+            if self.options.gathering && !connection.reader.has_bytes() {
+                let gather = self.gather.get();
+                if !gather.is_zero() {
+                    monoio::time::sleep(gather).await;
+                }
+            }
         }
         emit(ResponsePart::End);
         // Where the rest of a request is due, nothing else may be sent.
--- a/crates/runtime/src/link_socket.rs
+++ b/crates/runtime/src/link_socket.rs
@@ -11,6 +11,7 @@
 use monoio::io::{AsyncReadRentExt, AsyncWriteRentExt};
 use monoio::net::udp::UdpSocket;
 use monoio::net::{TcpListener, TcpStream};
+use std::cell::Cell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -25,8 +26,9 @@
 const WRITE_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time after which an idle connection is closed.
 const IDLE: Duration = Duration::from_secs(20);
-/// Messages waiting for one connection; more are lost.
-const MAX_WAITING: usize = 4_096;
+/// Bytes waiting for one connection; more are lost. A single larger message
+/// goes through when nothing waits.
+const MAX_WAITING_BYTES: usize = 2 * 1024 * 1024;
 /// A connection to a silent peer is made anew this often.
 const SILENT_RENEWAL: Duration = Duration::from_millis(1_000);
 
@@ -41,6 +43,8 @@
 
 struct Sending {
     queue: UnboundedSender<Vec<u8>>,
+    /// Bytes in the queue.
+    waiting: Rc<Cell<usize>>,
     opened: Instant,
 }
 
@@ -49,6 +53,7 @@
     udp: Rc<UdpSocket>,
     connections: HashMap<SocketAddr, Sending>,
     heard: HashMap<SocketAddr, Instant>,
+    dropped: u64,
 }
 
 impl LinkSocket {
@@ -62,6 +67,7 @@
             udp,
             connections: HashMap::new(),
             heard: HashMap::new(),
+            dropped: 0,
         })
     }
 
@@ -87,17 +93,34 @@
         self.drop_dead(address);
         let sending = self.connections.entry(address).or_insert_with(|| {
             let (queue, receiver) = unbounded();
-            monoio::spawn(send_frames(address, receiver));
+            let waiting = Rc::new(Cell::new(0));
+            monoio::spawn(send_frames(address, receiver, waiting.clone()));
             Sending {
                 queue,
+                waiting,
                 opened: Instant::now(),
             }
         });
-        if sending.queue.len() < MAX_WAITING {
+        let waiting = sending.waiting.get();
+        if waiting == 0 || waiting + bytes.len() <= MAX_WAITING_BYTES {
+            sending.waiting.set(waiting + bytes.len());
             let _ = sending.queue.unbounded_send(bytes);
+        } else {
+            self.dropped += 1;
         }
     }
 
+    /// Bytes that wait for connections.
+    pub fn waiting_bytes(&self) -> usize {
+        let connections = self.connections.values();
+        connections.map(|sending| sending.waiting.get()).sum()
+    }
+
+    /// Messages lost since the start because too much waited already.
+    pub fn dropped(&self) -> u64 {
+        self.dropped
+    }
+
     fn drop_dead(&mut self, address: SocketAddr) {
         let Some(sending) = self.connections.get(&address) else {
             return;
@@ -159,13 +182,18 @@
     }
 }
 
-async fn send_frames(address: SocketAddr, mut queue: UnboundedReceiver<Vec<u8>>) {
+async fn send_frames(
+    address: SocketAddr,
+    mut queue: UnboundedReceiver<Vec<u8>>,
+    waiting: Rc<Cell<usize>>,
+) {
     let connecting = monoio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect_addr(address));
     let Ok(Ok(mut stream)) = connecting.await else {
         return log::debug!("step=connect-link peer={address}");
     };
     let _ = stream.set_nodelay(true);
     while let Ok(Some(bytes)) = monoio::time::timeout(IDLE, queue.next()).await {
+        waiting.set(waiting.get() - bytes.len());
         let mut frame = BytesMut::with_capacity(4 + bytes.len());
         frame.put_u32(bytes.len() as u32);
         frame.put_slice(&bytes);
--- a/crates/runtime/src/response_reader.rs
+++ b/crates/runtime/src/response_reader.rs
@@ -63,6 +63,11 @@
         self.reusable && self.buffer.is_empty()
     }
 
+    /// Whether bytes were read that are not handed on yet.
+    pub fn has_bytes(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+
     /// Gives up memory that a resting connection does not need.
     pub fn rest(&mut self) {
         self.spare = None;
--- /dev/null
+++ b/crates/runtime/tests/link_socket.rs
@@ -0,0 +1,50 @@
+//! Links between processes.
+
+use futures_channel::mpsc::unbounded;
+use peatgrade_runtime::{block_on, Delivery, LinkSocket};
+use std::net::TcpListener;
+use std::time::Duration;
+
+/// A peer that reads nothing must cost a bounded amount of memory: a stalled
+/// disk holds a replica up for seconds.
+#[test]
+fn what_waits_for_a_peer_that_reads_nothing_is_bounded() {
+    let silent = TcpListener::bind("127.0.0.1:0").unwrap();
+    let peer = silent.local_addr().unwrap().to_string();
+    let (waiting, dropped) = block_on(async move {
+        let (received, _arrived) = unbounded();
+        let mut link = LinkSocket::open("127.0.0.1:0", received).unwrap();
+        for _ in 0..400 {
+            link.send(&peer, vec![0; 100_000], Delivery::Connected);
+            monoio::time::sleep(Duration::from_millis(1)).await;
+        }
+        (link.waiting_bytes(), link.dropped())
+    })
+    .unwrap();
+    assert!(waiting <= 2 * 1024 * 1024, "{waiting} bytes wait");
+    assert!(dropped > 100, "{dropped} messages were dropped");
+    drop(silent);
+}
+
+#[test]
+fn a_message_larger_than_the_bound_goes_when_nothing_waits() {
+    let (from, to) = block_on(async move {
+        let (received, _) = unbounded();
+        let mut sender = LinkSocket::open("127.0.0.1:0", received).unwrap();
+        let (received, mut arrived) = unbounded();
+        let peer = loopback_address();
+        let _receiver = LinkSocket::open(&peer, received).unwrap();
+        let large = vec![7; 5 * 1024 * 1024];
+        sender.send(&peer, large.clone(), Delivery::Connected);
+        let got = futures_util::StreamExt::next(&mut arrived).await;
+        (large.len(), got.unwrap().len())
+    })
+    .unwrap();
+    assert_eq!(from, to);
+}
+
+/// An address that no outgoing connection uses: those start at 127.0.0.1.
+fn loopback_address() -> String {
+    let pid = std::process::id();
+    format!("127.9.{}.{}:7001", (pid >> 8) % 256, pid % 256)
+}
--- a/crates/server/src/gateway_process/actions.rs
+++ b/crates/server/src/gateway_process/actions.rs
@@ -44,6 +44,7 @@
                     let options = SendOptions {
                         silence: ENGINE_SILENCE,
                         fresh,
+                        gathering: false,
                     };
                     let cancel = self.client.send(id, &address, request, options);
                     self.requests.insert(id, cancel);
--- a/crates/server/src/gateway_process/mod.rs
+++ b/crates/server/src/gateway_process/mod.rs
@@ -27,7 +27,7 @@
 use crate::settings::ServerSettings;
 use crate::signals::{process_signals, ProcessSignal};
 use crate::store_client::StoreClient;
-use crate::watcher::{watch, StoreUpdate, Wanted};
+use crate::watcher::{watch, StoreUpdate, Wanted, WatchTiming};
 use crate::ServerError;
 
 /// Time between two looks at what is due, with and without requests under way.
@@ -132,8 +132,12 @@
         let store = StoreClient::new(&settings.store_address, codec.clone());
         let (updates, update_inputs) = unbounded();
         let wanted = Wanted::new(true.into());
-        for kind in [ObjectKind::Configuration, ObjectKind::Engines] {
-            monoio::spawn(watch(store.clone(), kind, wanted.clone(), updates.clone()));
+        for (kind, timing) in [
+            (ObjectKind::Configuration, WatchTiming::prompt(&settings)),
+            (ObjectKind::Engines, WatchTiming::batched(&settings)),
+        ] {
+            let (store, updates) = (store.clone(), updates.clone());
+            monoio::spawn(watch(store, kind, timing, wanted.clone(), updates));
         }
         let metrics = Metrics::new();
         serve_metrics(&settings.metrics_address, &metrics, &codec)?;
--- a/crates/server/src/settings.rs
+++ b/crates/server/src/settings.rs
@@ -35,9 +35,22 @@
     /// How long a batch job is kept.
     #[serde(default = "default_keep")]
     pub job_keep_ms: u64,
-    /// Engines that may load weights at once.
-    #[serde(default = "default_loads")]
+    /// Engines that may load weights at once; 0 for a share of all.
+    #[serde(default)]
     pub loads_at_once: usize,
+    /// Storage machines that may be lost at once without any loss.
+    #[serde(default = "default_losses")]
+    pub tolerated_losses: usize,
+    /// Time after which a machine whose path to the store is whole again must
+    /// have heard of all changes.
+    #[serde(default = "default_contact")]
+    pub contact_ms: u64,
+    /// Time from a change of the configuration to its being in force.
+    #[serde(default = "default_apply")]
+    pub configuration_apply_ms: u64,
+    /// Time that an engine serves on after it said that it leaves.
+    #[serde(default = "default_drain")]
+    pub engine_drain_ms: u64,
     /// error, warn, info, debug or trace.
     #[serde(default = "default_level")]
     pub log_level: String,
@@ -55,8 +68,20 @@
     120_000
 }
 
-fn default_loads() -> usize {
-    2
+fn default_losses() -> usize {
+    1
+}
+
+fn default_contact() -> u64 {
+    3_000
+}
+
+fn default_apply() -> u64 {
+    2_000
+}
+
+fn default_drain() -> u64 {
+    2_000
 }
 
 fn default_level() -> String {
@@ -133,17 +158,40 @@
             }
             ServerRole::Storage => not_empty("data_folder", &self.data_folder)?,
         }
-        if self.loads_at_once == 0 {
+        at_least("engine_drain_ms", self.engine_drain_ms, 100)?;
+        at_least("contact_ms", self.contact_ms, 100)?;
+        at_least(
+            "configuration_apply_ms",
+            self.configuration_apply_ms,
+            LEAST_APPLY_MS,
+        )?;
+        if self.tolerated_losses > MAX_LOSSES {
             return Err(SettingsError::Field {
-                field: "loads_at_once",
-                reason: "must be at least 1",
-                value: "0".into(),
+                field: "tolerated_losses",
+                reason: "must be at most 4",
+                value: self.tolerated_losses.to_string(),
             });
         }
         Ok(())
     }
 }
 
+/// Shortest time for a configuration that watches can keep.
+const LEAST_APPLY_MS: u64 = 1_000;
+/// Larger groups would cost more than they protect.
+const MAX_LOSSES: usize = 4;
+
+fn at_least(field: &'static str, value: u64, least: u64) -> Result<(), SettingsError> {
+    if value >= least {
+        return Ok(());
+    }
+    Err(SettingsError::Field {
+        field,
+        reason: "is too short",
+        value: value.to_string(),
+    })
+}
+
 fn not_empty(field: &'static str, value: &str) -> Result<(), SettingsError> {
     if value.is_empty() {
         return Err(SettingsError::Field {
--- a/crates/server/src/storage/engines.rs
+++ b/crates/server/src/storage/engines.rs
@@ -21,6 +21,17 @@
 /// Longest wait for the answer to an order or for a report.
 const CONTROL_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Streams that are read event by event.
+const PROMPT_STREAMS: usize = 48;
+/// Longest wait between two reads of a stream.
+const MAX_GATHER_MS: u64 = 150;
+
+/// The more streams there are, the more events each read of one brings.
+fn gather_time(streams: usize) -> Duration {
+    let beyond = streams.saturating_sub(PROMPT_STREAMS) as u64;
+    Duration::from_millis((beyond / 2).min(MAX_GATHER_MS))
+}
+
 /// Names an exchange with an engine.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
 pub(super) struct ExchangeId(pub u64);
@@ -37,19 +48,19 @@
     fn begin(&mut self, exchange: EngineExchange, address: &str, call: &EngineCall) {
         let id = ExchangeId(self.next_exchange);
         self.next_exchange += 1;
-        let silence = match exchange {
-            EngineExchange::Run(_) => RUN_SILENCE,
-            _ => CONTROL_TIMEOUT,
+        let options = match exchange {
+            EngineExchange::Run(_) => SendOptions::gathering(RUN_SILENCE),
+            _ => SendOptions::reusing(CONTROL_TIMEOUT),
         };
         let request = self.codec.engine_request(call);
-        let cancel = self
-            .client
-            .send(id, address, request, SendOptions::reusing(silence));
+        let cancel = self.client.send(id, address, request, options);
         if let EngineExchange::Run(run) = exchange {
             self.run_exchanges.insert(run, id);
         }
         self.exchanges.insert(id, exchange);
         self.cancels.insert(id, cancel);
+        self.client
+            .set_gather_time(gather_time(self.run_exchanges.len()));
     }
 
     pub(super) fn carry_out_dispatch(&mut self, actions: Vec<DispatchAction>) {
--- a/crates/server/src/storage/leadership.rs
+++ b/crates/server/src/storage/leadership.rs
@@ -6,7 +6,7 @@
 use peatgrade_types::{Duration, Time};
 use std::collections::BTreeMap;
 
-use crate::watcher::{watch, Wanted};
+use crate::watcher::{watch, Wanted, WatchTiming};
 
 use super::process::StorageProcess;
 
@@ -18,6 +18,35 @@
 const STATUS_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(1_000);
 
 impl StorageProcess {
+    /// Watches what a leader must know at once, for as long as this machine is
+    /// a member and may become one.
+    pub(super) fn follow_membership(&mut self) {
+        let id = self.replica.id().0;
+        let member = self.replica.members().iter().any(|m| m.replica == id);
+        if member == self.member_watches.get() {
+            return;
+        }
+        self.member_watches.set(false);
+        self.member_watches = Wanted::new(member.into());
+        if !member {
+            // What is known ages from now on.
+            self.engines_known = false;
+            return;
+        }
+        for kind in [ObjectKind::Configuration, ObjectKind::Engines] {
+            self.follow_kind(kind, self.member_watches.clone());
+        }
+    }
+
+    fn follow_kind(&self, kind: ObjectKind, wanted: Wanted) {
+        let (store, updates) = (self.store.clone(), self.updates.clone());
+        let timing = match kind {
+            ObjectKind::Engines => WatchTiming::batched(&self.settings),
+            _ => WatchTiming::prompt(&self.settings),
+        };
+        monoio::spawn(watch(store, kind, timing, wanted, updates));
+    }
+
     /// Begins and ends the leader's work as the role changes.
     pub(super) fn follow_role(&mut self, now: Time) {
         self.note_role();
@@ -62,8 +91,7 @@
             ObjectKind::Retirements,
             ObjectKind::Replicas,
         ] {
-            let (store, updates) = (self.store.clone(), self.updates.clone());
-            monoio::spawn(watch(store, kind, wanted.clone(), updates));
+            self.follow_kind(kind, wanted.clone());
         }
         log::info!(
             "step=lead term={} open_jobs={} open_items={} quiet_engines={waiting}",
@@ -105,7 +133,7 @@
         log::info!("step=follow term={}", self.replica.term());
     }
 
-    /// The leader's work: items, versions, members.
+    /// The leader's work: items and versions.
     pub(super) fn lead(&mut self, now: Time) {
         if !self.working || !self.replica.may_answer(now) {
             return;
@@ -119,7 +147,6 @@
             self.carry_out_dispatch(actions);
             self.coordinate(now);
         }
-        self.change_members(now);
     }
 
     fn coordinate(&mut self, now: Time) {
@@ -132,7 +159,11 @@
         }
     }
 
-    fn change_members(&mut self, now: Time) {
+    /// The leader's work: members, and what is to be emptied.
+    pub(super) fn change_members(&mut self, now: Time) {
+        if !self.working || !self.replica.may_answer(now) {
+            return;
+        }
         let me = self.own_member();
         let members = self.replica.members();
         self.group.told_by_itself(now, me, &members);
--- a/crates/server/src/storage/process.rs
+++ b/crates/server/src/storage/process.rs
@@ -4,9 +4,10 @@
 use futures_util::{select_biased, FutureExt, StreamExt};
 use peatgrade_fleet::{EngineDirectory, VersionCoordinator};
 use peatgrade_jobs::{Dispatcher, JobStore, RunId};
-use peatgrade_ports::{Codec, Configuration, ObjectKind, VersionOrder};
+use peatgrade_ports::{Codec, Configuration, VersionOrder};
 use peatgrade_replication::{
-    Group, LogFile, LogFileError, Recovered, Replica, ReplicaId, ReplicaSettings, Role, Timing,
+    voters_for, Group, LogFile, LogFileError, Recovered, Replica, ReplicaId, ReplicaSettings, Role,
+    Timing,
 };
 use peatgrade_runtime::http_client::Cancel;
 use peatgrade_runtime::{HttpClient, LinkSocket};
@@ -25,7 +26,7 @@
 use crate::settings::ServerSettings;
 use crate::signals::{process_signals, ProcessSignal};
 use crate::store_client::StoreClient;
-use crate::watcher::{watch, StoreUpdate, Wanted};
+use crate::watcher::{StoreUpdate, Wanted};
 use crate::ServerError;
 
 use super::calls::JobCalls;
@@ -39,6 +40,8 @@
 const MAX_BATCH: usize = 256;
 /// Kept back from the time to stop.
 const GRACE_MARGIN_MS: u64 = 600;
+/// Time between two looks at who is a member and who should be.
+const MEMBERS_EVERY: Span = Span::from_millis(20);
 /// Time between two looks at jobs past their time.
 const EXPIRE_EVERY: Span = Span::from_secs(2);
 
@@ -132,6 +135,8 @@
     pub updates: UnboundedSender<StoreUpdate>,
     /// Newest version of each model, as the store told.
     pub versions: BTreeMap<String, u64>,
+    /// Watches that only a member of the group needs.
+    pub member_watches: Wanted,
     /// Watches that only a leader needs.
     pub leader_watches: Wanted,
     /// When an order to each engine was last noted, and under which token.
@@ -147,6 +152,7 @@
     pub stop_at: Option<Time>,
     pub last_dispatch: Time,
     pub last_expire: Time,
+    pub last_members: Time,
     pub last_sweep: Time,
     pub last_role: Role,
     pub last_leader: Option<String>,
@@ -187,20 +193,18 @@
             .map_err(socket_error("peer", &settings.peer_address))?;
         let store = StoreClient::new(&settings.store_address, codec.clone());
         let (updates, update_inputs) = unbounded();
-        for kind in [ObjectKind::Configuration, ObjectKind::Engines] {
-            let wanted = Wanted::new(true.into());
-            monoio::spawn(watch(store.clone(), kind, wanted, updates.clone()));
-        }
         let (foundings, founding_inputs) = unbounded();
         let me = own_member(&settings, id);
         monoio::spawn(registration::register(store.clone(), me.clone()));
         if replica.members().is_empty() {
-            monoio::spawn(registration::found(store.clone(), me, foundings));
+            let voters = voters_for(settings.tolerated_losses);
+            monoio::spawn(registration::found(store.clone(), me, voters, foundings));
         }
         let metrics = Metrics::new();
         serve_metrics(&settings.metrics_address, &metrics, &codec)?;
         let (parts, part_inputs) = unbounded();
         let reader_codec = codec.clone();
+        let group = Group::new(voters_for(settings.tolerated_losses));
         let process = Self {
             dispatcher: Dispatcher::new(Box::new(move || reader_codec.event_reader())),
             settings,
@@ -212,7 +216,7 @@
             jobs: JobStore::default(),
             calls: JobCalls::default(),
             coordinator: None,
-            group: Group::default(),
+            group,
             configuration: Configuration::default(),
             directory: EngineDirectory::default(),
             engines_known: false,
@@ -224,6 +228,7 @@
             next_exchange: 1,
             updates,
             versions: BTreeMap::new(),
+            member_watches: Wanted::default(),
             leader_watches: Wanted::default(),
             ordered: HashMap::new(),
             pending_orders: HashMap::new(),
@@ -233,6 +238,7 @@
             stop_at: None,
             last_dispatch: Time(0),
             last_expire: now,
+            last_members: Time(0),
             last_sweep: now,
             last_role: Role::Follower,
             last_leader: None,
@@ -299,9 +305,17 @@
         if now >= self.replica.next_tick() {
             self.replica.tick(now);
         }
+        let members_due = now.since(self.last_members) >= MEMBERS_EVERY;
+        if members_due {
+            self.last_members = now;
+            self.follow_membership();
+        }
         self.follow_role(now);
         self.pump()?;
         self.lead(now);
+        if members_due {
+            self.change_members(now);
+        }
         self.pump()?;
         self.answer_waiting(now);
         self.housekeeping(now)?;
@@ -330,6 +344,9 @@
             ("members", self.replica.members().len() as u64),
             ("jobs", self.jobs.iter().count() as u64),
             ("open_items", self.dispatcher.open_items() as u64),
+            ("link_waiting_bytes", self.link.waiting_bytes() as u64),
+            ("link_messages_dropped", self.link.dropped()),
+            ("engines_weighed", self.dispatcher.engines_weighed()),
             ("item_runs", self.dispatcher.running() as u64),
             ("configuration_version", self.configuration.version),
             ("engines", self.directory.len() as u64),
--- a/crates/server/src/storage/registration.rs
+++ b/crates/server/src/storage/registration.rs
@@ -8,7 +8,7 @@
 use futures_channel::mpsc::UnboundedSender;
 use peatgrade_ports::{ObjectKind, ObjectWrite, StoreCall, StoreObject, StoreReply};
 use peatgrade_schema::replication::Member;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use crate::clock::steady_now;
@@ -17,8 +17,9 @@
 
 /// Name of the object with the first members.
 const GROUP_NAME: &str = "jobs";
-/// Members of a full group.
-const FULL_GROUP: usize = 3;
+/// How long to wait for machines of other zones before a group begins with
+/// those that are there: all start within 0.3 s of each other.
+const SETTLE_WAIT: peatgrade_types::Duration = peatgrade_types::Duration::from_millis(700);
 /// How long to wait for a full group before a smaller one begins.
 const FOUNDING_WAIT: peatgrade_types::Duration = peatgrade_types::Duration::from_millis(4_000);
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
@@ -101,11 +102,23 @@
 }
 
 /// Finds or makes the first members and reports them.
-pub(super) async fn found(store: StoreClient, me: Member, found: UnboundedSender<Founding>) {
+pub(super) async fn found(
+    store: StoreClient,
+    me: Member,
+    voters: usize,
+    found: UnboundedSender<Founding>,
+) {
     let started = steady_now();
     loop {
-        let patient = steady_now().since(started) < FOUNDING_WAIT;
-        match try_found(&store, patient).await {
+        let waited = steady_now().since(started);
+        let least = if waited < SETTLE_WAIT {
+            usize::MAX
+        } else if waited < FOUNDING_WAIT {
+            voters
+        } else {
+            1
+        };
+        match try_found(&store, voters, least).await {
             Ok(Some(members)) => {
                 log::info!("step=found name={} members={}", me.name, members.len());
                 let _ = found.unbounded_send(Founding { members });
@@ -121,7 +134,13 @@
     }
 }
 
-async fn try_found(store: &StoreClient, patient: bool) -> Result<Option<Vec<Member>>, String> {
+/// Reads the first members, or makes them of `voters` machines once `least` are
+/// registered.
+async fn try_found(
+    store: &StoreClient,
+    voters: usize,
+    least: usize,
+) -> Result<Option<Vec<Member>>, String> {
     let get = StoreCall::Get {
         kind: ObjectKind::Groups,
         name: GROUP_NAME.to_string(),
@@ -142,10 +161,10 @@
             _ => None,
         })
         .collect();
-    let first = first_members(&registered);
-    if first.len() < FULL_GROUP && patient || first.is_empty() {
+    if registered.len() < least {
         return Ok(None);
     }
+    let first = first_members(&registered, voters);
     let write = StoreCall::Write(ObjectWrite {
         kind: ObjectKind::Groups,
         name: GROUP_NAME.to_string(),
@@ -159,16 +178,18 @@
     Ok(None)
 }
 
-/// One machine of each zone first, then others by name.
-fn first_members(registered: &[Member]) -> Vec<Member> {
-    let mut zones = BTreeSet::new();
-    let (mut chosen, rest): (Vec<Member>, Vec<Member>) = registered
-        .iter()
-        .cloned()
-        .partition(|member| zones.insert(member.zone.clone()));
-    chosen.extend(rest);
-    chosen.truncate(FULL_GROUP);
-    chosen
+/// One machine of each zone first, then the second of each, by name.
+fn first_members(registered: &[Member], voters: usize) -> Vec<Member> {
+    let mut beside: BTreeMap<&str, usize> = BTreeMap::new();
+    let mut ranked: Vec<(usize, &Member)> = Vec::new();
+    for member in registered {
+        let rank = beside.entry(&member.zone).or_insert(0);
+        ranked.push((*rank, member));
+        *rank += 1;
+    }
+    ranked.sort_by_key(|(rank, _)| *rank);
+    let chosen = ranked.into_iter().take(voters);
+    chosen.map(|(_, member)| member.clone()).collect()
 }
 
 fn line_of(member: &Member) -> String {
--- a/crates/server/src/watcher.rs
+++ b/crates/server/src/watcher.rs
@@ -3,22 +3,26 @@
 //! Each call has its price, and a wait that was lost without a sign is noticed
 //! only when its time is over. So a wait and its slack are a little shorter than
 //! the time that a machine has, once its path to the store is whole again, to
-//! bring a change into force: 3 s of contact and 2 s.
+//! bring a change into force. Changes that may be known a little later are
+//! taken together: between two waits lies a least time.
 
 use futures_channel::mpsc::UnboundedSender;
 use peatgrade_ports::{ObjectKind, StoreCall, StoreEvent, StoreObject, StoreReply};
 use peatgrade_types::{Duration as Span, Time};
 use std::cell::Cell;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::clock::steady_now;
+use crate::settings::ServerSettings;
 use crate::store_client::StoreClient;
 
-/// How long a watch may wait at the store.
-const WATCH_WAIT: Span = Span::from_millis(3_800);
-/// Time beyond that after which a watch counts as lost.
+/// Time beyond its wait after which a watch counts as lost.
 const WATCH_SLACK: Duration = Duration::from_millis(600);
+/// Kept back for the list or watch that follows a lost one.
+const WATCH_MARGIN_MS: u64 = 600;
+/// Longest wait, whatever the settings allow.
+const MAX_WAIT_MS: u64 = 8_000;
 /// Time after which a list counts as lost.
 const LIST_TIMEOUT: Duration = Duration::from_millis(800);
 /// First pause after a failure, and the longest.
@@ -51,10 +55,42 @@
 /// Whether a watcher is wanted; it ends soon after this is cleared.
 pub type Wanted = Rc<Cell<bool>>;
 
+/// How a kind is followed.
+#[derive(Clone, Copy, Debug)]
+pub struct WatchTiming {
+    /// How long a watch may wait at the store.
+    pub wait: Span,
+    /// Least time between the starts of two watches.
+    pub pace: Duration,
+}
+
+impl WatchTiming {
+    /// Changes are told at once.
+    pub fn prompt(settings: &ServerSettings) -> Self {
+        let allowed = settings.contact_ms + settings.configuration_apply_ms;
+        let slack = WATCH_SLACK.as_millis() as u64 + WATCH_MARGIN_MS;
+        let wait = allowed.saturating_sub(slack).min(MAX_WAIT_MS);
+        Self {
+            wait: Span::from_millis(wait),
+            pace: Duration::ZERO,
+        }
+    }
+
+    /// Changes of the engine list are told together, well within the time that
+    /// a leaving engine goes on serving.
+    pub fn batched(settings: &ServerSettings) -> Self {
+        Self {
+            pace: Duration::from_millis(settings.engine_drain_ms / 2),
+            ..Self::prompt(settings)
+        }
+    }
+}
+
 /// Follows a kind while it is wanted.
 pub async fn watch(
     store: StoreClient,
     kind: ObjectKind,
+    timing: WatchTiming,
     wanted: Wanted,
     updates: UnboundedSender<StoreUpdate>,
 ) {
@@ -62,9 +98,10 @@
     let mut revision = None;
     let mut lost = false;
     while wanted.get() && !updates.is_closed() {
+        let begun = Instant::now();
         let step = match revision {
             None => list(&store, kind, &updates).await,
-            Some(revision) => follow(&store, kind, revision, &updates).await,
+            Some(revision) => follow(&store, kind, timing.wait, revision, &updates).await,
         };
         match step {
             Ok(next) => {
@@ -74,6 +111,10 @@
                 lost = false;
                 pause = FIRST_PAUSE;
                 revision = next;
+                let rest = timing.pace.saturating_sub(begun.elapsed());
+                if !rest.is_zero() && revision.is_some() {
+                    monoio::time::sleep(rest).await;
+                }
             }
             Err(reason) => {
                 if !lost {
@@ -126,6 +167,7 @@
 async fn follow(
     store: &StoreClient,
     kind: ObjectKind,
+    wait: Span,
     revision: u64,
     updates: &UnboundedSender<StoreUpdate>,
 ) -> Result<Option<u64>, String> {
@@ -133,9 +175,9 @@
     let call = StoreCall::Watch {
         kind,
         revision,
-        wait: WATCH_WAIT,
+        wait,
     };
-    let timeout = Duration::from_micros(WATCH_WAIT.0) + WATCH_SLACK;
+    let timeout = Duration::from_micros(wait.0) + WATCH_SLACK;
     match store.call(&call, timeout).await {
         Ok(StoreReply::Events { events, revision }) => {
             let _ = updates.unbounded_send(StoreUpdate::Changed { kind, at, events });
