Take the configuration's bounds and new settings while a gateway runs

Cause: head size, head time and idle time of the configuration were read and then ignored (32 KB, 60 s fixed), and SIGHUP wrote a line and nothing else. Change: the HTTP server's bounds are under the control of its owner and in force from the next request on; SIGHUP reads the settings again, takes what can change while a process runs (store address, grace, lease, keep time, loads at once, log level), names what needs a restart, and keeps the old ones when the file is not valid. settings name a bad log level now.

--- a/crates/runtime/src/http_server.rs
+++ b/crates/runtime/src/http_server.rs
@@ -21,12 +21,42 @@
 
 use crate::response_writer::ResponseWriter;
 
-/// Largest head of a request.
-const MAX_HEAD_BYTES: usize = 32 * 1024;
-/// Largest body of a request, whatever a tenant allows.
-const MAX_BODY_BYTES: usize = 34 * 1024 * 1024;
-/// Longest time a connection may sit idle or take to send a request.
-const READ_TIMEOUT: Duration = Duration::from_secs(60);
+/// Longest time that a body may take.
+const BODY_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Bounds on what a caller may send.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct ServerLimits {
+    /// Bytes of a request's head.
+    pub head_bytes: usize,
+    /// Bytes of a request's body.
+    pub body_bytes: usize,
+    /// Time to send a head, once a connection may not rest any longer.
+    pub head_time: Duration,
+    /// Time that a connection may rest.
+    pub idle_time: Duration,
+}
+
+impl Default for ServerLimits {
+    fn default() -> Self {
+        Self {
+            head_bytes: 32 * 1024,
+            body_bytes: 34 * 1024 * 1024,
+            head_time: Duration::from_secs(10),
+            idle_time: Duration::from_secs(60),
+        }
+    }
+}
+
+/// What the owner of a server may change while it runs.
+#[derive(Clone, Debug, Default)]
+pub struct ServerControl {
+    /// Set when the server is about to stop: each answer then closes its
+    /// connection.
+    pub stopping: Rc<Cell<bool>>,
+    /// Bounds, in force from the next request on.
+    pub limits: Rc<Cell<ServerLimits>>,
+}
 
 /// A request with the way to answer it.
 pub struct Incoming {
@@ -37,25 +67,22 @@
     pub respond: UnboundedSender<ResponsePart>,
 }
 
-/// Set when a server is about to stop: each answer then closes its connection.
-pub type Stopping = Rc<Cell<bool>>;
-
 /// Accepts connections for good and hands whole requests to `requests`.
 pub async fn serve(listener: TcpListener, requests: UnboundedSender<Incoming>) {
-    serve_until_stopping(listener, requests, Stopping::default()).await;
+    serve_controlled(listener, requests, ServerControl::default()).await;
 }
 
-/// Like [`serve`]; once `stopping` is set, answers close their connections.
-pub async fn serve_until_stopping(
+/// Like [`serve`], under the control of its owner.
+pub async fn serve_controlled(
     listener: TcpListener,
     requests: UnboundedSender<Incoming>,
-    stopping: Stopping,
+    control: ServerControl,
 ) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
                 let _ = stream.set_nodelay(true);
-                monoio::spawn(connection(stream, requests.clone(), stopping.clone()));
+                monoio::spawn(connection(stream, requests.clone(), control.clone()));
             }
             Err(error) => {
                 log::warn!("step=accept error={error}");
@@ -113,12 +140,15 @@
 async fn read_request<R: AsyncReadRent>(
     decoder: &mut RequestDecoder<LimitedReader<R>>,
     allowance: &Rc<Cell<usize>>,
+    control: &ServerControl,
 ) -> Result<HttpRequest, ReadEnd> {
-    allowance.set(MAX_HEAD_BYTES);
-    let read = monoio::time::timeout(READ_TIMEOUT, decoder.next()).await;
+    let limits = control.limits.get();
+    allowance.set(limits.head_bytes);
+    let patience = limits.idle_time + limits.head_time;
+    let read = monoio::time::timeout(patience, decoder.next()).await;
     let request = match read {
         Err(_) | Ok(None) => return Err(ReadEnd::Closed),
-        Ok(Some(Err(error))) => return Err(bad(allowance, &error)),
+        Ok(Some(Err(error))) => return Err(bad(&limits, allowance, &error)),
         Ok(Some(Ok(request))) => request,
     };
     if !is_framed_clearly(&request) {
@@ -128,19 +158,20 @@
             detail: "the length of the request can be read in more than one way".into(),
         });
     }
-    if declared_length(&request) > MAX_BODY_BYTES {
-        return Err(too_large("body-too-large"));
+    if declared_length(&request) > limits.body_bytes {
+        return Err(too_large(&limits, "body-too-large"));
     }
-    allowance.set(MAX_BODY_BYTES + MAX_HEAD_BYTES);
-    let filled = monoio::time::timeout(READ_TIMEOUT, decoder.fill_payload()).await;
+    // The framing of chunks counts as well.
+    allowance.set(limits.body_bytes + limits.head_bytes);
+    let filled = monoio::time::timeout(BODY_TIMEOUT, decoder.fill_payload()).await;
     match filled {
         Err(_) => return Err(ReadEnd::Closed),
-        Ok(Err(error)) => return Err(bad(allowance, &error)),
+        Ok(Err(error)) => return Err(bad(&limits, allowance, &error)),
         Ok(Ok(())) => {}
     }
     to_request(request)
         .await
-        .map_err(|error| bad(allowance, &error))
+        .map_err(|error| bad(&limits, allowance, &error))
 }
 
 /// Whether the length of a request can be read in one way only. Otherwise what
@@ -172,23 +203,27 @@
     parsed.unwrap_or(0)
 }
 
-fn too_large(kind: &'static str) -> ReadEnd {
+fn too_large(limits: &ServerLimits, kind: &'static str) -> ReadEnd {
     ReadEnd::Bad {
         status: if kind == "head-too-large" { 431 } else { 413 },
         kind,
-        detail: format!("at most {MAX_HEAD_BYTES} bytes of head and {MAX_BODY_BYTES} of body"),
+        detail: format!(
+            "at most {} bytes of head and {} of body",
+            limits.head_bytes, limits.body_bytes
+        ),
     }
 }
 
-fn bad(allowance: &Rc<Cell<usize>>, error: &HttpError) -> ReadEnd {
+fn bad(limits: &ServerLimits, allowance: &Rc<Cell<usize>>, error: &HttpError) -> ReadEnd {
     let text = error.to_string();
     if text.contains("request too large") {
-        let in_head = allowance.get() <= MAX_HEAD_BYTES;
-        return too_large(if in_head {
+        let in_head = allowance.get() <= limits.head_bytes;
+        let kind = if in_head {
             "head-too-large"
         } else {
             "body-too-large"
-        });
+        };
+        return too_large(limits, kind);
     }
     if matches!(error, HttpError::IOError(_)) || text.contains("eof") || text.contains("io error") {
         return ReadEnd::Closed;
@@ -226,9 +261,13 @@
     })
 }
 
-async fn connection(stream: TcpStream, requests: UnboundedSender<Incoming>, stopping: Stopping) {
+async fn connection(
+    stream: TcpStream,
+    requests: UnboundedSender<Incoming>,
+    control: ServerControl,
+) {
     let (read_half, write_half) = stream.into_split();
-    let allowance = Rc::new(Cell::new(MAX_HEAD_BYTES));
+    let allowance = Rc::new(Cell::new(0));
     let reader = LimitedReader {
         io: read_half,
         allowance: allowance.clone(),
@@ -239,7 +278,7 @@
     loop {
         let read = match next.take() {
             Some(read) => read,
-            None => read_request(&mut decoder, &allowance).await,
+            None => read_request(&mut decoder, &allowance, &control).await,
         };
         let request = match read {
             Ok(request) => request,
@@ -264,7 +303,7 @@
         }
         // While the answer is made, the connection is read on, to see whether
         // the caller goes away; a request that comes early is kept.
-        let reading = read_request(&mut decoder, &allowance);
+        let reading = read_request(&mut decoder, &allowance, &control);
         futures_util::pin_mut!(reading);
         let mut reading = Some(reading);
         let mut early = None;
@@ -284,7 +323,7 @@
                     }
                 },
             };
-            let last = close || stopping.get();
+            let last = close || control.stopping.get();
             match response.write(&mut writer, part, last).await {
                 Ok(Progress::More) => {}
                 Ok(Progress::Done) => break !last,
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -24,6 +24,6 @@
 
 pub use event_loop::{block_on, now, open_rings};
 pub use http_client::{HttpClient, SendOptions};
-pub use http_server::{serve, serve_until_stopping, Incoming, Stopping};
+pub use http_server::{serve, serve_controlled, Incoming, ServerControl, ServerLimits};
 pub use link_socket::{Delivery, LinkSocket};
 pub use peer_socket::PeerSocket;
--- a/crates/runtime/src/logging.rs
+++ b/crates/runtime/src/logging.rs
@@ -1,5 +1,6 @@
 //! Logs as JSON lines on standard error.
 
+use log::LevelFilter;
 use serde_json::{json, Map, Value};
 use std::io::Write;
 use std::sync::{Arc, OnceLock};
@@ -29,7 +30,12 @@
 pub fn start(level: &str, node: &str) {
     let node = node.to_string();
     let mut builder = env_logger::Builder::new();
-    builder.parse_filters(level);
+    // A plain level can be changed later by `set_level`.
+    let plain = level.parse::<LevelFilter>();
+    match plain {
+        Ok(_) => builder.filter_level(LevelFilter::Trace),
+        Err(_) => builder.parse_filters(level),
+    };
     if let Ok((writer, counts)) = LogWriter::start(Box::new(std::io::stderr())) {
         let _ = COUNTS.set(counts);
         builder.target(env_logger::Target::Pipe(Box::new(writer)));
@@ -39,7 +45,15 @@
         writeln!(out, "{line}")
     });
     // A second call in one process, as in tests, keeps the first log.
-    let _ = builder.try_init();
+    let started = builder.try_init();
+    if let (Ok(()), Ok(level)) = (started, plain) {
+        set_level(level);
+    }
+}
+
+/// Changes which lines are written from now on.
+pub fn set_level(level: LevelFilter) {
+    log::set_max_level(level);
 }
 
 fn json_line(node: &str, record: &log::Record<'_>) -> Value {
--- a/crates/server/src/gateway_process/beliefs.rs
+++ b/crates/server/src/gateway_process/beliefs.rs
@@ -1,8 +1,10 @@
 //! What the gateway believes, from the object store.
 
 use futures_channel::mpsc::UnboundedSender;
-use peatgrade_ports::{ObjectKind, StoreEvent, StoreObject};
+use peatgrade_ports::{Limits, ObjectKind, StoreEvent, StoreObject};
+use peatgrade_runtime::ServerLimits;
 use peatgrade_types::Time;
+use std::time::Duration;
 
 use super::GatewayProcess;
 use crate::clock::steady_now;
@@ -64,7 +66,9 @@
         match object {
             StoreObject::Configuration(configuration) => {
                 let (version, routes) = (configuration.version, configuration.routes.len());
+                let limits = server_limits(&configuration.limits);
                 if self.gateway.configure(*configuration) {
+                    self.server.limits.set(limits);
                     log::info!("belief=configuration version={version} routes={routes}");
                 }
             }
@@ -83,6 +87,15 @@
     }
 }
 
+fn server_limits(limits: &Limits) -> ServerLimits {
+    ServerLimits {
+        head_bytes: limits.head_bytes,
+        body_bytes: limits.body_bytes,
+        head_time: Duration::from_micros(limits.head_time.0),
+        idle_time: Duration::from_micros(limits.idle_time.0),
+    }
+}
+
 /// Looks once for addresses of replicas.
 pub(super) async fn find_replicas(store: StoreClient, found: UnboundedSender<Vec<String>>) {
     match list_all(&store, ObjectKind::Replicas).await {
--- a/crates/server/src/gateway_process/mod.rs
+++ b/crates/server/src/gateway_process/mod.rs
@@ -6,7 +6,7 @@
 use peatgrade_gateway::{CallId, Gateway, GatewaySettings, HttpId, Part};
 use peatgrade_ports::{Answer, Codec, ObjectKind};
 use peatgrade_runtime::http_client::Cancel;
-use peatgrade_runtime::{serve_until_stopping, HttpClient, Incoming, LinkSocket, Stopping};
+use peatgrade_runtime::{serve_controlled, HttpClient, Incoming, LinkSocket, ServerControl};
 use peatgrade_schema::decode;
 use peatgrade_schema::replication::mod_ReplicaMessage::OneOfbody;
 use peatgrade_schema::replication::ReplicaMessage;
@@ -24,7 +24,7 @@
 use crate::clock::steady_now;
 use crate::metrics::{serve_metrics, Metrics};
 use crate::pause::PauseWatch;
-use crate::settings::ServerSettings;
+use crate::settings::{ServerRole, ServerSettings};
 use crate::signals::{process_signals, ProcessSignal};
 use crate::store_client::StoreClient;
 use crate::watcher::{watch, StoreUpdate, Wanted, WatchTiming};
@@ -95,7 +95,7 @@
     requests: HashMap<HttpId, Cancel>,
     next_call: u64,
     engines_known: bool,
-    stopping: Stopping,
+    server: ServerControl,
     stop_at: Option<Time>,
     last_sweep: Time,
     last_search: Time,
@@ -113,18 +113,14 @@
             step: "install signal handlers",
             source,
         })?;
-        let stopping = Stopping::default();
+        let server = ServerControl::default();
         let (calls, call_inputs) = unbounded();
         for (what, address) in [
             ("front", &settings.front_address),
             ("ready", &settings.ready_address),
         ] {
             let listener = TcpListener::bind(address).map_err(socket_error(what, address))?;
-            monoio::spawn(serve_until_stopping(
-                listener,
-                calls.clone(),
-                stopping.clone(),
-            ));
+            monoio::spawn(serve_controlled(listener, calls.clone(), server.clone()));
         }
         let (messages, message_inputs) = unbounded();
         let link = LinkSocket::open(&settings.peer_address, messages)
@@ -170,7 +166,7 @@
             requests: HashMap::new(),
             next_call: 1,
             engines_known: false,
-            stopping,
+            server,
             stop_at: None,
             last_sweep: steady_now(),
             last_search: Time(0),
@@ -197,10 +193,13 @@
         match signal {
             Some(ProcessSignal::Stop) if self.stop_at.is_none() => {
                 self.stop_at = Some(steady_now());
-                self.stopping.set(true);
+                self.server.stopping.set(true);
                 log::info!("step=stop in_flight={}", self.gateway.in_flight());
             }
-            Some(ProcessSignal::Reload) => log::info!("step=reload"),
+            Some(ProcessSignal::Reload) => {
+                self.settings.reload(ServerRole::Gateway);
+                self.store.set_address(&self.settings.store_address);
+            }
             _ => {}
         }
     }
--- a/crates/server/src/settings.rs
+++ b/crates/server/src/settings.rs
@@ -54,6 +54,9 @@
     /// error, warn, info, debug or trace.
     #[serde(default = "default_level")]
     pub log_level: String,
+    /// The file that they were read from.
+    #[serde(skip)]
+    pub source: PathBuf,
 }
 
 fn default_grace() -> u64 {
@@ -135,14 +138,59 @@
             path: path.to_path_buf(),
             source,
         })?;
-        let settings: Self = toml::from_str(&text).map_err(|source| SettingsError::Parse {
+        let mut settings: Self = toml::from_str(&text).map_err(|source| SettingsError::Parse {
             path: path.to_path_buf(),
             source: Box::new(source),
         })?;
         settings.check(role)?;
+        settings.source = path.to_path_buf();
         Ok(settings)
     }
 
+    /// Reads the file again and takes over what can change while a process
+    /// runs. What cannot is named in the log, as is a file that is not valid:
+    /// then nothing changes.
+    pub fn reload(&mut self, role: ServerRole) {
+        match Self::load(&self.source, role) {
+            Ok(newer) => {
+                let (taken, kept) = self.take_over(newer);
+                let (taken, kept) = (taken.join(","), kept.join(","));
+                log::info!("step=reload taken={taken} needs_restart={kept}");
+            }
+            Err(error) => log::error!("step=reload error={error}"),
+        }
+    }
+
+    /// Names of the fields that were taken over, and of those that differ but
+    /// need a restart.
+    fn take_over(&mut self, newer: Self) -> (Vec<&'static str>, Vec<&'static str>) {
+        let (mut taken, mut kept) = (Vec::new(), Vec::new());
+        macro_rules! take {
+            ($($field:ident),*) => {$(
+                if self.$field != newer.$field {
+                    taken.push(stringify!($field));
+                    self.$field = newer.$field.clone();
+                }
+            )*};
+        }
+        macro_rules! keep {
+            ($($field:ident),*) => {$(
+                if self.$field != newer.$field {
+                    kept.push(stringify!($field));
+                }
+            )*};
+        }
+        take!(store_address, grace_ms, order_lease_ms, job_keep_ms);
+        take!(loads_at_once, log_level);
+        keep!(name, zone, front_address, ready_address, peer_address);
+        keep!(metrics_address, data_folder, tolerated_losses);
+        keep!(contact_ms, configuration_apply_ms, engine_drain_ms);
+        if let Ok(level) = self.log_level.parse() {
+            peatgrade_runtime::logging::set_level(level);
+        }
+        (taken, kept)
+    }
+
     fn check(&self, role: ServerRole) -> Result<(), SettingsError> {
         not_empty("name", &self.name)?;
         not_empty("zone", &self.zone)?;
@@ -158,6 +206,13 @@
             }
             ServerRole::Storage => not_empty("data_folder", &self.data_folder)?,
         }
+        if self.log_level.parse::<log::LevelFilter>().is_err() {
+            return Err(SettingsError::Field {
+                field: "log_level",
+                reason: "must be error, warn, info, debug or trace",
+                value: self.log_level.clone(),
+            });
+        }
         at_least("engine_drain_ms", self.engine_drain_ms, 100)?;
         at_least("contact_ms", self.contact_ms, 100)?;
         at_least(
@@ -213,3 +268,7 @@
         }),
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/settings.rs"]
+mod tests;
--- a/crates/server/src/storage/process.rs
+++ b/crates/server/src/storage/process.rs
@@ -23,7 +23,7 @@
 use crate::gateway_process::socket_error;
 use crate::metrics::{serve_metrics, Metrics};
 use crate::pause::PauseWatch;
-use crate::settings::ServerSettings;
+use crate::settings::{ServerRole, ServerSettings};
 use crate::signals::{process_signals, ProcessSignal};
 use crate::store_client::StoreClient;
 use crate::watcher::{StoreUpdate, Wanted};
@@ -277,7 +277,10 @@
                 let handed = self.replica.hand_over(now, None);
                 log::info!("step=stop handover={handed}");
             }
-            ProcessSignal::Reload => log::info!("step=reload"),
+            ProcessSignal::Reload => {
+                self.settings.reload(ServerRole::Storage);
+                self.store.set_address(&self.settings.store_address);
+            }
             ProcessSignal::Stop => {}
         }
     }
--- /dev/null
+++ b/crates/server/tests/unit/settings.rs
@@ -0,0 +1,61 @@
+//! Settings are checked whole and can change while a process runs.
+
+use super::*;
+use rstest::rstest;
+
+const GATEWAY: &str = r#"
+name = "gateway-1"
+zone = "a"
+front_address = "10.0.0.1:80"
+ready_address = "10.0.0.1:81"
+peer_address = "10.0.0.1:7700"
+store_address = "10.0.0.9:8000"
+"#;
+
+fn write(name: &str, text: &str) -> PathBuf {
+    let file = format!("peatgrade-settings-{name}-{}.toml", std::process::id());
+    let path = std::env::temp_dir().join(file);
+    std::fs::write(&path, text).unwrap();
+    path
+}
+
+#[rstest]
+#[case::no_port("store_address = \"10.0.0.9\"", "store_address")]
+#[case::no_level("log_level = \"loud\"", "log_level")]
+#[case::hasty("configuration_apply_ms = 10", "configuration_apply_ms")]
+#[case::huge_group("tolerated_losses = 9", "tolerated_losses")]
+fn an_error_names_its_field(#[case] line: &str, #[case] field: &str) {
+    let base = GATEWAY.lines().filter(|known| !known.starts_with(field));
+    let text = format!("{}\n{line}\n", base.collect::<Vec<_>>().join("\n"));
+    let path = write(field, &text);
+    let error = ServerSettings::load(&path, ServerRole::Gateway).unwrap_err();
+    std::fs::remove_file(&path).unwrap();
+    assert!(error.to_string().contains(field), "{error}");
+}
+
+#[test]
+fn a_reload_takes_what_can_change_and_names_the_rest() {
+    let path = write("reload", GATEWAY);
+    let mut settings = ServerSettings::load(&path, ServerRole::Gateway).unwrap();
+    let changed = GATEWAY
+        .replace("10.0.0.9:8000", "10.0.0.8:8000")
+        .replace("10.0.0.1:80\"", "10.0.0.1:90\"");
+    let newer = write("newer", &changed);
+    let newer = ServerSettings::load(&newer, ServerRole::Gateway).unwrap();
+    let (taken, kept) = settings.take_over(newer);
+    assert_eq!(taken, ["store_address"]);
+    assert_eq!(kept, ["front_address"]);
+    assert_eq!(settings.store_address, "10.0.0.8:8000");
+    assert_eq!(settings.front_address, "10.0.0.1:80");
+}
+
+#[test]
+fn a_broken_file_changes_nothing() {
+    let path = write("broken", GATEWAY);
+    let mut settings = ServerSettings::load(&path, ServerRole::Gateway).unwrap();
+    let before = settings.clone();
+    std::fs::write(&path, "name = ").unwrap();
+    settings.reload(ServerRole::Gateway);
+    std::fs::remove_file(&path).unwrap();
+    assert_eq!(settings, before);
+}
