--- a/crates/jobs/tests/dispatcher.rs
+++ b/crates/jobs/tests/dispatcher.rs
@@ -1,6 +1,7 @@
 //! Items reach engines, and their texts the log, whatever engines do.
 
 mod dispatch;
+mod scale;
 
 use dispatch::{engine, Scene};
 use peatgrade_jobs::RunPart;
--- a/crates/jobs/tests/scale.rs
+++ b/crates/jobs/tests/scale/mod.rs
@@ -1,8 +1,6 @@
 //! What a look over many items costs.
 
-mod dispatch;
-
-use dispatch::{engine, Scene};
+use crate::dispatch::{engine, Scene};
 
 const ENGINES: usize = 48;
 const SLOTS: usize = 8;
