List again after a lost watch

Ruled out: the length of the wait (3.8 s as before), the new pauses between watches (only the engine list has them). Change: whoever has lost a watch lists. A stand-in whose watches go deaf shows it: the test failed first (not within 20 s), now 4.5 s.

--- a/crates/server/src/watcher.rs
+++ b/crates/server/src/watcher.rs
@@ -121,6 +121,10 @@
                     log::warn!("dependency=lost kind={kind:?} reason={reason}");
                 }
                 lost = true;
+                // A store that drops its history leaves watches from before
+                // without a word, also one that begins just then: only a list
+                // shows what was missed.
+                revision = None;
                 monoio::time::sleep(pause).await;
                 pause = (pause * 2).min(MAX_PAUSE);
             }
