Keep texts of one version on routes that want it

Cause: single_version of a route was read and never used. Change: such an item's text is taken up only by an engine that holds the version that made its beginning (asked for by the request), what new weights add in the middle of a run is not taken, and a text whose version is nowhere any more is begun anew; a whole text of several versions is not listed again there. Tests: three of the dispatcher, failing before for want of all this.

--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -223,6 +223,7 @@
             id: forward.request.id.clone(),
             host: forward.request.host.clone(),
             instance: instance.clone(),
+            version: None,
             deadline: Some(left),
             last_event: forward.request.last_event,
             priority: modelled.then_some(forward.priority.min(9)),
--- a/crates/jobs/src/dispatcher/answers.rs
+++ b/crates/jobs/src/dispatcher/answers.rs
@@ -85,7 +85,8 @@
             }
             Err(error) => {
                 let reason = error.to_string();
-                self.on_failed(now, id, &reason, directory);
+                let blame = error.is_engines_fault();
+                self.break_run(now, id, &reason, blame, directory);
             }
         }
     }
@@ -199,11 +200,23 @@
     }
 
     fn on_failed(&mut self, now: Time, id: RunId, reason: &str, directory: &mut EngineDirectory) {
+        self.break_run(now, id, reason, true, directory);
+    }
+
+    /// Ends a run; the item goes on elsewhere after its last event.
+    fn break_run(
+        &mut self,
+        now: Time,
+        id: RunId,
+        reason: &str,
+        blame: bool,
+        directory: &mut EngineDirectory,
+    ) {
         self.actions.push(DispatchAction::Cancel(id));
         let Some(run) = self.forget_run(id, directory) else {
             return;
         };
-        if let Some(state) = directory.get_mut(&run.instance) {
+        if let Some(state) = directory.get_mut(&run.instance).filter(|_| blame) {
             state.experience.failed(now);
         }
         let Some(item) = self.items.get_mut(&run.key) else {
--- a/crates/jobs/src/dispatcher/mod.rs
+++ b/crates/jobs/src/dispatcher/mod.rs
@@ -4,7 +4,7 @@
 use peatgrade_fleet::EngineDirectory;
 use peatgrade_ports::{AnswerHead, Configuration, EngineCall, EventReader};
 use peatgrade_schema::replication::{
-    ItemProgress, ItemResult, KeepProgress, ListResults, ProgressEvent,
+    AcceptJob, ItemProgress, ItemResult, KeepProgress, ListResults, ProgressEvent,
 };
 use peatgrade_types::{Duration, Time};
 use std::collections::{BTreeMap, HashMap};
@@ -19,6 +19,12 @@
 use crate::streams::Run;
 use crate::text::PartialText;
 
+/// Whether one version must make all of an item's text.
+fn must_be_single(configuration: &Configuration, spec: &AcceptJob, item: usize) -> bool {
+    let route = configuration.route(&spec.host, &spec.items[item].path);
+    route.is_some_and(|route| route.single_version)
+}
+
 /// Names a run of an item.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
 pub struct RunId(pub u64);
@@ -127,7 +133,7 @@
     }
 
     /// Takes up a job that is new, or new to this leader.
-    pub fn open_job(&mut self, id: &str, store: &JobStore) {
+    pub fn open_job(&mut self, id: &str, store: &JobStore, configuration: &Configuration) {
         let Some(job) = store.get(id).filter(|job| !job.ended) else {
             return;
         };
@@ -140,7 +146,11 @@
             }
             let least = job.spec.min_version;
             match store.earlier(id, index) {
-                Some(Earlier::Whole(result)) if result.versions.iter().all(|v| *v >= least) => {
+                Some(Earlier::Whole(result))
+                    if result.versions.iter().all(|v| *v >= least)
+                        && (result.versions.len() <= 1
+                            || !must_be_single(configuration, &job.spec, index)) =>
+                {
                     log::info!(
                         "decision=relist item={} job={id} versions={:?}",
                         job.spec.items[index].id,
@@ -262,7 +272,8 @@
         let mut jobs: BTreeMap<Rc<str>, Vec<ItemProgress>> = BTreeMap::new();
         for (key, item) in &mut self.items {
             let count = item.text.events.len();
-            if item.proposed || count < item.logged_events + PROGRESS_EVENTS {
+            let due = count >= item.logged_events + PROGRESS_EVENTS;
+            if item.proposed || item.restarted || !due {
                 continue;
             }
             let fresh = &item.text.events[item.logged_events..];
--- a/crates/jobs/src/dispatcher/moving.rs
+++ b/crates/jobs/src/dispatcher/moving.rs
@@ -105,11 +105,13 @@
             service,
             model,
             min_version: item.spec.min_version,
+            exact: item.exact_version(),
             companions: &[],
             avoid: Some(&run.instance),
         };
         let find = || {
             let anywhere = Need {
+                exact: None,
                 avoid: None,
                 ..need
             };
--- a/crates/jobs/src/dispatcher/starting.rs
+++ b/crates/jobs/src/dispatcher/starting.rs
@@ -104,18 +104,30 @@
             let Some(service) = target_of(route, &item.item().id) else {
                 continue;
             };
+            let single = route.single_version;
+            if item.single_version != single {
+                self.demand_single_version(&key, single);
+            }
+            let Some(item) = self.items.get(&key) else {
+                continue;
+            };
             let group = (key.0.clone(), item.item().group.clone());
             let beside = companions.entry(group).or_default();
-            let without = Need {
+            let any = Need {
                 service,
                 model: &item.spec.model,
                 min_version: item.spec.min_version,
+                exact: None,
                 companions: beside,
                 avoid: None,
             };
-            let Some(look) = rooms.look(now, &key.0, directory, &without) else {
+            let Some(look) = rooms.look(now, &key.0, directory, &any) else {
                 continue;
             };
+            let without = Need {
+                exact: item.exact_version(),
+                ..any
+            };
             let need = Need {
                 avoid: item.avoid.as_ref(),
                 ..without
@@ -133,7 +145,11 @@
                 .or_else(|| look.choose(now, directory, &need, u32::MAX))
                 .or_else(|| look.choose(now, directory, &without, limit));
             let Some(instance) = chosen else {
-                rooms.note_full(&key.0, now, directory, &without);
+                let lost = !look.has_fitting(directory, &without);
+                rooms.note_full(&key.0, now, directory, &any);
+                if lost && without.exact.is_some() {
+                    self.restart(&key, "version-gone");
+                }
                 continue;
             };
             if !item.item().group.is_empty() {
@@ -240,6 +256,32 @@
         companions
     }
 
+    /// One version must make an item's whole text, or several may.
+    fn demand_single_version(&mut self, key: &ItemKey, single: bool) {
+        let Some(item) = self.items.get_mut(key) else {
+            return;
+        };
+        item.single_version = single;
+        if !item.is_consistent() {
+            self.restart(key, "several-versions");
+        }
+    }
+
+    /// Begins a text anew that cannot be continued.
+    fn restart(&mut self, key: &ItemKey, reason: &str) {
+        let Some(item) = self.items.get_mut(key) else {
+            return;
+        };
+        log::info!(
+            "decision=restart item={} job={} reason={reason} events={} versions={:?}",
+            item.item().id,
+            key.0,
+            item.text.events.len(),
+            item.text.versions()
+        );
+        item.restart();
+    }
+
     fn start(
         &mut self,
         now: Time,
@@ -276,6 +318,7 @@
             id: spec.id.clone(),
             host: item.spec.host.clone(),
             instance: instance.clone(),
+            version: item.exact_version(),
             deadline: Some(left),
             last_event: item.text.last_event,
             priority: Some(priority.min(9)),
--- a/crates/jobs/src/item.rs
+++ b/crates/jobs/src/item.rs
@@ -38,6 +38,10 @@
     pub runs: u32,
     /// Moves from a slow engine so far.
     pub moves: u32,
+    /// Whether one version must make all of its text.
+    pub single_version: bool,
+    /// Its text was begun anew: what the log holds of it belongs to another.
+    pub restarted: bool,
     /// Its result is on its way into the log.
     pub proposed: bool,
 }
@@ -58,10 +62,30 @@
             avoid: None,
             runs: 0,
             moves: 0,
+            single_version: false,
+            restarted: false,
             proposed: false,
         }
     }
 
+    /// The version that must make the rest of its text, if only one may.
+    pub fn exact_version(&self) -> Option<u64> {
+        let first = self.text.events.first().filter(|_| self.single_version);
+        first.map(|event| event.version)
+    }
+
+    /// Whether its text can stand as it is.
+    pub fn is_consistent(&self) -> bool {
+        !self.single_version || self.text.versions().len() <= 1
+    }
+
+    /// Begins its text anew.
+    pub fn restart(&mut self) {
+        self.restarted |= self.logged_events > 0;
+        self.text = PartialText::default();
+        self.logged_events = 0;
+    }
+
     /// The item as it was handed in.
     pub fn item(&self) -> &JobItem {
         &self.spec.items[self.index]
--- a/crates/jobs/src/placement.rs
+++ b/crates/jobs/src/placement.rs
@@ -23,6 +23,8 @@
     pub model: &'a str,
     /// Oldest version allowed.
     pub min_version: u64,
+    /// The only version allowed, where one must make the whole text.
+    pub exact: Option<u64>,
     /// Engines that run items of the same group.
     pub companions: &'a [Instance],
     /// Engine to leave out.
@@ -84,6 +86,12 @@
         self.engines.len()
     }
 
+    /// Whether any of them, full or not, has such weights.
+    pub fn has_fitting(&self, directory: &EngineDirectory, need: &Need<'_>) -> bool {
+        let mut states = self.engines.iter().filter_map(|name| directory.get(name));
+        states.any(|state| !state.record.draining && fits(state, need))
+    }
+
     /// Whether any of them can take an item now.
     pub fn has_room(&self, now: Time, directory: &EngineDirectory, need: &Need<'_>) -> bool {
         let mut states = self.engines.iter().filter_map(|name| directory.get(name));
@@ -126,7 +134,11 @@
 
 /// Whether an engine's weights are such as a job allows.
 fn fits(state: &EngineState, need: &Need<'_>) -> bool {
-    need.model.is_empty() || state.version(need.model) >= need.min_version.max(1)
+    if need.model.is_empty() {
+        return true;
+    }
+    let version = state.version(need.model);
+    version >= need.min_version.max(1) && need.exact.is_none_or(|exact| version == exact)
 }
 
 /// Whether an engine may take an item now.
--- a/crates/jobs/src/streams.rs
+++ b/crates/jobs/src/streams.rs
@@ -30,6 +30,16 @@
     Gap { got: u64, after: Option<u64> },
     #[error("version {got} below {least}")]
     Stale { got: u64, least: u64 },
+    #[error("version {got} after {first}, where one must make the whole")]
+    Mixed { got: u64, first: u64 },
+}
+
+impl StreamError {
+    /// Whether the engine is to blame. New weights in the middle of a run are
+    /// our own order.
+    pub fn is_engines_fault(&self) -> bool {
+        !matches!(self, StreamError::Mixed { .. })
+    }
 }
 
 /// Adds the events in `bytes` to the item's text.
@@ -72,6 +82,12 @@
             least,
         });
     }
+    if let Some(first) = item.exact_version().filter(|first| *first != run.version) {
+        return Err(StreamError::Mixed {
+            got: run.version,
+            first,
+        });
+    }
     item.text.last_event = Some(event.id);
     item.text.events.push(TextEvent {
         version: run.version,
--- a/crates/jobs/tests/dispatch/mod.rs
+++ b/crates/jobs/tests/dispatch/mod.rs
@@ -138,7 +138,8 @@
             items: items.collect(),
             ..AcceptJob::default()
         }));
-        self.dispatcher.open_job(job, &self.store);
+        self.dispatcher
+            .open_job(job, &self.store, &self.configuration);
     }
 
     pub fn end(&mut self, job: &str) {
@@ -153,7 +154,8 @@
         self.started.clear();
         let jobs: Vec<String> = self.store.iter().map(|(id, _)| id.clone()).collect();
         for job in jobs {
-            self.dispatcher.open_job(&job, &self.store);
+            self.dispatcher
+                .open_job(&job, &self.store, &self.configuration);
         }
     }
 
--- a/crates/ports/src/engine.rs
+++ b/crates/ports/src/engine.rs
@@ -45,6 +45,8 @@
         host: String,
         /// Engine that must be the one to run it.
         instance: Instance,
+        /// Version of the weights that must be the one to make it.
+        version: Option<u64>,
         /// Time that is left.
         deadline: Option<Duration>,
         /// Continue after this event.
--- a/crates/server/src/storage/leadership.rs
+++ b/crates/server/src/storage/leadership.rs
@@ -103,7 +103,8 @@
 
     /// Takes up the work for a job.
     pub(super) fn open_job(&mut self, id: &str) {
-        self.dispatcher.open_job(id, &self.jobs);
+        self.dispatcher
+            .open_job(id, &self.jobs, &self.configuration);
         if let (Some(coordinator), Some(job)) = (&mut self.coordinator, self.jobs.get(id)) {
             coordinator.demanded(&job.spec.model, job.spec.items.len());
         }
