--- a/crates/server/src/settings.rs
+++ b/crates/server/src/settings.rs
@@ -45,9 +45,6 @@
     /// have heard of all changes.
     #[serde(default = "default_contact")]
     pub contact_ms: u64,
-    /// Time from a change of the configuration to its being in force.
-    #[serde(default = "default_apply")]
-    pub configuration_apply_ms: u64,
     /// Time that an engine serves on after it said that it leaves.
     #[serde(default = "default_drain")]
     pub engine_drain_ms: u64,
@@ -79,10 +76,6 @@
     3_000
 }
 
-fn default_apply() -> u64 {
-    2_000
-}
-
 fn default_drain() -> u64 {
     2_000
 }
@@ -184,7 +177,7 @@
         take!(loads_at_once, log_level);
         keep!(name, zone, front_address, ready_address, peer_address);
         keep!(metrics_address, data_folder, tolerated_losses);
-        keep!(contact_ms, configuration_apply_ms, engine_drain_ms);
+        keep!(contact_ms, engine_drain_ms);
         if let Ok(level) = self.log_level.parse() {
             peatgrade_runtime::logging::set_level(level);
         }
@@ -214,12 +207,7 @@
             });
         }
         at_least("engine_drain_ms", self.engine_drain_ms, 100)?;
-        at_least("contact_ms", self.contact_ms, 100)?;
-        at_least(
-            "configuration_apply_ms",
-            self.configuration_apply_ms,
-            LEAST_APPLY_MS,
-        )?;
+        at_least("contact_ms", self.contact_ms, LEAST_CONTACT_MS)?;
         if self.tolerated_losses > MAX_LOSSES {
             return Err(SettingsError::Field {
                 field: "tolerated_losses",
@@ -231,8 +219,8 @@
     }
 }
 
-/// Shortest time for a configuration that watches can keep.
-const LEAST_APPLY_MS: u64 = 1_000;
+/// Shortest time in which a watch can be lost and made good.
+const LEAST_CONTACT_MS: u64 = 1_500;
 /// Larger groups would cost more than they protect.
 const MAX_LOSSES: usize = 4;
 
--- a/crates/server/src/watcher.rs
+++ b/crates/server/src/watcher.rs
@@ -1,10 +1,11 @@
 //! Follows one kind of objects: lists it, then waits for changes.
 //!
 //! Each call has its price, and a wait that was lost without a sign is noticed
-//! only when its time is over. So a wait and its slack are a little shorter than
-//! the time that a machine has, once its path to the store is whole again, to
-//! bring a change into force. Changes that may be known a little later are
-//! taken together: between two waits lies a least time.
+//! only when its time is over. A store that drops its history leaves even waits
+//! that begin just then without a word, so a wait, its slack and the list that
+//! follows take less than the time after which a machine must be in touch again.
+//! Changes that may be known a little later are taken together: between two
+//! waits lies a least time.
 
 use futures_channel::mpsc::UnboundedSender;
 use peatgrade_ports::{ObjectKind, StoreCall, StoreEvent, StoreObject, StoreReply};
@@ -18,10 +19,11 @@
 use crate::store_client::StoreClient;
 
 /// Time beyond its wait after which a watch counts as lost.
-const WATCH_SLACK: Duration = Duration::from_millis(600);
-/// Kept back for the list or watch that follows a lost one.
-const WATCH_MARGIN_MS: u64 = 600;
-/// Longest wait, whatever the settings allow.
+const WATCH_SLACK: Duration = Duration::from_millis(500);
+/// Kept back for the pause and the list that follow a lost one.
+const WATCH_MARGIN_MS: u64 = 400;
+/// Shortest and longest wait, whatever the settings say.
+const MIN_WAIT_MS: u64 = 400;
 const MAX_WAIT_MS: u64 = 8_000;
 /// Time after which a list counts as lost.
 const LIST_TIMEOUT: Duration = Duration::from_millis(800);
@@ -67,15 +69,19 @@
 impl WatchTiming {
     /// Changes are told at once.
     pub fn prompt(settings: &ServerSettings) -> Self {
-        let allowed = settings.contact_ms + settings.configuration_apply_ms;
-        let slack = WATCH_SLACK.as_millis() as u64 + WATCH_MARGIN_MS;
-        let wait = allowed.saturating_sub(slack).min(MAX_WAIT_MS);
+        let kept_back = WATCH_SLACK.as_millis() as u64 + WATCH_MARGIN_MS;
+        let wait = settings.contact_ms.saturating_sub(kept_back);
         Self {
-            wait: Span::from_millis(wait),
+            wait: Span::from_millis(wait.clamp(MIN_WAIT_MS, MAX_WAIT_MS)),
             pace: Duration::ZERO,
         }
     }
 
+    /// Time after which a watch without an answer counts as lost.
+    pub fn lost_after(&self) -> Duration {
+        Duration::from_micros(self.wait.0) + WATCH_SLACK
+    }
+
     /// Changes of the engine list are told together, well within the time that
     /// a leaving engine goes on serving.
     pub fn batched(settings: &ServerSettings) -> Self {
@@ -101,7 +107,7 @@
         let begun = Instant::now();
         let step = match revision {
             None => list(&store, kind, &updates).await,
-            Some(revision) => follow(&store, kind, timing.wait, revision, &updates).await,
+            Some(revision) => follow(&store, kind, timing, revision, &updates).await,
         };
         match step {
             Ok(next) => {
@@ -171,7 +177,7 @@
 async fn follow(
     store: &StoreClient,
     kind: ObjectKind,
-    wait: Span,
+    timing: WatchTiming,
     revision: u64,
     updates: &UnboundedSender<StoreUpdate>,
 ) -> Result<Option<u64>, String> {
@@ -179,10 +185,9 @@
     let call = StoreCall::Watch {
         kind,
         revision,
-        wait,
+        wait: timing.wait,
     };
-    let timeout = Duration::from_micros(wait.0) + WATCH_SLACK;
-    match store.call(&call, timeout).await {
+    match store.call(&call, timing.lost_after()).await {
         Ok(StoreReply::Events { events, revision }) => {
             let _ = updates.unbounded_send(StoreUpdate::Changed { kind, at, events });
             Ok(Some(revision))
