Leave the content of applied log entries to the file

Change: entries that all answering members hold and the state has applied keep only their term in memory and are read from the file by place when a learner or a rewrite wants them; a rewrite that cannot read one back fails instead of leaving a gap; joined texts take exactly their length. Tests: reading back after release, overwrite, trim, rewrite, reopen; a torn file is not rewritten; changes of members stay.

--- a/crates/jobs/src/store.rs
+++ b/crates/jobs/src/store.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use peatgrade_schema::decode;
 use peatgrade_schema::replication::mod_JobCommand::OneOfbody;
-use peatgrade_schema::replication::{AcceptJob, ItemResult, JobCommand, KeepProgress, ListResults};
+use peatgrade_schema::replication::{AcceptJob, JobCommand, KeepProgress, ListResults};
 use peatgrade_types::{Duration, Time};
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
@@ -136,7 +136,7 @@
                 continue;
             }
             let logged = job.progress.get(&item);
-            let Some(text) = whole_text(logged, &result) else {
+            let Some(text) = whole_text(logged, result.logged_events, result.text) else {
                 log::error!("step=list-result job={} item={item} error=gap", list.job);
                 continue;
             };
@@ -258,14 +258,13 @@
     }
 }
 
-/// The events that the log holds already, and what the result adds to them.
-fn whole_text(logged: Option<&PartialText>, result: &ItemResult) -> Option<Bytes> {
-    let count = result.logged_events as usize;
+/// The first `count` events, which the log holds already, and what a result adds
+/// to them.
+fn whole_text(logged: Option<&PartialText>, count: u64, added: Vec<u8>) -> Option<Bytes> {
+    let count = count as usize;
     if count == 0 {
-        return Some(Bytes::from(result.text.clone()));
+        return Some(Bytes::from(added));
     }
     let logged = logged.filter(|text| text.events.len() >= count)?;
-    let mut text = logged.joined(count);
-    text.extend_from_slice(&result.text);
-    Some(Bytes::from(text))
+    Some(Bytes::from(logged.joined_with(count, &added)))
 }
--- a/crates/jobs/src/text.rs
+++ b/crates/jobs/src/text.rs
@@ -23,13 +23,21 @@
 impl PartialText {
     /// The data of the first `count` events, parted by line feeds.
     pub fn joined(&self, count: usize) -> Vec<u8> {
-        let mut text = Vec::new();
+        self.joined_with(count, &[])
+    }
+
+    /// The same with `rest` behind it, in no more memory than it takes.
+    pub fn joined_with(&self, count: usize, rest: &[u8]) -> Vec<u8> {
+        let events = self.events.iter().take(count);
+        let length: usize = events.map(|event| event.data.len() + 1).sum();
+        let mut text = Vec::with_capacity(length.saturating_sub(1) + rest.len());
         for (position, event) in self.events.iter().take(count).enumerate() {
             if position > 0 {
                 text.push(b'\n');
             }
             text.extend_from_slice(&event.data);
         }
+        text.extend_from_slice(rest);
         text
     }
 
--- /dev/null
+++ b/crates/replication/src/entry_index.rs
@@ -0,0 +1,108 @@
+//! Where each entry stands in the log file, so that its content need not stay
+//! in memory.
+
+use peatgrade_schema::decode;
+use peatgrade_schema::replication::mod_LogRecord::OneOfbody;
+use peatgrade_schema::replication::{LogEntry, LogRecord};
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::fs::File;
+use std::io::{Read, Seek, SeekFrom};
+use std::path::Path;
+use std::rc::Rc;
+
+/// Reads entries that were dropped from memory.
+pub trait EntrySource: std::fmt::Debug {
+    /// An entry, if it can be read.
+    fn read(&self, index: u64) -> Option<LogEntry>;
+}
+
+/// A record's payload in the file.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub(crate) struct Place {
+    /// First byte.
+    pub offset: u64,
+    /// Bytes.
+    pub length: u32,
+}
+
+impl Place {
+    /// The same place in a file where `before` bytes come first.
+    pub fn moved(self, before: u64) -> Self {
+        Self {
+            offset: self.offset + before,
+            ..self
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct Places {
+    file: Option<File>,
+    /// Index of the first entry in `places`; they follow each other.
+    first: u64,
+    places: VecDeque<Place>,
+}
+
+/// The places of all entries of one log file, shared between who writes it and
+/// who reads it.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct EntryIndex(Rc<RefCell<Places>>);
+
+impl EntryIndex {
+    /// Begins anew with the file at `path`.
+    pub fn reset(&self, path: &Path) -> std::io::Result<()> {
+        let mut places = self.0.borrow_mut();
+        places.file = Some(File::open(path)?);
+        places.first = 0;
+        places.places.clear();
+        Ok(())
+    }
+
+    /// Takes note of an entry; one with an index that is known replaces it and
+    /// all after it.
+    pub fn note(&self, index: u64, place: Place) {
+        let mut places = self.0.borrow_mut();
+        let next = places.first + places.places.len() as u64;
+        if places.places.is_empty() || index < places.first || index > next {
+            places.first = index;
+            places.places.clear();
+        } else {
+            let keep = index - places.first;
+            places.places.truncate(keep as usize);
+        }
+        places.places.push_back(place);
+    }
+
+    /// Forgets entries before `index`.
+    pub fn trim(&self, index: u64) {
+        let mut places = self.0.borrow_mut();
+        while places.first < index && places.places.pop_front().is_some() {
+            places.first += 1;
+        }
+    }
+}
+
+impl EntrySource for EntryIndex {
+    fn read(&self, index: u64) -> Option<LogEntry> {
+        let places = self.0.borrow();
+        let offset = index.checked_sub(places.first)?;
+        let place = places.places.get(offset as usize)?;
+        let mut file = places.file.as_ref()?;
+        let mut payload = vec![0; place.length as usize];
+        let read = file
+            .seek(SeekFrom::Start(place.offset))
+            .and_then(|_| file.read_exact(&mut payload));
+        if let Err(error) = read {
+            log::error!("step=read-entry index={index} error={error}");
+            return None;
+        }
+        match decode::<LogRecord>(&payload).map(|record| record.body) {
+            Ok(OneOfbody::entry(entry)) if entry.index == index => Some(entry),
+            _ => {
+                log::error!("step=read-entry index={index} error=another-record");
+                None
+            }
+        }
+    }
+}
--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -20,6 +20,7 @@
 //! No socket, clock or unseeded random number is used here.
 
 mod election;
+mod entry_index;
 mod group;
 mod lease;
 mod log_file;
@@ -30,6 +31,7 @@
 mod replica;
 mod replicate;
 
+pub use entry_index::EntrySource;
 pub use group::{voters_for, Group, MachineReport};
 pub use log_file::{LogFile, LogFileError, Recovered};
 pub use log_store::LogStore;
--- a/crates/replication/src/log_file.rs
+++ b/crates/replication/src/log_file.rs
@@ -14,6 +14,7 @@
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 
+use crate::entry_index::{EntryIndex, EntrySource, Place};
 use crate::log_store::LogStore;
 
 const LOG_NAME: &str = "replica.log";
@@ -55,6 +56,7 @@
     length: u64,
     /// Bytes written by the last rewrite.
     compact_length: u64,
+    index: EntryIndex,
 }
 
 impl LogFile {
@@ -72,7 +74,9 @@
         let mut bytes = Vec::new();
         file.read_to_end(&mut bytes)
             .map_err(at("read log", &path))?;
-        let (records, whole) = read_records(&bytes);
+        let index = EntryIndex::default();
+        index.reset(&path).map_err(at("open for reading", &path))?;
+        let (records, whole) = read_records(&bytes, &index);
         let torn_bytes = bytes.len() as u64 - whole;
         drop(bytes);
         let mut opened = Self {
@@ -80,8 +84,10 @@
             file,
             length: whole,
             compact_length: 0,
+            index,
         };
-        let (state, log) = replay(records);
+        let (state, mut log) = replay(records);
+        log.set_source(opened.source());
         if let Some(state) = state {
             if torn_bytes > 0 {
                 opened.cut_tail(whole, &path)?;
@@ -101,10 +107,11 @@
             vote: 0,
             replica: fresh_id,
         };
-        opened.rewrite(&state, &LogStore::default())?;
+        log.reset(LogBase::default());
+        opened.rewrite(&state, &log)?;
         let recovered = Recovered {
             state,
-            log: LogStore::default(),
+            log,
             fresh: true,
             torn_bytes,
         };
@@ -131,8 +138,11 @@
         if let Some(state) = state {
             put_record(&mut bytes, OneOfbody::state(state.clone()));
         }
+        let mut places = Vec::new();
         for entry in entries {
-            put_record(&mut bytes, OneOfbody::entry((**entry).clone()));
+            let body = OneOfbody::entry((**entry).clone());
+            let place = put_record(&mut bytes, body);
+            places.push((entry.index, place.moved(self.length)));
         }
         if bytes.is_empty() {
             return Ok(());
@@ -143,9 +153,22 @@
             .map_err(at("append to", &path))?;
         self.file.sync_data().map_err(at("sync", &path))?;
         self.length += bytes.len() as u64;
+        for (index, place) in places {
+            self.index.note(index, place);
+        }
         Ok(())
     }
 
+    /// Reads entries of this file.
+    pub fn source(&self) -> Rc<dyn EntrySource> {
+        Rc::new(self.index.clone())
+    }
+
+    /// Forgets where entries before `index` stand.
+    pub fn trim(&self, index: u64) {
+        self.index.trim(index);
+    }
+
     /// Replaces the file by one that holds just this state and log.
     pub fn rewrite(&mut self, state: &HardState, log: &LogStore) -> Result<(), LogFileError> {
         let new_path = self.folder.join(NEW_NAME);
@@ -161,8 +184,15 @@
             .open(&new_path)
             .map_err(at("create", &new_path))?;
         let mut length = 0;
-        for entry in log.iter() {
-            put_record(&mut bytes, OneOfbody::entry((**entry).clone()));
+        let mut places = Vec::new();
+        for index in log.base().index + 1..=log.last_index() {
+            // An entry left out would cut off all that follow it.
+            let entry = log.get(index).ok_or_else(|| {
+                let reason = format!("entry {index} cannot be read back");
+                at("read", &path)(std::io::Error::other(reason))
+            })?;
+            let place = put_record(&mut bytes, OneOfbody::entry((*entry).clone()));
+            places.push((index, place.moved(length)));
             if bytes.len() > 1024 * 1024 {
                 file.write_all(&bytes).map_err(at("write", &new_path))?;
                 length += bytes.len() as u64;
@@ -176,6 +206,12 @@
         let folder = File::open(&self.folder).map_err(at("open folder", &self.folder))?;
         folder.sync_all().map_err(at("sync folder", &self.folder))?;
         self.file = file;
+        self.index
+            .reset(&path)
+            .map_err(at("open for reading", &path))?;
+        for (index, place) in places {
+            self.index.note(index, place);
+        }
         self.length = length;
         self.compact_length = length;
         Ok(())
@@ -197,15 +233,22 @@
     move |source| LogFileError { step, path, source }
 }
 
-fn put_record(into: &mut Vec<u8>, body: OneOfbody) {
+/// Appends a record; where its payload stands in `into`.
+fn put_record(into: &mut Vec<u8>, body: OneOfbody) -> Place {
     let payload = encode(&LogRecord { body });
+    let place = Place {
+        offset: (into.len() + HEADER_BYTES) as u64,
+        length: payload.len() as u32,
+    };
     into.extend_from_slice(&(payload.len() as u32).to_le_bytes());
     into.extend_from_slice(&crc32fast::hash(&payload).to_le_bytes());
     into.extend_from_slice(&payload);
+    place
 }
 
-/// Whole records from the start, and the number of bytes that they fill.
-fn read_records(bytes: &[u8]) -> (Vec<OneOfbody>, u64) {
+/// Whole records from the start, and the number of bytes that they fill. Takes
+/// note of where entries stand.
+fn read_records(bytes: &[u8], index: &EntryIndex) -> (Vec<OneOfbody>, u64) {
     let mut records = Vec::new();
     let mut offset = 0;
     while let Some(header) = bytes.get(offset..offset + HEADER_BYTES) {
@@ -225,6 +268,13 @@
         let Ok(record) = decode::<LogRecord>(payload) else {
             break;
         };
+        if let OneOfbody::entry(entry) = &record.body {
+            let place = Place {
+                offset: start as u64,
+                length: length as u32,
+            };
+            index.note(entry.index, place);
+        }
         records.push(record.body);
         offset = start + length;
     }
--- a/crates/replication/src/log_store.rs
+++ b/crates/replication/src/log_store.rs
@@ -1,14 +1,42 @@
-//! The log in memory: a base and the entries after it.
+//! The log: a base and the entries after it. The content of entries that all
+//! members hold is left to the file.
 
 use peatgrade_schema::replication::{LogBase, LogEntry, Member, Members};
 use std::collections::VecDeque;
 use std::rc::Rc;
 
+use crate::entry_index::EntrySource;
+
+/// An entry, or what must be known of it at once.
+#[derive(Clone, Debug)]
+enum Slot {
+    Held(Rc<LogEntry>),
+    /// Its content stands in the file only.
+    InFile {
+        term: u64,
+        bytes: usize,
+    },
+}
+
+impl Slot {
+    fn term(&self) -> u64 {
+        match self {
+            Slot::Held(entry) => entry.term,
+            Slot::InFile { term, .. } => *term,
+        }
+    }
+}
+
 /// Entries after a base, without gaps.
 #[derive(Clone, Debug, Default)]
 pub struct LogStore {
     base: LogBase,
-    entries: VecDeque<Rc<LogEntry>>,
+    entries: VecDeque<Slot>,
+    /// Entries up to this one were left to the file, but for those that change
+    /// the members.
+    released: u64,
+    /// Reads what is left to the file.
+    source: Option<Rc<dyn EntrySource>>,
     /// Indices of entries that change the members.
     changes: VecDeque<u64>,
 }
@@ -38,9 +66,7 @@
 
     /// Term of the last entry, or of the base.
     pub fn last_term(&self) -> u64 {
-        self.entries
-            .back()
-            .map_or(self.base.term, |entry| entry.term)
+        self.entries.back().map_or(self.base.term, Slot::term)
     }
 
     /// Term of an index; none if it was trimmed or doesn't exist.
@@ -48,15 +74,79 @@
         if index == self.base.index {
             return Some(self.base.term);
         }
-        self.get(index).map(|entry| entry.term)
+        self.slot(index).map(Slot::term)
     }
 
-    /// An entry.
-    pub fn get(&self, index: u64) -> Option<&Rc<LogEntry>> {
+    fn slot(&self, index: u64) -> Option<&Slot> {
         let offset = index.checked_sub(self.base.index + 1)?;
         self.entries.get(offset as usize)
     }
 
+    /// An entry; read from the file if need be.
+    pub fn get(&self, index: u64) -> Option<Rc<LogEntry>> {
+        match self.slot(index)? {
+            Slot::Held(entry) => Some(entry.clone()),
+            Slot::InFile { .. } => {
+                let source = self.source.as_ref()?;
+                source.read(index).map(Rc::new)
+            }
+        }
+    }
+
+    /// Reads with `source` what is released from now on.
+    pub fn set_source(&mut self, source: Rc<dyn EntrySource>) {
+        self.source = Some(source);
+    }
+
+    /// Leaves the content of entries up to and with `index` to the file.
+    pub fn release(&mut self, index: u64) {
+        if self.source.is_none() {
+            return;
+        }
+        let first = self.released.max(self.base.index) + 1;
+        for index in first..=index.min(self.last_index()) {
+            let offset = (index - self.base.index - 1) as usize;
+            let Slot::Held(entry) = &self.entries[offset] else {
+                continue;
+            };
+            if entry.members.is_none() {
+                self.entries[offset] = Slot::InFile {
+                    term: entry.term,
+                    bytes: entry.command.len(),
+                };
+            }
+            self.released = index;
+        }
+    }
+
+    /// Bytes of all commands, wherever they are.
+    pub fn command_bytes(&self) -> u64 {
+        let bytes = self.entries.iter().map(|slot| match slot {
+            Slot::Held(entry) => entry.command.len(),
+            Slot::InFile { bytes, .. } => *bytes,
+        });
+        bytes.sum::<usize>() as u64
+    }
+
+    /// Bytes of commands in memory.
+    pub fn held_bytes(&self) -> u64 {
+        let bytes = self.entries.iter().map(|slot| match slot {
+            Slot::Held(entry) => entry.command.len(),
+            Slot::InFile { .. } => 0,
+        });
+        bytes.sum::<usize>() as u64
+    }
+
+    /// Number of entries after the base.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether there is none.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
     /// Entries from `from` on, up to about `max_bytes` but one at least.
     pub fn slice(&self, from: u64, max_bytes: usize) -> Vec<Rc<LogEntry>> {
         let mut bytes = 0;
@@ -67,7 +157,7 @@
             if !found.is_empty() && bytes > max_bytes {
                 break;
             }
-            found.push(entry.clone());
+            found.push(entry);
             index += 1;
         }
         found
@@ -79,13 +169,14 @@
         if entry.members.is_some() {
             self.changes.push_back(entry.index);
         }
-        self.entries.push_back(Rc::new(entry));
+        self.entries.push_back(Slot::Held(Rc::new(entry)));
     }
 
     /// Drops `index` and all after it.
     pub fn truncate_from(&mut self, index: u64) {
         let keep = index.saturating_sub(self.base.index + 1);
         self.entries.truncate(keep as usize);
+        self.released = self.released.min(index.saturating_sub(1));
         while self.changes.back().is_some_and(|change| *change >= index) {
             self.changes.pop_back();
         }
@@ -112,6 +203,7 @@
     /// Starts anew after `base`.
     pub fn reset(&mut self, base: LogBase) {
         self.base = base;
+        self.released = 0;
         self.entries.clear();
         self.changes.clear();
     }
@@ -130,15 +222,10 @@
         let mut changes = self.changes.iter().rev();
         let newest = changes.find(|change| **change <= index);
         let entry = newest.and_then(|change| self.get(*change));
-        let members = match entry {
+        let members = match &entry {
             Some(entry) => entry.members.as_ref(),
             None => self.base.members.as_ref(),
         };
         members.map(|set| set.members.clone()).unwrap_or_default()
     }
-
-    /// All entries.
-    pub fn iter(&self) -> impl Iterator<Item = &Rc<LogEntry>> {
-        self.entries.iter()
-    }
 }
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -38,6 +38,10 @@
     }
 }
 
+/// A member that has answered within this span is waited for before entries
+/// leave memory.
+const ANSWERS: Duration = Duration::from_secs(2);
+
 /// What a replica is told at its start.
 #[derive(Clone, Debug)]
 pub struct ReplicaSettings {
@@ -320,6 +324,18 @@
         index <= self.applied && index > self.log.base().index && self.log.trim(index)
     }
 
+    /// Leaves to the file what is applied and, on a leader, what no member that
+    /// answers lacks.
+    pub fn release(&mut self, now: Time) {
+        let mut index = self.applied;
+        if self.role == Role::Leader {
+            let answering = self.progress.values().filter(|p| p.alive(now, ANSWERS));
+            let least = answering.map(|progress| progress.match_index).min();
+            index = index.min(least.unwrap_or(index));
+        }
+        self.log.release(index);
+    }
+
     /// Whether this leader may answer from its state: an entry of its term has
     /// been given out to apply, and with it all earlier ones, and no other
     /// leader can exist yet. That it is committed is not enough: between commit
--- a/crates/replication/tests/log_file.rs
+++ b/crates/replication/tests/log_file.rs
@@ -144,3 +144,93 @@
     let (_, again) = LogFile::open(&folder.0, 78).unwrap();
     assert_eq!(again.log.last_index(), 1);
 }
+
+fn commands(log: &LogStore, from: u64) -> Vec<(u64, u8)> {
+    let entries = log.slice(from, usize::MAX);
+    let pairs = entries.iter().map(|entry| (entry.index, entry.command[0]));
+    pairs.collect()
+}
+
+#[test]
+fn released_entries_are_read_from_the_file() {
+    let folder = Folder::new("released");
+    let (mut file, recovered) = LogFile::open(&folder.0, 77).unwrap();
+    let mut log = recovered.log;
+    let entries: Vec<Rc<LogEntry>> = (1..=20).map(|index| entry(index, 1)).collect();
+    for entry in &entries {
+        log.push((**entry).clone());
+    }
+    file.append(Some(&state(1)), &entries).unwrap();
+    let all = commands(&log, 1);
+    log.release(15);
+    assert_eq!(log.held_bytes(), 5 * 40);
+    assert_eq!(log.command_bytes(), 20 * 40);
+    assert_eq!(log.term(3), Some(1));
+    assert_eq!(commands(&log, 1), all);
+    // Entries that replace others are read as they are now.
+    log.truncate_from(10);
+    let newer: Vec<Rc<LogEntry>> = (10..=12)
+        .map(|index| {
+            let mut entry = (*entry(index, 2)).clone();
+            entry.command = vec![200; 9];
+            Rc::new(entry)
+        })
+        .collect();
+    for entry in &newer {
+        log.push((**entry).clone());
+    }
+    file.append(None, &newer).unwrap();
+    log.release(12);
+    assert_eq!(log.held_bytes(), 0);
+    assert_eq!(commands(&log, 9), [(9, 9), (10, 200), (11, 200), (12, 200)]);
+    // A rewrite takes released entries along, and they are found there.
+    log.trim(4);
+    file.rewrite(&state(2), &log).unwrap();
+    assert_eq!(commands(&log, 5).len(), 8);
+    drop(file);
+    let (_, mut again) = LogFile::open(&folder.0, 1).unwrap();
+    assert_eq!(again.log.last_index(), 12);
+    again.log.release(12);
+    assert_eq!(commands(&again.log, 5), commands(&log, 5));
+}
+
+#[test]
+fn a_file_that_cannot_be_read_back_is_not_rewritten() {
+    let folder = Folder::new("unreadable");
+    let (mut file, recovered) = LogFile::open(&folder.0, 77).unwrap();
+    let mut log = recovered.log;
+    let entries: Vec<Rc<LogEntry>> = (1..=4).map(|index| entry(index, 1)).collect();
+    for entry in &entries {
+        log.push((**entry).clone());
+    }
+    file.append(Some(&state(1)), &entries).unwrap();
+    log.release(4);
+    let whole = fs::read(folder.log()).unwrap();
+    let torn = fs::OpenOptions::new()
+        .write(true)
+        .open(folder.log())
+        .unwrap();
+    torn.set_len(whole.len() as u64 - 30).unwrap();
+    let error = file.rewrite(&state(1), &log).unwrap_err();
+    assert!(error.to_string().contains("entry 4"), "{error}");
+}
+
+#[test]
+fn changes_of_members_stay_in_memory() {
+    let folder = Folder::new("members-stay");
+    let (mut file, recovered) = LogFile::open(&folder.0, 77).unwrap();
+    let mut log = recovered.log;
+    let mut change = (*entry(1, 1)).clone();
+    change.members = Some(Members {
+        members: vec![Member {
+            replica: 77,
+            name: "a".into(),
+            ..Member::default()
+        }],
+    });
+    log.push(change.clone());
+    file.append(Some(&state(1)), &[Rc::new(change)]).unwrap();
+    log.release(1);
+    fs::write(folder.log(), b"").unwrap();
+    assert_eq!(log.members().len(), 1);
+}
--- a/crates/server/src/storage/process.rs
+++ b/crates/server/src/storage/process.rs
@@ -329,6 +329,7 @@
         if now.since(self.last_sweep) >= Span::from_secs(1) {
             self.last_sweep = now;
             self.client.sweep();
+            self.replica.release(now);
             self.set_state(now);
         }
         if now.since(self.last_expire) >= EXPIRE_EVERY {
@@ -344,6 +345,7 @@
             ("term", self.replica.term()),
             ("commit_index", self.replica.commit_index()),
             ("log_bytes", self.log_file.length()),
+            ("log_bytes_in_memory", self.replica.log().held_bytes()),
             ("members", self.replica.members().len() as u64),
             ("jobs", self.jobs.iter().count() as u64),
             ("open_items", self.dispatcher.open_items() as u64),
--- a/crates/server/src/storage/replication.rs
+++ b/crates/server/src/storage/replication.rs
@@ -16,6 +16,9 @@
 /// The log file is rewritten once it is this much longer than it must be.
 const REWRITE_BYTES: u64 = 64 * 1024 * 1024;
 
+/// Bytes of a record beside its command, about.
+const RECORD_BYTES: u64 = 64;
+
 impl StorageProcess {
     pub(super) fn on_message(&mut self, bytes: &[u8]) {
         let Ok(message) = decode::<ReplicaMessage>(bytes) else {
@@ -154,6 +157,7 @@
         let applied = self.replica.log().last_index().min(self.applied_index());
         let needless = self.jobs.expire(now, keep, applied);
         if self.replica.trim(needless) {
+            self.log_file.trim(needless + 1);
             log::debug!("step=trim index={needless}");
         }
         let kept = self.log_bytes();
@@ -170,8 +174,8 @@
     }
 
     fn log_bytes(&self) -> u64 {
-        let entries = self.replica.log().iter();
-        entries.map(|entry| entry.command.len() as u64 + 64).sum()
+        let log = self.replica.log();
+        log.command_bytes() + log.len() as u64 * RECORD_BYTES
     }
 
     /// Logs changes of role and leader.
