--- a/crates/server/src/gateway_process/beliefs.rs
+++ b/crates/server/src/gateway_process/beliefs.rs
@@ -8,8 +8,9 @@
 
 use super::GatewayProcess;
 use crate::clock::steady_now;
+use crate::listing::list_all;
 use crate::store_client::StoreClient;
-use crate::watcher::{list_all, StoreUpdate};
+use crate::watcher::StoreUpdate;
 
 impl GatewayProcess {
     pub(super) fn on_update(&mut self, update: Option<StoreUpdate>) {
@@ -99,7 +100,7 @@
 /// Looks once for addresses of replicas.
 pub(super) async fn find_replicas(store: StoreClient, found: UnboundedSender<Vec<String>>) {
     match list_all(&store, ObjectKind::Replicas).await {
-        Ok((objects, _)) => {
+        Ok(objects) => {
             let addresses = objects.into_iter().filter_map(|(_, object)| match object {
                 StoreObject::Own { fields, .. } => fields.get("address").cloned(),
                 _ => None,
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -13,6 +13,7 @@
 
 mod clock;
 mod gateway_process;
+mod listing;
 mod metrics;
 mod pause;
 mod settings;
--- a/crates/server/src/storage/registration.rs
+++ b/crates/server/src/storage/registration.rs
@@ -12,8 +12,8 @@
 use std::time::Duration;
 
 use crate::clock::steady_now;
+use crate::listing::list_all;
 use crate::store_client::StoreClient;
-use crate::watcher::list_all;
 
 /// Name of the object with the first members.
 const GROUP_NAME: &str = "jobs";
@@ -153,7 +153,7 @@
         StoreReply::Missing => {}
         other => return Err(format!("{other:?}")),
     }
-    let (objects, _) = list_all(store, ObjectKind::Replicas).await?;
+    let objects = list_all(store, ObjectKind::Replicas).await?;
     let registered: Vec<Member> = objects
         .iter()
         .filter_map(|(name, object)| match object {
--- a/crates/server/src/watcher.rs
+++ b/crates/server/src/watcher.rs
@@ -15,6 +15,7 @@
 use std::time::{Duration, Instant};
 
 use crate::clock::steady_now;
+use crate::listing::{Listed, Listing};
 use crate::settings::ServerSettings;
 use crate::store_client::StoreClient;
 
@@ -25,8 +26,6 @@
 /// Shortest and longest wait, whatever the settings say.
 const MIN_WAIT_MS: u64 = 400;
 const MAX_WAIT_MS: u64 = 8_000;
-/// Time after which a list counts as lost.
-const LIST_TIMEOUT: Duration = Duration::from_millis(800);
 /// First pause after a failure, and the longest.
 const FIRST_PAUSE: Duration = Duration::from_millis(60);
 const MAX_PAUSE: Duration = Duration::from_millis(500);
@@ -102,11 +101,12 @@
 ) {
     let mut pause = FIRST_PAUSE;
     let mut revision = None;
+    let mut listing = Listing::new(kind);
     let mut lost = false;
     while wanted.get() && !updates.is_closed() {
         let begun = Instant::now();
         let step = match revision {
-            None => list(&store, kind, &updates).await,
+            None => list(&store, &mut listing, &updates).await,
             Some(revision) => follow(&store, kind, timing, revision, &updates).await,
         };
         match step {
@@ -131,49 +131,31 @@
                 // without a word, also one that begins just then: only a list
                 // shows what was missed.
                 revision = None;
-                monoio::time::sleep(pause).await;
+                // Not all machines that have lost the store come back to it at
+                // the same moment.
+                monoio::time::sleep(pause.mul_f64(rand::random_range(0.5..1.0))).await;
                 pause = (pause * 2).min(MAX_PAUSE);
             }
         }
     }
 }
 
+/// Goes on with a list; the revision to watch from once it is whole.
 async fn list(
     store: &StoreClient,
-    kind: ObjectKind,
+    listing: &mut Listing,
     updates: &UnboundedSender<StoreUpdate>,
 ) -> Result<Option<u64>, String> {
-    let at = steady_now();
-    let (objects, revision) = list_all(store, kind).await?;
+    let Listed {
+        at,
+        objects,
+        revision,
+    } = listing.finish(store).await?;
+    let kind = listing.kind();
     let _ = updates.unbounded_send(StoreUpdate::Listed { kind, at, objects });
     Ok(Some(revision))
 }
 
-/// All objects of a kind, and the revision from which changes are missing.
-pub async fn list_all(
-    store: &StoreClient,
-    kind: ObjectKind,
-) -> Result<(Vec<(String, StoreObject)>, u64), String> {
-    let mut objects: Vec<(String, StoreObject)> = Vec::new();
-    let mut revision = None;
-    loop {
-        let after = objects.last().map(|(name, _)| name.clone());
-        let call = StoreCall::List { kind, after };
-        match store.call(&call, LIST_TIMEOUT).await {
-            Ok(StoreReply::Page(page)) => {
-                let first = *revision.get_or_insert(page.revision);
-                let empty = page.objects.is_empty();
-                objects.extend(page.objects);
-                if !page.more || empty {
-                    return Ok((objects, first));
-                }
-            }
-            Ok(other) => return Err(format!("list: {other:?}")),
-            Err(error) => return Err(format!("list: {error}")),
-        }
-    }
-}
-
 async fn follow(
     store: &StoreClient,
     kind: ObjectKind,
