--- a/crates/fleet/src/coordinator/mod.rs
+++ b/crates/fleet/src/coordinator/mod.rs
@@ -23,8 +23,10 @@
 
 /// Time after which an order or a report without an answer is given up.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(600);
-/// Least time between two looks over all engines.
+/// Least time between two looks over all engines, and for each engine of a large
+/// fleet: a look there takes milliseconds, and starts many loads at once.
 const POLL_EVERY: Duration = Duration::from_millis(10);
+const POLL_PER_ENGINE: Duration = Duration(20);
 /// Time that a load takes, before any was seen.
 const FIRST_LOAD_TIME: Duration = Duration::from_millis(900);
 /// How much older than its arrival a report may be.
@@ -152,7 +154,8 @@
     /// What to do now.
     pub fn poll(&mut self, now: Time, directory: &mut EngineDirectory) -> Vec<CoordinatorAction> {
         let mut actions = Vec::new();
-        if self.fenced || now.since(self.polled) < POLL_EVERY {
+        let rest = POLL_EVERY.max(Duration(POLL_PER_ENGINE.0 * directory.len() as u64));
+        if self.fenced || now.since(self.polled) < rest {
             return actions;
         }
         self.polled = now;
--- a/crates/jobs/src/dispatcher/mod.rs
+++ b/crates/jobs/src/dispatcher/mod.rs
@@ -50,7 +50,7 @@
         /// The engine's address.
         address: String,
         /// The request.
-        call: EngineCall,
+        call: Box<EngineCall>,
     },
     /// Break a run off by closing its connection.
     Cancel(RunId),
@@ -89,6 +89,11 @@
     next_run: u64,
     progress_at: Time,
     watched_at: Time,
+    /// Next look for runs that would get on better elsewhere.
+    chances_at: Time,
+    /// Median pace of each service, and when to look again.
+    medians: HashMap<String, f64>,
+    medians_at: Time,
     /// Next look at what waits while no engine has a place.
     full_look_at: Time,
     /// Engines weighed for items since the start.
@@ -109,6 +114,9 @@
             next_run: 1,
             progress_at: Time(0),
             watched_at: Time(0),
+            chances_at: Time(0),
+            medians: HashMap::new(),
+            medians_at: Time(0),
             full_look_at: Time(0),
             weighed: 0,
             long_from: HashMap::new(),
--- a/crates/jobs/src/dispatcher/moving.rs
+++ b/crates/jobs/src/dispatcher/moving.rs
@@ -1,6 +1,6 @@
 //! Runs that get nowhere, or would get on faster elsewhere.
 
-use peatgrade_fleet::EngineDirectory;
+use peatgrade_fleet::{EngineDirectory, EngineState};
 use peatgrade_types::{Duration, Time};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -17,6 +17,13 @@
 const SILENCE_FACTOR: f64 = 8.0;
 /// Moves of one item away from slow engines.
 const MAX_MOVES: u32 = 4;
+/// Time between two looks for runs that would get on better elsewhere, for each
+/// run under way.
+const CHANCES_PER_RUN: Duration = Duration(125);
+/// One more run is moved at a time for so many that are under way.
+const RUNS_PER_CHANCE: usize = 64;
+/// Time between two looks at the usual pace of all engines.
+const MEDIANS_EVERY: Duration = Duration::from_millis(200);
 /// Events of one run after which its text is likely to go on for long.
 const LONG_EVENTS: u32 = 20;
 /// Events after which an engine's pace is believed.
@@ -37,32 +44,34 @@
     FasterFree,
 }
 
-impl MoveReason {
-    /// Whether the run gets nowhere where it is.
-    fn is_urgent(self) -> bool {
-        matches!(self, MoveReason::Gone | MoveReason::Silent)
-    }
-}
-
 impl Dispatcher {
     /// Moves runs away from engines that are silent, slow, gone or leaving.
     pub(super) fn watch_runs(&mut self, now: Time, directory: &mut EngineDirectory) {
         let mut moves = Vec::new();
         let mut chances = Vec::new();
         let mut looks: HashMap<Rc<str>, Candidates> = HashMap::new();
+        let mut weighed = 0;
+        self.refresh_medians(now, directory);
+        let seek_chances = now >= self.chances_at;
+        if seek_chances {
+            self.chances_at = now + Duration(CHANCES_PER_RUN.0 * self.runs.len() as u64);
+        }
         for (id, run) in &self.runs {
-            match self.reason_to_move(now, run, directory, &mut looks) {
-                Some(reason) if reason.is_urgent() => moves.push((*id, reason)),
-                Some(reason) => chances.push((run.events, *id, reason)),
-                None => {}
+            if let Some(reason) = self.urgent_reason(now, run, directory) {
+                moves.push((*id, reason));
+            } else if seek_chances {
+                let reason = self.chance_to_move(now, run, directory, &mut looks);
+                weighed += looks.values().map(Candidates::len).max().unwrap_or(0);
+                chances.extend(reason.map(|reason| (run.events, *id, reason)));
             }
         }
-        // One at a time, since each takes a place that the others saw free; the
-        // longest text first.
-        let chance = chances
-            .into_iter()
-            .max_by_key(|(events, id, _)| (*events, *id));
-        moves.extend(chance.map(|(_, id, reason)| (id, reason)));
+        self.weighed += weighed as u64;
+        // A few at a time, since each takes a place that the others saw free; the
+        // longest texts first.
+        chances.sort_by_key(|(events, id, _)| std::cmp::Reverse((*events, *id)));
+        let most = 1 + self.runs.len() / RUNS_PER_CHANCE;
+        let chosen = chances.into_iter().take(most);
+        moves.extend(chosen.map(|(_, id, reason)| (id, reason)));
         moves.sort_by_key(|(id, _)| *id);
         for (id, reason) in moves {
             let Some(run) = self.runs.get(&id) else {
@@ -88,22 +97,63 @@
         }
     }
 
-    fn reason_to_move(
+    /// Looks again at the usual pace of each service, now and then: it changes
+    /// slowly, and a fleet is large.
+    fn refresh_medians(&mut self, now: Time, directory: &EngineDirectory) {
+        if now < self.medians_at {
+            return;
+        }
+        self.medians_at = now + MEDIANS_EVERY;
+        self.medians = placement::median_paces(directory);
+    }
+
+    fn median_at(&self, state: &EngineState) -> Option<f64> {
+        self.medians.get(&state.record.service).copied()
+    }
+
+    /// Why a run gets nowhere where it is.
+    fn urgent_reason(
         &self,
         now: Time,
         run: &Run,
         directory: &EngineDirectory,
-        looks: &mut HashMap<Rc<str>, Candidates>,
     ) -> Option<MoveReason> {
         let item = self.items.get(&run.key)?;
         let Some(state) = directory.get(&run.instance) else {
             return Some(MoveReason::Gone);
         };
-        let model = &item.spec.model;
-        let service = state.record.service.as_str();
+        if state.loading.contains(&item.spec.model) {
+            return None;
+        }
+        let silence = now.since(run.last.unwrap_or(run.started));
+        let limit = match (run.last, self.median_at(state)) {
+            (None, _) => FIRST_EVENT_LIMIT,
+            (_, None) => SILENCE_MIN,
+            (_, Some(pace)) => SILENCE_MIN.max(Duration((pace * SILENCE_FACTOR) as u64)),
+        };
+        (silence >= limit).then_some(MoveReason::Silent)
+    }
+
+    /// Why a run would get on better elsewhere, where there is room.
+    fn chance_to_move(
+        &self,
+        now: Time,
+        run: &Run,
+        directory: &EngineDirectory,
+        looks: &mut HashMap<Rc<str>, Candidates>,
+    ) -> Option<MoveReason> {
+        let item = self.items.get(&run.key)?;
+        let state = directory.get(&run.instance)?;
+        let loading = state.loading.contains(&item.spec.model);
+        let known = run.events >= PACE_EVENTS && item.moves < MAX_MOVES && !loading;
+        let slow = placement::relative_pace(state, self.median_at(state)) >= SLOW_FACTOR;
+        let long = run.events >= LONG_EVENTS;
+        if !(state.record.draining || known && (slow || long)) {
+            return None;
+        }
         let need = Need {
-            service,
-            model,
+            service: state.record.service.as_str(),
+            model: &item.spec.model,
             min_version: item.spec.min_version,
             exact: item.exact_version(),
             companions: &[],
@@ -118,33 +168,14 @@
             Candidates::find(now, directory, &anywhere)
         };
         let look = &*looks.entry(run.key.0.clone()).or_insert_with(find);
-        let room = || look.choose(now, directory, &need, u32::MAX).is_some();
-        if state.record.draining && room() {
+        let chosen = look.choose(now, directory, &need, u32::MAX)?;
+        if state.record.draining {
             return Some(MoveReason::Draining);
         }
-        if state.loading.iter().any(|loading| loading == model) {
-            return None;
-        }
-        let median = look.median;
-        let silence = now.since(run.last.unwrap_or(run.started));
-        let limit = match (run.last, median) {
-            (None, _) => FIRST_EVENT_LIMIT,
-            (_, None) => SILENCE_MIN,
-            (_, Some(pace)) => SILENCE_MIN.max(Duration((pace * SILENCE_FACTOR) as u64)),
-        };
-        if silence >= limit {
-            return Some(MoveReason::Silent);
-        }
-        let known = run.events >= PACE_EVENTS && item.moves < MAX_MOVES;
-        if !known {
-            return None;
-        }
-        let slow = placement::relative_pace(state, median) >= SLOW_FACTOR;
-        if slow && room() {
+        if slow {
             return Some(MoveReason::Slow);
         }
-        let long = run.events >= LONG_EVENTS;
-        let faster = || look.has_faster(now, directory, &need, state);
-        (long && faster()).then_some(MoveReason::FasterFree)
+        let other = directory.get(&chosen)?;
+        placement::is_faster(other, state).then_some(MoveReason::FasterFree)
     }
 }
--- a/crates/jobs/src/dispatcher/starting.rs
+++ b/crates/jobs/src/dispatcher/starting.rs
@@ -327,7 +327,7 @@
         self.actions.push(DispatchAction::Run {
             run,
             address: state.record.address.clone(),
-            call,
+            call: Box::new(call),
         });
         let started = Run {
             key: key.clone(),
--- a/crates/jobs/src/placement.rs
+++ b/crates/jobs/src/placement.rs
@@ -3,6 +3,7 @@
 use peatgrade_fleet::{EngineDirectory, EngineState};
 use peatgrade_ports::Instance;
 use peatgrade_types::Time;
+use std::collections::HashMap;
 
 /// Worth of sharing a prompt with another item of the group, in units of a
 /// run's usual time: reading a prompt takes about one event's time.
@@ -10,7 +11,7 @@
 /// How much a full engine is slower than an empty one.
 const LOAD_WEIGHT: f64 = 0.12;
 /// A run moves to an engine that is this much faster, if it has room.
-pub const FASTER_FACTOR: f64 = 1.2;
+const FASTER_FACTOR: f64 = 1.2;
 /// An engine this much slower than the median counts as slow.
 pub const SLOW_FACTOR: f64 = 1.7;
 
@@ -39,7 +40,7 @@
 pub struct Candidates {
     engines: Vec<Instance>,
     /// Median pace of the service's engines, in microseconds an event.
-    pub median: Option<f64>,
+    median: Option<f64>,
 }
 
 impl Candidates {
@@ -52,7 +53,10 @@
             .filter(|state| fits(state, need) && !state.experience.blocked(now))
             .collect();
         if fit.len() > MAX_CANDIDATES {
-            fit.sort_by(|a, b| cost(a, need, median).total_cmp(&cost(b, need, median)));
+            let order = |a: &&EngineState, b: &&EngineState| {
+                cost(a, need, median).total_cmp(&cost(b, need, median))
+            };
+            fit.select_nth_unstable_by(MAX_CANDIDATES, order);
             fit.truncate(MAX_CANDIDATES);
         }
         let engines = fit.iter().map(|state| state.record.instance.clone());
@@ -97,21 +101,28 @@
         let mut states = self.engines.iter().filter_map(|name| directory.get(name));
         states.any(|state| usable(now, state, need))
     }
+}
 
-    /// Whether an engine with room would run a request faster than `state`
-    /// does, by more than the move costs.
-    pub fn has_faster(
-        &self,
-        now: Time,
-        directory: &EngineDirectory,
-        need: &Need<'_>,
-        state: &EngineState,
-    ) -> bool {
-        let chosen = self.choose(now, directory, need, u32::MAX);
-        let other = chosen.and_then(|chosen| directory.get(&chosen));
-        let pace = other.map_or(0.0, |other| other.experience.pace);
-        pace > 0.0 && state.experience.pace >= pace * FASTER_FACTOR
+/// Whether one engine runs a request faster than another, by more than a move
+/// costs.
+pub fn is_faster(one: &EngineState, other: &EngineState) -> bool {
+    let (pace, own) = (one.experience.pace, other.experience.pace);
+    pace > 0.0 && own >= pace * FASTER_FACTOR
+}
+
+/// Median pace of each service's engines that take new requests, in
+/// microseconds an event.
+pub fn median_paces(directory: &EngineDirectory) -> HashMap<String, f64> {
+    let mut services: HashMap<&str, Vec<&EngineState>> = HashMap::new();
+    for state in directory.iter().filter(|state| !state.record.draining) {
+        let engines = services.entry(&state.record.service).or_default();
+        engines.push(state);
     }
+    let medians = services.into_iter().filter_map(|(service, engines)| {
+        let median = median_pace(&engines)?;
+        Some((service.to_string(), median))
+    });
+    medians.collect()
 }
 
 fn median_pace(serving: &[&EngineState]) -> Option<f64> {
--- a/crates/jobs/tests/dispatch/mod.rs
+++ b/crates/jobs/tests/dispatch/mod.rs
@@ -178,7 +178,7 @@
                         instance,
                         last_event,
                         ..
-                    } = call
+                    } = *call
                     else {
                         panic!("not a run");
                     };
--- a/crates/jobs/tests/scale/mod.rs
+++ b/crates/jobs/tests/scale/mod.rs
@@ -59,3 +59,30 @@
     let weighed = scene.dispatcher.engines_weighed() - before;
     assert!(weighed <= (2 * JOBS * ENGINES) as u64, "{weighed} weighed");
 }
+
+/// Looking at runs must not weigh a whole fleet for each of them, or a leader
+/// before thousands of engines does nothing else.
+#[test]
+fn watching_runs_weighs_engines_only_for_those_that_could_move() {
+    let engines = (0..2_000).map(|index| engine(&format!("e{index}"), 5));
+    let mut scene = Scene::new(engines.collect());
+    let ids: Vec<String> = (0..ITEMS).map(|item| item.to_string()).collect();
+    let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
+    scene.submit("job", 5, &ids);
+    scene.poll();
+    assert_eq!(scene.started.len(), ITEMS);
+    let runs = scene.started.clone();
+    for event in 1..10 {
+        scene.now += peatgrade_types::Duration::from_millis(50);
+        for started in &runs {
+            scene.head(started.run, 200, 5);
+            scene.data(started.run, &format!("{event}|0|x\n"));
+        }
+    }
+    let before = scene.dispatcher.engines_weighed();
+    for _ in 0..50 {
+        scene.wait(4);
+    }
+    assert_eq!(scene.dispatcher.engines_weighed(), before);
+    assert!(scene.cancelled.is_empty());
+}
