--- a/crates/app/src/ctl/mod.rs
+++ b/crates/app/src/ctl/mod.rs
@@ -8,6 +8,7 @@
 mod changes;
 mod client;
 pub mod explain;
+pub mod processes;
 mod view;
 
 use clap::{CommandFactory, Parser, Subcommand, ValueEnum};
@@ -104,6 +105,12 @@
         #[arg(long, required = true, num_args = 1.., value_name = "FILE")]
         logs: Vec<PathBuf>,
     },
+    /// Show what gateway and storage processes say of themselves
+    Processes {
+        /// Their metrics addresses
+        #[arg(required = true, value_name = "IP:PORT")]
+        addresses: Vec<String>,
+    },
     /// Print completions for a shell
     Completions {
         /// The shell
@@ -128,6 +135,7 @@
             }
             Ok(ExitCode::SUCCESS)
         }
+        Command::Processes { addresses } => processes::show(addresses, cli.output),
         Command::Completions { shell } => {
             let mut command = Cli::command();
             clap_complete::generate(*shell, &mut command, "peatgradectl", &mut std::io::stdout());
--- a/crates/server/src/storage/process.rs
+++ b/crates/server/src/storage/process.rs
@@ -347,6 +347,10 @@
             ("log_bytes", self.log_file.length()),
             ("log_bytes_in_memory", self.replica.log().held_bytes()),
             ("members", self.replica.members().len() as u64),
+            (
+                "members_wanted",
+                voters_for(self.settings.tolerated_losses) as u64,
+            ),
             ("jobs", self.jobs.iter().count() as u64),
             ("open_items", self.dispatcher.open_items() as u64),
             ("link_waiting_bytes", self.link.waiting_bytes() as u64),
