Refuse batch jobs that could not be kept

Cause: nothing bounded what a storage machine takes on: at a rate beyond the sites' sheets the log (kept for two minutes) would fill its disk or memory, the process end, and with it three copies of what was promised. Change: settings name disk and memory; while what must be kept, twice during a rewrite, would not fit, or 85 % of memory are used, the leader refuses new jobs as not run, to come back after a second; the rewrite begins sooner on a small disk. A gateway passes the promise on only if no other copy of the call may still reach a leader. Tests: units of both, and real processes (refused within 400 ms, what was accepted before goes on).

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -12,6 +12,10 @@
 
 use crate::gateway::{CallId, GatewayAction, COME_BACK};
 
+/// When a caller may come back with a job for which there was no room: jobs are
+/// dropped as they grow old.
+const COME_BACK_NO_ROOM: Duration = Duration::from_millis(1_000);
+
 /// Spans of the relay.
 #[derive(Clone, Copy, Debug)]
 pub struct RelaySettings {
@@ -42,6 +46,9 @@
     next: Time,
     sent: bool,
     tried: usize,
+    /// Copies that nobody has replied to: one that was held up may still come
+    /// to a leader.
+    copies: usize,
 }
 
 /// Batch-job calls under way.
@@ -108,6 +115,7 @@
             next: now,
             sent: false,
             tried: 0,
+            copies: 0,
         };
         self.calls.insert(id, pending);
         self.send(now, id, actions);
@@ -127,6 +135,7 @@
             }
         };
         pending.tried += 1;
+        pending.copies += 1;
         pending.sent = true;
         pending.next = now + self.settings.resend + pending.wait;
         let call = JobCall {
@@ -150,6 +159,11 @@
         self.leader = Some(from.to_string());
         self.leaderless_since = None;
         let pending = self.calls.remove(&reply.call)?;
+        let last = pending.copies <= 1;
+        if matches!(reply.status, JobStatus::NO_ROOM) && !last {
+            // Another copy may yet be taken.
+            return Some((pending.caller, given_up(&pending)));
+        }
         let answer = answer_of(&pending.body, reply);
         Some((pending.caller, answer))
     }
@@ -175,6 +189,7 @@
         }
         let pause = self.settings.pause;
         let pending = self.calls.get_mut(&reply.call)?;
+        pending.copies = pending.copies.saturating_sub(1);
         if known && pending.tried % 4 != 0 {
             self.send(now, reply.call, actions);
         } else {
@@ -252,6 +267,12 @@
         JobStatus::UNKNOWN_JOB => refused(Refusal::NotFound, "no such batch job", None),
         JobStatus::UNKNOWN_ITEM => refused(Refusal::NotFound, "no such item", None),
         JobStatus::CONFLICT => refused(Refusal::Malformed, "another job has this id", None),
+        // Only a leader that is sure that it has not taken the job says so.
+        JobStatus::NO_ROOM => refused(
+            Refusal::NotRun,
+            "no room for another batch job",
+            Some(COME_BACK_NO_ROOM),
+        ),
         // Something may have been written: promise nothing for a submission.
         _ if matches!(body, OneOfbody::submit(_)) => {
             refused(Refusal::Unknown, "the leader changed", None)
--- a/crates/server/src/metrics.rs
+++ b/crates/server/src/metrics.rs
@@ -96,7 +96,7 @@
 }
 
 /// Memory of this process, from the kernel's account; 0 if there is none.
-fn resident_bytes() -> u64 {
+pub(crate) fn resident_bytes() -> u64 {
     const PAGE_BYTES: u64 = 4_096;
     let account = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
     let pages = account
--- a/crates/server/src/settings.rs
+++ b/crates/server/src/settings.rs
@@ -48,6 +48,12 @@
     /// Time that an engine serves on after it said that it leaves.
     #[serde(default = "default_drain")]
     pub engine_drain_ms: u64,
+    /// Room for data, in megabytes; 0 for no limit. Storage only.
+    #[serde(default)]
+    pub disk_limit_mb: u64,
+    /// Memory of the process, in megabytes; 0 for no limit. Storage only.
+    #[serde(default)]
+    pub memory_limit_mb: u64,
     /// error, warn, info, debug or trace.
     #[serde(default = "default_level")]
     pub log_level: String,
@@ -177,6 +183,7 @@
         take!(loads_at_once, log_level);
         keep!(name, zone, front_address, ready_address, peer_address);
         keep!(metrics_address, data_folder, tolerated_losses);
+        keep!(disk_limit_mb, memory_limit_mb);
         keep!(contact_ms, engine_drain_ms);
         if let Ok(level) = self.log_level.parse() {
             peatgrade_runtime::logging::set_level(level);
--- a/crates/server/src/storage/calls.rs
+++ b/crates/server/src/storage/calls.rs
@@ -89,6 +89,11 @@
         }
         let job = submit.job.clone();
         if !self.calls.submits.contains_key(&job) {
+            if let Some(lacks) = self.pressure {
+                log::warn!("decision=refuse job={job} reason=pressure lacks={lacks}");
+                self.metrics.count("job_refused");
+                return self.reply_status(&caller, JobStatus::NO_ROOM);
+            }
             log::info!(
                 "decision=accept job={job} items={} step={} model={} min_version={} desired={}",
                 submit.items.len(),
--- a/crates/server/src/storage/mod.rs
+++ b/crates/server/src/storage/mod.rs
@@ -14,6 +14,7 @@
 mod calls;
 mod engines;
 mod leadership;
+mod pressure;
 mod process;
 mod registration;
 mod replication;
--- a/crates/server/src/storage/process.rs
+++ b/crates/server/src/storage/process.rs
@@ -21,7 +21,7 @@
 
 use crate::clock::steady_now;
 use crate::gateway_process::socket_error;
-use crate::metrics::{serve_metrics, Metrics};
+use crate::metrics::{resident_bytes, serve_metrics, Metrics};
 use crate::pause::PauseWatch;
 use crate::settings::{ServerRole, ServerSettings};
 use crate::signals::{process_signals, ProcessSignal};
@@ -31,6 +31,7 @@
 
 use super::calls::JobCalls;
 use super::engines::{EngineExchange, ExchangeId};
+use super::pressure::{Pressure, Room};
 use super::registration::{self, Founding};
 
 /// Time between two looks at what is due.
@@ -149,6 +150,9 @@
     pub work_void: bool,
     /// Machines to be emptied that have been reported as done.
     pub retirements: BTreeMap<String, (u64, bool)>,
+    pub room: Room,
+    /// What there is too little of for another job.
+    pub pressure: Option<Pressure>,
     pub stop_at: Option<Time>,
     pub last_dispatch: Time,
     pub last_expire: Time,
@@ -204,6 +208,10 @@
         serve_metrics(&settings.metrics_address, &metrics, &codec)?;
         let (parts, part_inputs) = unbounded();
         let reader_codec = codec.clone();
+        let room = Room {
+            disk_mb: settings.disk_limit_mb,
+            memory_mb: settings.memory_limit_mb,
+        };
         let group = Group::new(voters_for(settings.tolerated_losses));
         let process = Self {
             dispatcher: Dispatcher::new(Box::new(move || reader_codec.event_reader())),
@@ -235,6 +243,8 @@
             working: false,
             work_void: false,
             retirements: BTreeMap::new(),
+            room,
+            pressure: None,
             stop_at: None,
             last_dispatch: Time(0),
             last_expire: now,
@@ -330,6 +340,7 @@
             self.last_sweep = now;
             self.client.sweep();
             self.replica.release(now);
+            self.note_pressure();
             self.set_state(now);
         }
         if now.since(self.last_expire) >= EXPIRE_EVERY {
@@ -339,6 +350,18 @@
         Ok(())
     }
 
+    fn note_pressure(&mut self) {
+        let pressure = self.room.pressure(self.log_bytes(), resident_bytes());
+        if pressure != self.pressure {
+            let kept = self.log_bytes();
+            match pressure {
+                Some(lacks) => log::warn!("belief=pressure lacks={lacks} log_bytes={kept}"),
+                None => log::info!("belief=pressure lacks=nothing log_bytes={kept}"),
+            }
+            self.pressure = pressure;
+        }
+    }
+
     fn set_state(&self, now: Time) {
         let figures = [
             ("leads", u64::from(self.replica.role() == Role::Leader)),
--- a/crates/server/src/storage/replication.rs
+++ b/crates/server/src/storage/replication.rs
@@ -13,9 +13,6 @@
 
 use super::process::StorageProcess;
 
-/// The log file is rewritten once it is this much longer than it must be.
-const REWRITE_BYTES: u64 = 64 * 1024 * 1024;
-
 /// Bytes of a record beside its command, about.
 const RECORD_BYTES: u64 = 64;
 
@@ -161,7 +158,7 @@
             log::debug!("step=trim index={needless}");
         }
         let kept = self.log_bytes();
-        if self.log_file.length() > kept + REWRITE_BYTES {
+        if self.log_file.length() > kept + self.room.rewrite_bytes() {
             let state = self.replica.hard_state();
             self.log_file.rewrite(&state, self.replica.log())?;
             log::info!("step=rewrite-log bytes={}", self.log_file.length());
@@ -173,7 +170,8 @@
         self.replica.commit_index()
     }
 
-    fn log_bytes(&self) -> u64 {
+    /// Bytes of the log that must be kept.
+    pub(super) fn log_bytes(&self) -> u64 {
         let log = self.replica.log();
         log.command_bytes() + log.len() as u64 * RECORD_BYTES
     }
