--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -22,6 +22,7 @@
 mod election;
 mod entry_index;
 mod group;
+mod handover;
 mod lease;
 mod log_file;
 mod log_store;
--- a/crates/runtime/src/http_server.rs
+++ b/crates/runtime/src/http_server.rs
@@ -4,11 +4,9 @@
 use futures_channel::mpsc::{unbounded, UnboundedReceiver, UnboundedSender};
 use futures_util::future::{select, Either};
 use futures_util::StreamExt;
-use monoio::buf::{IoBufMut, IoVecBufMut};
 use monoio::io::stream::Stream as _;
 use monoio::io::{AsyncReadRent, Splitable};
 use monoio::net::{TcpListener, TcpStream};
-use monoio::BufResult;
 use monoio_http::common::error::HttpError;
 use monoio_http::common::request::Request;
 use monoio_http::h1::codec::decoder::{FillPayload, RequestDecoder};
@@ -20,44 +18,11 @@
 use std::time::Duration;
 
 use crate::response_writer::ResponseWriter;
+use crate::server_limits::{LimitedReader, ServerControl, ServerLimits};
 
 /// Longest time that a body may take.
 const BODY_TIMEOUT: Duration = Duration::from_secs(60);
 
-/// Bounds on what a caller may send.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub struct ServerLimits {
-    /// Bytes of a request's head.
-    pub head_bytes: usize,
-    /// Bytes of a request's body.
-    pub body_bytes: usize,
-    /// Time to send a head, once a connection may not rest any longer.
-    pub head_time: Duration,
-    /// Time that a connection may rest.
-    pub idle_time: Duration,
-}
-
-impl Default for ServerLimits {
-    fn default() -> Self {
-        Self {
-            head_bytes: 32 * 1024,
-            body_bytes: 34 * 1024 * 1024,
-            head_time: Duration::from_secs(10),
-            idle_time: Duration::from_secs(60),
-        }
-    }
-}
-
-/// What the owner of a server may change while it runs.
-#[derive(Clone, Debug, Default)]
-pub struct ServerControl {
-    /// Set when the server is about to stop: each answer then closes its
-    /// connection.
-    pub stopping: Rc<Cell<bool>>,
-    /// Bounds, in force from the next request on.
-    pub limits: Rc<Cell<ServerLimits>>,
-}
-
 /// A request with the way to answer it.
 pub struct Incoming {
     /// The request.
@@ -92,41 +57,6 @@
     }
 }
 
-/// A reader that fails once its allowance is used up, so that nobody can make
-/// the decoder buffer without bound.
-struct LimitedReader<R> {
-    io: R,
-    allowance: Rc<Cell<usize>>,
-}
-
-impl<R> LimitedReader<R> {
-    fn spend<T>(&self, (result, buffer): BufResult<usize, T>) -> BufResult<usize, T> {
-        if let Ok(count) = &result {
-            let left = self.allowance.get().checked_sub(*count);
-            match left {
-                Some(left) => self.allowance.set(left),
-                None => {
-                    let error = std::io::Error::other("request too large");
-                    return (Err(error), buffer);
-                }
-            }
-        }
-        (result, buffer)
-    }
-}
-
-impl<R: AsyncReadRent> AsyncReadRent for LimitedReader<R> {
-    async fn read<T: IoBufMut>(&mut self, buffer: T) -> BufResult<usize, T> {
-        let done = self.io.read(buffer).await;
-        self.spend(done)
-    }
-
-    async fn readv<T: IoVecBufMut>(&mut self, buffer: T) -> BufResult<usize, T> {
-        let done = self.io.readv(buffer).await;
-        self.spend(done)
-    }
-}
-
 /// Why no request came out of a connection.
 enum ReadEnd {
     Closed,
--- /dev/null
+++ b/crates/runtime/src/server_limits.rs
@@ -0,0 +1,77 @@
+//! Bounds on what a caller may send to an HTTP server.
+
+use monoio::buf::{IoBufMut, IoVecBufMut};
+use monoio::io::AsyncReadRent;
+use monoio::BufResult;
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Bounds on what a caller may send.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct ServerLimits {
+    /// Bytes of a request's head.
+    pub head_bytes: usize,
+    /// Bytes of a request's body.
+    pub body_bytes: usize,
+    /// Time to send a head, once a connection may not rest any longer.
+    pub head_time: Duration,
+    /// Time that a connection may rest.
+    pub idle_time: Duration,
+}
+
+impl Default for ServerLimits {
+    fn default() -> Self {
+        Self {
+            head_bytes: 32 * 1024,
+            body_bytes: 34 * 1024 * 1024,
+            head_time: Duration::from_secs(10),
+            idle_time: Duration::from_secs(60),
+        }
+    }
+}
+
+/// What the owner of a server may change while it runs.
+#[derive(Clone, Debug, Default)]
+pub struct ServerControl {
+    /// Set when the server is about to stop: each answer then closes its
+    /// connection.
+    pub stopping: Rc<Cell<bool>>,
+    /// Bounds, in force from the next request on.
+    pub limits: Rc<Cell<ServerLimits>>,
+}
+
+/// A reader that fails once its allowance is used up, so that nobody can make
+/// the decoder buffer without bound.
+pub(crate) struct LimitedReader<R> {
+    pub io: R,
+    pub allowance: Rc<Cell<usize>>,
+}
+
+impl<R> LimitedReader<R> {
+    fn spend<T>(&self, (result, buffer): BufResult<usize, T>) -> BufResult<usize, T> {
+        if let Ok(count) = &result {
+            let left = self.allowance.get().checked_sub(*count);
+            match left {
+                Some(left) => self.allowance.set(left),
+                None => {
+                    let error = std::io::Error::other("request too large");
+                    return (Err(error), buffer);
+                }
+            }
+        }
+        (result, buffer)
+    }
+}
+
+impl<R: AsyncReadRent> AsyncReadRent for LimitedReader<R> {
+    async fn read<T: IoBufMut>(&mut self, buffer: T) -> BufResult<usize, T> {
+        let done = self.io.read(buffer).await;
+        self.spend(done)
+    }
+
+    async fn readv<T: IoVecBufMut>(&mut self, buffer: T) -> BufResult<usize, T> {
+        let done = self.io.readv(buffer).await;
+        self.spend(done)
+    }
+}
--- /dev/null
+++ b/crates/server/src/storage/housekeeping.rs
@@ -0,0 +1,77 @@
+//! What a storage process does now and then: figures, old jobs, room for more.
+
+use peatgrade_replication::{voters_for, Role};
+use peatgrade_types::{Duration, Time};
+
+use crate::metrics::resident_bytes;
+use crate::ServerError;
+
+use super::process::StorageProcess;
+
+/// Time between two looks at figures and idle connections.
+const SWEEP_EVERY: Duration = Duration::from_secs(1);
+/// Time between two looks at jobs past their time.
+const EXPIRE_EVERY: Duration = Duration::from_secs(2);
+
+impl StorageProcess {
+    /// What is due each second or so.
+    pub(super) fn housekeeping(&mut self, now: Time) -> Result<(), ServerError> {
+        if now.since(self.last_sweep) >= SWEEP_EVERY {
+            self.last_sweep = now;
+            self.client.sweep();
+            self.replica.release(now);
+            self.note_pressure();
+            self.set_state(now);
+        }
+        if now.since(self.last_expire) >= EXPIRE_EVERY {
+            self.last_expire = now;
+            self.expire_jobs(now)?;
+        }
+        Ok(())
+    }
+
+    fn note_pressure(&mut self) {
+        let pressure = self.room.pressure(self.log_bytes(), resident_bytes());
+        if pressure != self.pressure {
+            let kept = self.log_bytes();
+            match pressure {
+                Some(lacks) => log::warn!("belief=pressure lacks={lacks} log_bytes={kept}"),
+                None => log::info!("belief=pressure lacks=nothing log_bytes={kept}"),
+            }
+            self.pressure = pressure;
+        }
+    }
+
+    fn set_state(&self, now: Time) {
+        let figures = [
+            ("leads", u64::from(self.replica.role() == Role::Leader)),
+            ("term", self.replica.term()),
+            ("commit_index", self.replica.commit_index()),
+            ("log_bytes", self.log_file.length()),
+            ("log_bytes_in_memory", self.replica.log().held_bytes()),
+            ("members", self.replica.members().len() as u64),
+            (
+                "members_wanted",
+                voters_for(self.settings.tolerated_losses) as u64,
+            ),
+            ("jobs", self.jobs.iter().count() as u64),
+            ("open_items", self.dispatcher.open_items() as u64),
+            ("link_waiting_bytes", self.link.waiting_bytes() as u64),
+            ("link_messages_dropped", self.link.dropped()),
+            ("engines_weighed", self.dispatcher.engines_weighed()),
+            ("item_runs", self.dispatcher.running() as u64),
+            ("configuration_version", self.configuration.version),
+            ("engines", self.directory.len() as u64),
+            (
+                "engine_list_age_ms",
+                now.since(self.directory.confirmed).as_millis(),
+            ),
+            ("store_age_ms", now.since(self.store_heard).as_millis()),
+        ];
+        for (name, value) in figures {
+            self.metrics.set(name, value);
+        }
+        let loads = self.coordinator.as_ref().map_or(0, |c| c.loading());
+        self.metrics.set("weight_loads", loads as u64);
+    }
+}
--- a/crates/server/src/storage/mod.rs
+++ b/crates/server/src/storage/mod.rs
@@ -13,6 +13,8 @@
 
 mod calls;
 mod engines;
+mod housekeeping;
+mod inputs;
 mod leadership;
 mod pressure;
 mod process;
--- a/crates/server/src/storage/process.rs
+++ b/crates/server/src/storage/process.rs
@@ -1,6 +1,6 @@
 //! State and main loop of the storage process.
 
-use futures_channel::mpsc::{unbounded, UnboundedReceiver, UnboundedSender};
+use futures_channel::mpsc::{unbounded, UnboundedSender};
 use futures_util::{select_biased, FutureExt, StreamExt};
 use peatgrade_fleet::{EngineDirectory, VersionCoordinator};
 use peatgrade_jobs::{Dispatcher, JobStore, RunId};
@@ -12,7 +12,6 @@
 use peatgrade_runtime::http_client::Cancel;
 use peatgrade_runtime::{HttpClient, LinkSocket};
 use peatgrade_schema::replication::Member;
-use peatgrade_types::http::ResponsePart;
 use peatgrade_types::{hash_bytes, Duration as Span, Time};
 use std::collections::{BTreeMap, HashMap};
 use std::path::Path;
@@ -21,7 +20,7 @@
 
 use crate::clock::steady_now;
 use crate::gateway_process::socket_error;
-use crate::metrics::{resident_bytes, serve_metrics, Metrics};
+use crate::metrics::{serve_metrics, Metrics};
 use crate::pause::PauseWatch;
 use crate::settings::{ServerRole, ServerSettings};
 use crate::signals::{process_signals, ProcessSignal};
@@ -31,6 +30,7 @@
 
 use super::calls::JobCalls;
 use super::engines::{EngineExchange, ExchangeId};
+use super::inputs::{Input, Inputs};
 use super::pressure::{Pressure, Room};
 use super::registration::{self, Founding};
 
@@ -43,8 +43,6 @@
 const GRACE_MARGIN_MS: u64 = 600;
 /// Time between two looks at who is a member and who should be.
 const MEMBERS_EVERY: Span = Span::from_millis(20);
-/// Time between two looks at jobs past their time.
-const EXPIRE_EVERY: Span = Span::from_secs(2);
 
 /// Runs a storage process until it has been told to stop.
 pub async fn run_storage(
@@ -83,35 +81,6 @@
     }
 }
 
-/// Something that arrived.
-pub(super) enum Input {
-    Signal(ProcessSignal),
-    Message(Vec<u8>),
-    Part(ExchangeId, ResponsePart),
-    Update(StoreUpdate),
-    Founding(Founding),
-}
-
-struct Inputs {
-    signals: UnboundedReceiver<ProcessSignal>,
-    messages: UnboundedReceiver<Vec<u8>>,
-    parts: UnboundedReceiver<(ExchangeId, ResponsePart)>,
-    updates: UnboundedReceiver<StoreUpdate>,
-    foundings: UnboundedReceiver<Founding>,
-}
-
-impl Inputs {
-    fn take_waiting(&mut self) -> Option<Input> {
-        if let Ok(message) = self.messages.try_recv() {
-            return Some(Input::Message(message));
-        }
-        if let Ok((id, part)) = self.parts.try_recv() {
-            return Some(Input::Part(id, part));
-        }
-        self.updates.try_recv().ok().map(Input::Update)
-    }
-}
-
 pub(super) struct StorageProcess {
     pub settings: ServerSettings,
     pub codec: Rc<dyn Codec>,
@@ -335,66 +304,6 @@
         Ok(())
     }
 
-    fn housekeeping(&mut self, now: Time) -> Result<(), ServerError> {
-        if now.since(self.last_sweep) >= Span::from_secs(1) {
-            self.last_sweep = now;
-            self.client.sweep();
-            self.replica.release(now);
-            self.note_pressure();
-            self.set_state(now);
-        }
-        if now.since(self.last_expire) >= EXPIRE_EVERY {
-            self.last_expire = now;
-            self.expire_jobs(now)?;
-        }
-        Ok(())
-    }
-
-    fn note_pressure(&mut self) {
-        let pressure = self.room.pressure(self.log_bytes(), resident_bytes());
-        if pressure != self.pressure {
-            let kept = self.log_bytes();
-            match pressure {
-                Some(lacks) => log::warn!("belief=pressure lacks={lacks} log_bytes={kept}"),
-                None => log::info!("belief=pressure lacks=nothing log_bytes={kept}"),
-            }
-            self.pressure = pressure;
-        }
-    }
-
-    fn set_state(&self, now: Time) {
-        let figures = [
-            ("leads", u64::from(self.replica.role() == Role::Leader)),
-            ("term", self.replica.term()),
-            ("commit_index", self.replica.commit_index()),
-            ("log_bytes", self.log_file.length()),
-            ("log_bytes_in_memory", self.replica.log().held_bytes()),
-            ("members", self.replica.members().len() as u64),
-            (
-                "members_wanted",
-                voters_for(self.settings.tolerated_losses) as u64,
-            ),
-            ("jobs", self.jobs.iter().count() as u64),
-            ("open_items", self.dispatcher.open_items() as u64),
-            ("link_waiting_bytes", self.link.waiting_bytes() as u64),
-            ("link_messages_dropped", self.link.dropped()),
-            ("engines_weighed", self.dispatcher.engines_weighed()),
-            ("item_runs", self.dispatcher.running() as u64),
-            ("configuration_version", self.configuration.version),
-            ("engines", self.directory.len() as u64),
-            (
-                "engine_list_age_ms",
-                now.since(self.directory.confirmed).as_millis(),
-            ),
-            ("store_age_ms", now.since(self.store_heard).as_millis()),
-        ];
-        for (name, value) in figures {
-            self.metrics.set(name, value);
-        }
-        let loads = self.coordinator.as_ref().map_or(0, |c| c.loading());
-        self.metrics.set("weight_loads", loads as u64);
-    }
-
     fn may_exit(&self) -> bool {
         let Some(since) = self.stop_at else {
             return false;
