Say that a machine is being emptied, and only then that it is

Real processes: running while no spare machine has the copies, completed once it has, and the job can be read after the disk is gone.

--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -26,5 +26,6 @@
     OrderAnswer, OrderMode, VersionOrder,
 };
 pub use store::{
-    ObjectKind, ObjectPage, ObjectWrite, StoreCall, StoreEvent, StoreObject, StoreReply,
+    ObjectKind, ObjectPage, ObjectWrite, RetirementStage, StoreCall, StoreEvent, StoreObject,
+    StoreReply,
 };
--- a/crates/ports/src/store.rs
+++ b/crates/ports/src/store.rs
@@ -68,6 +68,17 @@
     pub status: bool,
 }
 
+/// How far a machine has been emptied.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
+pub enum RetirementStage {
+    /// Nobody has taken it up.
+    Asked,
+    /// Its data are being brought elsewhere.
+    Running,
+    /// It holds nothing that is needed; it may be taken away.
+    Completed,
+}
+
 /// An object that was read.
 #[derive(Clone, Debug, PartialEq)]
 pub enum StoreObject {
@@ -90,8 +101,8 @@
         revision: u64,
         /// How soon.
         within: Duration,
-        /// Whether its status says that it is done.
-        completed: bool,
+        /// What its status says.
+        stage: RetirementStage,
     },
     /// An object of this system's own.
     Own {
--- a/crates/server/src/storage/leadership.rs
+++ b/crates/server/src/storage/leadership.rs
@@ -1,7 +1,7 @@
 //! What only the leader does.
 
 use peatgrade_fleet::VersionCoordinator;
-use peatgrade_ports::{Instance, ObjectKind, ObjectWrite, StoreCall, StoreReply};
+use peatgrade_ports::{Instance, ObjectKind};
 use peatgrade_replication::{ReplicaId, Role};
 use peatgrade_types::{Duration, Time};
 use std::collections::BTreeMap;
@@ -14,8 +14,6 @@
 const ORDER_SLACK: Duration = Duration::from_millis(400);
 /// Least time between two looks over all items.
 const DISPATCH_EVERY: Duration = Duration::from_millis(4);
-/// How long a status write may take.
-const STATUS_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(1_000);
 
 impl StorageProcess {
     /// Watches what a leader must know at once, for as long as this machine is
@@ -179,40 +177,4 @@
         }
         self.report_retirements();
     }
-
-    fn report_retirements(&mut self) {
-        let waiting: Vec<(String, u64)> = self
-            .retirements
-            .iter()
-            .filter(|(_, (_, told))| !told)
-            .map(|(node, (revision, _))| (node.clone(), *revision))
-            .collect();
-        for (node, revision) in waiting {
-            if !self.group.is_out(&self.replica, &node) {
-                continue;
-            }
-            self.retirements.insert(node.clone(), (revision, true));
-            log::info!("decision=retired node={node}");
-            let write = ObjectWrite {
-                kind: ObjectKind::Retirements,
-                name: node,
-                revision: Some(revision),
-                fields: BTreeMap::from([("state".to_string(), "completed".to_string())]),
-                status: true,
-            };
-            let store = self.store.clone();
-            monoio::spawn(async move {
-                let call = StoreCall::Write(write);
-                for _ in 0..20 {
-                    match store.call(&call, STATUS_TIMEOUT).await {
-                        Ok(StoreReply::Object(..) | StoreReply::Conflict | StoreReply::Missing) => {
-                            return;
-                        }
-                        other => log::warn!("step=report-retirement reply={other:?}"),
-                    }
-                    monoio::time::sleep(std::time::Duration::from_millis(300)).await;
-                }
-            });
-        }
-    }
 }
--- a/crates/server/src/storage/mod.rs
+++ b/crates/server/src/storage/mod.rs
@@ -20,6 +20,7 @@
 mod process;
 mod registration;
 mod replication;
+mod retirement;
 mod updates;
 
 pub use process::run_storage;
--- a/crates/server/src/storage/process.rs
+++ b/crates/server/src/storage/process.rs
@@ -33,6 +33,7 @@
 use super::inputs::{Input, Inputs};
 use super::pressure::{Pressure, Room};
 use super::registration::{self, Founding};
+use super::retirement::Retirement;
 
 /// Time between two looks at what is due.
 const LEADER_TICK: Duration = Duration::from_millis(15);
@@ -117,8 +118,8 @@
     pub working: bool,
     /// The leader's work must begin anew.
     pub work_void: bool,
-    /// Machines to be emptied that have been reported as done.
-    pub retirements: BTreeMap<String, (u64, bool)>,
+    /// Machines to be emptied.
+    pub retirements: BTreeMap<String, Retirement>,
     pub room: Room,
     /// What there is too little of for another job.
     pub pressure: Option<Pressure>,
--- /dev/null
+++ b/crates/server/src/storage/retirement.rs
@@ -0,0 +1,80 @@
+//! Tells the store how far storage machines have been emptied.
+//!
+//! A machine whose emptying is told as completed is taken away at once with its
+//! disk, so that is said only once a committed set of members is without it.
+//! Every write names the revision that it replaces; one that comes too late
+//! changes nothing, and the watch then shows what stands there.
+
+use peatgrade_ports::{ObjectKind, ObjectWrite, RetirementStage, StoreCall, StoreReply};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::store_client::StoreClient;
+
+use super::process::StorageProcess;
+
+/// How long a status write may take.
+const STATUS_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Tries of one write, and the pause between two.
+const TRIES: u32 = 20;
+const PAUSE: Duration = Duration::from_millis(300);
+
+/// A machine that is to be emptied.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub(super) struct Retirement {
+    /// Revision of the object.
+    pub revision: u64,
+    /// What its status says, or will once a write has arrived.
+    pub told: RetirementStage,
+}
+
+impl StorageProcess {
+    pub(super) fn report_retirements(&mut self) {
+        let mut due = Vec::new();
+        for (node, retirement) in &self.retirements {
+            let stage = if self.group.is_out(&self.replica, node) {
+                RetirementStage::Completed
+            } else {
+                RetirementStage::Running
+            };
+            if stage > retirement.told {
+                due.push((node.clone(), retirement.revision, stage));
+            }
+        }
+        for (node, revision, stage) in due {
+            let told = Retirement {
+                revision,
+                told: stage,
+            };
+            self.retirements.insert(node.clone(), told);
+            log::info!("decision=retire node={node} stage={stage:?}");
+            let write = status_write(node, revision, stage);
+            monoio::spawn(write_status(self.store.clone(), write));
+        }
+    }
+}
+
+fn status_write(node: String, revision: u64, stage: RetirementStage) -> ObjectWrite {
+    let state = match stage {
+        RetirementStage::Completed => "completed",
+        RetirementStage::Asked | RetirementStage::Running => "running",
+    };
+    ObjectWrite {
+        kind: ObjectKind::Retirements,
+        name: node,
+        revision: Some(revision),
+        fields: BTreeMap::from([("state".to_string(), state.to_string())]),
+        status: true,
+    }
+}
+
+async fn write_status(store: StoreClient, write: ObjectWrite) {
+    let call = StoreCall::Write(write);
+    for _ in 0..TRIES {
+        match store.call(&call, STATUS_TIMEOUT).await {
+            Ok(StoreReply::Object(..) | StoreReply::Conflict | StoreReply::Missing) => return,
+            other => log::warn!("step=report-retirement reply={other:?}"),
+        }
+        monoio::time::sleep(PAUSE).await;
+    }
+}
--- a/crates/server/src/storage/updates.rs
+++ b/crates/server/src/storage/updates.rs
@@ -9,6 +9,7 @@
 
 use super::process::StorageProcess;
 use super::registration::member_of;
+use super::retirement::Retirement;
 
 impl StorageProcess {
     pub(super) fn on_update(&mut self, update: StoreUpdate) {
@@ -72,11 +73,12 @@
             StoreObject::Retirement {
                 node,
                 revision,
-                completed,
+                stage: told,
                 ..
             } => {
-                log::info!("belief=retirement node={node} completed={completed}");
-                self.retirements.insert(node, (revision, completed));
+                log::info!("belief=retirement node={node} stage={told:?}");
+                let retirement = Retirement { revision, told };
+                self.retirements.insert(node, retirement);
             }
             StoreObject::Own { fields, .. } if kind == ObjectKind::Replicas => {
                 if let Some(member) = member_of(name, &fields) {
