Plant sixteen breaks, and tests for the three that nobody noticed

scripts/planted-breaks.sh plants breaks of the new promises one by one and runs the tests that should notice. Unnoticed were an acknowledgement before the own sync (the log's simulation syncs at once), an emptied disk that still counts as a copy (silence replaced it later), and a configuration taken backwards (the test compared equal versions). Each has a test now.

--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -427,6 +427,27 @@
     assert_eq!(scene.status(), Some(404));
 }
 
+/// A list that was read before a change may arrive after it.
+#[rstest]
+#[case::same(5)]
+#[case::older(4)]
+#[case::much_older(1)]
+fn a_configuration_never_goes_backwards(#[case] version: u64) {
+    let mut scene = Scene::new(RouteKind::Safe, 1);
+    let routes = scene.gateway.configuration.as_ref().unwrap().routes.clone();
+    assert!(scene.gateway.configure(Configuration {
+        version: 5,
+        routes,
+        ..Configuration::default()
+    }));
+    assert!(!scene.gateway.configure(Configuration {
+        version,
+        ..Configuration::default()
+    }));
+    scene.call();
+    assert_eq!(scene.sent.len(), 1, "the route is still there");
+}
+
 #[test]
 fn a_draining_engine_gets_nothing_new() {
     let mut scene = Scene::new(RouteKind::Safe, 1);
--- a/crates/replication/tests/replica.rs
+++ b/crates/replication/tests/replica.rs
@@ -4,6 +4,8 @@
 
 use cluster::Cluster;
 use peatgrade_replication::{voters_for, ReplicaId};
+use peatgrade_schema::replication::mod_ReplicaMessage::OneOfbody;
+use peatgrade_schema::replication::{AppendResponse, ReplicaMessage};
 use peatgrade_types::Duration;
 use rand::Rng;
 use rstest::rstest;
@@ -130,6 +132,69 @@
     }
 }
 
+/// The leader sends entries before it has synced them itself: one follower's
+/// answer then stands for one copy, not for two.
+#[test]
+fn nothing_is_committed_on_the_word_of_one_disk() {
+    let mut cluster = Cluster::new(21, 0);
+    cluster.run_until_led(LONG);
+    write_for(&mut cluster, Duration::from_millis(200));
+    cluster.run(SECOND);
+    let leader = cluster.answering.unwrap();
+    let follower = (leader + 1) % 3;
+    let (from, address) = (cluster.member(follower, true).replica, follower.to_string());
+    let to = cluster.member(leader, true).replica;
+    let now = cluster.now;
+    let replica = cluster.machines[leader].replica.as_mut().unwrap();
+    let before = replica.commit_index();
+    let index = replica.propose(now, vec![1, 2, 3]).unwrap();
+    let ready = replica.ready();
+    assert_eq!(ready.entries.len(), 1);
+    assert!(!ready.early.is_empty(), "sent before the sync");
+    let answer = AppendResponse {
+        success: true,
+        match_index: index,
+        sent_at: now.0,
+        store_age: 0,
+    };
+    let term = replica.term();
+    replica.step(
+        now,
+        ReplicaMessage {
+            from,
+            to,
+            term,
+            from_address: address,
+            body: OneOfbody::append_response(answer),
+        },
+    );
+    assert_eq!(replica.commit_index(), before, "the own sync is missing");
+    replica.persisted();
+    assert_eq!(replica.commit_index(), index);
+}
+
+/// A machine that comes back with an empty disk says so itself: its former self
+/// must not count as a copy until silence would tell.
+#[test]
+fn an_emptied_disk_is_replaced_before_silence_would_tell() {
+    for seed in 0..10 {
+        let mut cluster = Cluster::new(seed, 0);
+        cluster.run_until_led(LONG);
+        write_for(&mut cluster, SECOND);
+        let leader = cluster.answering.unwrap();
+        let victim = (leader + 1) % 3;
+        cluster.stop(victim);
+        cluster.wipe(victim);
+        cluster.start(victim);
+        write_for(&mut cluster, Duration::from_millis(1_000));
+        let fresh = cluster.member(victim, true).replica;
+        let replica = cluster.machines[leader].replica.as_ref().unwrap();
+        let members = replica.members();
+        let voter = members.iter().any(|m| m.voter && m.replica == fresh);
+        assert!(voter, "seed {seed}: {members:?}");
+    }
+}
+
 /// Where two machines may be lost at once, three copies are too few.
 #[test]
 fn two_wiped_disks_and_no_power_for_the_others_lose_nothing_in_a_group_of_five() {
--- /dev/null
+++ b/scripts/planted-breaks.sh
@@ -0,0 +1,76 @@
+#!/usr/bin/env bash
+# Plants one break after another into a scratch copy and runs the tests that
+# should notice it. Prints a line for each; ends with 1 if one goes unnoticed.
+set -euo pipefail
+top=$(cd "$(dirname "$0")/.." && pwd)
+copy=${1:-$(mktemp -d)}
+git -C "$top" worktree add --detach --force "$copy" HEAD >/dev/null
+trap 'git -C "$top" worktree remove --force "$copy"' EXIT
+export CARGO_TARGET_DIR="$top/target"
+unnoticed=0
+
+# name | file | what to replace | by what | package | tests
+plant() {
+    local name=$1 file=$2 from=$3 to=$4 package=$5 tests=$6
+    if ! FROM="$from" TO="$to" perl -0777 -i -pe \
+        'BEGIN{$n=0} $n+=s/\Q$ENV{FROM}\E/$ENV{TO}/; END{exit($n?0:1)}' "$copy/$file"; then
+        echo "$name: NOT PLANTED, $file has changed"
+        unnoticed=1
+        return
+    fi
+    local log="$copy/planted.log"
+    if (cd "$copy" && cargo test -q -p "$package" "$tests" >"$log" 2>&1); then
+        echo "$name: UNNOTICED"
+        unnoticed=1
+    elif grep -q '^error\[' "$log"; then
+        echo "$name: DOES NOT BUILD"
+        unnoticed=1
+    else
+        echo "$name: noticed by $(grep -c '\.\.\. FAILED\|^    [a-z_:0-9]*$' "$log") lines of failed tests"
+    fi
+    git -C "$copy" checkout -q -- "$file"
+}
+
+R=crates/replication/src
+J=crates/jobs/src
+plant "acknowledged before the sync" $R/replicate.rs "return self.persisted;" \
+    "return self.log.last_index();" peatgrade-replication random_faults
+plant "answered without a lease" $R/replica.rs \
+    "&& lease::holds(now, self.vouched(now), self.settings.timing.lease)" "" \
+    peatgrade-replication ""
+plant "answered before all earlier entries are applied" $R/replica.rs \
+    "&& self.log.term(self.applied) == Some(self.term)" "" \
+    peatgrade-replication a_leader_answers_only
+plant "an emptied disk still counts as a copy" $R/group.rs \
+    "machine.is_some_and(|m| m.member.replica != member.replica)" "false && machine.is_some()" \
+    peatgrade-replication wiped
+plant "three copies where two may be lost" $R/group.rs "2 * lost.max(1) + 1" "3 + 0 * lost" \
+    peatgrade-replication two_wiped
+plant "released entries are sent without content" $R/log_store.rs \
+    "source.read(index).map(Rc::new)" \
+    "source.read(index).map(|mut e| { e.command.clear(); Rc::new(e) })" \
+    peatgrade-replication released
+plant "a position is written twice" $J/store.rs \
+    "item >= job.spec.items.len() || job.positions.contains_key(&item)" \
+    "item >= job.spec.items.len()" peatgrade-jobs ""
+plant "an event stands twice after a resume" $J/dispatcher/starting.rs \
+    "last_event: item.text.last_event," "last_event: None," peatgrade-jobs ""
+plant "events without a gap check" $J/streams.rs "Some(last) => event.id == last + 1," \
+    "Some(_) => true," peatgrade-jobs bytes_that
+plant "weights older than allowed" $J/streams.rs "if run.version < least {" "if false && run.version < least {" \
+    peatgrade-jobs bytes_that
+plant "two versions in a text of one" $J/streams.rs "filter(|first| *first != run.version)" \
+    "filter(|_| false)" peatgrade-jobs single_version
+plant "an order without the expected count" crates/fleet/src/coordinator/mod.rs \
+    "expected: Some(progress.orders)," "expected: None," peatgrade-fleet ""
+plant "orders within another holder's lease" crates/fleet/src/coordinator/mod.rs \
+    "Phase::Idle if self.quiet.get(&instance).is_some_and(|until| now < *until) => {}" "" \
+    peatgrade-fleet ""
+plant "a configuration taken backwards" crates/gateway/src/gateway.rs \
+    "if configuration.version <= held {" "if configuration.version == held {" peatgrade-gateway ""
+plant "a promise while another copy may arrive" crates/gateway/src/relay.rs \
+    "let last = pending.copies <= 1;" "let last = true;" peatgrade-gateway copy
+plant "a lost watch goes on from where it was" crates/server/src/watcher.rs \
+    "                revision = None;
+                // Not all" "                // Not all" peatgrade-platform a_lost_watch
+exit $unnoticed
