--- a/scripts/planted-breaks.sh
+++ b/scripts/planted-breaks.sh
@@ -34,7 +34,7 @@
 R=crates/replication/src
 J=crates/jobs/src
 plant "acknowledged before the sync" $R/replicate.rs "return self.persisted;" \
-    "return self.log.last_index();" peatgrade-replication random_faults
+    "return self.log.last_index();" peatgrade-replication ""
 plant "answered without a lease" $R/replica.rs \
     "&& lease::holds(now, self.vouched(now), self.settings.timing.lease)" "" \
     peatgrade-replication ""
@@ -43,7 +43,7 @@
     peatgrade-replication a_leader_answers_only
 plant "an emptied disk still counts as a copy" $R/group.rs \
     "machine.is_some_and(|m| m.member.replica != member.replica)" "false && machine.is_some()" \
-    peatgrade-replication wiped
+    peatgrade-replication ""
 plant "three copies where two may be lost" $R/group.rs "2 * lost.max(1) + 1" "3 + 0 * lost" \
     peatgrade-replication two_wiped
 plant "released entries are sent without content" $R/log_store.rs \
