--- a/crates/fleet/src/coordinator/candidates.rs
+++ b/crates/fleet/src/coordinator/candidates.rs
@@ -39,7 +39,8 @@
             lack.sort_by_key(|state| {
                 let loads = self.loads(&state.record.instance, model);
                 let useful = state.version(model) + 1 >= newest;
-                let slow = state.experience.pace > median * SLOW_FACTOR;
+                let pace = state.experience.pace().unwrap_or(0.0);
+                let slow = pace > median * SLOW_FACTOR;
                 let running = state.experience.running;
                 (!loads, useful, slow, state.version(model), running)
             });
@@ -78,8 +79,8 @@
 
 /// Median pace of engines that have one; 0 if none has.
 fn median_pace(engines: &[&EngineState]) -> f64 {
-    let paces = engines.iter().map(|state| state.experience.pace);
-    let mut known: Vec<f64> = paces.filter(|pace| *pace > 0.0).collect();
+    let paces = engines.iter().filter_map(|state| state.experience.pace());
+    let mut known: Vec<f64> = paces.collect();
     known.sort_by(f64::total_cmp);
     known.get(known.len() / 2).copied().unwrap_or(0.0)
 }
--- a/crates/fleet/src/coordinator/mod.rs
+++ b/crates/fleet/src/coordinator/mod.rs
@@ -27,7 +27,12 @@
 /// fleet: a look there takes milliseconds, and starts many loads at once.
 const POLL_EVERY: Duration = Duration::from_millis(10);
 const POLL_PER_ENGINE: Duration = Duration(20);
-/// Time that a load takes, before any was seen.
+/// Part of the time that loads were taken to last after one that was over when
+/// it was looked at.
+const SHORTER_NUMERATOR: u64 = 7;
+const SHORTER_DENOMINATOR: u64 = 8;
+/// Time that a load takes, before any was seen, and at least: more loads at
+/// once than a source can feed are slower for all.
 const FIRST_LOAD_TIME: Duration = Duration::from_millis(900);
 /// How much older than its arrival a report may be.
 const REPORT_LAG: Duration = Duration::from_millis(120);
@@ -74,12 +79,22 @@
     Idle,
     /// An order is on its way.
     Ordered(Time),
-    /// It loads, as far as known; next look, and since when.
-    Loading { look: Time, since: Time },
+    /// It loads, as far as known.
+    Loading(Load),
     /// Nothing is tried before then.
     Pause(Time),
 }
 
+/// A load under way.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+struct Load {
+    /// Next look at it.
+    look: Time,
+    since: Time,
+    /// Whether a look has found it under way.
+    outlasted_a_look: bool,
+}
+
 #[derive(Clone, Debug)]
 struct EngineProgress {
     phase: Phase,
@@ -230,7 +245,7 @@
                 {
                     progress.phase = Phase::Unseen;
                 }
-                Phase::Loading { since, .. } if now.since(since) >= LOAD_TIMEOUT => {
+                Phase::Loading(load) if now.since(load.since) >= LOAD_TIMEOUT => {
                     progress.phase = Phase::Unseen;
                 }
                 Phase::Pause(until) if now >= until => progress.phase = Phase::Unseen,
@@ -241,10 +256,9 @@
 
     fn looks(&mut self, now: Time, actions: &mut Vec<CoordinatorAction>) {
         for (instance, progress) in &mut self.engines {
-            if let Phase::Loading { look, since } = progress.phase {
-                if now >= look {
-                    let look = now + ANSWER_TIMEOUT;
-                    progress.phase = Phase::Loading { look, since };
+            if let Phase::Loading(load) = &mut progress.phase {
+                if now >= load.look {
+                    load.look = now + ANSWER_TIMEOUT;
                     actions.push(CoordinatorAction::Report(instance.clone()));
                 }
             }
@@ -271,10 +285,11 @@
         progress.phase = match outcome {
             OrderOutcome::Answered(OrderAnswer::Started) => {
                 progress.orders += 1;
-                Phase::Loading {
+                Phase::Loading(Load {
                     look: now + self.load_time + REPORT_LAG,
                     since: now,
-                }
+                    outlasted_a_look: false,
+                })
             }
             OrderOutcome::Answered(OrderAnswer::Fenced) => {
                 self.fenced = true;
@@ -307,26 +322,23 @@
         }
         if report.orders < progress.orders && !report.busy {
             // The report is older than the last order, or the engine is new.
-            if let Phase::Loading { since, .. } = progress.phase {
-                if now.since(since) < Duration(LOAD_TIMEOUT.0 / 4) {
-                    progress.phase = Phase::Loading {
-                        look: now + NEXT_LOOK,
-                        since,
-                    };
+            if let Phase::Loading(load) = &mut progress.phase {
+                if now.since(load.since) < Duration(LOAD_TIMEOUT.0 / 4) {
+                    load.look = now + NEXT_LOOK;
                     return;
                 }
             }
         }
         progress.orders = report.orders;
         progress.phase = match progress.phase {
-            Phase::Loading { since, .. } if report.busy => Phase::Loading {
+            Phase::Loading(load) if report.busy => Phase::Loading(Load {
                 look: now + NEXT_LOOK,
-                since,
-            },
+                outlasted_a_look: true,
+                ..load
+            }),
             Phase::Asked(_) if report.busy => Phase::Pause(now + RETRY),
-            Phase::Loading { since, .. } => {
-                let took = Duration(now.since(since).0.saturating_sub(REPORT_LAG.0));
-                self.load_time = Duration((self.load_time.0 * 3 + took.0) / 4);
+            Phase::Loading(load) => {
+                self.load_time = next_load_time(now, self.load_time, &load);
                 Phase::Idle
             }
             _ => Phase::Idle,
@@ -339,18 +351,31 @@
     }
 }
 
+/// How long the next load is taken to last, after one that is over. An engine is
+/// first looked at when its load should be over, so that one which took less
+/// looks as if it took just as long: then the next look comes sooner. Otherwise
+/// a single slow load would slow all later ones.
+fn next_load_time(now: Time, expected: Duration, load: &Load) -> Duration {
+    if load.outlasted_a_look {
+        let took = now.since(load.since).0.saturating_sub(REPORT_LAG.0);
+        return Duration((expected.0 * 3 + took) / 4);
+    }
+    let shorter = expected.0 * SHORTER_NUMERATOR / SHORTER_DENOMINATOR;
+    Duration(shorter.max(FIRST_LOAD_TIME.0))
+}
+
 impl EngineProgress {
     /// Whether it takes part of what may load at once. Its report comes late,
     /// so that a load counts only for as long as loads usually take.
     fn holds_place(&self, now: Time, load_time: Duration) -> bool {
         match self.phase {
             Phase::Ordered(_) => true,
-            Phase::Loading { since, .. } => now.since(since) < load_time,
+            Phase::Loading(load) => now.since(load.since) < load_time,
             _ => false,
         }
     }
 
     fn is_loading(&self) -> bool {
-        matches!(self.phase, Phase::Ordered(_) | Phase::Loading { .. })
+        matches!(self.phase, Phase::Ordered(_) | Phase::Loading(_))
     }
 }
--- a/crates/fleet/src/experience.rs
+++ b/crates/fleet/src/experience.rs
@@ -4,9 +4,14 @@
 
 /// Weight of a new latency in its running mean.
 const LATENCY_WEIGHT: f64 = 0.2;
-/// Weight of a new gap between events in its running mean. Gaps come in whole
-/// steps of an engine's batch, so that few of them tell little.
-const PACE_WEIGHT: f64 = 0.06;
+/// Time in which what counts for an engine's usual pace fades to a third.
+const USUAL_FADE: Duration = Duration::from_millis(2_000);
+/// The same for its pace just now.
+const RECENT_FADE: Duration = Duration::from_millis(400);
+/// Events, faded, that a pace must rest on.
+const LEAST_EVENTS: f64 = 2.0;
+/// Silence after which an engine's pace just now is not known any more.
+const RECENT_SILENCE: Duration = Duration::from_millis(4_000);
 /// First time that an engine is avoided after a failure; doubles each time.
 const FIRST_BLOCK: Duration = Duration::from_millis(400);
 /// Longest such time.
@@ -21,9 +26,8 @@
     pub running: u32,
     /// Mean time to an answer, in microseconds; 0 before any.
     pub latency: f64,
-    /// Mean time between two events of a generation, in microseconds; 0
-    /// before any.
-    pub pace: f64,
+    usual: PaceWindow,
+    recent: PaceWindow,
     /// Failures in a row.
     pub failures: u32,
     /// Avoided until then, unless nothing else is there.
@@ -43,13 +47,25 @@
         self.latency = mean(self.latency, took.0 as f64, LATENCY_WEIGHT);
     }
 
-    /// Takes note of `count` events that came in `span`.
+    /// Takes note of `count` events of one generation that came in `span`.
     pub fn events(&mut self, now: Time, span: Duration, count: u32) {
         self.failures = 0;
         self.heard = now;
-        let gap = span.0 as f64 / f64::from(count.max(1));
-        let weight = 1.0 - (1.0 - PACE_WEIGHT).powi(count as i32);
-        self.pace = mean(self.pace, gap, weight);
+        self.usual.add(now, span, count, USUAL_FADE);
+        self.recent.add(now, span, count, RECENT_FADE);
+    }
+
+    /// Usual time between two events of a generation, in microseconds; none
+    /// before a few were seen.
+    pub fn pace(&self) -> Option<f64> {
+        self.usual.pace()
+    }
+
+    /// The same, as of the last half second in which events came; none if that
+    /// is long ago: an engine that was slow deserves another try.
+    pub fn recent_pace(&self, now: Time) -> Option<f64> {
+        let silent = now.since(self.recent.at) >= RECENT_SILENCE;
+        self.recent.pace().filter(|_| !silent)
     }
 
     /// Takes note of a failure.
@@ -79,6 +95,30 @@
     }
 }
 
+/// Time and events of all generations of an engine, older ones counting less.
+/// Sums of both are exact however events are gathered into reads, unlike a mean
+/// of single gaps.
+#[derive(Clone, Copy, Debug, Default)]
+struct PaceWindow {
+    span: f64,
+    events: f64,
+    at: Time,
+}
+
+impl PaceWindow {
+    fn add(&mut self, now: Time, span: Duration, count: u32, fade: Duration) {
+        let age = now.since(self.at).0 as f64 / fade.0 as f64;
+        let kept = (-age).exp();
+        self.span = self.span * kept + span.0 as f64;
+        self.events = self.events * kept + f64::from(count);
+        self.at = now;
+    }
+
+    fn pace(&self) -> Option<f64> {
+        (self.events >= LEAST_EVENTS).then(|| self.span / self.events)
+    }
+}
+
 fn mean(old: f64, new: f64, weight: f64) -> f64 {
     if old == 0.0 {
         return new;
--- a/crates/fleet/tests/coordinator.rs
+++ b/crates/fleet/tests/coordinator.rs
@@ -17,6 +17,8 @@
     loads: Vec<(Time, String, u64)>,
     /// Loads that may be under way together.
     allowed: usize,
+    /// Time that a load takes, in milliseconds.
+    load_ms: u64,
 }
 
 impl Scene {
@@ -49,6 +51,7 @@
             engines: names.into_iter().map(|name| (name, (1, 0))).collect(),
             orders: Vec::new(),
             loads: Vec::new(),
+            load_ms: 900,
             allowed: if at_once > 0 {
                 at_once
             } else {
@@ -57,7 +60,7 @@
         }
     }
 
-    /// Lets time pass with engines that load in 900 ms and answer at once.
+    /// Lets time pass with engines that answer at once.
     fn run(&mut self, millis: u64) {
         let end = self.now + Duration::from_millis(millis);
         let mut done = std::mem::take(&mut self.loads);
@@ -92,7 +95,7 @@
                         let engine = self.engines.get_mut(&order.instance.0).unwrap();
                         assert_eq!(order.expected, Some(engine.1));
                         engine.1 += 1;
-                        let at = now + Duration::from_millis(900);
+                        let at = now + Duration::from_millis(self.load_ms);
                         done.push((at, order.instance.0.clone(), order.version));
                         let under_way = done.iter().filter(|(end, _, _)| *end > now);
                         let allowed = self.allowed;
@@ -264,3 +267,26 @@
     scene.run(600);
     assert_eq!(scene.loads.len(), expected);
 }
+
+#[test]
+fn one_slow_load_does_not_slow_all_later_ones() {
+    let mut scene = Scene::new(8, 0);
+    // Nobody can know in advance that these take so long.
+    (scene.load_ms, scene.allowed) = (2_400, 4);
+    scene.coordinator.named("m", 2);
+    scene.run(8_000);
+    assert_eq!(scene.at(2), 4);
+    (scene.load_ms, scene.allowed) = (900, 2);
+    let mut spans = Vec::new();
+    for version in 3..9 {
+        let begun = scene.now;
+        scene.coordinator.named("m", version);
+        while scene.at(version) < 4 {
+            scene.run(10);
+        }
+        spans.push(scene.now.since(begun).as_millis());
+        scene.run(1_000);
+    }
+    // Two rounds of two loads at 900 ms each.
+    assert!(spans.last().is_some_and(|span| *span <= 2_200), "{spans:?}");
+}
--- a/crates/jobs/src/dispatcher/moving.rs
+++ b/crates/jobs/src/dispatcher/moving.rs
@@ -6,7 +6,8 @@
 use std::rc::Rc;
 
 use super::Dispatcher;
-use crate::placement::{self, Candidates, Need, SLOW_FACTOR};
+use crate::item::{ItemKey, OpenItem};
+use crate::placement::{self, Candidates, Need, SlowEngines};
 use crate::streams::Run;
 
 /// Silence before the first event after which a run is moved.
@@ -24,10 +25,12 @@
 const RUNS_PER_CHANCE: usize = 64;
 /// Time between two looks at the usual pace of all engines.
 const MEDIANS_EVERY: Duration = Duration::from_millis(200);
-/// Events of one run after which its text is likely to go on for long.
-const LONG_EVENTS: u32 = 20;
-/// Events after which an engine's pace is believed.
-const PACE_EVENTS: u32 = 3;
+/// Events after which a text is likely to go on for long.
+const LONG_EVENTS: usize = 20;
+/// Events after which one that was expected to be long is worth a move.
+const EXPECTED_LONG_EVENTS: usize = 6;
+/// Events of a run before it is moved to a faster engine: a move costs about one.
+const LEAST_RUN_EVENTS: u32 = 4;
 
 /// Why a run is moved to another engine.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -144,11 +147,10 @@
     ) -> Option<MoveReason> {
         let item = self.items.get(&run.key)?;
         let state = directory.get(&run.instance)?;
-        let loading = state.loading.contains(&item.spec.model);
-        let known = run.events >= PACE_EVENTS && item.moves < MAX_MOVES && !loading;
-        let slow = placement::relative_pace(state, self.median_at(state)) >= SLOW_FACTOR;
-        let long = run.events >= LONG_EVENTS;
-        if !(state.record.draining || known && (slow || long)) {
+        let may_move = item.moves < MAX_MOVES && !state.loading.contains(&item.spec.model);
+        let slow = may_move && placement::is_slow(now, state, self.median_at(state));
+        let long = may_move && run.events >= LEAST_RUN_EVENTS && self.is_long(&run.key, item);
+        if !(state.record.draining || slow || long) {
             return None;
         }
         let need = Need {
@@ -168,7 +170,12 @@
             Candidates::find(now, directory, &anywhere)
         };
         let look = &*looks.entry(run.key.0.clone()).or_insert_with(find);
-        let chosen = look.choose(now, directory, &need, u32::MAX)?;
+        let others = if state.record.draining {
+            SlowEngines::Allowed
+        } else {
+            SlowEngines::LeftOut
+        };
+        let chosen = look.choose(now, directory, &need, u32::MAX, others)?;
         if state.record.draining {
             return Some(MoveReason::Draining);
         }
@@ -178,4 +185,12 @@
         let other = directory.get(&chosen)?;
         placement::is_faster(other, state).then_some(MoveReason::FasterFree)
     }
+
+    /// Whether a text has shown that it is long, or begins to as it was
+    /// expected to.
+    fn is_long(&self, key: &ItemKey, item: &OpenItem) -> bool {
+        let events = item.text.events.len();
+        events >= LONG_EVENTS
+            || (events >= EXPECTED_LONG_EVENTS && self.is_expected_long(key, item))
+    }
 }
--- a/crates/jobs/src/dispatcher/starting.rs
+++ b/crates/jobs/src/dispatcher/starting.rs
@@ -10,7 +10,7 @@
 
 use super::{DispatchAction, Dispatcher, RunId};
 use crate::item::{ItemKey, OpenItem};
-use crate::placement::{Candidates, Need};
+use crate::placement::{Candidates, Need, SlowEngines};
 use crate::streams::Run;
 
 /// An item counts as long if its expected length is this multiple of its job's
@@ -137,13 +137,15 @@
             } else {
                 self.place_limit(now, &key, item, configuration, service)
             };
-            // An engine that fails at once is always the emptiest: rather a full
-            // one than the one that has just failed this item.
+            // A slow engine is always one of the emptiest, and so is one that
+            // fails at once: rather a full one than a slow one, and rather any
+            // than the one that has just failed this item.
             self.weighed += look.len() as u64;
-            let chosen = look
-                .choose(now, directory, &need, limit)
-                .or_else(|| look.choose(now, directory, &need, u32::MAX))
-                .or_else(|| look.choose(now, directory, &without, limit));
+            let choose = |need, limit, slow| look.choose(now, directory, need, limit, slow);
+            let chosen = choose(&need, limit, SlowEngines::LeftOut)
+                .or_else(|| choose(&need, u32::MAX, SlowEngines::LeftOut))
+                .or_else(|| choose(&need, u32::MAX, SlowEngines::Allowed))
+                .or_else(|| choose(&without, limit, SlowEngines::Allowed));
             let Some(instance) = chosen else {
                 let lost = !look.has_fitting(directory, &without);
                 rooms.note_full(&key.0, now, directory, &any);
@@ -193,8 +195,7 @@
         configuration: &Configuration,
         service: &str,
     ) -> u32 {
-        let long_from = self.long_from.get(&key.0).copied().unwrap_or(0);
-        let long = item.item().length_hint >= long_from || !item.text.events.is_empty();
+        let long = self.is_expected_long(key, item) || !item.text.events.is_empty();
         if long || now.since(item.known_since) >= YIELD_FOR {
             return u32::MAX;
         }
@@ -205,6 +206,12 @@
         }
     }
 
+    /// Whether an item was expected to be long when it was handed in.
+    pub(super) fn is_expected_long(&self, key: &ItemKey, item: &OpenItem) -> bool {
+        let long_from = self.long_from.get(&key.0).copied().unwrap_or(0);
+        item.item().length_hint >= long_from
+    }
+
     /// Waiting items: those that come back first, then groups by their longest
     /// expected text, then items by theirs.
     fn waiting_in_order(&self, now: Time) -> Vec<ItemKey> {
--- a/crates/jobs/src/placement.rs
+++ b/crates/jobs/src/placement.rs
@@ -13,7 +13,7 @@
 /// A run moves to an engine that is this much faster, if it has room.
 const FASTER_FACTOR: f64 = 1.2;
 /// An engine this much slower than the median counts as slow.
-pub const SLOW_FACTOR: f64 = 1.7;
+const SLOW_FACTOR: f64 = 1.7;
 
 /// What an item needs.
 #[derive(Clone, Copy, Debug)]
@@ -32,6 +32,15 @@
     pub avoid: Option<&'a Instance>,
 }
 
+/// Whether a choice may fall on an engine that is far slower than others.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum SlowEngines {
+    /// It may.
+    Allowed,
+    /// Rather none is chosen.
+    LeftOut,
+}
+
 /// Engines weighed for one job at most: more would cost time and give nothing.
 const MAX_CANDIDATES: usize = 96;
 
@@ -54,7 +63,7 @@
             .collect();
         if fit.len() > MAX_CANDIDATES {
             let order = |a: &&EngineState, b: &&EngineState| {
-                cost(a, need, median).total_cmp(&cost(b, need, median))
+                cost(now, a, need, median).total_cmp(&cost(now, b, need, median))
             };
             fit.select_nth_unstable_by(MAX_CANDIDATES, order);
             fit.truncate(MAX_CANDIDATES);
@@ -74,12 +83,17 @@
         directory: &EngineDirectory,
         need: &Need<'_>,
         limit: u32,
+        slow: SlowEngines,
     ) -> Option<Instance> {
         let states = self.engines.iter().filter_map(|name| directory.get(name));
-        let free =
-            states.filter(|state| usable(now, state, need) && state.experience.running < limit);
+        let fast_enough = |state: &&EngineState| {
+            slow == SlowEngines::Allowed || !is_slow(now, state, self.median)
+        };
+        let free = states
+            .filter(|state| usable(now, state, need) && state.experience.running < limit)
+            .filter(fast_enough);
         let best = free.min_by(|a, b| {
-            let cost = |state: &EngineState| cost(state, need, self.median);
+            let cost = |state: &EngineState| cost(now, state, need, self.median);
             cost(a).total_cmp(&cost(b))
         });
         best.map(|state| state.record.instance.clone())
@@ -106,8 +120,8 @@
 /// Whether one engine runs a request faster than another, by more than a move
 /// costs.
 pub fn is_faster(one: &EngineState, other: &EngineState) -> bool {
-    let (pace, own) = (one.experience.pace, other.experience.pace);
-    pace > 0.0 && own >= pace * FASTER_FACTOR
+    let paces = one.experience.pace().zip(other.experience.pace());
+    paces.is_some_and(|(pace, own)| own >= pace * FASTER_FACTOR)
 }
 
 /// Median pace of each service's engines that take new requests, in
@@ -128,21 +142,34 @@
 fn median_pace(serving: &[&EngineState]) -> Option<f64> {
     let mut paces: Vec<f64> = serving
         .iter()
-        .map(|state| state.experience.pace)
-        .filter(|pace| *pace > 0.0)
+        .filter_map(|state| state.experience.pace())
         .collect();
     paces.sort_by(f64::total_cmp);
     paces.get(paces.len().saturating_sub(1) / 2).copied()
 }
 
-/// Pace of an engine relative to the median; 1 if unknown.
-pub fn relative_pace(state: &EngineState, median: Option<f64>) -> f64 {
-    match median {
-        Some(median) if state.experience.pace > 0.0 => state.experience.pace / median,
-        _ => 1.0,
+/// Pace of an engine relative to the median; 1 if unknown. What it does just
+/// now counts where that is far off, its usual pace elsewhere. One that was slow
+/// and has been left alone since is tried with a single item.
+fn relative_pace(now: Time, state: &EngineState, median: Option<f64>) -> f64 {
+    let Some((usual, median)) = state.experience.pace().zip(median) else {
+        return 1.0;
+    };
+    let usual = usual / median;
+    let recent = state.experience.recent_pace(now).map(|pace| pace / median);
+    let far_off = usual >= SLOW_FACTOR;
+    match recent {
+        Some(recent) if far_off || recent >= SLOW_FACTOR => recent,
+        None if far_off && state.experience.running == 0 => 1.0,
+        _ => usual,
     }
 }
 
+/// Whether an engine is far slower than others just now.
+pub fn is_slow(now: Time, state: &EngineState, median: Option<f64>) -> bool {
+    relative_pace(now, state, median) >= SLOW_FACTOR
+}
+
 /// Whether an engine's weights are such as a job allows.
 fn fits(state: &EngineState, need: &Need<'_>) -> bool {
     if need.model.is_empty() {
@@ -163,8 +190,8 @@
         && state.experience.running < state.record.slots.max(1)
 }
 
-fn cost(state: &EngineState, need: &Need<'_>, median: Option<f64>) -> f64 {
-    let pace = relative_pace(state, median);
+fn cost(now: Time, state: &EngineState, need: &Need<'_>, median: Option<f64>) -> f64 {
+    let pace = relative_pace(now, state, median);
     let load = f64::from(state.experience.running) / f64::from(state.record.slots.max(1));
     let together = need.companions.contains(&state.record.instance);
     let affinity = if together && pace < SLOW_FACTOR {
--- a/crates/jobs/tests/dispatch/mod.rs
+++ b/crates/jobs/tests/dispatch/mod.rs
@@ -1,7 +1,7 @@
 //! A dispatcher with a store and engines that answer as a test says.
 
 use bytes::Bytes;
-use peatgrade_fleet::EngineDirectory;
+use peatgrade_fleet::{EngineDirectory, EngineState};
 use peatgrade_jobs::{DispatchAction, Dispatcher, JobStore, RunId, RunPart};
 use peatgrade_ports::{
     AnswerHead, Configuration, EngineCall, EngineRecord, EventReader, GenerationEvent, Instance,
@@ -226,6 +226,22 @@
         self.started.last().cloned().expect("a run was started")
     }
 
+    /// Lets this machine have seen an engine make an event each `millis`.
+    pub fn set_pace(&mut self, engine: &str, millis: u64) {
+        let now = self.now;
+        let experience = &mut self.state_of(engine).experience;
+        experience.events(now, Duration::from_millis(20 * millis), 20);
+    }
+
+    pub fn set_running(&mut self, engine: &str, count: u32) {
+        self.state_of(engine).experience.running = count;
+    }
+
+    fn state_of(&mut self, engine: &str) -> &mut EngineState {
+        let instance = Instance(engine.into());
+        self.directory.get_mut(&instance).expect("it is listed")
+    }
+
     /// Results of a job as (item, completed, text, versions).
     pub fn results(&self, job: &str) -> Vec<(String, bool, String, Vec<u64>)> {
         let job = self.store.get(job).unwrap();
--- a/crates/jobs/tests/dispatcher.rs
+++ b/crates/jobs/tests/dispatcher.rs
@@ -1,6 +1,7 @@
 //! Items reach engines, and their texts the log, whatever engines do.
 
 mod dispatch;
+mod pace;
 mod scale;
 mod single_version;
 
@@ -256,12 +257,10 @@
 #[test]
 fn long_texts_move_to_a_faster_engine_once() {
     let mut scene = Scene::new(vec![engine("a", 5), engine("b", 5)]);
-    for (name, pace) in [("a", 40_000.0), ("b", 52_000.0)] {
-        let state = scene.directory.get_mut(&Instance(name.into())).unwrap();
-        state.experience.pace = pace;
-        // The faster one is full at first.
-        state.experience.running = if name == "a" { 4 } else { 0 };
-    }
+    scene.set_pace("a", 40);
+    scene.set_pace("b", 52);
+    // The faster one is full at first.
+    scene.set_running("a", 4);
     scene.submit("j", 5, &["i"]);
     scene.poll();
     let first = scene.last();
@@ -272,8 +271,7 @@
         scene.data(first.run, &format!("{event}|0|x\n"));
     }
     assert_eq!(scene.started.len(), 1);
-    let state = scene.directory.get_mut(&Instance("a".into())).unwrap();
-    state.experience.running = 0;
+    scene.set_running("a", 0);
     scene.wait(25);
     assert_eq!(scene.last().engine, "a");
     assert_eq!(scene.last().after, Some(30));
--- /dev/null
+++ b/crates/jobs/tests/pace/mod.rs
@@ -0,0 +1,98 @@
+//! Items and the paces of engines: slow ones are left early, and alone.
+
+use super::dispatch::{engine, Scene};
+
+/// Sends events `from..=to` of a run, one each `millis`.
+fn stream(scene: &mut Scene, run: peatgrade_jobs::RunId, from: u64, to: u64, millis: u64) {
+    for event in from..=to {
+        scene.wait(millis);
+        scene.data(run, &format!("{event}|0|x\n"));
+    }
+}
+
+#[test]
+fn a_text_expected_to_be_long_moves_to_a_faster_engine_after_a_few_events() {
+    let mut scene = Scene::new(vec![engine("a", 5), engine("b", 5)]);
+    scene.set_pace("a", 40);
+    scene.set_pace("b", 52);
+    scene.set_running("a", 4);
+    scene.submit("j", 5, &["i", "k", "long"]);
+    scene.poll();
+    let runs: Vec<_> = scene.started.clone();
+    assert!(runs.iter().all(|run| run.engine == "b"), "{runs:?}");
+    scene.set_running("a", 0);
+    for run in &runs {
+        scene.head(run.run, 200, 5);
+    }
+    for event in 1..=8 {
+        scene.wait(52);
+        for run in &runs {
+            scene.data(run.run, &format!("{event}|0|x\n"));
+        }
+    }
+    // The long one, which is first in order, and none but it.
+    assert_eq!(scene.cancelled, vec![runs[0].run]);
+    assert_eq!(scene.last().engine, "a");
+}
+
+#[test]
+fn an_engine_that_turns_slow_loses_its_runs_within_half_a_second() {
+    let mut scene = Scene::new(vec![engine("a", 5), engine("b", 5), engine("c", 5)]);
+    scene.submit("j", 5, &["i"]);
+    scene.poll();
+    let first = scene.last();
+    scene.head(first.run, 200, 5);
+    for other in ["a", "b", "c"] {
+        scene.set_pace(other, 40);
+    }
+    stream(&mut scene, first.run, 1, 15, 40);
+    assert!(scene.cancelled.is_empty());
+    // Three and a half times as slow from now on.
+    let turned = scene.now;
+    for event in 16..=30 {
+        scene.wait(140);
+        if scene.cancelled.contains(&first.run) {
+            break;
+        }
+        scene.data(first.run, &format!("{event}|0|x\n"));
+    }
+    assert_ne!(scene.last().engine, first.engine);
+    let took = scene.now.since(turned).as_millis();
+    assert!(took <= 600, "{took} ms");
+}
+
+#[test]
+fn items_go_to_fuller_engines_rather_than_to_a_slow_one() {
+    let mut scene = Scene::new(vec![engine("a", 5), engine("b", 5), engine("c", 5)]);
+    scene.set_pace("a", 150);
+    scene.set_pace("b", 40);
+    scene.set_pace("c", 40);
+    // Short items leave half of an engine's places to long ones at first, but
+    // not by going to a slow one.
+    let service = peatgrade_ports::Service {
+        slots: 4,
+        ..Default::default()
+    };
+    scene
+        .configuration
+        .services
+        .insert("models".into(), service);
+    scene.submit("j", 5, &["1", "2", "3", "4", "5", "6", "long"]);
+    scene.poll();
+    assert_eq!(scene.started.len(), 7);
+    let slow = scene.started.iter().filter(|run| run.engine == "a");
+    assert_eq!(slow.count(), 0, "{:?}", scene.started);
+}
+
+#[test]
+fn an_engine_that_was_slow_is_tried_with_one_item() {
+    let mut scene = Scene::new(vec![engine("a", 5), engine("b", 5), engine("c", 5)]);
+    scene.set_pace("a", 150);
+    scene.set_pace("b", 40);
+    scene.set_pace("c", 40);
+    scene.wait(5_000);
+    scene.submit("j", 5, &["1", "2", "3", "4", "5", "6"]);
+    scene.poll();
+    let tried = scene.started.iter().filter(|run| run.engine == "a");
+    assert_eq!(tried.count(), 1, "{:?}", scene.started);
+}
