--- a/crates/runtime/src/http_client.rs
+++ b/crates/runtime/src/http_client.rs
@@ -301,8 +301,11 @@
             }
         }
         emit(ResponsePart::End);
-        // Where the rest of a request is due, nothing else may be sent.
-        if sent_whole && connection.reader.reusable() && !idle.is_zero() {
+        // Where the rest of a request is due, nothing else may be sent. A
+        // connection made for one request would only fill the few that the other
+        // side takes: for each kept one that is used, many would be made.
+        let kept = sent_whole && !self.options.fresh;
+        if kept && connection.reader.reusable() && !idle.is_zero() {
             self.idle.borrow_mut().put(address, connection, idle);
         }
         Ok(())
