--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -11,9 +11,7 @@
 pub mod clients;
 pub mod compare;
 pub mod embedded;
-pub mod fit;
 pub mod fuzz;
-pub mod hollow;
 pub mod mutants;
 pub mod overhead;
 pub mod page;
@@ -21,7 +19,6 @@
 pub mod ports;
 pub mod processor_time;
 pub mod report;
-pub mod scale;
 
 pub use clients::{ClientPlan, ClientReport};
 pub use embedded::Embedded;
--- a/crates/node-core/src/core.rs
+++ b/crates/node-core/src/core.rs
@@ -403,14 +403,6 @@
         }
     }
 
-    /// Health of a node as this node sees it, if it knows it.
-    pub fn sees(&self, node: peatgrade_types::NodeId) -> Option<State> {
-        let known = self.ctx.swim.member(node);
-        // One known from a list only was never heard of.
-        let heard = known.filter(|member| member.identity.generation > 0);
-        heard.map(|member| member.state)
-    }
-
     /// What this node says of itself.
     pub fn status(&mut self) -> NodeStatus {
         let ready = self.ready();
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -14,8 +14,6 @@
 //! same code as in a real process; only sockets, clock and disk are replaced.
 
 mod config_watch;
-pub mod kinds;
-mod membership_watch;
 mod network;
 mod operators;
 mod plan;
@@ -24,10 +22,8 @@
 mod report;
 mod world;
 
-pub use membership_watch::MembershipFigures;
 pub use network::NetworkSettings;
 pub use plan::{FaultPlan, PlanSettings, Step, StepKind};
-pub use process::{KindTraffic, NodeTraffic};
 pub use report::{Latencies, RunReport};
 pub use world::{RunSettings, World};
 
--- a/crates/simulation/src/process.rs
+++ b/crates/simulation/src/process.rs
@@ -5,7 +5,6 @@
 use peatgrade_storage::MemoryStore;
 use peatgrade_types::http::{HttpRequest, ResponseHead};
 use peatgrade_types::{NodeId, Time};
-use serde::Serialize;
 use std::collections::BTreeMap;
 
 use crate::world::{ClientRef, RunSettings, SimEvent};
@@ -30,45 +29,11 @@
     pub seen_head: bool,
 }
 
-/// Messages of one kind that a node sent and received, in bytes with headers.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
-pub struct KindTraffic {
-    /// Messages sent.
-    pub messages_out: u64,
-    /// Bytes sent.
+/// Bytes of peer messages, with headers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct PeerTraffic {
     pub bytes_out: u64,
-    /// Messages received.
-    pub messages_in: u64,
-    /// Bytes received.
     pub bytes_in: u64,
-    /// Processor time spent on those received, in nanoseconds.
-    pub handler_nanos: u64,
-}
-
-/// What a node sent, received and spent.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
-pub struct NodeTraffic {
-    /// Peer messages by kind.
-    pub kinds: BTreeMap<&'static str, KindTraffic>,
-    /// Ticks, and the processor time spent on them in nanoseconds.
-    pub ticks: (u64, u64),
-    /// Parts of responses and callers' requests, and the time spent on them.
-    pub http: (u64, u64),
-}
-
-impl NodeTraffic {
-    /// Sum over the kinds that a predicate keeps.
-    pub fn total(&self, keep: impl Fn(&str) -> bool) -> KindTraffic {
-        let kept = self.kinds.iter().filter(|(kind, _)| keep(kind));
-        kept.fold(KindTraffic::default(), |mut sum, (_, traffic)| {
-            sum.messages_out += traffic.messages_out;
-            sum.bytes_out += traffic.bytes_out;
-            sum.messages_in += traffic.messages_in;
-            sum.bytes_in += traffic.bytes_in;
-            sum.handler_nanos += traffic.handler_nanos;
-            sum
-        })
-    }
 }
 
 /// One node.
@@ -89,7 +54,7 @@
     pub draining_since: Option<Time>,
     pub restart_after_stop: u64,
     pub started: Time,
-    pub traffic: NodeTraffic,
+    pub traffic: PeerTraffic,
     /// Since when it has been reachable without a pause or a cut.
     pub sound_since: Time,
 }
@@ -113,7 +78,7 @@
             draining_since: None,
             restart_after_stop: 0,
             started: Time::default(),
-            traffic: NodeTraffic::default(),
+            traffic: PeerTraffic::default(),
             sound_since: Time::default(),
         }
     }
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -15,7 +15,6 @@
 use std::collections::BTreeMap;
 
 use crate::config_watch::ConfigWatch;
-use crate::membership_watch::MembershipWatch;
 use crate::network::{Network, NetworkSettings};
 use crate::plan::FaultPlan;
 use crate::process::{Arriving, Process};
@@ -182,7 +181,6 @@
     open_clients: BTreeMap<ClientRef, usize>,
     oracle: Oracle,
     config_watch: ConfigWatch,
-    membership_watch: MembershipWatch,
     streams: BTreeMap<String, Latencies>,
     faults: BTreeMap<String, u64>,
     commits: BTreeMap<String, (u64, Time)>,
@@ -256,7 +254,6 @@
             trainers,
             open_clients: BTreeMap::new(),
             config_watch: ConfigWatch::default(),
-            membership_watch: MembershipWatch::default(),
             streams: BTreeMap::new(),
             faults: BTreeMap::new(),
             commits: BTreeMap::new(),
@@ -371,7 +368,6 @@
             &mut self.oracle,
         );
         self.observe_weights();
-        self.membership_watch.observe(self.now, &self.nodes);
     }
 
     /// Notes when the last engine of a model that can be reached has taken the
--- a/crates/simulation/src/world/actions.rs
+++ b/crates/simulation/src/world/actions.rs
@@ -10,7 +10,6 @@
 use quick_protobuf::MessageWrite;
 
 use super::{PlatformOwner, SimEvent, World, TICK};
-use crate::kinds::kind;
 use crate::process::{Arriving, OpenHttp};
 use peatgrade_models::RequestId;
 
@@ -103,39 +102,16 @@
     /// Gives an event to a node and carries out what it wants done.
     pub(super) fn deliver(&mut self, node: usize, event: Event) {
         let now = self.now;
-        let peer = match &event {
-            Event::Peer { from, body } => {
-                let size = message_size(from.node.0, from.generation, body);
-                Some((kind(body), size))
-            }
-            _ => None,
+        let size = match &event {
+            Event::Peer { from, body } => message_size(from.node.0, from.generation, body),
+            _ => 0,
         };
-        let tick = matches!(event, Event::Tick);
         let process = &mut self.nodes[node];
         let Some(core) = process.core.as_mut() else {
             return;
         };
-        // Wall time is only measured; nothing in the run depends on it.
-        let started = std::time::Instant::now();
+        process.traffic.bytes_in += size;
         let actions = core.handle(now, event);
-        let nanos = started.elapsed().as_nanos() as u64;
-        match peer {
-            Some((kind, size)) => {
-                let traffic = process.traffic.kinds.entry(kind).or_default();
-                traffic.messages_in += 1;
-                traffic.bytes_in += size;
-                traffic.handler_nanos += nanos;
-            }
-            None => {
-                let spent = if tick {
-                    &mut process.traffic.ticks
-                } else {
-                    &mut process.traffic.http
-                };
-                spent.0 += 1;
-                spent.1 += nanos;
-            }
-        }
         self.carry_out(node, actions);
     }
 
@@ -167,13 +143,7 @@
             generation: self.nodes[node].generation,
         };
         let size = message_size(from.node.0, from.generation, &body);
-        let traffic = self.nodes[node]
-            .traffic
-            .kinds
-            .entry(kind(&body))
-            .or_default();
-        traffic.messages_out += 1;
-        traffic.bytes_out += size;
+        self.nodes[node].traffic.bytes_out += size;
         let (left, right) = (&self.nodes[node].zone, &self.nodes[receiver].zone);
         let delays = self
             .network
--- a/crates/simulation/src/world/faults.rs
+++ b/crates/simulation/src/world/faults.rs
@@ -67,9 +67,6 @@
     }
 
     pub(super) fn crash_node(&mut self, node: usize, restart: Time) {
-        let down_for = restart.since(self.now);
-        self.membership_watch
-            .on_crash(self.now, self.nodes[node].id, down_for);
         let (clients, requests) = self.nodes[node].stop();
         for client in clients {
             let result = Err(self.failure(HttpStep::Head, "connection reset"));
--- a/crates/simulation/src/world/figures.rs
+++ b/crates/simulation/src/world/figures.rs
@@ -1,9 +1,6 @@
 //! Figures of a run.
 
-use std::collections::BTreeMap;
-
 use super::{World, ORIGIN};
-use crate::membership_watch::MembershipFigures;
 use crate::process::Process;
 use crate::report::{longest_and_median, RunReport};
 
@@ -38,42 +35,17 @@
             weights_spread_ms: longest_and_median(&self.weight_spread),
             store_requests: self.platform.store.requests(),
             peer_bytes_per_second: (
-                busiest(|node| node.traffic.total(|_| true).bytes_out),
-                busiest(|node| node.traffic.total(|_| true).bytes_in),
+                busiest(|node| node.traffic.bytes_out),
+                busiest(|node| node.traffic.bytes_in),
             ),
         }
     }
 
-    /// Figures of the failure detector.
-    pub fn membership(&self) -> MembershipFigures {
-        self.membership_watch.figures()
-    }
-
-    /// Names of the nodes with what each sent, received and spent.
-    pub fn traffic(&self) -> Vec<(String, crate::process::NodeTraffic)> {
-        let nodes = self.nodes.iter();
-        nodes
-            .map(|node| (node.name.clone(), node.traffic.clone()))
-            .collect()
-    }
-
-    /// Weight versions in use, by engine.
-    pub fn engine_versions(&self) -> BTreeMap<String, u64> {
-        self.platform.engine_versions()
-    }
-
     /// Bytes in all data folders.
     pub fn stored_bytes(&self) -> u64 {
         self.nodes.iter().map(|node| node.disk.used()).sum()
     }
 
-    /// Forgets what was sent, received and spent, to measure from here on.
-    pub fn reset_traffic(&mut self) {
-        for node in &mut self.nodes {
-            node.traffic = crate::process::NodeTraffic::default();
-        }
-    }
-
     /// What each running node says of itself.
     pub fn statuses(&mut self) -> Vec<peatgrade_node_core::NodeStatus> {
         let cores = self.nodes.iter_mut().filter_map(|node| node.core.as_mut());
