--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -71,6 +71,8 @@
     codec: Rc<dyn Codec>,
     forwarder: Forwarder,
     relay: JobRelay,
+    /// Nothing new is taken any more.
+    leaving: bool,
     /// Newest configuration; none before the first.
     pub configuration: Option<Rc<Configuration>>,
     /// Engines.
@@ -84,11 +86,19 @@
             forwarder: Forwarder::new(codec.clone(), settings.zone, settings.seed),
             relay: JobRelay::new(RelaySettings::default()),
             codec,
+            leaving: false,
             configuration: None,
             directory: EngineDirectory::default(),
         }
     }
 
+    /// Takes nothing new from here on. Callers may go on coming after a stop was
+    /// asked for, where too few other gateways are there: without an end to it,
+    /// what is under way would never be done before the process must go.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+    }
+
     /// Takes a newer configuration; an older one changes nothing.
     pub fn configure(&mut self, configuration: Configuration) -> bool {
         let held = self.configuration.as_ref().map_or(0, |c| c.version);
@@ -123,6 +133,13 @@
         message: CallerMessage,
     ) -> Vec<GatewayAction> {
         let mut actions = Vec::new();
+        if self.leaving {
+            log::info!("decision=refuse {message} reason=leaving");
+            let reason = "this gateway is stopping";
+            let later = Some(COME_BACK);
+            self.refuse(&mut actions, call, Refusal::NotRun, reason, later);
+            return actions;
+        }
         match message {
             CallerMessage::Bad(bad) => {
                 self.refuse(&mut actions, call, Refusal::Malformed, &bad.reason, None);
--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -1,287 +1,14 @@
 //! Requests end once, with a true answer, at once when nothing more can be done.
 
+mod scene;
+
 use bytes::Bytes;
-use peatgrade_gateway::{CallId, Gateway, GatewayAction, GatewaySettings, HttpId};
-use peatgrade_ports::{
-    Answer, AnswerHead, BadRequest, CallerMessage, CallerRequest, Codec, Configuration, EngineCall,
-    EngineRecord, EngineReport, EventReader, Instance, OrderAnswer, Refusal, Route, RouteKind,
-    StoreCall, StoreReply, Submission, Target,
-};
-use peatgrade_schema::replication::{JobReply, JobStatus};
-use peatgrade_types::http::{HttpFailure, HttpRequest, HttpStep, ResponseHead, ResponsePart};
-use peatgrade_types::{Duration, Time};
+use peatgrade_gateway::CallId;
+use peatgrade_ports::{CallerMessage, Configuration, EngineRecord, Instance, JobRead, RouteKind};
+use peatgrade_schema::replication::JobStatus;
+use peatgrade_types::http::{HttpStep, ResponseHead, ResponsePart};
 use rstest::rstest;
-use std::rc::Rc;
-
-/// Plain headers: `id`, `not-run`, `signed`.
-struct PlainCodec;
-
-fn status_of(refusal: Refusal) -> u16 {
-    match refusal {
-        Refusal::Malformed => 400,
-        Refusal::NoRoute | Refusal::NotFound => 404,
-        Refusal::NotRun => 503,
-        Refusal::TimedOut => 504,
-        Refusal::Unknown => 502,
-    }
-}
-
-impl Codec for PlainCodec {
-    fn is_ready_check(&self, _: &HttpRequest) -> bool {
-        false
-    }
-
-    fn caller_message(&self, http: HttpRequest) -> CallerMessage {
-        CallerMessage::Request(CallerRequest {
-            http,
-            ..CallerRequest::default()
-        })
-    }
-
-    fn submission(&self, request: &CallerRequest) -> Result<Submission, BadRequest> {
-        Ok(Submission {
-            job: request.id.clone(),
-            ..Submission::default()
-        })
-    }
-
-    fn answer(&self, answer: &Answer) -> (ResponseHead, Bytes) {
-        let (status, retry) = match answer {
-            Answer::Refused {
-                refusal,
-                retry_after,
-                ..
-            } => (status_of(*refusal), *retry_after),
-            Answer::JobAccepted => (202, None),
-            _ => (200, None),
-        };
-        let mut head = ResponseHead::new(status, "text/plain");
-        if let Some(span) = retry {
-            let millis = span.as_millis().to_string();
-            head.headers.push(("retry-ms".into(), millis));
-        }
-        (head, Bytes::new())
-    }
-
-    fn passed_head(&self, head: &ResponseHead, _: &CallerRequest) -> ResponseHead {
-        head.clone()
-    }
-
-    fn engine_request(&self, call: &EngineCall) -> HttpRequest {
-        let EngineCall::Run {
-            instance,
-            deadline,
-            last_event,
-            ..
-        } = call
-        else {
-            panic!("a gateway only runs requests");
-        };
-        let left = deadline.map_or(0, Duration::as_millis);
-        HttpRequest::new("POST", "/", "")
-            .with_header("instance", instance.0.clone())
-            .with_header("left", left.to_string())
-            .with_header("after", format!("{last_event:?}"))
-    }
-
-    fn answer_head(&self, head: &ResponseHead) -> AnswerHead {
-        AnswerHead {
-            status: head.status,
-            id: head.header("id").map(str::to_string),
-            not_run: head.header("not-run").is_some(),
-            misdirected: head.status == 421,
-            signed: head.header("signed").is_some(),
-            ..AnswerHead::default()
-        }
-    }
-
-    fn event_reader(&self) -> Box<dyn EventReader> {
-        panic!("a gateway reads no events")
-    }
-
-    fn report(&self, _: &[u8]) -> Option<EngineReport> {
-        None
-    }
-
-    fn order_answer(&self, _: u16) -> OrderAnswer {
-        OrderAnswer::Rejected
-    }
-
-    fn store_request(&self, _: &StoreCall) -> HttpRequest {
-        HttpRequest::default()
-    }
-
-    fn store_reply(&self, _: &StoreCall, _: u16, _: &[u8]) -> StoreReply {
-        StoreReply::Missing
-    }
-}
-
-struct Sent {
-    id: HttpId,
-    engine: String,
-    left: u64,
-    after: String,
-    fresh: bool,
-}
-
-struct Scene {
-    now: Time,
-    gateway: Gateway,
-    sent: Vec<Sent>,
-    cancelled: Vec<HttpId>,
-    /// Heads that went to the caller, and whether the answer is over.
-    heads: Vec<ResponseHead>,
-    bodies: Vec<u8>,
-    ended: bool,
-    cut: bool,
-    jobs: Vec<(String, u64)>,
-}
-
-impl Scene {
-    fn new(kind: RouteKind, engines: usize) -> Self {
-        let settings = GatewaySettings {
-            zone: "z".into(),
-            seed: 1,
-        };
-        let mut gateway = Gateway::new(settings, Rc::new(PlainCodec));
-        let route = Route {
-            name: "r".into(),
-            host: "h".into(),
-            prefix: "/p/".into(),
-            kind,
-            timeout: Duration::from_millis(1_500),
-            target_latency: Duration::from_millis(150),
-            priority: 1,
-            targets: vec![Target {
-                service: "s".into(),
-                weight: 1,
-            }],
-            max_attempts: 2,
-            resumable: kind == RouteKind::Streaming,
-            max_queue: Duration::from_secs(40),
-            result_deadline: Duration::from_secs(7),
-            single_version: false,
-        };
-        gateway.configure(Configuration {
-            version: 1,
-            routes: vec![route],
-            ..Configuration::default()
-        });
-        let records = (0..engines).map(|index| EngineRecord {
-            instance: Instance(format!("e{index}")),
-            service: "s".into(),
-            address: format!("10.0.0.{index}:1"),
-            zone: "z".into(),
-            slots: 6,
-            ..EngineRecord::default()
-        });
-        let now = Time(1_000_000);
-        gateway.directory.replace(now, records.collect());
-        Self {
-            now,
-            gateway,
-            sent: Vec::new(),
-            cancelled: Vec::new(),
-            heads: Vec::new(),
-            bodies: Vec::new(),
-            ended: false,
-            cut: false,
-            jobs: Vec::new(),
-        }
-    }
-
-    fn carry_out(&mut self, actions: Vec<GatewayAction>) {
-        for action in actions {
-            match action {
-                GatewayAction::Respond { part, .. } => {
-                    assert!(!self.ended, "a part after the end");
-                    match part {
-                        ResponsePart::Head(head) => self.heads.push(head),
-                        ResponsePart::Data(data) => self.bodies.extend_from_slice(&data),
-                        ResponsePart::End => self.ended = true,
-                        ResponsePart::Failed(_) => (self.ended, self.cut) = (true, true),
-                    }
-                }
-                GatewayAction::Http {
-                    id, request, fresh, ..
-                } => self.sent.push(Sent {
-                    id,
-                    engine: request.header("instance").unwrap().to_string(),
-                    left: request.header("left").unwrap().parse().unwrap(),
-                    after: request.header("after").unwrap().to_string(),
-                    fresh,
-                }),
-                GatewayAction::CancelHttp(id) => self.cancelled.push(id),
-                GatewayAction::Job { address, call } => self.jobs.push((address, call.call)),
-            }
-        }
-    }
-
-    fn call(&mut self) {
-        self.call_on("/p/x");
-    }
-
-    fn call_on(&mut self, path: &str) {
-        let request = CallerRequest {
-            id: "r1".into(),
-            host: "h".into(),
-            deadline: Some(Duration::from_millis(1_000)),
-            http: HttpRequest::new("POST", path, ""),
-            ..CallerRequest::default()
-        };
-        let message = CallerMessage::Request(request);
-        let actions = self.gateway.on_call(self.now, CallId(1), message);
-        self.carry_out(actions);
-    }
-
-    fn part(&mut self, index: usize, part: ResponsePart) {
-        let id = self.sent[index].id;
-        let actions = self.gateway.on_part(self.now, id, part);
-        self.carry_out(actions);
-    }
-
-    fn answer(&mut self, index: usize, status: u16, headers: &[&str], body: &str) {
-        let mut head = ResponseHead::new(status, "text/plain");
-        for name in headers {
-            let value = if *name == "id" { "r1" } else { "1" };
-            head.headers.push((name.to_string(), value.to_string()));
-        }
-        self.part(index, ResponsePart::Head(head));
-        self.part(index, ResponsePart::Data(Bytes::from(body.to_string())));
-        self.part(index, ResponsePart::End);
-    }
-
-    fn fail(&mut self, index: usize, step: HttpStep) {
-        let failure = HttpFailure {
-            peer: "e".into(),
-            step,
-            reason: "reset".into(),
-        };
-        self.part(index, ResponsePart::Failed(failure));
-    }
-
-    fn wait(&mut self, millis: u64) {
-        self.now += Duration::from_millis(millis);
-        let actions = self.gateway.tick(self.now);
-        self.carry_out(actions);
-    }
-
-    fn status(&self) -> Option<u16> {
-        assert!(self.heads.len() <= 1, "two answers");
-        self.heads.first().map(|head| head.status)
-    }
-
-    fn reply(&mut self, from: &str, call: u64, status: JobStatus, leader: &str) {
-        let reply = JobReply {
-            call,
-            status,
-            leader_address: leader.into(),
-            ..JobReply::default()
-        };
-        let actions = self.gateway.on_reply(self.now, from, reply);
-        self.carry_out(actions);
-    }
-}
+use scene::Scene;
 
 #[test]
 fn a_whole_answer_goes_back() {
@@ -564,3 +291,31 @@
     assert!(scene.cut);
     assert_eq!(scene.cancelled.len(), 1);
 }
+
+#[test]
+fn a_gateway_that_leaves_ends_what_it_has_and_takes_nothing_more() {
+    let mut scene = Scene::new(RouteKind::Unsafe, 2);
+    scene.call();
+    scene.gateway.leave();
+    scene.answer(0, 200, &["id", "signed"], "whole");
+    assert_eq!((scene.status(), scene.ended), (Some(200), true));
+    scene.heads.clear();
+    scene.ended = false;
+    scene.call();
+    assert_eq!((scene.status(), scene.ended), (Some(503), true));
+    assert!(scene.heads[0].header("retry-ms").is_some());
+    assert_eq!(scene.sent.len(), 1, "it went to an engine");
+    assert_eq!(scene.gateway.in_flight(), 0);
+}
+
+#[test]
+fn a_gateway_that_leaves_takes_no_batch_job_calls() {
+    let mut scene = Scene::new(RouteKind::Batch, 1);
+    scene.gateway.set_replicas(vec!["a:1".into()]);
+    scene.gateway.leave();
+    let read = CallerMessage::ReadJob(JobRead::default());
+    let actions = scene.gateway.on_call(scene.now, CallId(9), read);
+    scene.carry_out(actions);
+    assert_eq!(scene.status(), Some(503));
+    assert!(scene.jobs.is_empty());
+}
--- a/crates/ports/src/caller.rs
+++ b/crates/ports/src/caller.rs
@@ -56,6 +56,21 @@
     Bad(BadRequest),
 }
 
+/// What it concerns, as logs name it.
+impl std::fmt::Display for CallerMessage {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            CallerMessage::Request(request) => write!(formatter, "request={}", request.id),
+            CallerMessage::ReadJob(read) => write!(formatter, "job={} call=read", read.job),
+            CallerMessage::ReadItem { job, item } => {
+                write!(formatter, "job={job} item={item} call=read-item")
+            }
+            CallerMessage::EndJob { job } => write!(formatter, "job={job} call=end"),
+            CallerMessage::Bad(_) => formatter.write_str("request=unreadable"),
+        }
+    }
+}
+
 /// Why a request is wrong in itself.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("{reason}")]
--- a/crates/server/src/gateway_process/mod.rs
+++ b/crates/server/src/gateway_process/mod.rs
@@ -35,8 +35,9 @@
 const IDLE_TICK: Duration = Duration::from_millis(100);
 /// Time between two looks for replicas while no leader is known.
 const REPLICA_SEARCH: Duration = Duration::from_millis(900);
-/// After a stop signal new connections may still come for this long.
-const LEAVE_AFTER: peatgrade_types::Duration = peatgrade_types::Duration::from_millis(3_300);
+/// After a stop signal new connections may still come for this long, and are
+/// served for at most half of the time to stop.
+const LEAVE_AFTER_MS: u64 = 3_300;
 /// Kept back from the time to stop, for the last answers.
 const GRACE_MARGIN_MS: u64 = 600;
 
@@ -204,13 +205,20 @@
         }
     }
 
+    /// Whether new requests may still come to a gateway that is to stop.
+    fn leaves(&self, now: Time) -> bool {
+        let served = LEAVE_AFTER_MS.min(self.settings.grace_ms / 2);
+        let stopping = self.stop_at;
+        stopping.is_some_and(|since| now.since(since).as_millis() >= served)
+    }
+
     fn may_exit(&self) -> bool {
         let Some(since) = self.stop_at else {
             return false;
         };
         let age = steady_now().since(since);
         let limit = self.settings.grace_ms.saturating_sub(GRACE_MARGIN_MS);
-        let drained = age >= LEAVE_AFTER && self.gateway.in_flight() == 0;
+        let drained = self.leaves(steady_now()) && self.gateway.in_flight() == 0;
         drained || age.as_millis() >= limit
     }
 
@@ -281,6 +289,9 @@
             let actions = self.gateway.on_gone(call);
             self.carry_out(actions);
         }
+        if self.leaves(now) {
+            self.gateway.leave();
+        }
         let actions = self.gateway.tick(now);
         self.carry_out(actions);
         if now.since(self.last_sweep).as_millis() >= 1_000 {
