--- a/crates/fleet/src/coordinator/mod.rs
+++ b/crates/fleet/src/coordinator/mod.rs
@@ -36,6 +36,8 @@
 const FIRST_LOAD_TIME: Duration = Duration::from_millis(900);
 /// How much older than its arrival a report may be.
 const REPORT_LAG: Duration = Duration::from_millis(120);
+/// No report is older than that.
+const LONGEST_REPORT_LAG: Duration = Duration::from_millis(300);
 /// Further looks at an engine that loads.
 const NEXT_LOOK: Duration = Duration::from_millis(80);
 /// Wait before an engine that gave no answer is tried again.
@@ -91,8 +93,17 @@
     /// Next look at it.
     look: Time,
     since: Time,
-    /// Whether a look has found it under way.
-    outlasted_a_look: bool,
+    /// When a look last found it under way.
+    seen_busy: Option<Time>,
+}
+
+impl Load {
+    /// Whether it was under way for longer than loads usually take, however old
+    /// the report was.
+    fn outlasts(&self, load_time: Duration) -> bool {
+        let expected = self.since + load_time + LONGEST_REPORT_LAG;
+        self.seen_busy.is_some_and(|seen| seen >= expected)
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -288,7 +299,7 @@
                 Phase::Loading(Load {
                     look: now + self.load_time + REPORT_LAG,
                     since: now,
-                    outlasted_a_look: false,
+                    seen_busy: None,
                 })
             }
             OrderOutcome::Answered(OrderAnswer::Fenced) => {
@@ -333,7 +344,7 @@
         progress.phase = match progress.phase {
             Phase::Loading(load) if report.busy => Phase::Loading(Load {
                 look: now + NEXT_LOOK,
-                outlasted_a_look: true,
+                seen_busy: Some(now),
                 ..load
             }),
             Phase::Asked(_) if report.busy => Phase::Pause(now + RETRY),
@@ -356,7 +367,7 @@
 /// looks as if it took just as long: then the next look comes sooner. Otherwise
 /// a single slow load would slow all later ones.
 fn next_load_time(now: Time, expected: Duration, load: &Load) -> Duration {
-    if load.outlasted_a_look {
+    if load.seen_busy.is_some() {
         let took = now.since(load.since).0.saturating_sub(REPORT_LAG.0);
         return Duration((expected.0 * 3 + took) / 4);
     }
@@ -365,12 +376,13 @@
 }
 
 impl EngineProgress {
-    /// Whether it takes part of what may load at once. Its report comes late,
-    /// so that a load counts only for as long as loads usually take.
+    /// Whether it takes part of what may load at once. Its report comes late, so
+    /// that a load counts only for as long as loads usually take, unless it was
+    /// seen to take longer: more loads beside it would slow it further.
     fn holds_place(&self, now: Time, load_time: Duration) -> bool {
         match self.phase {
             Phase::Ordered(_) => true,
-            Phase::Loading(load) => now.since(load.since) < load_time,
+            Phase::Loading(load) => load.outlasts(load_time) || now.since(load.since) < load_time,
             _ => false,
         }
     }
--- a/crates/fleet/tests/coordinator.rs
+++ b/crates/fleet/tests/coordinator.rs
@@ -290,3 +290,13 @@
     // Two rounds of two loads at 900 ms each.
     assert!(spans.last().is_some_and(|span| *span <= 2_200), "{spans:?}");
 }
+
+#[test]
+fn loads_that_outlast_what_was_expected_keep_their_places() {
+    let mut scene = Scene::new(16, 0);
+    // Two more may begin before the first look at the first two.
+    (scene.load_ms, scene.allowed) = (6_000, 4);
+    scene.coordinator.named("m", 2);
+    scene.run(5_000);
+    assert_eq!(scene.orders.len(), 4);
+}
