--- a/crates/runtime/src/http_server.rs
+++ b/crates/runtime/src/http_server.rs
@@ -18,7 +18,7 @@
 use std::time::Duration;
 
 use crate::response_writer::ResponseWriter;
-use crate::server_limits::{LimitedReader, ServerControl, ServerLimits};
+use crate::server_limits::{LimitedReader, ServerControl, ServerLimits, TOO_LARGE};
 
 /// Longest time that a body may take.
 const BODY_TIMEOUT: Duration = Duration::from_secs(60);
@@ -78,9 +78,12 @@
     let read = monoio::time::timeout(patience, decoder.next()).await;
     let request = match read {
         Err(_) | Ok(None) => return Err(ReadEnd::Closed),
-        Ok(Some(Err(error))) => return Err(bad(&limits, allowance, &error)),
+        Ok(Some(Err(error))) => return Err(bad(&limits, Part::Head, &error)),
         Ok(Some(Ok(request))) => request,
     };
+    if head_length(&request) > limits.head_bytes {
+        return Err(too_large(&limits, Part::Head));
+    }
     if !is_framed_clearly(&request) {
         return Err(ReadEnd::Bad {
             status: 400,
@@ -89,19 +92,41 @@
         });
     }
     if declared_length(&request) > limits.body_bytes {
-        return Err(too_large(&limits, "body-too-large"));
+        return Err(too_large(&limits, Part::Body));
     }
     // The framing of chunks counts as well.
     allowance.set(limits.body_bytes + limits.head_bytes);
     let filled = monoio::time::timeout(BODY_TIMEOUT, decoder.fill_payload()).await;
     match filled {
         Err(_) => return Err(ReadEnd::Closed),
-        Ok(Err(error)) => return Err(bad(&limits, allowance, &error)),
+        Ok(Err(error)) => return Err(bad(&limits, Part::Body, &error)),
         Ok(Ok(())) => {}
     }
-    to_request(request)
+    let request = to_request(request)
         .await
-        .map_err(|error| bad(&limits, allowance, &error))
+        .map_err(|error| bad(&limits, Part::Body, &error))?;
+    if request.body.len() > limits.body_bytes {
+        return Err(too_large(&limits, Part::Body));
+    }
+    Ok(request)
+}
+
+/// The part of a request that was being read.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Part {
+    Head,
+    Body,
+}
+
+/// Bytes of a request's head, without its first line's method and version.
+fn head_length(request: &Request<Payload>) -> usize {
+    let headers = request.headers().iter();
+    let headers = headers.map(|(name, value)| name.as_str().len() + value.len() + 4);
+    let path = request
+        .uri()
+        .path_and_query()
+        .map_or(0, |path| path.as_str().len());
+    path + headers.sum::<usize>()
 }
 
 /// Whether the length of a request can be read in one way only. Otherwise what
@@ -133,9 +158,13 @@
     parsed.unwrap_or(0)
 }
 
-fn too_large(limits: &ServerLimits, kind: &'static str) -> ReadEnd {
+fn too_large(limits: &ServerLimits, part: Part) -> ReadEnd {
+    let (status, kind) = match part {
+        Part::Head => (431, "head-too-large"),
+        Part::Body => (413, "body-too-large"),
+    };
     ReadEnd::Bad {
-        status: if kind == "head-too-large" { 431 } else { 413 },
+        status,
         kind,
         detail: format!(
             "at most {} bytes of head and {} of body",
@@ -144,16 +173,10 @@
     }
 }
 
-fn bad(limits: &ServerLimits, allowance: &Rc<Cell<usize>>, error: &HttpError) -> ReadEnd {
+fn bad(limits: &ServerLimits, part: Part, error: &HttpError) -> ReadEnd {
     let text = error.to_string();
-    if text.contains("request too large") {
-        let in_head = allowance.get() <= limits.head_bytes;
-        let kind = if in_head {
-            "head-too-large"
-        } else {
-            "body-too-large"
-        };
-        return too_large(limits, kind);
+    if text.contains(TOO_LARGE) {
+        return too_large(limits, part);
     }
     if matches!(error, HttpError::IOError(_)) || text.contains("eof") || text.contains("io error") {
         return ReadEnd::Closed;
--- a/crates/runtime/src/server_limits.rs
+++ b/crates/runtime/src/server_limits.rs
@@ -31,6 +31,9 @@
     }
 }
 
+/// What a [`LimitedReader`] says when nothing is left.
+pub(crate) const TOO_LARGE: &str = "request too large";
+
 /// What the owner of a server may change while it runs.
 #[derive(Clone, Debug, Default)]
 pub struct ServerControl {
@@ -42,23 +45,25 @@
 }
 
 /// A reader that fails once its allowance is used up, so that nobody can make
-/// the decoder buffer without bound.
+/// the decoder buffer without bound. The read that uses it up may bring more: a
+/// small head and the beginning of a long body often arrive together.
 pub(crate) struct LimitedReader<R> {
     pub io: R,
     pub allowance: Rc<Cell<usize>>,
 }
 
 impl<R> LimitedReader<R> {
+    fn check(&self) -> std::io::Result<()> {
+        if self.allowance.get() == 0 {
+            return Err(std::io::Error::other(TOO_LARGE));
+        }
+        Ok(())
+    }
+
     fn spend<T>(&self, (result, buffer): BufResult<usize, T>) -> BufResult<usize, T> {
         if let Ok(count) = &result {
-            let left = self.allowance.get().checked_sub(*count);
-            match left {
-                Some(left) => self.allowance.set(left),
-                None => {
-                    let error = std::io::Error::other("request too large");
-                    return (Err(error), buffer);
-                }
-            }
+            let left = self.allowance.get().saturating_sub(*count);
+            self.allowance.set(left);
         }
         (result, buffer)
     }
@@ -66,11 +71,17 @@
 
 impl<R: AsyncReadRent> AsyncReadRent for LimitedReader<R> {
     async fn read<T: IoBufMut>(&mut self, buffer: T) -> BufResult<usize, T> {
+        if let Err(error) = self.check() {
+            return (Err(error), buffer);
+        }
         let done = self.io.read(buffer).await;
         self.spend(done)
     }
 
     async fn readv<T: IoVecBufMut>(&mut self, buffer: T) -> BufResult<usize, T> {
+        if let Err(error) = self.check() {
+            return (Err(error), buffer);
+        }
         let done = self.io.readv(buffer).await;
         self.spend(done)
     }
