--- a/crates/server/src/listing.rs
+++ b/crates/server/src/listing.rs
@@ -2,7 +2,9 @@
 //!
 //! A large fleet does not fit one page, and when many machines start together
 //! the store is busy for seconds. So a list that is cut goes on behind the last
-//! object that arrived, and each page that was lost is waited for longer. What
+//! object that arrived, and each page that was lost is waited for longer, up to a
+//! bound: a page that was asked for while the store was silent never comes, and
+//! must not keep this machine from asking again when the store is back. What
 //! changes meanwhile is told by a watch from the revision of the first page.
 
 use peatgrade_ports::{ObjectKind, StoreCall, StoreObject, StoreReply};
@@ -12,9 +14,8 @@
 use crate::clock::steady_now;
 use crate::store_client::StoreClient;
 
-/// Time after which a page counts as lost, at first and at most.
+/// Time after which a page counts as lost at first.
 const FIRST_TIMEOUT: Duration = Duration::from_millis(800);
-const MAX_TIMEOUT: Duration = Duration::from_millis(6_400);
 /// A list that took longer than this begins anew: the history after its first
 /// page may be gone.
 const MAX_AGE: Duration = Duration::from_secs(12);
@@ -37,16 +38,18 @@
     begun: Option<(Instant, Time, u64)>,
     objects: Vec<(String, StoreObject)>,
     timeout: Duration,
+    longest: Duration,
 }
 
 impl Listing {
-    /// A list that has not begun.
-    pub fn new(kind: ObjectKind) -> Self {
+    /// A list that has not begun, whose pages are waited for up to `longest`.
+    pub fn new(kind: ObjectKind, longest: Duration) -> Self {
         Self {
             kind,
             begun: None,
             objects: Vec::new(),
-            timeout: FIRST_TIMEOUT,
+            timeout: FIRST_TIMEOUT.min(longest),
+            longest,
         }
     }
 
@@ -73,7 +76,7 @@
             if !more {
                 let objects = std::mem::take(&mut self.objects);
                 self.begin_anew();
-                self.timeout = FIRST_TIMEOUT;
+                self.timeout = FIRST_TIMEOUT.min(self.longest);
                 return Ok(Listed {
                     at,
                     objects,
@@ -90,7 +93,7 @@
         };
         let reply = store.call(&call, self.timeout).await;
         reply.map_err(|error| {
-            self.timeout = (self.timeout * 2).min(MAX_TIMEOUT);
+            self.timeout = (self.timeout * 2).min(self.longest);
             format!("list: {error}")
         })
     }
@@ -106,6 +109,6 @@
     store: &StoreClient,
     kind: ObjectKind,
 ) -> Result<Vec<(String, StoreObject)>, String> {
-    let listed = Listing::new(kind).finish(store).await?;
+    let listed = Listing::new(kind, FIRST_TIMEOUT).finish(store).await?;
     Ok(listed.objects)
 }
--- a/crates/server/src/storage/housekeeping.rs
+++ b/crates/server/src/storage/housekeeping.rs
@@ -1,6 +1,6 @@
 //! What a storage process does now and then: figures, old jobs, room for more.
 
-use peatgrade_replication::{voters_for, Role};
+use peatgrade_replication::{voters_for, ReplicaId, Role};
 use peatgrade_types::{Duration, Time};
 
 use crate::metrics::resident_bytes;
@@ -10,6 +10,8 @@
 
 /// Time between two looks at figures and idle connections.
 const SWEEP_EVERY: Duration = Duration::from_secs(1);
+/// Entries that a member may lack without being named in the log.
+const BEHIND: u64 = 64;
 /// Time between two looks at jobs past their time.
 const EXPIRE_EVERY: Duration = Duration::from_secs(2);
 
@@ -21,6 +23,7 @@
             self.client.sweep();
             self.replica.release(now);
             self.note_pressure();
+            self.note_behind(now);
             self.set_state(now);
         }
         if now.since(self.last_expire) >= EXPIRE_EVERY {
@@ -42,6 +45,34 @@
         }
     }
 
+    /// Names members that lack much of the log, while this machine leads.
+    fn note_behind(&self, now: Time) {
+        if self.replica.role() != Role::Leader {
+            return;
+        }
+        let commit = self.replica.commit_index();
+        for member in self.replica.members() {
+            let Some(progress) = self.replica.progress(ReplicaId(member.replica)) else {
+                continue;
+            };
+            if progress.match_index + BEHIND > commit {
+                continue;
+            }
+            let heard = progress
+                .heard
+                .map_or(0, |heard| now.since(heard).as_millis());
+            log::info!(
+                "belief=behind name={} replica={} voter={} has={} commit={commit} next={} on_the_way={} heard_ms={heard}",
+                member.name,
+                ReplicaId(member.replica),
+                member.voter,
+                progress.match_index,
+                progress.next_index,
+                progress.in_flight_bytes()
+            );
+        }
+    }
+
     fn set_state(&self, now: Time) {
         let figures = [
             ("leads", u64::from(self.replica.role() == Role::Leader)),
--- a/crates/server/src/watcher.rs
+++ b/crates/server/src/watcher.rs
@@ -23,6 +23,11 @@
 const WATCH_SLACK: Duration = Duration::from_millis(500);
 /// Kept back for the pause and the list that follow a lost one.
 const WATCH_MARGIN_MS: u64 = 400;
+/// Kept back for what follows a lost page of a list: the pause, and the page
+/// once more.
+const LIST_MARGIN_MS: u64 = 1_200;
+/// Shortest time that a page is waited for, whatever the settings say.
+const MIN_PAGE_MS: u64 = 400;
 /// Shortest and longest wait, whatever the settings say.
 const MIN_WAIT_MS: u64 = 400;
 const MAX_WAIT_MS: u64 = 8_000;
@@ -63,6 +68,8 @@
     pub wait: Span,
     /// Least time between the starts of two watches.
     pub pace: Duration,
+    /// How long a page of a list is waited for at most.
+    pub page: Duration,
 }
 
 impl WatchTiming {
@@ -70,9 +77,11 @@
     pub fn prompt(settings: &ServerSettings) -> Self {
         let kept_back = WATCH_SLACK.as_millis() as u64 + WATCH_MARGIN_MS;
         let wait = settings.contact_ms.saturating_sub(kept_back);
+        let page = settings.contact_ms.saturating_sub(LIST_MARGIN_MS);
         Self {
             wait: Span::from_millis(wait.clamp(MIN_WAIT_MS, MAX_WAIT_MS)),
             pace: Duration::ZERO,
+            page: Duration::from_millis(page.max(MIN_PAGE_MS)),
         }
     }
 
@@ -101,7 +110,7 @@
 ) {
     let mut pause = FIRST_PAUSE;
     let mut revision = None;
-    let mut listing = Listing::new(kind);
+    let mut listing = Listing::new(kind, timing.page);
     let mut lost = false;
     while wanted.get() && !updates.is_closed() {
         let begun = Instant::now();
