--- a/crates/replication/src/progress.rs
+++ b/crates/replication/src/progress.rs
@@ -5,6 +5,8 @@
 
 /// Bytes of entries that may be on their way to one replica.
 pub const MAX_IN_FLIGHT_BYTES: usize = 512 * 1024;
+/// Bytes of entries that are on their way no longer than a heartbeat.
+pub const LITTLE_IN_FLIGHT: usize = 4 * 1024;
 /// Bytes of entries in one message.
 pub const MAX_MESSAGE_BYTES: usize = 128 * 1024;
 /// Without any progress for this long, what was sent counts as lost.
@@ -23,6 +25,8 @@
     /// What was sent after `match_index` and not yet answered: last index of
     /// each message, and its bytes.
     in_flight: VecDeque<(u64, usize)>,
+    /// When the leader last began again behind what is known to match.
+    rewound: Time,
     /// Times in a row that what was sent counted as lost.
     resent: u32,
     /// Leader's time at which the newest answered message was sent.
@@ -44,6 +48,7 @@
             match_index: 0,
             next_index,
             in_flight: VecDeque::new(),
+            rewound: Time(0),
             resent: 0,
             acknowledged_send: None,
             heard: None,
@@ -69,8 +74,15 @@
         self.next_index = self.next_index.max(self.match_index + 1);
     }
 
+    /// Whether a refusal of a message sent at `sent` tells anything: what was
+    /// sent before the last rewind was refused for the same reason.
+    pub fn is_news(&self, sent: Time) -> bool {
+        sent >= self.rewound
+    }
+
     /// Begins again behind what is known to match.
-    pub fn rewind(&mut self, hint: u64) {
+    pub fn rewind(&mut self, now: Time, hint: u64) {
+        self.rewound = now;
         self.next_index = hint.max(self.match_index) + 1;
         self.in_flight.clear();
     }
@@ -99,8 +111,8 @@
     }
 
     /// Begins again behind what is known to match, since nothing came back.
-    pub fn give_up_sent(&mut self) {
-        self.rewind(0);
+    pub fn give_up_sent(&mut self, now: Time) {
+        self.rewind(now, 0);
         self.resent += 1;
     }
 
--- a/crates/replication/src/replicate.rs
+++ b/crates/replication/src/replicate.rs
@@ -6,7 +6,7 @@
 
 use crate::lease;
 use crate::message::ReplicaId;
-use crate::progress::{Progress, MAX_MESSAGE_BYTES};
+use crate::progress::{Progress, LITTLE_IN_FLIGHT, MAX_MESSAGE_BYTES};
 use crate::replica::{Replica, Role};
 
 impl Replica {
@@ -58,48 +58,67 @@
             return;
         }
         for member in self.others() {
-            self.send_entries(&member, false);
+            self.send_entries(&member);
         }
     }
 
-    /// Sends what the replica lacks; with `always`, an empty message if nothing.
-    fn send_entries(&mut self, member: &Member, always: bool) {
+    /// Sends what a replica lacks, as far as more may be on its way.
+    fn send_entries(&mut self, member: &Member) {
         let id = ReplicaId(member.replica);
         let Some(progress) = self.progress.get(&id) else {
             return;
         };
-        let mut next = progress.next_index;
-        let mut base = None;
-        if next <= self.log.base().index + 1 {
-            // The first members stand in the base, even of an untrimmed log.
-            base = Some(self.log.base().clone());
-            next = self.log.base().index + 1;
+        if !progress.has_room() {
+            return;
         }
-        let entries = if progress.has_room() {
-            self.log.slice(next, MAX_MESSAGE_BYTES)
-        } else {
-            Vec::new()
-        };
-        if entries.is_empty() && !always {
+        let next = self.first_sendable(progress.next_index);
+        let entries = self.log.slice(next, MAX_MESSAGE_BYTES);
+        if entries.is_empty() {
             return;
         }
         let bytes: usize = entries.iter().map(|e| e.command.len() + 32).sum();
+        let entries: Vec<LogEntry> = entries.iter().map(|entry| (**entry).clone()).collect();
+        let last = next - 1 + entries.len() as u64;
+        if let Some(progress) = self.progress.get_mut(&id) {
+            progress.sending(self.now, last, bytes);
+        }
+        self.send_append(member, next, entries);
+    }
+
+    /// Asks a replica for a sign of life. Entries may take long on a slow path,
+    /// and the lease must not wait for them, so this message never has any. While
+    /// much is on its way it goes on from what the replica is known to have: it
+    /// overtakes the rest, and would be refused for what is missing.
+    fn send_heartbeat(&mut self, member: &Member) {
+        let Some(progress) = self.progress.get(&ReplicaId(member.replica)) else {
+            return;
+        };
+        let next = match progress.in_flight_bytes() {
+            0..=LITTLE_IN_FLIGHT => progress.next_index,
+            _ => progress.match_index + 1,
+        };
+        self.send_append(member, self.first_sendable(next), Vec::new());
+    }
+
+    /// The first entry from `next` on that this log still has.
+    fn first_sendable(&self, next: u64) -> u64 {
+        next.max(self.log.base().index + 1)
+    }
+
+    fn send_append(&mut self, member: &Member, next: u64, entries: Vec<LogEntry>) {
+        let base = self.log.base();
         let request = AppendRequest {
             previous_index: next - 1,
             previous_term: self.log.term(next - 1).unwrap_or(0),
-            entries: entries.iter().map(|entry| (**entry).clone()).collect(),
+            entries,
             commit: self.commit,
             sent_at: self.now.0,
-            base,
+            // The first members stand in the base, even of an untrimmed log.
+            base: (next == base.index + 1).then(|| base.clone()),
             store_age: self.store_age.0,
         };
-        if let Some(progress) = self.progress.get_mut(&id) {
-            if !entries.is_empty() {
-                progress.sending(self.now, next - 1 + entries.len() as u64, bytes);
-            }
-        }
         let body = OneOfbody::append_request(request);
-        let message = self.outgoing(id, &member.address, body);
+        let message = self.outgoing(ReplicaId(member.replica), &member.address, body);
         self.out.early.push(message);
     }
 
@@ -109,10 +128,11 @@
             let id = ReplicaId(member.replica);
             if let Some(progress) = self.progress.get_mut(&id) {
                 if progress.stalled(self.now) {
-                    progress.give_up_sent();
+                    progress.give_up_sent(self.now);
                 }
             }
-            self.send_entries(&member, true);
+            self.send_entries(&member);
+            self.send_heartbeat(&member);
         }
     }
 
@@ -189,8 +209,10 @@
         let previous = self.log.term(request.previous_index);
         let trimmed = request.previous_index < self.log.base().index;
         if previous != Some(request.previous_term) && !trimmed {
-            let below = request.previous_index.saturating_sub(1);
-            response.match_index = below.min(self.log.last_index());
+            // What is committed here is the same everywhere. Anything after it
+            // may stem from a leader of the past, and going back through it one
+            // message at a time would take as many round trips.
+            response.match_index = self.commit;
             return self.send(from, &address, OneOfbody::append_response(response));
         }
         let last_new = request.previous_index + request.entries.len() as u64;
@@ -238,14 +260,14 @@
         progress.acknowledged_send = progress.acknowledged_send.max(Some(sent));
         if response.success {
             progress.matched(response.match_index.min(last));
-        } else if response.match_index + 1 < progress.next_index {
-            progress.rewind(response.match_index.min(last));
+        } else if progress.is_news(sent) && response.match_index + 1 < progress.next_index {
+            progress.rewind(now, response.match_index.min(last));
         }
         self.advance_commit();
         self.ask_successor();
         let member = self.log.members().into_iter().find(|m| m.replica == from.0);
         if let Some(member) = member {
-            self.send_entries(&member, false);
+            self.send_entries(&member);
         }
     }
 
--- a/crates/replication/tests/progress.rs
+++ b/crates/replication/tests/progress.rs
@@ -39,7 +39,7 @@
     while now < 6_000 {
         now += 10;
         if progress.stalled(millis(now)) {
-            progress.give_up_sent();
+            progress.give_up_sent(millis(now));
             resent.push(now);
             progress.sending(millis(now), 10, MESSAGE);
         }
