--- a/crates/replication/tests/replica.rs
+++ b/crates/replication/tests/replica.rs
@@ -107,7 +107,9 @@
     }
     cluster.run(SECOND);
     write_for(&mut cluster, SECOND);
-    cluster.slow_paths.insert(cut_off, Duration::from_millis(60));
+    cluster
+        .slow_paths
+        .insert(cut_off, Duration::from_millis(60));
     cluster.heal();
     let begun = cluster.now;
     let writes = cluster.proposed;
--- a/crates/server/src/listing.rs
+++ b/crates/server/src/listing.rs
@@ -2,20 +2,29 @@
 //!
 //! A large fleet does not fit one page, and when many machines start together
 //! the store is busy for seconds. So a list that is cut goes on behind the last
-//! object that arrived, and each page that was lost is waited for longer, up to a
-//! bound: a page that was asked for while the store was silent never comes, and
-//! must not keep this machine from asking again when the store is back. What
-//! changes meanwhile is told by a watch from the revision of the first page.
+//! object that arrived. A page that does not come is asked for again while the
+//! first call goes on: a busy store may still answer it, but one that was asked
+//! while the store was silent never is, and must not keep this machine from
+//! hearing of the store's return. What changes meanwhile is told by a watch from
+//! the revision of the first page.
 
+use futures_util::future::select_all;
 use peatgrade_ports::{ObjectKind, StoreCall, StoreObject, StoreReply};
 use peatgrade_types::Time;
+use std::future::Future;
 use std::time::{Duration, Instant};
 
 use crate::clock::steady_now;
-use crate::store_client::StoreClient;
+use crate::store_client::{NoReply, StoreClient};
 
-/// Time after which a page counts as lost at first.
-const FIRST_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time after which a page is asked for again, at first.
+const FIRST_PATIENCE: Duration = Duration::from_millis(800);
+/// Time after which a call for a page counts as lost.
+const CALL_TIMEOUT: Duration = Duration::from_millis(6_400);
+/// Calls for one page under way together.
+const MAX_CALLS: usize = 3;
+/// How long a list in one go may take.
+const ONE_GO_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// A list that took longer than this begins anew: the history after its first
 /// page may be gone.
 const MAX_AGE: Duration = Duration::from_secs(12);
@@ -37,18 +46,19 @@
     kind: ObjectKind,
     begun: Option<(Instant, Time, u64)>,
     objects: Vec<(String, StoreObject)>,
-    timeout: Duration,
+    patience: Duration,
     longest: Duration,
 }
 
 impl Listing {
-    /// A list that has not begun, whose pages are waited for up to `longest`.
+    /// A list that has not begun, whose pages are asked for again after `longest`
+    /// at the latest.
     pub fn new(kind: ObjectKind, longest: Duration) -> Self {
         Self {
             kind,
             begun: None,
             objects: Vec::new(),
-            timeout: FIRST_TIMEOUT.min(longest),
+            patience: FIRST_PATIENCE.min(longest),
             longest,
         }
     }
@@ -76,7 +86,7 @@
             if !more {
                 let objects = std::mem::take(&mut self.objects);
                 self.begin_anew();
-                self.timeout = FIRST_TIMEOUT.min(self.longest);
+                self.patience = FIRST_PATIENCE.min(self.longest);
                 return Ok(Listed {
                     at,
                     objects,
@@ -91,11 +101,26 @@
             kind: self.kind,
             after: self.objects.last().map(|(name, _)| name.clone()),
         };
-        let reply = store.call(&call, self.timeout).await;
-        reply.map_err(|error| {
-            self.timeout = (self.timeout * 2).min(self.longest);
-            format!("list: {error}")
-        })
+        let mut calls = Vec::new();
+        while calls.len() < MAX_CALLS {
+            calls.push(Box::pin(store.call(&call, CALL_TIMEOUT)));
+            let answer = monoio::time::timeout(self.patience, first_of(&mut calls));
+            match answer.await {
+                Ok(Ok(reply)) => return Ok(reply),
+                // The store has refused it, or cannot be reached.
+                Ok(Err(error)) => return Err(format!("list: {error}")),
+                Err(_) => {
+                    let waited = self.patience.as_millis();
+                    log::warn!(
+                        "dependency=slow kind={:?} calls={} waited_ms={waited}",
+                        self.kind,
+                        calls.len()
+                    );
+                    self.patience = (self.patience * 2).min(self.longest);
+                }
+            }
+        }
+        Err(format!("list: no answer to {MAX_CALLS} calls"))
     }
 
     fn begin_anew(&mut self) {
@@ -104,11 +129,27 @@
     }
 }
 
+/// The first reply to any of the calls; an error once all of them have failed.
+async fn first_of<F>(calls: &mut Vec<F>) -> Result<StoreReply, NoReply>
+where
+    F: Future<Output = Result<StoreReply, NoReply>> + Unpin,
+{
+    loop {
+        let (ended, index, _) = select_all(calls.iter_mut()).await;
+        drop(calls.swap_remove(index));
+        if ended.is_ok() || calls.is_empty() {
+            return ended;
+        }
+    }
+}
+
 /// All objects of a kind, in one go.
 pub async fn list_all(
     store: &StoreClient,
     kind: ObjectKind,
 ) -> Result<Vec<(String, StoreObject)>, String> {
-    let listed = Listing::new(kind, FIRST_TIMEOUT).finish(store).await?;
+    let mut listing = Listing::new(kind, FIRST_PATIENCE);
+    let listed = monoio::time::timeout(ONE_GO_TIMEOUT, listing.finish(store));
+    let listed = listed.await.map_err(|_| "list: timeout".to_string())??;
     Ok(listed.objects)
 }
