--- a/crates/jobs/src/dispatcher/mod.rs
+++ b/crates/jobs/src/dispatcher/mod.rs
@@ -177,6 +177,8 @@
                 _ => {}
             }
             let mut open = OpenItem::new(job.spec.clone(), index, job.known_since);
+            open.failures = job.failures.get(&index).copied().unwrap_or(0);
+            open.logged_failures = open.failures;
             match job.progress.get(&index) {
                 Some(text) => {
                     open.logged_events = text.events.len();
@@ -279,23 +281,30 @@
     fn keep_progress(&mut self) {
         let mut jobs: BTreeMap<Rc<str>, Vec<ItemProgress>> = BTreeMap::new();
         for (key, item) in &mut self.items {
-            let count = item.text.events.len();
-            let due = count >= item.logged_events + PROGRESS_EVENTS;
-            if item.proposed || item.restarted || !due {
+            if !item.is_record_due(PROGRESS_EVENTS) {
                 continue;
             }
-            let fresh = &item.text.events[item.logged_events..];
+            // A text that was begun anew does not follow what the log holds.
+            let held = item.logged_events;
+            let count = if item.restarted {
+                held
+            } else {
+                item.text.events.len()
+            };
+            let fresh = &item.text.events[held..count];
             let events = fresh.iter().map(|event| ProgressEvent {
                 version: event.version,
                 data: event.data.to_vec(),
             });
             let progress = ItemProgress {
                 item: key.1 as u64,
-                logged_events: item.logged_events as u64,
+                logged_events: held as u64,
                 last_event: item.text.last_event.unwrap_or(0),
                 events: events.collect(),
+                failures: u64::from(item.failures),
             };
             item.logged_events = count;
+            item.logged_failures = item.failures;
             jobs.entry(key.0.clone()).or_default().push(progress);
         }
         for (job, items) in jobs {
--- a/crates/jobs/src/item.rs
+++ b/crates/jobs/src/item.rs
@@ -24,8 +24,11 @@
     pub text: PartialText,
     /// Events that the log holds, or will once what was proposed is committed.
     pub logged_events: usize,
-    /// Answers of 500.
+    /// Answers of 500, under earlier leaders too.
     pub failures: u32,
+    /// Those of them that the log holds, or will once what was proposed is
+    /// committed.
+    pub logged_failures: u32,
     /// Runs in a row that ended well without any event.
     pub empty_ends: u32,
     /// Its run, if it has one.
@@ -56,6 +59,7 @@
             text: PartialText::default(),
             logged_events: 0,
             failures: 0,
+            logged_failures: 0,
             empty_ends: 0,
             run: None,
             not_before: Time(0),
@@ -68,6 +72,13 @@
         }
     }
 
+    /// Whether the log lacks enough of it for a record of its own.
+    pub fn is_record_due(&self, least_events: usize) -> bool {
+        let events = self.text.events.len() >= self.logged_events + least_events;
+        let texts = !self.restarted && events;
+        !self.proposed && (texts || self.failures > self.logged_failures)
+    }
+
     /// The version that must make the rest of its text, if only one may.
     pub fn exact_version(&self) -> Option<u64> {
         let first = self.text.events.first().filter(|_| self.single_version);
--- a/crates/jobs/src/store.rs
+++ b/crates/jobs/src/store.rs
@@ -36,6 +36,8 @@
     pub positions: HashMap<usize, usize>,
     /// Texts that are not whole, by item.
     pub progress: HashMap<usize, PartialText>,
+    /// Answers that said that an item failed, by item.
+    pub failures: HashMap<usize, u32>,
     /// Whether it is ended.
     pub ended: bool,
     /// Index of its first log entry.
@@ -117,6 +119,7 @@
             results: Vec::new(),
             positions: HashMap::new(),
             progress: HashMap::new(),
+            failures: HashMap::new(),
             ended: false,
             first_index,
         };
@@ -167,6 +170,13 @@
             if index >= job.spec.items.len() || job.positions.contains_key(&index) {
                 continue;
             }
+            if item.failures > 0 {
+                let known = job.failures.entry(index).or_insert(0);
+                *known = (*known).max(item.failures as u32);
+            }
+            if item.events.is_empty() {
+                continue;
+            }
             let text = job.progress.entry(index).or_default();
             if text.events.len() as u64 != item.logged_events {
                 continue;
--- a/crates/jobs/tests/dispatcher.rs
+++ b/crates/jobs/tests/dispatcher.rs
@@ -139,6 +139,29 @@
     assert_eq!(scene.started.len(), runs);
 }
 
+/// Each leader would try it anew otherwise, more often than a route allows.
+#[test]
+fn failures_of_an_item_count_on_under_the_next_leader() {
+    let mut scene = Scene::new(vec![engine("a", 5), engine("b", 5)]);
+    scene.submit("j", 5, &["i"]);
+    for failure in 1..=6 {
+        if failure == 5 {
+            scene.wait(200);
+            scene.change_leader();
+        }
+        assert!(scene.results("j").is_empty(), "after {failure} failures");
+        scene.wait(100);
+        let run = scene.last().run;
+        scene.head(run, 500, 5);
+        scene.part(run, RunPart::End);
+    }
+    scene.wait(100);
+    assert_eq!(
+        scene.results("j"),
+        vec![("i".to_string(), false, String::new(), vec![])]
+    );
+}
+
 #[test]
 fn an_item_does_not_go_back_to_the_engine_that_failed_it_while_others_have_room() {
     let mut scene = Scene::new(vec![engine("a", 5), engine("b", 5)]);
--- a/crates/jobs/tests/store.rs
+++ b/crates/jobs/tests/store.rs
@@ -74,6 +74,7 @@
             logged_events,
             last_event: logged_events + data.len() as u64,
             events: events.collect(),
+            ..ItemProgress::default()
         }],
     })
 }
