--- a/crates/gateway/src/forward/choice.rs
+++ b/crates/gateway/src/forward/choice.rs
@@ -6,8 +6,14 @@
 
 use super::Forward;
 
-/// The engine with the shortest expected time that the request has not met;
-/// one that is avoided only if there is no other.
+/// How much slower an engine counts for each version that its weights are behind
+/// the newest of its service: an answer from old weights is worth less.
+const BEHIND_FACTOR: f64 = 1.25;
+/// Versions behind from which on an engine is taken only if there is no other.
+const TOO_FAR_BEHIND: u64 = 2;
+
+/// The engine with the shortest expected time that the request has not met, old
+/// weights counting as slow; one that is avoided only if there is no other.
 pub(super) fn choose(
     now: Time,
     directory: &EngineDirectory,
@@ -17,8 +23,14 @@
     let fresh = directory
         .serving(&forward.service)
         .filter(|state| !forward.tried.contains(&state.record.instance));
+    let model = forward.request.model.as_str();
+    let versions = directory
+        .serving(&forward.service)
+        .map(|state| state.version(model));
+    let newest = versions.max().unwrap_or(0);
     let key = |state: &EngineState| {
-        let blocked = state.experience.blocked(now);
+        let behind = newest - state.version(model);
+        let avoided = state.experience.blocked(now) || behind >= TOO_FAR_BEHIND;
         let occupied = f64::from(state.experience.occupied(now) + 1);
         let slots = f64::from(state.record.slots.max(1));
         let usual = state.experience.latency.max(1_000.0);
@@ -28,7 +40,9 @@
         } else {
             2_000.0
         };
-        (blocked, usual * waiting + usual * 0.2 * occupied + away)
+        let stale = BEHIND_FACTOR.powi(behind.min(8) as i32);
+        let expected = usual * waiting + usual * 0.2 * occupied + away;
+        (avoided, expected * stale)
     };
     let best = fresh.min_by(|a, b| {
         let (a, b) = (key(a), key(b));
--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -319,3 +319,19 @@
     assert_eq!(scene.status(), Some(503));
     assert!(scene.jobs.is_empty());
 }
+
+/// Versions of model `m` at each of two engines, and the one that is chosen
+/// although the other comes first.
+#[rstest]
+#[case::same([4, 4], "e0")]
+#[case::newer_weights([3, 4], "e1")]
+#[case::far_behind([2, 4], "e1")]
+fn a_request_for_a_model_goes_to_newer_weights(#[case] versions: [u64; 2], #[case] chosen: &str) {
+    let mut scene = Scene::new(RouteKind::Streaming, 2);
+    for (index, version) in versions.into_iter().enumerate() {
+        let instance = Instance(format!("e{index}"));
+        scene.gateway.directory.saw_version(&instance, "m", version);
+    }
+    scene.call_for("m");
+    assert_eq!(scene.sent[0].engine, chosen);
+}
--- a/crates/gateway/tests/scene/mod.rs
+++ b/crates/gateway/tests/scene/mod.rs
@@ -221,10 +221,20 @@
     }
 
     pub fn call_on(&mut self, path: &str) {
+        self.request(path, "");
+    }
+
+    /// Calls for a model.
+    pub fn call_for(&mut self, model: &str) {
+        self.request("/p/x", model);
+    }
+
+    fn request(&mut self, path: &str, model: &str) {
         let request = CallerRequest {
             id: "r1".into(),
             host: "h".into(),
             deadline: Some(Duration::from_millis(1_000)),
+            model: model.into(),
             http: HttpRequest::new("POST", path, ""),
             ..CallerRequest::default()
         };
