--- a/crates/replication/tests/cluster/mod.rs
+++ b/crates/replication/tests/cluster/mod.rs
@@ -1,48 +1,17 @@
 //! A group of replicas on a virtual clock, with disks that keep what was
 //! synced, a network that delays, loses and reorders, and an oracle.
 
-use peatgrade_replication::{
-    Group, LogStore, Outgoing, Ready, Replica, ReplicaId, ReplicaSettings, Role, Timing,
-};
+use peatgrade_replication::{Group, Outgoing, Replica, ReplicaId, ReplicaSettings, Role, Timing};
 use peatgrade_schema::replication::mod_ReplicaMessage::OneOfbody;
-use peatgrade_schema::replication::{
-    HardState, LogBase, LogEntry, Member, ReplicaMessage, WrongReplica,
-};
+use peatgrade_schema::replication::{HardState, LogEntry, Member, ReplicaMessage, WrongReplica};
 use peatgrade_types::{Duration, Time};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet};
-use std::rc::Rc;
 
-/// What a disk holds after a sync.
-#[derive(Clone, Default)]
-struct Disk {
-    state: HardState,
-    base: LogBase,
-    entries: Vec<Rc<LogEntry>>,
-}
-
-impl Disk {
-    fn persist(&mut self, ready: &Ready) {
-        if let Some(base) = &ready.base {
-            self.base = base.clone();
-            self.entries.clear();
-        }
-        if let Some(state) = &ready.state {
-            self.state = state.clone();
-        }
-        for entry in &ready.entries {
-            let keep = entry.index - self.base.index - 1;
-            self.entries.truncate(keep as usize);
-            self.entries.push(entry.clone());
-        }
-    }
+mod disk;
 
-    fn log(&self) -> LogStore {
-        let entries = self.entries.iter().map(|entry| (**entry).clone());
-        LogStore::new(self.base.clone(), entries.collect())
-    }
-}
+use disk::Disk;
 
 /// A machine with its disk and, while it runs, its replica.
 pub struct Machine {
