--- a/scripts/planted-breaks.sh
+++ b/scripts/planted-breaks.sh
@@ -73,4 +73,28 @@
 plant "a lost watch goes on from where it was" crates/server/src/watcher.rs \
     "                revision = None;
                 // Not all" "                // Not all" peatgrade-platform a_lost_watch
+plant "a refusal goes back one entry at a time" $R/replicate.rs \
+    "response.match_index = self.commit;" \
+    "response.match_index = request.previous_index.saturating_sub(1).min(self.log.last_index());" \
+    peatgrade-replication entries_that
+plant "a vote only for who has all" $R/group.rs "CAUGHT_UP_WITHIN: u64 = 1_024" \
+    "CAUGHT_UP_WITHIN: u64 = 0" peatgrade-replication a_replica_that_stays
+plant "loads hold no place beyond what was expected" crates/fleet/src/coordinator/mod.rs \
+    "load.outlasts(load_time) || " "" peatgrade-fleet loads_that
+plant "the time of a load only rises" crates/fleet/src/coordinator/mod.rs \
+    "let shorter = expected.0 * SHORTER_NUMERATOR / SHORTER_DENOMINATOR;" \
+    "let shorter = expected.0;" peatgrade-fleet one_slow
+plant "slow engines count as any other" $J/placement.rs \
+    "slow == SlowEngines::Allowed || !is_slow(now, state, self.median)" \
+    "slow == SlowEngines::Allowed || state.record.slots > 0" peatgrade-jobs items_go
+plant "each leader counts failures anew" $J/dispatcher/mod.rs \
+    "open.failures = job.failures.get(&index).copied().unwrap_or(0);" "" peatgrade-jobs failures_of
+plant "a connection for one request is kept" crates/runtime/src/http_client.rs \
+    "let kept = sent_whole && !self.options.fresh;" "let kept = sent_whole;" \
+    peatgrade-runtime requests_that
+plant "a gateway that leaves takes requests" crates/gateway/src/gateway.rs \
+    "        if self.leaving {" "        if false && self.leaving {" peatgrade-gateway a_gateway_that_leaves
+plant "a silent store is waited for" crates/server/src/listing.rs \
+    "(self.patience * 2).min(self.longest)" "(self.patience * 8).max(self.longest)" \
+    peatgrade-platform a_silent
 exit $unnoticed
