--- a/scripts/planted-breaks.sh
+++ b/scripts/planted-breaks.sh
@@ -95,6 +95,7 @@
 plant "a gateway that leaves takes requests" crates/gateway/src/gateway.rs \
     "        if self.leaving {" "        if false && self.leaving {" peatgrade-gateway a_gateway_that_leaves
 plant "a silent store is waited for" crates/server/src/listing.rs \
-    "patience: FIRST_PATIENCE.min(longest)," "patience: CALL_TIMEOUT.max(longest)," \
+    "monoio::time::timeout(self.patience, first_of" \
+    "monoio::time::timeout(CALL_TIMEOUT, first_of" \
     peatgrade-platform a_silent
 exit $unnoticed
