--- a/crates/gateway/src/forward/choice.rs
+++ b/crates/gateway/src/forward/choice.rs
@@ -6,11 +6,12 @@
 
 use super::Forward;
 
-/// How much slower an engine counts for each version that its weights are behind
-/// the newest of its service: an answer from old weights is worth less.
+/// How much slower an engine counts whose weights are one version behind the
+/// newest of its service: an answer from old weights is worth less.
 const BEHIND_FACTOR: f64 = 1.25;
-/// Versions behind from which on an engine is taken only if there is no other.
-const TOO_FAR_BEHIND: u64 = 2;
+/// The same for each further version. Few engines may have the newest for a
+/// while, and nobody is served by all requests waiting there.
+const FURTHER_BEHIND_FACTOR: f64 = 2.0;
 
 /// The engine with the shortest expected time that the request has not met, old
 /// weights counting as slow; one that is avoided only if there is no other.
@@ -30,7 +31,7 @@
     let newest = versions.max().unwrap_or(0);
     let key = |state: &EngineState| {
         let behind = newest - state.version(model);
-        let avoided = state.experience.blocked(now) || behind >= TOO_FAR_BEHIND;
+        let avoided = state.experience.blocked(now);
         let occupied = f64::from(state.experience.occupied(now) + 1);
         let slots = f64::from(state.record.slots.max(1));
         let usual = state.experience.latency.max(1_000.0);
@@ -40,9 +41,8 @@
         } else {
             2_000.0
         };
-        let stale = BEHIND_FACTOR.powi(behind.min(8) as i32);
         let expected = usual * waiting + usual * 0.2 * occupied + away;
-        (avoided, expected * stale)
+        (avoided, expected * staleness_factor(behind))
     };
     let best = fresh.min_by(|a, b| {
         let (a, b) = (key(a), key(b));
@@ -50,3 +50,11 @@
     });
     best.map(|state| state.record.instance.clone())
 }
+
+/// How much slower an engine counts for weights so many versions behind.
+fn staleness_factor(behind: u64) -> f64 {
+    match behind {
+        0 => 1.0,
+        _ => BEHIND_FACTOR * FURTHER_BEHIND_FACTOR.powi((behind - 1).min(8) as i32),
+    }
+}
--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -335,3 +335,16 @@
     scene.call_for("m");
     assert_eq!(scene.sent[0].engine, chosen);
 }
+
+#[test]
+fn requests_do_not_all_wait_for_the_only_engine_with_new_weights() {
+    let mut scene = Scene::new(RouteKind::Streaming, 2);
+    for (name, version) in [("e0", 2), ("e1", 4)] {
+        let instance = Instance(name.into());
+        scene.gateway.directory.saw_version(&instance, "m", version);
+    }
+    let busy = scene.gateway.directory.get_mut(&Instance("e1".into()));
+    busy.unwrap().experience.running = 30;
+    scene.call_for("m");
+    assert_eq!(scene.sent[0].engine, "e0");
+}
