--- a/crates/gateway/src/forward/answers.rs
+++ b/crates/forward/src/answers.rs
@@ -6,10 +6,12 @@
 use peatgrade_types::http::{HttpFailure, HttpStep, ResponseHead, ResponsePart};
 use peatgrade_types::{Duration, Time};
 
-use super::stream::PassedStream;
-use super::{Forwarder, HttpId, Part};
-use crate::gateway::{respond, respond_whole, CallId, GatewayAction, COME_BACK};
+use crate::action::{answer_parts, whole_parts, CallId, ForwardAction, HttpId, Part, COME_BACK};
+use crate::forwarder::Forwarder;
+use crate::stream::PassedStream;
 
+/// Status of an engine that ran a request and failed.
+const ENGINE_FAILURE: u16 = 500;
 /// Wait before a full engine is tried again.
 const FULL_WAIT: Duration = Duration::from_millis(50);
 
@@ -21,7 +23,7 @@
         id: HttpId,
         part: Part,
         directory: &mut EngineDirectory,
-        actions: &mut Vec<GatewayAction>,
+        actions: &mut Vec<ForwardAction>,
     ) {
         match part {
             ResponsePart::Head(head) => self.on_head(now, id, head, directory, actions),
@@ -39,7 +41,7 @@
         id: HttpId,
         head: ResponseHead,
         directory: &mut EngineDirectory,
-        actions: &mut Vec<GatewayAction>,
+        actions: &mut Vec<ForwardAction>,
     ) {
         let told = self.codec.answer_head(&head);
         let Some(attempt) = self.attempts.get_mut(&id) else {
@@ -54,7 +56,8 @@
             return;
         };
         let foreign = told.id.as_ref().is_some_and(|id| *id != forward.request.id);
-        let streams = forward.kind == RouteKind::Streaming && told.status == 200 && told.signed;
+        let streams =
+            forward.kind == RouteKind::Streaming && told.status == 200 && told.is_signed();
         attempt.head = Some((head, told));
         if foreign {
             let failure = HttpFailure {
@@ -62,7 +65,7 @@
                 step: HttpStep::Head,
                 reason: "answer of another request".into(),
             };
-            actions.push(GatewayAction::CancelHttp(id));
+            actions.push(ForwardAction::CancelHttp(id));
             return self.on_failed(now, id, &failure, directory, actions);
         }
         if streams && forward.streaming.is_none() {
@@ -72,7 +75,7 @@
     }
 
     /// The first engine's head stands for the whole stream.
-    fn begin_stream(&mut self, id: HttpId, actions: &mut Vec<GatewayAction>) {
+    fn begin_stream(&mut self, id: HttpId, actions: &mut Vec<ForwardAction>) {
         let Some(attempt) = self.attempts.get(&id) else {
             return;
         };
@@ -84,11 +87,11 @@
             forward.stream = Some(PassedStream::default());
             let head = self.codec.passed_head(head, &forward.request);
             let part = ResponsePart::Head(head);
-            actions.push(GatewayAction::Respond { call, part });
+            actions.push(ForwardAction::Respond { call, part });
         }
     }
 
-    fn on_data(&mut self, id: HttpId, data: &Bytes, actions: &mut Vec<GatewayAction>) {
+    fn on_data(&mut self, id: HttpId, data: &Bytes, actions: &mut Vec<ForwardAction>) {
         let Some(attempt) = self.attempts.get_mut(&id) else {
             return;
         };
@@ -100,7 +103,7 @@
             Some(stream) => {
                 if let Some(whole) = stream.feed(data) {
                     let part = ResponsePart::Data(whole);
-                    actions.push(GatewayAction::Respond { call, part });
+                    actions.push(ForwardAction::Respond { call, part });
                 }
             }
         }
@@ -113,7 +116,7 @@
         call: CallId,
         failure: Option<&HttpFailure>,
         directory: &mut EngineDirectory,
-        actions: &mut Vec<GatewayAction>,
+        actions: &mut Vec<ForwardAction>,
     ) {
         let Some(forward) = self.calls.get_mut(&call) else {
             return;
@@ -125,10 +128,10 @@
         if !broken {
             if let Some(rest) = stream.take_rest() {
                 let part = ResponsePart::Data(rest);
-                actions.push(GatewayAction::Respond { call, part });
+                actions.push(ForwardAction::Respond { call, part });
             }
             let part = ResponsePart::End;
-            actions.push(GatewayAction::Respond { call, part });
+            actions.push(ForwardAction::Respond { call, part });
             self.calls.remove(&call);
             return;
         }
@@ -152,7 +155,7 @@
         now: Time,
         id: HttpId,
         directory: &mut EngineDirectory,
-        actions: &mut Vec<GatewayAction>,
+        actions: &mut Vec<ForwardAction>,
     ) {
         let Some(attempt) = self.forget(id, directory) else {
             return;
@@ -189,7 +192,7 @@
         let took = now.since(attempt.sent);
         // Once a stream has begun, only more of it may follow.
         let stray = forward.stream.is_some();
-        let broken = stray || told.status >= 500 || (told.status < 300 && !told.signed);
+        let broken = stray || told.status >= 500 || (told.status < 300 && !told.is_signed());
         if let Some(state) = directory.get_mut(&attempt.instance) {
             if broken {
                 state.experience.failed(now);
@@ -203,8 +206,11 @@
                 forward.request.id,
                 attempt.instance,
                 told.status,
-                told.signed
+                told.is_signed()
             );
+            if told.status == ENGINE_FAILURE {
+                actions.push(ForwardAction::EngineFailed(call));
+            }
             forward.may_have_run = true;
             let again = forward.is_repeatable() && forward.sends < forward.max_attempts;
             if again || !forward.open.is_empty() {
@@ -224,7 +230,7 @@
             now.since(forward.received).0
         );
         let head = self.codec.passed_head(&head, &forward.request);
-        respond_whole(call, head, attempt.body.freeze(), actions);
+        actions.extend(whole_parts(call, head, attempt.body.freeze()));
         // Other attempts run to their end; breaking them off would waste what
         // the engine has done and cost the connection.
         self.calls.remove(&call);
@@ -236,7 +242,7 @@
         id: HttpId,
         failure: &HttpFailure,
         directory: &mut EngineDirectory,
-        actions: &mut Vec<GatewayAction>,
+        actions: &mut Vec<ForwardAction>,
     ) {
         let Some(attempt) = self.forget(id, directory) else {
             return;
@@ -272,11 +278,11 @@
     }
 
     /// Nothing more can be done: the final answer goes out at once.
-    pub(super) fn end_without_answer(
+    pub(crate) fn end_without_answer(
         &mut self,
         now: Time,
         call: CallId,
-        actions: &mut Vec<GatewayAction>,
+        actions: &mut Vec<ForwardAction>,
     ) {
         let Some(forward) = self.calls.remove(&call) else {
             return;
@@ -301,7 +307,7 @@
                 step: HttpStep::Body,
                 reason: "no engine goes on with the stream".into(),
             });
-            return actions.push(GatewayAction::Respond { call, part });
+            return actions.push(ForwardAction::Respond { call, part });
         }
         let answer = Answer::Refused {
             refusal,
@@ -311,6 +317,6 @@
             ),
             retry_after: (refusal == Refusal::NotRun).then_some(COME_BACK),
         };
-        respond(self.codec.as_ref(), call, &answer, actions);
+        actions.extend(answer_parts(self.codec.as_ref(), call, &answer));
     }
 }
--- a/crates/gateway/src/forward/choice.rs
+++ b/crates/forward/src/choice.rs
@@ -4,7 +4,7 @@
 use peatgrade_ports::Instance;
 use peatgrade_types::Time;
 
-use super::Forward;
+use crate::forwarder::Forward;
 
 /// How much slower an engine counts whose weights are one version behind the
 /// newest of its service: an answer from old weights is worth less.
@@ -15,7 +15,7 @@
 
 /// The engine with the shortest expected time that the request has not met, old
 /// weights counting as slow; one that is avoided only if there is no other.
-pub(super) fn choose(
+pub(crate) fn choose(
     now: Time,
     directory: &EngineDirectory,
     forward: &Forward,
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/forward/src/forwarder.rs
@@ -3,28 +3,16 @@
 use bytes::BytesMut;
 use peatgrade_fleet::EngineDirectory;
 use peatgrade_ports::{AnswerHead, CallerRequest, Codec, EngineCall, Instance, Route, RouteKind};
-use peatgrade_types::http::{ResponseHead, ResponsePart};
+use peatgrade_types::http::ResponseHead;
 use peatgrade_types::{Duration, Time};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 
-mod answers;
-mod choice;
-mod stream;
-
-use choice::choose;
-use stream::PassedStream;
-
-use crate::gateway::{CallId, GatewayAction};
-
-/// Names a request to an engine.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
-pub struct HttpId(pub u64);
-
-/// A part of an engine's answer.
-pub type Part = ResponsePart;
+use crate::action::{CallId, ForwardAction, HttpId};
+use crate::choice::choose;
+use crate::stream::PassedStream;
 
 /// Shortest wait before a second engine is tried while the first is silent.
 const HEDGE_MIN: Duration = Duration::from_millis(60);
@@ -37,42 +25,42 @@
 /// Time that a request without a deadline may take.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
 
-struct Attempt {
-    call: CallId,
-    instance: Instance,
-    sent: Time,
-    head: Option<(ResponseHead, AnswerHead)>,
-    body: BytesMut,
+pub(crate) struct Attempt {
+    pub call: CallId,
+    pub instance: Instance,
+    pub sent: Time,
+    pub head: Option<(ResponseHead, AnswerHead)>,
+    pub body: BytesMut,
 }
 
-struct Forward {
-    request: CallerRequest,
-    service: String,
-    kind: RouteKind,
-    max_attempts: u32,
-    priority: u32,
-    received: Time,
-    deadline: Time,
-    hedge_at: Time,
-    target_latency: Duration,
-    configuration: u64,
+pub(crate) struct Forward {
+    pub request: CallerRequest,
+    pub service: String,
+    pub kind: RouteKind,
+    pub max_attempts: u32,
+    pub priority: u32,
+    pub received: Time,
+    pub deadline: Time,
+    pub hedge_at: Time,
+    pub target_latency: Duration,
+    pub configuration: u64,
     /// Engines that were sent to and did not refuse.
-    sends: u32,
-    refusals: u32,
-    tried: Vec<Instance>,
-    open: Vec<HttpId>,
-    may_have_run: bool,
+    pub sends: u32,
+    pub refusals: u32,
+    pub tried: Vec<Instance>,
+    pub open: Vec<HttpId>,
+    pub may_have_run: bool,
     /// Whether a stream may be taken up at another engine.
-    resumable: bool,
+    pub resumable: bool,
     /// A streamed answer has begun at the caller.
-    stream: Option<PassedStream>,
+    pub stream: Option<PassedStream>,
     /// The attempt that the stream comes from just now.
-    streaming: Option<HttpId>,
+    pub streaming: Option<HttpId>,
 }
 
 impl Forward {
     /// Whether it may run more than once.
-    fn is_repeatable(&self) -> bool {
+    pub fn is_repeatable(&self) -> bool {
         let resumes = self.kind == RouteKind::Streaming && self.resumable;
         self.kind == RouteKind::Safe || resumes
     }
@@ -80,12 +68,12 @@
 
 /// Requests under way to engines.
 pub struct Forwarder {
-    codec: Rc<dyn Codec>,
-    zone: String,
-    random: SmallRng,
-    calls: BTreeMap<CallId, Forward>,
-    attempts: HashMap<HttpId, Attempt>,
-    next_id: u64,
+    pub(crate) codec: Rc<dyn Codec>,
+    pub(crate) zone: String,
+    pub(crate) random: SmallRng,
+    pub(crate) calls: BTreeMap<CallId, Forward>,
+    pub(crate) attempts: HashMap<HttpId, Attempt>,
+    pub(crate) next_id: u64,
 }
 
 impl Forwarder {
@@ -116,7 +104,7 @@
         route: &Route,
         configuration: u64,
         directory: &mut EngineDirectory,
-        actions: &mut Vec<GatewayAction>,
+        actions: &mut Vec<ForwardAction>,
     ) {
         let asked = request.deadline.unwrap_or(DEFAULT_DEADLINE);
         let caller_limit = Duration(asked.0.saturating_sub(RETURN_MARGIN.0));
@@ -161,12 +149,12 @@
     }
 
     /// Sends a request to an engine that it has not met, or ends it.
-    fn dispatch(
+    pub(crate) fn dispatch(
         &mut self,
         now: Time,
         call: CallId,
         directory: &mut EngineDirectory,
-        actions: &mut Vec<GatewayAction>,
+        actions: &mut Vec<ForwardAction>,
     ) {
         let Some(forward) = self.calls.get(&call) else {
             return;
@@ -188,7 +176,7 @@
         call: CallId,
         instance: &Instance,
         directory: &mut EngineDirectory,
-        actions: &mut Vec<GatewayAction>,
+        actions: &mut Vec<ForwardAction>,
     ) {
         let list_age = now.since(directory.confirmed);
         let (Some(forward), Some(state)) = (self.calls.get_mut(&call), directory.get_mut(instance))
@@ -237,7 +225,7 @@
             body: BytesMut::new(),
         };
         self.attempts.insert(id, attempt);
-        actions.push(GatewayAction::Http {
+        actions.push(ForwardAction::Http {
             id,
             address,
             request,
@@ -247,7 +235,11 @@
         });
     }
 
-    fn forget(&mut self, id: HttpId, directory: &mut EngineDirectory) -> Option<Attempt> {
+    pub(crate) fn forget(
+        &mut self,
+        id: HttpId,
+        directory: &mut EngineDirectory,
+    ) -> Option<Attempt> {
         let attempt = self.attempts.remove(&id)?;
         if let Some(state) = directory.get_mut(&attempt.instance) {
             state.experience.running = state.experience.running.saturating_sub(1);
@@ -258,15 +250,15 @@
         Some(attempt)
     }
 
-    /// A caller has gone away: engines stop work for it.
-    pub fn caller_gone(
+    /// Nobody waits for the answer any more: engines stop work for it.
+    pub fn abandon(
         &mut self,
         call: CallId,
         directory: &mut EngineDirectory,
-        actions: &mut Vec<GatewayAction>,
+        actions: &mut Vec<ForwardAction>,
     ) {
         if let Some(forward) = self.calls.remove(&call) {
-            log::info!("decision=caller-gone request={}", forward.request.id);
+            log::info!("decision=abandon request={}", forward.request.id);
             self.cancel_all(&forward.open, directory, actions);
         }
     }
@@ -275,10 +267,10 @@
         &mut self,
         open: &[HttpId],
         directory: &mut EngineDirectory,
-        actions: &mut Vec<GatewayAction>,
+        actions: &mut Vec<ForwardAction>,
     ) {
         for id in open {
-            actions.push(GatewayAction::CancelHttp(*id));
+            actions.push(ForwardAction::CancelHttp(*id));
             self.forget(*id, directory);
         }
     }
@@ -288,7 +280,7 @@
         &mut self,
         now: Time,
         directory: &mut EngineDirectory,
-        actions: &mut Vec<GatewayAction>,
+        actions: &mut Vec<ForwardAction>,
     ) {
         let late: Vec<CallId> = self.due(|forward| now >= forward.deadline);
         for call in late {
--- /dev/null
+++ b/crates/forward/src/lib.rs
@@ -0,0 +1,19 @@
+//! Requests on their way to an engine and back, for callers and for reward calls.
+//!
+//! ```text
+//!  request, route --> Forwarder --choice--> engine
+//!                        ^  retry, hedge      |
+//!                        +--- checked answer -+--> whole answer, or a true refusal
+//! ```
+//!
+//! A state machine without socket or clock. Its owner carries out each
+//! [`ForwardAction`] and feeds back what comes of it.
+
+mod action;
+mod answers;
+mod choice;
+mod forwarder;
+mod stream;
+
+pub use action::{answer_parts, CallId, ForwardAction, HttpId, Part, COME_BACK};
+pub use forwarder::Forwarder;
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -7,7 +7,7 @@
 
 /// What of a stream has been passed on.
 #[derive(Debug, Default)]
-pub(super) struct PassedStream {
+pub(crate) struct PassedStream {
     /// The beginning of an event.
     rest: BytesMut,
     /// Number of the last event passed on.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,53 +1,27 @@
 //! Routes each caller's message and joins the parts of the gateway.
 
-use bytes::Bytes;
 use peatgrade_fleet::EngineDirectory;
+use peatgrade_forward::{answer_parts, CallId, ForwardAction, Forwarder, HttpId, Part, COME_BACK};
 use peatgrade_ports::{
     Answer, CallerMessage, CallerRequest, Codec, Configuration, Refusal, RouteKind,
 };
 use peatgrade_schema::replication::mod_JobCall::OneOfbody;
 use peatgrade_schema::replication::{EndJob, JobCall, JobReply, ReadItem, ReadJob};
-use peatgrade_types::http::{HttpRequest, ResponseHead, ResponsePart};
 use peatgrade_types::{Duration, Time};
 use std::rc::Rc;
 
-use crate::forward::{Forwarder, HttpId, Part};
 use crate::relay::{JobRelay, RelaySettings};
 
 /// Most bytes of results in one answer.
 const MAX_RESULT_BYTES: u64 = 900_000;
-/// When a caller may come back after a refusal.
-pub(crate) const COME_BACK: Duration = Duration::from_millis(50);
 /// When a caller may come back to a gateway that knows nothing yet.
 const COME_BACK_STARTING: Duration = Duration::from_millis(200);
 
-/// Names a request of a caller; the driver chooses the number.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
-pub struct CallId(pub u64);
-
 /// What the gateway wants done.
 #[derive(Clone, Debug)]
 pub enum GatewayAction {
-    /// Send a part of an answer to a caller.
-    Respond {
-        /// The caller's request.
-        call: CallId,
-        /// The part.
-        part: ResponsePart,
-    },
-    /// Send a request to an engine.
-    Http {
-        /// Names it in later parts.
-        id: HttpId,
-        /// IP and port.
-        address: String,
-        /// The request.
-        request: HttpRequest,
-        /// Whether it must not go over a connection that was used before.
-        fresh: bool,
-    },
-    /// Break a request to an engine off.
-    CancelHttp(HttpId),
+    /// Serve a caller's request.
+    Forward(ForwardAction),
     /// Send a batch-job call to a replica.
     Job {
         /// IP and port.
@@ -196,10 +170,11 @@
         }
         if route.kind != RouteKind::Batch {
             let version = configuration.version;
+            let mut forwards = Vec::new();
             let directory = &mut self.directory;
-            return self
-                .forwarder
-                .start(now, call, request, route, version, directory, actions);
+            self.forwarder
+                .start(now, call, request, route, version, directory, &mut forwards);
+            return actions.extend(forwards.into_iter().map(GatewayAction::Forward));
         }
         match self.codec.submission(&request) {
             Ok(submission) => {
@@ -223,24 +198,29 @@
             detail: detail.to_string(),
             retry_after,
         };
-        respond(self.codec.as_ref(), call, &answer, actions);
+        self.respond(actions, call, &answer);
+    }
+
+    fn respond(&self, actions: &mut Vec<GatewayAction>, call: CallId, answer: &Answer) {
+        let parts = answer_parts(self.codec.as_ref(), call, answer);
+        actions.extend(parts.map(GatewayAction::Forward));
     }
 
     /// A caller has gone away.
     pub fn on_gone(&mut self, call: CallId) -> Vec<GatewayAction> {
-        let mut actions = Vec::new();
+        let mut forwards = Vec::new();
         self.forwarder
-            .caller_gone(call, &mut self.directory, &mut actions);
+            .abandon(call, &mut self.directory, &mut forwards);
         self.relay.caller_gone(call);
-        actions
+        forwards.into_iter().map(GatewayAction::Forward).collect()
     }
 
     /// A part of an engine's answer has come.
     pub fn on_part(&mut self, now: Time, id: HttpId, part: Part) -> Vec<GatewayAction> {
-        let mut actions = Vec::new();
+        let mut forwards = Vec::new();
         self.forwarder
-            .on_part(now, id, part, &mut self.directory, &mut actions);
-        actions
+            .on_part(now, id, part, &mut self.directory, &mut forwards);
+        forwards.into_iter().map(GatewayAction::Forward).collect()
     }
 
     /// A replica has answered.
@@ -248,46 +228,20 @@
         let mut actions = Vec::new();
         let answered = self.relay.on_reply(now, from, reply, &mut actions);
         if let Some((call, answer)) = answered {
-            respond(self.codec.as_ref(), call, &answer, &mut actions);
+            self.respond(&mut actions, call, &answer);
         }
         actions
     }
 
     /// Time has passed.
     pub fn tick(&mut self, now: Time) -> Vec<GatewayAction> {
-        let mut actions = Vec::new();
-        self.forwarder.tick(now, &mut self.directory, &mut actions);
+        let mut forwards = Vec::new();
+        self.forwarder.tick(now, &mut self.directory, &mut forwards);
+        let forwards = forwards.into_iter().map(GatewayAction::Forward);
+        let mut actions: Vec<GatewayAction> = forwards.collect();
         for (call, answer) in self.relay.tick(now, &mut actions) {
-            respond(self.codec.as_ref(), call, &answer, &mut actions);
+            self.respond(&mut actions, call, &answer);
         }
         actions
     }
 }
-
-pub(crate) fn respond(
-    codec: &dyn Codec,
-    call: CallId,
-    answer: &Answer,
-    actions: &mut Vec<GatewayAction>,
-) {
-    let (head, body) = codec.answer(answer);
-    respond_whole(call, head, body, actions);
-}
-
-pub(crate) fn respond_whole(
-    call: CallId,
-    head: ResponseHead,
-    body: Bytes,
-    actions: &mut Vec<GatewayAction>,
-) {
-    let mut parts = vec![ResponsePart::Head(head)];
-    if !body.is_empty() {
-        parts.push(ResponsePart::Data(body));
-    }
-    parts.push(ResponsePart::End);
-    actions.extend(
-        parts
-            .into_iter()
-            .map(|part| GatewayAction::Respond { call, part }),
-    );
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,10 +10,8 @@
 //! Each request ends in exactly one way, at once when nothing more can be done
 //! for it: the engine's whole answer, a refusal that is true, or a time-out.
 
-mod forward;
 mod gateway;
 mod relay;
 
-pub use forward::{Forwarder, HttpId, Part};
-pub use gateway::{CallId, Gateway, GatewayAction, GatewaySettings};
+pub use gateway::{Gateway, GatewayAction, GatewaySettings};
 pub use relay::{JobRelay, RelaySettings};
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -4,13 +4,14 @@
 //! answer; only one that was never sent is refused as not run.
 
 use bytes::Bytes;
+use peatgrade_forward::{CallId, COME_BACK};
 use peatgrade_ports::{Answer, ListedItem, Refusal};
 use peatgrade_schema::replication::mod_JobCall::OneOfbody;
 use peatgrade_schema::replication::{JobCall, JobReply, JobStatus};
 use peatgrade_types::{Duration, Time};
 use std::collections::BTreeMap;
 
-use crate::gateway::{CallId, GatewayAction, COME_BACK};
+use crate::gateway::GatewayAction;
 
 /// When a caller may come back with a job for which there was no room: jobs are
 /// dropped as they grow old.
@@ -288,6 +289,7 @@
         completed: result.completed,
         text: Bytes::from(result.text),
         versions: result.versions,
+        score: (!result.score.is_empty()).then_some(result.score),
     });
     Answer::Results {
         total: reply.total,
--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -3,7 +3,7 @@
 mod scene;
 
 use bytes::Bytes;
-use peatgrade_gateway::CallId;
+use peatgrade_forward::CallId;
 use peatgrade_ports::{CallerMessage, Configuration, EngineRecord, Instance, JobRead, RouteKind};
 use peatgrade_schema::replication::JobStatus;
 use peatgrade_types::http::{HttpStep, ResponseHead, ResponsePart};
@@ -348,3 +348,17 @@
     scene.call_for("m");
     assert_eq!(scene.sent[0].engine, "e0");
 }
+
+/// Reward calls are given up after so many of them, so none may be missed and no
+/// other trouble may count.
+#[test]
+fn answers_that_say_that_an_engine_failed_are_told_each_once() {
+    let mut scene = Scene::new(RouteKind::Safe, 3);
+    scene.call();
+    scene.answer(0, 503, &["id", "not-run"], "full");
+    scene.answer(1, 502, &["id", "signed"], "broken");
+    assert_eq!(scene.engine_failures, 0);
+    scene.answer(2, 500, &["id", "signed"], "failed");
+    assert_eq!(scene.engine_failures, 1);
+    assert_eq!(scene.status(), Some(500));
+}
--- a/crates/gateway/tests/relay.rs
+++ b/crates/gateway/tests/relay.rs
@@ -1,6 +1,7 @@
 //! What a caller is told of a batch job for which there is no room.
 
-use peatgrade_gateway::{CallId, GatewayAction, JobRelay, RelaySettings};
+use peatgrade_forward::CallId;
+use peatgrade_gateway::{GatewayAction, JobRelay, RelaySettings};
 use peatgrade_ports::{Answer, Refusal};
 use peatgrade_schema::replication::mod_JobCall::OneOfbody;
 use peatgrade_schema::replication::{AcceptJob, JobReply, JobStatus};
--- a/crates/gateway/tests/scene/mod.rs
+++ b/crates/gateway/tests/scene/mod.rs
@@ -1,7 +1,8 @@
 //! A gateway with engines and replicas that answer as a test says.
 
 use bytes::Bytes;
-use peatgrade_gateway::{CallId, Gateway, GatewayAction, GatewaySettings, HttpId};
+use peatgrade_forward::{CallId, ForwardAction, HttpId};
+use peatgrade_gateway::{Gateway, GatewayAction, GatewaySettings};
 use peatgrade_ports::{
     Answer, AnswerHead, BadRequest, CallerMessage, CallerRequest, Codec, Configuration, EngineCall,
     EngineRecord, EngineReport, EventReader, Instance, OrderAnswer, Refusal, Route, RouteKind,
@@ -89,7 +90,7 @@
             id: head.header("id").map(str::to_string),
             not_run: head.header("not-run").is_some(),
             misdirected: head.status == 421,
-            signed: head.header("signed").is_some(),
+            signature: head.header("signed").map(str::to_string),
             ..AnswerHead::default()
         }
     }
@@ -134,6 +135,8 @@
     pub ended: bool,
     pub cut: bool,
     pub jobs: Vec<(String, u64)>,
+    /// Answers of engines that said that they failed.
+    pub engine_failures: usize,
 }
 
 impl Scene {
@@ -186,13 +189,21 @@
             ended: false,
             cut: false,
             jobs: Vec::new(),
+            engine_failures: 0,
         }
     }
 
     pub fn carry_out(&mut self, actions: Vec<GatewayAction>) {
         for action in actions {
+            let action = match action {
+                GatewayAction::Forward(action) => action,
+                GatewayAction::Job { address, call } => {
+                    self.jobs.push((address, call.call));
+                    continue;
+                }
+            };
             match action {
-                GatewayAction::Respond { part, .. } => {
+                ForwardAction::Respond { part, .. } => {
                     assert!(!self.ended, "a part after the end");
                     match part {
                         ResponsePart::Head(head) => self.heads.push(head),
@@ -201,7 +212,7 @@
                         ResponsePart::Failed(_) => (self.ended, self.cut) = (true, true),
                     }
                 }
-                GatewayAction::Http {
+                ForwardAction::Http {
                     id, request, fresh, ..
                 } => self.sent.push(Sent {
                     id,
@@ -210,8 +221,8 @@
                     after: request.header("after").unwrap().to_string(),
                     fresh,
                 }),
-                GatewayAction::CancelHttp(id) => self.cancelled.push(id),
-                GatewayAction::Job { address, call } => self.jobs.push((address, call.call)),
+                ForwardAction::CancelHttp(id) => self.cancelled.push(id),
+                ForwardAction::EngineFailed(_) => self.engine_failures += 1,
             }
         }
     }
--- a/crates/jobs/src/dispatcher/answers.rs
+++ b/crates/jobs/src/dispatcher/answers.rs
@@ -2,7 +2,6 @@
 
 use peatgrade_fleet::EngineDirectory;
 use peatgrade_ports::{AnswerHead, Configuration};
-use peatgrade_schema::replication::ItemResult;
 use peatgrade_types::{Duration, Time};
 
 use super::{DispatchAction, Dispatcher, RunId, RunPart};
@@ -127,7 +126,7 @@
             run.instance,
             head.status,
             head.not_run,
-            item.failures
+            item.failures.runs
         );
         if refused {
             item.not_before = now + REFUSED_WAIT;
@@ -140,8 +139,8 @@
         match head.status {
             422 => self.give_up(&key, "can-never-be-done"),
             500 => {
-                item.failures += 1;
-                if item.failures >= max_attempts * PATIENCE {
+                item.failures.runs += 1;
+                if item.failures.runs >= max_attempts * PATIENCE {
                     self.give_up(&key, "failed-every-time");
                 }
             }
@@ -175,28 +174,21 @@
             return;
         };
         item.run = None;
-        item.proposed = true;
-        let result = ItemResult {
-            item: run.key.1 as u64,
-            completed: true,
-            text: item.text.joined_after(item.logged_events),
-            versions: item.text.versions(),
-            logged_events: item.logged_events as u64,
-        };
+        item.text.whole = true;
         log::info!(
             "decision=complete item={} job={} engine={} events={} versions={:?} runs={} hint={} age_ms={} run_ms={} run_events={}",
             item.item().id,
             run.key.0,
             run.instance,
             item.text.events.len(),
-            result.versions,
+            item.text.versions(),
             item.runs,
             item.item().length_hint,
             now.since(item.known_since).as_millis(),
             now.since(run.started).as_millis(),
             run.events
         );
-        self.done.entry(run.key.0.clone()).or_default().push(result);
+        self.on_whole(now, &run.key);
     }
 
     fn on_failed(&mut self, now: Time, id: RunId, reason: &str, directory: &mut EngineDirectory) {
--- a/crates/jobs/src/dispatcher/mod.rs
+++ b/crates/jobs/src/dispatcher/mod.rs
@@ -4,7 +4,7 @@
 use peatgrade_fleet::EngineDirectory;
 use peatgrade_ports::{AnswerHead, Configuration, EngineCall, EventReader};
 use peatgrade_schema::replication::{
-    AcceptJob, ItemProgress, ItemResult, KeepProgress, ListResults, ProgressEvent,
+    ItemProgress, ItemResult, KeepProgress, ListResults, ProgressEvent,
 };
 use peatgrade_types::{Duration, Time};
 use std::collections::{BTreeMap, HashMap};
@@ -12,19 +12,18 @@
 
 mod answers;
 mod moving;
+mod scoring;
 mod starting;
+mod takeover;
+
+pub use scoring::{ScoreCall, ScoreOutcome};
 
 use crate::item::{ItemKey, OpenItem};
-use crate::store::{Earlier, JobStore};
+use crate::scores::{ScoreId, ScoreQueue};
+use crate::store::JobStore;
 use crate::streams::Run;
 use crate::text::PartialText;
 
-/// Whether one version must make all of an item's text.
-fn must_be_single(configuration: &Configuration, spec: &AcceptJob, item: usize) -> bool {
-    let route = configuration.route(&spec.host, &spec.items[item].path);
-    route.is_some_and(|route| route.single_version)
-}
-
 /// Names a run of an item.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
 pub struct RunId(pub u64);
@@ -54,6 +53,15 @@
     },
     /// Break a run off by closing its connection.
     Cancel(RunId),
+    /// Make a reward call.
+    Score {
+        /// Names the call in what comes of it.
+        score: ScoreId,
+        /// The call.
+        call: Box<ScoreCall>,
+    },
+    /// Break a reward call off.
+    CancelScore(ScoreId),
     /// Put results into the log.
     List(ListResults),
     /// Put unfinished texts into the log.
@@ -83,6 +91,8 @@
 pub struct Dispatcher {
     items: BTreeMap<ItemKey, OpenItem>,
     runs: HashMap<RunId, Run>,
+    /// Items whose text is whole and has no score.
+    unscored: ScoreQueue,
     kept: HashMap<String, Kept>,
     /// Results that wait for the next proposal, by job.
     done: BTreeMap<Rc<str>, Vec<ItemResult>>,
@@ -109,6 +119,7 @@
         Self {
             items: BTreeMap::new(),
             runs: HashMap::new(),
+            unscored: ScoreQueue::default(),
             kept: HashMap::new(),
             done: BTreeMap::new(),
             next_run: 1,
@@ -135,84 +146,19 @@
         self.runs.len()
     }
 
-    /// Engines weighed for items since the start: what choices cost.
-    pub fn engines_weighed(&self) -> u64 {
-        self.weighed
+    /// Items whose text is whole and has no score.
+    pub fn unscored_items(&self) -> usize {
+        self.unscored.len()
     }
 
-    /// Takes up a job that is new, or new to this leader.
-    pub fn open_job(&mut self, id: &str, store: &JobStore, configuration: &Configuration) {
-        let Some(job) = store.get(id).filter(|job| !job.ended) else {
-            return;
-        };
-        let name: Rc<str> = Rc::from(id);
-        self.long_from
-            .insert(name.clone(), starting::long_from(&job.spec));
-        for index in 0..job.spec.items.len() {
-            if job.positions.contains_key(&index) {
-                continue;
-            }
-            let least = job.spec.min_version;
-            match store.earlier(id, index) {
-                Some(Earlier::Whole(result))
-                    if result.versions.iter().all(|v| *v >= least)
-                        && (result.versions.len() <= 1
-                            || !must_be_single(configuration, &job.spec, index)) =>
-                {
-                    log::info!(
-                        "decision=relist item={} job={id} versions={:?}",
-                        job.spec.items[index].id,
-                        result.versions
-                    );
-                    let again = ItemResult {
-                        item: index as u64,
-                        completed: true,
-                        text: result.text.to_vec(),
-                        versions: result.versions.clone(),
-                        logged_events: 0,
-                    };
-                    self.done.entry(name.clone()).or_default().push(again);
-                    continue;
-                }
-                _ => {}
-            }
-            let mut open = OpenItem::new(job.spec.clone(), index, job.known_since);
-            open.failures = job.failures.get(&index).copied().unwrap_or(0);
-            open.logged_failures = open.failures;
-            match job.progress.get(&index) {
-                Some(text) => {
-                    open.logged_events = text.events.len();
-                    open.text = text.clone();
-                }
-                None => self.take_earlier(&mut open, store.earlier(id, index)),
-            }
-            self.items.insert((name.clone(), index), open);
-        }
-        self.flush();
+    /// Reward calls under way.
+    pub fn reward_calls(&self) -> usize {
+        self.unscored.calls()
     }
 
-    /// Begins an item that comes back with what is known of its text.
-    fn take_earlier(&mut self, open: &mut OpenItem, earlier: Option<Earlier<'_>>) {
-        let least = open.spec.min_version;
-        let kept = self.kept.remove(&open.item().id);
-        let kept = kept.filter(|kept| kept.body == open.item().body);
-        let logged = match earlier {
-            Some(Earlier::Partial(text)) => Some(text.clone()),
-            _ => None,
-        };
-        let texts = kept.map(|kept| kept.text).into_iter().chain(logged);
-        let longest = texts
-            .filter(|text| text.fits(least))
-            .max_by_key(|text| text.events.len());
-        if let Some(text) = longest {
-            log::info!(
-                "decision=continue item={} job={} events={}",
-                open.item().id,
-                open.spec.job,
-                text.events.len()
-            );
-            open.text = text;
-        }
+    /// Engines weighed for items since the start: what choices cost.
+    pub fn engines_weighed(&self) -> u64 {
+        self.weighed
     }
 
     /// Stops all work for a job that is ended.
@@ -227,6 +173,7 @@
         self.long_from.remove(&name);
         for key in keys {
             self.break_off(&key, directory);
+            self.drop_score(&key);
             if let Some(item) = self.items.remove(&key) {
                 if !item.text.events.is_empty() && self.kept.len() < MAX_KEPT {
                     let kept = Kept {
@@ -245,6 +192,7 @@
         let keys: Vec<ItemKey> = self.items.keys().cloned().collect();
         for key in keys {
             self.break_off(&key, directory);
+            self.drop_score(&key);
         }
         self.items.clear();
         self.done.clear();
@@ -269,6 +217,7 @@
             self.watch_runs(now, directory);
         }
         self.start_waiting(now, configuration, directory);
+        self.call_scorers(now, configuration, directory);
         self.flush();
         if now.since(self.progress_at) >= PROGRESS_EVERY {
             self.progress_at = now;
@@ -301,10 +250,13 @@
                 logged_events: held as u64,
                 last_event: item.text.last_event.unwrap_or(0),
                 events: events.collect(),
-                failures: u64::from(item.failures),
+                failures: u64::from(item.failures.runs),
+                whole: item.text.whole && !item.restarted,
+                reward_failures: u64::from(item.failures.reward_calls),
             };
             item.logged_events = count;
             item.logged_failures = item.failures;
+            item.logged_whole = progress.whole;
             jobs.entry(key.0.clone()).or_default().push(progress);
         }
         for (job, items) in jobs {
@@ -338,21 +290,21 @@
             return;
         };
         log::info!(
-            "decision=terminate item={} job={} reason={reason} runs={} failures={}",
+            "decision=terminate item={} job={} reason={reason} runs={} failures={} reward_failures={}",
             item.item().id,
             key.0,
             item.runs,
-            item.failures
+            item.failures.runs,
+            item.failures.reward_calls
         );
         item.proposed = true;
         let result = ItemResult {
             item: key.1 as u64,
             completed: false,
-            text: Vec::new(),
-            versions: Vec::new(),
-            logged_events: 0,
+            ..ItemResult::default()
         };
         self.done.entry(key.0.clone()).or_default().push(result);
+        self.drop_score(key);
     }
 
     /// Hands results that are done to the log.
--- a/crates/jobs/src/dispatcher/starting.rs
+++ b/crates/jobs/src/dispatcher/starting.rs
@@ -182,7 +182,7 @@
         let engines = directory.iter().filter(|state| !state.record.draining);
         let modelled = engines.filter(|state| !state.record.models.is_empty());
         let places: usize = modelled.map(|state| state.record.slots as usize).sum();
-        self.items.len() > places
+        self.items.len() - self.unscored.len() > places
     }
 
     /// Items that one engine may run before this one is added: short ones leave
@@ -218,7 +218,7 @@
         let waiting: Vec<(&ItemKey, &OpenItem)> = self
             .items
             .iter()
-            .filter(|(_, item)| item.run.is_none() && !item.proposed && now >= item.not_before)
+            .filter(|(_, item)| item.waits_for_engine() && now >= item.not_before)
             .collect();
         let mut longest: HashMap<(&Rc<str>, &str), u64> = HashMap::new();
         for (key, item) in &waiting {
--- /dev/null
+++ b/crates/jobs/src/dispatcher/takeover.rs
@@ -0,0 +1,144 @@
+//! Jobs that are new, or new to this leader: what is known of their items.
+
+use peatgrade_ports::Configuration;
+use peatgrade_schema::replication::{AcceptJob, ItemResult};
+use peatgrade_types::Time;
+use std::rc::Rc;
+
+use super::{starting, Dispatcher};
+use crate::item::OpenItem;
+use crate::store::{Earlier, JobStore, StoredResult};
+use crate::text::{PartialText, TextEvent};
+
+impl Dispatcher {
+    /// Takes up a job that is new, or new to this leader.
+    pub fn open_job(
+        &mut self,
+        now: Time,
+        id: &str,
+        store: &JobStore,
+        configuration: &Configuration,
+    ) {
+        let Some(job) = store.get(id).filter(|job| !job.ended) else {
+            return;
+        };
+        let name: Rc<str> = Rc::from(id);
+        self.long_from
+            .insert(name.clone(), starting::long_from(&job.spec));
+        for index in 0..job.spec.items.len() {
+            if job.positions.contains_key(&index) {
+                continue;
+            }
+            let earlier = store.earlier(id, index);
+            let single = must_be_single(configuration, &job.spec, index);
+            if let Some(result) = result_again(&job.spec, index, single, earlier) {
+                log::info!(
+                    "decision=relist item={} job={id} versions={:?}",
+                    job.spec.items[index].id,
+                    result.versions
+                );
+                self.done.entry(name.clone()).or_default().push(result);
+                continue;
+            }
+            let mut open = OpenItem::new(job.spec.clone(), index, job.known_since);
+            open.single_version = single;
+            open.failures = job.failures.get(&index).copied().unwrap_or_default();
+            open.logged_failures = open.failures;
+            match job.progress.get(&index) {
+                Some(text) => {
+                    open.logged_events = text.events.len();
+                    open.logged_whole = text.whole;
+                    open.text = text.clone();
+                }
+                None => self.take_earlier(&mut open, earlier),
+            }
+            if open.text.whole && !open.is_consistent() {
+                open.restart();
+            }
+            let key = (name.clone(), index);
+            let whole = open.text.whole;
+            self.items.insert(key.clone(), open);
+            if whole {
+                self.on_whole(now, &key);
+            }
+        }
+        self.flush();
+    }
+
+    /// Begins an item that comes back with what is known of its text.
+    fn take_earlier(&mut self, open: &mut OpenItem, earlier: Option<Earlier<'_>>) {
+        let least = open.spec.min_version;
+        let kept = self.kept.remove(&open.item().id);
+        let kept = kept.filter(|kept| kept.body == open.item().body);
+        let logged = match earlier {
+            Some(Earlier::Partial(text)) => Some(text.clone()),
+            Some(Earlier::Whole(result, _)) => text_of(result),
+            None => None,
+        };
+        let texts = kept.map(|kept| kept.text).into_iter().chain(logged);
+        let longest = texts
+            .filter(|text| text.fits(least))
+            .max_by_key(|text| (text.whole, text.events.len()));
+        if let Some(text) = longest {
+            log::info!(
+                "decision=continue item={} job={} events={} whole={}",
+                open.item().id,
+                open.spec.job,
+                text.events.len(),
+                text.whole
+            );
+            open.text = text;
+        }
+    }
+}
+
+/// Whether one version must make all of an item's text.
+fn must_be_single(configuration: &Configuration, spec: &AcceptJob, item: usize) -> bool {
+    let route = configuration.route(&spec.host, &spec.items[item].path);
+    route.is_some_and(|route| route.single_version)
+}
+
+/// The result that an earlier job has of an item, if it may stand in this one.
+fn result_again(
+    spec: &AcceptJob,
+    index: usize,
+    single: bool,
+    earlier: Option<Earlier<'_>>,
+) -> Option<ItemResult> {
+    let Some(Earlier::Whole(result, scored_by)) = earlier else {
+        return None;
+    };
+    let reward_call = spec.items[index].reward_call.as_ref();
+    let fresh = result.versions.iter().all(|v| *v >= spec.min_version);
+    let consistent = !single || result.versions.len() <= 1;
+    // A score belongs to the call that gave it.
+    let scored = reward_call.is_none() || reward_call == scored_by;
+    (fresh && consistent && scored).then(|| ItemResult {
+        item: index as u64,
+        completed: true,
+        text: result.text.to_vec(),
+        versions: result.versions.clone(),
+        logged_events: 0,
+        score: match reward_call {
+            Some(_) => result.score.clone(),
+            None => String::new(),
+        },
+    })
+}
+
+/// The whole text of a result, to be scored by another call. Which version made
+/// which event is not kept of results, so a text of several is made anew.
+fn text_of(result: &StoredResult) -> Option<PartialText> {
+    let [version] = result.versions[..] else {
+        return None;
+    };
+    let event = TextEvent {
+        version,
+        data: result.text.clone(),
+    };
+    Some(PartialText {
+        events: vec![event],
+        last_event: None,
+        whole: true,
+    })
+}
--- a/crates/jobs/src/item.rs
+++ b/crates/jobs/src/item.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 
 use crate::dispatcher::RunId;
+use crate::store::Failures;
 use crate::text::PartialText;
 
 /// Names an item: its job and its index there.
@@ -24,11 +25,14 @@
     pub text: PartialText,
     /// Events that the log holds, or will once what was proposed is committed.
     pub logged_events: usize,
-    /// Answers of 500, under earlier leaders too.
-    pub failures: u32,
+    /// Answers of engines that it failed, under earlier leaders too.
+    pub failures: Failures,
     /// Those of them that the log holds, or will once what was proposed is
     /// committed.
-    pub logged_failures: u32,
+    pub logged_failures: Failures,
+    /// The log holds that its text is whole, or will once what was proposed is
+    /// committed.
+    pub logged_whole: bool,
     /// Runs in a row that ended well without any event.
     pub empty_ends: u32,
     /// Its run, if it has one.
@@ -58,8 +62,9 @@
             known_since,
             text: PartialText::default(),
             logged_events: 0,
-            failures: 0,
-            logged_failures: 0,
+            failures: Failures::default(),
+            logged_failures: Failures::default(),
+            logged_whole: false,
             empty_ends: 0,
             run: None,
             not_before: Time(0),
@@ -72,11 +77,17 @@
         }
     }
 
+    /// Whether it waits for an engine to make more of its text.
+    pub fn waits_for_engine(&self) -> bool {
+        self.run.is_none() && !self.text.whole && !self.proposed
+    }
+
     /// Whether the log lacks enough of it for a record of its own.
     pub fn is_record_due(&self, least_events: usize) -> bool {
         let events = self.text.events.len() >= self.logged_events + least_events;
-        let texts = !self.restarted && events;
-        !self.proposed && (texts || self.failures > self.logged_failures)
+        let ended = self.text.whole && !self.logged_whole;
+        let texts = !self.restarted && (events || ended);
+        !self.proposed && (texts || self.failures != self.logged_failures)
     }
 
     /// The version that must make the rest of its text, if only one may.
@@ -95,6 +106,7 @@
         self.restarted |= self.logged_events > 0;
         self.text = PartialText::default();
         self.logged_events = 0;
+        self.logged_whole = false;
     }
 
     /// The item as it was handed in.
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -6,8 +6,12 @@
 //!                              open items
 //!                                   v
 //!  engines <--Run, Cancel-- Dispatcher --ListResults--> replicated log
+//!  scorers <--Score---------+
 //! ```
 //!
+//! An item without a reward call is listed once its text is whole. One with a
+//! reward call goes `open -> running -> whole, without a score -> listed`.
+//!
 //! The store is the same on every replica. The dispatcher lives on the leader
 //! only; what it knows is lost with it, and its successor begins the items that
 //! have no result again.
@@ -15,11 +19,13 @@
 mod dispatcher;
 mod item;
 mod placement;
+mod scores;
 mod store;
 mod streams;
 mod text;
 
-pub use dispatcher::{DispatchAction, Dispatcher, RunId, RunPart};
+pub use dispatcher::{DispatchAction, Dispatcher, RunId, RunPart, ScoreCall, ScoreOutcome};
 pub use item::ItemKey;
-pub use store::{Applied, Earlier, Job, JobStore, StoredResult};
+pub use scores::ScoreId;
+pub use store::{Applied, Earlier, Failures, Job, JobStore, StoredResult};
 pub use text::{PartialText, TextEvent};
--- a/crates/jobs/src/store.rs
+++ b/crates/jobs/src/store.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use peatgrade_schema::decode;
 use peatgrade_schema::replication::mod_JobCommand::OneOfbody;
-use peatgrade_schema::replication::{AcceptJob, JobCommand, KeepProgress, ListResults};
+use peatgrade_schema::replication::{AcceptJob, JobCommand, KeepProgress, ListResults, RewardCall};
 use peatgrade_types::{Duration, Time};
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
@@ -21,6 +21,17 @@
     pub text: Bytes,
     /// Versions that made an event of it.
     pub versions: Vec<u64>,
+    /// Signature of the answer to its reward call; empty if it has none.
+    pub score: String,
+}
+
+/// Answers of engines that said that an item failed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Failures {
+    /// To its runs.
+    pub runs: u32,
+    /// To its reward call.
+    pub reward_calls: u32,
 }
 
 /// A batch job.
@@ -37,7 +48,7 @@
     /// Texts that are not whole, by item.
     pub progress: HashMap<usize, PartialText>,
     /// Answers that said that an item failed, by item.
-    pub failures: HashMap<usize, u32>,
+    pub failures: HashMap<usize, Failures>,
     /// Whether it is ended.
     pub ended: bool,
     /// Index of its first log entry.
@@ -150,6 +161,7 @@
                 completed: result.completed,
                 text,
                 versions: result.versions,
+                score: result.score,
             });
         }
         if job.results.len() == before {
@@ -170,11 +182,12 @@
             if index >= job.spec.items.len() || job.positions.contains_key(&index) {
                 continue;
             }
-            if item.failures > 0 {
-                let known = job.failures.entry(index).or_insert(0);
-                *known = (*known).max(item.failures as u32);
+            if item.failures > 0 || item.reward_failures > 0 {
+                let known = job.failures.entry(index).or_default();
+                known.runs = known.runs.max(item.failures as u32);
+                known.reward_calls = known.reward_calls.max(item.reward_failures as u32);
             }
-            if item.events.is_empty() {
+            if item.events.is_empty() && !item.whole {
                 continue;
             }
             let text = job.progress.entry(index).or_default();
@@ -187,6 +200,7 @@
             });
             text.events.extend(events);
             text.last_event = Some(item.last_event);
+            text.whole |= item.whole;
         }
         Applied::Nothing
     }
@@ -252,8 +266,8 @@
 /// What a job holds of an item.
 #[derive(Clone, Copy, Debug)]
 pub enum Earlier<'a> {
-    /// Its result.
-    Whole(&'a StoredResult),
+    /// Its result, and the reward call that scored it.
+    Whole(&'a StoredResult, Option<&'a RewardCall>),
     /// Its beginning.
     Partial(&'a PartialText),
 }
@@ -262,7 +276,10 @@
     fn held(&self, item: usize) -> Option<Earlier<'_>> {
         if let Some(position) = self.positions.get(&item) {
             let result = self.results.get(*position)?;
-            return result.completed.then_some(Earlier::Whole(result));
+            let reward_call = self.spec.items[item].reward_call.as_ref();
+            return result
+                .completed
+                .then_some(Earlier::Whole(result, reward_call));
         }
         self.progress.get(&item).map(Earlier::Partial)
     }
--- a/crates/jobs/src/text.rs
+++ b/crates/jobs/src/text.rs
@@ -18,6 +18,8 @@
     pub events: Vec<TextEvent>,
     /// Number of the last one; none before any.
     pub last_event: Option<u64>,
+    /// Whether nothing follows these events.
+    pub whole: bool,
 }
 
 impl PartialText {
--- a/crates/jobs/tests/dispatch/mod.rs
+++ b/crates/jobs/tests/dispatch/mod.rs
@@ -2,14 +2,16 @@
 
 use bytes::Bytes;
 use peatgrade_fleet::{EngineDirectory, EngineState};
-use peatgrade_jobs::{DispatchAction, Dispatcher, JobStore, RunId, RunPart};
+use peatgrade_jobs::{
+    DispatchAction, Dispatcher, JobStore, RunId, RunPart, ScoreCall, ScoreId, ScoreOutcome,
+};
 use peatgrade_ports::{
     AnswerHead, Configuration, EngineCall, EngineRecord, EventReader, GenerationEvent, Instance,
     Route, RouteKind, Target,
 };
 use peatgrade_schema::encode;
 use peatgrade_schema::replication::mod_JobCommand::OneOfbody;
-use peatgrade_schema::replication::{AcceptJob, EndJob, JobCommand, JobItem};
+use peatgrade_schema::replication::{AcceptJob, EndJob, JobCommand, JobItem, RewardCall};
 use peatgrade_types::{Duration, Time};
 use std::collections::BTreeMap;
 
@@ -45,6 +47,7 @@
 #[derive(Clone, Debug)]
 pub struct Started {
     pub run: RunId,
+    pub item: String,
     pub engine: String,
     pub after: Option<u64>,
 }
@@ -57,6 +60,8 @@
     pub configuration: Configuration,
     pub started: Vec<Started>,
     pub cancelled: Vec<RunId>,
+    pub score_calls: Vec<(ScoreId, ScoreCall)>,
+    pub cancelled_scores: Vec<ScoreId>,
     index: u64,
 }
 
@@ -72,6 +77,17 @@
     }
 }
 
+fn item(id: &str) -> JobItem {
+    JobItem {
+        id: id.to_string(),
+        path: "/p/x".into(),
+        group: "g".into(),
+        // One expected text is long, so that all others count as short.
+        length_hint: if id == "long" { 1_000 } else { 10 },
+        ..JobItem::default()
+    }
+}
+
 fn route() -> Route {
     Route {
         name: "r".into(),
@@ -110,6 +126,8 @@
             },
             started: Vec::new(),
             cancelled: Vec::new(),
+            score_calls: Vec::new(),
+            cancelled_scores: Vec::new(),
             index: 0,
         }
     }
@@ -121,25 +139,31 @@
     }
 
     pub fn submit(&mut self, job: &str, min_version: u64, items: &[&str]) {
-        let items = items.iter().map(|id| JobItem {
-            id: id.to_string(),
-            path: "/p/x".into(),
-            group: "g".into(),
-            // One expected text is long, so that all others count as short.
-            length_hint: if *id == "long" { 1_000 } else { 10 },
-            ..JobItem::default()
+        let items = items.iter().map(|id| item(id));
+        self.submit_items(job, min_version, items.collect());
+    }
+
+    /// Submits items that a reward call scores each.
+    pub fn submit_scored(&mut self, job: &str, min_version: u64, items: Vec<(&str, RewardCall)>) {
+        let items = items.into_iter().map(|(id, reward_call)| JobItem {
+            reward_call: Some(reward_call),
+            ..item(id)
         });
+        self.submit_items(job, min_version, items.collect());
+    }
+
+    fn submit_items(&mut self, job: &str, min_version: u64, items: Vec<JobItem>) {
         self.apply(OneOfbody::accept(AcceptJob {
             job: job.into(),
             host: "h".into(),
             path: "/p/".into(),
             model: "m".into(),
             min_version,
-            items: items.collect(),
+            items,
             ..AcceptJob::default()
         }));
         self.dispatcher
-            .open_job(job, &self.store, &self.configuration);
+            .open_job(self.now, job, &self.store, &self.configuration);
     }
 
     pub fn end(&mut self, job: &str) {
@@ -155,7 +179,7 @@
         let jobs: Vec<String> = self.store.iter().map(|(id, _)| id.clone()).collect();
         for job in jobs {
             self.dispatcher
-                .open_job(&job, &self.store, &self.configuration);
+                .open_job(self.now, &job, &self.store, &self.configuration);
         }
     }
 
@@ -175,6 +199,7 @@
             match action {
                 DispatchAction::Run { run, call, .. } => {
                     let EngineCall::Run {
+                        id,
                         instance,
                         last_event,
                         ..
@@ -184,6 +209,7 @@
                     };
                     self.started.push(Started {
                         run,
+                        item: id,
                         engine: instance.0,
                         after: last_event,
                     });
@@ -194,6 +220,8 @@
                     self.apply(OneOfbody::results(results));
                     self.dispatcher.listed(&job, &self.store);
                 }
+                DispatchAction::Score { score, call } => self.score_calls.push((score, *call)),
+                DispatchAction::CancelScore(score) => self.cancelled_scores.push(score),
                 DispatchAction::Keep(progress) => self.apply(OneOfbody::progress(progress)),
             }
         }
@@ -206,6 +234,12 @@
         self.take_actions();
     }
 
+    pub fn score(&mut self, id: ScoreId, outcome: ScoreOutcome) {
+        self.dispatcher
+            .on_score(self.now, id, outcome, &self.configuration);
+        self.take_actions();
+    }
+
     pub fn head(&mut self, run: RunId, status: u16, version: u64) {
         self.part(
             run,
--- a/crates/jobs/tests/dispatcher.rs
+++ b/crates/jobs/tests/dispatcher.rs
@@ -3,6 +3,7 @@
 mod dispatch;
 mod pace;
 mod scale;
+mod scoring;
 mod single_version;
 
 use dispatch::{engine, Scene};
--- a/crates/jobs/tests/store.rs
+++ b/crates/jobs/tests/store.rs
@@ -58,6 +58,7 @@
             text: text.into(),
             versions: vec![1],
             logged_events,
+            ..ItemResult::default()
         }],
     })
 }
--- a/crates/ports/src/caller.rs
+++ b/crates/ports/src/caller.rs
@@ -107,6 +107,8 @@
     pub text: Bytes,
     /// Versions that made an event of it.
     pub versions: Vec<u64>,
+    /// Signature of the answer to its reward call, if it has one.
+    pub score: Option<String>,
 }
 
 /// An answer of this system itself.
--- a/crates/ports/src/engine.rs
+++ b/crates/ports/src/engine.rs
@@ -109,12 +109,19 @@
     pub load: Option<(u32, u32, u32)>,
     /// Version of the weights.
     pub version: Option<u64>,
-    /// Whether it carries the engine's signature.
-    pub signed: bool,
+    /// The engine's signature under its answer.
+    pub signature: Option<String>,
     /// When to come back.
     pub retry_after: Option<Duration>,
 }
 
+impl AnswerHead {
+    /// Whether it carries the engine's signature.
+    pub fn is_signed(&self) -> bool {
+        self.signature.is_some()
+    }
+}
+
 /// An event of a generation.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct GenerationEvent {
--- a/crates/server/src/gateway_process/actions.rs
+++ b/crates/server/src/gateway_process/actions.rs
@@ -1,5 +1,6 @@
 //! Carries out what the gateway's core wants done.
 
+use peatgrade_forward::ForwardAction;
 use peatgrade_gateway::GatewayAction;
 use peatgrade_runtime::{Delivery, SendOptions};
 use peatgrade_schema::encode;
@@ -18,41 +19,7 @@
     pub(super) fn carry_out(&mut self, actions: Vec<GatewayAction>) {
         for action in actions {
             match action {
-                GatewayAction::Respond { call, part } => {
-                    let last = matches!(part, ResponsePart::End | ResponsePart::Failed(_));
-                    if let ResponsePart::Head(head) = &part {
-                        let status = head.status.to_string();
-                        self.metrics.answers.with_label_values(&[&status]).inc();
-                    }
-                    if let Some(open) = self.calls.get(&call) {
-                        let _ = open.respond.unbounded_send(part);
-                    }
-                    if last {
-                        if let Some(open) = self.calls.remove(&call) {
-                            let took = steady_now().since(open.since);
-                            self.metrics.request_seconds.observe(took.as_secs_f64());
-                        }
-                    }
-                }
-                GatewayAction::Http {
-                    id,
-                    address,
-                    request,
-                    fresh,
-                } => {
-                    self.metrics.count("engine_attempt");
-                    let options = SendOptions {
-                        silence: ENGINE_SILENCE,
-                        fresh,
-                        gathering: false,
-                    };
-                    let cancel = self.client.send(id, &address, request, options);
-                    self.requests.insert(id, cancel);
-                }
-                GatewayAction::CancelHttp(id) => {
-                    self.metrics.count("engine_attempt_cancelled");
-                    self.requests.remove(&id);
-                }
+                GatewayAction::Forward(action) => self.carry_out_forward(action),
                 GatewayAction::Job { address, call } => {
                     let message = ReplicaMessage {
                         from: 0,
@@ -67,4 +34,46 @@
             }
         }
     }
+
+    fn carry_out_forward(&mut self, action: ForwardAction) {
+        match action {
+            ForwardAction::Respond { call, part } => {
+                let last = matches!(part, ResponsePart::End | ResponsePart::Failed(_));
+                if let ResponsePart::Head(head) = &part {
+                    let status = head.status.to_string();
+                    self.metrics.answers.with_label_values(&[&status]).inc();
+                }
+                if let Some(open) = self.calls.get(&call) {
+                    let _ = open.respond.unbounded_send(part);
+                }
+                if last {
+                    if let Some(open) = self.calls.remove(&call) {
+                        let took = steady_now().since(open.since);
+                        self.metrics.request_seconds.observe(took.as_secs_f64());
+                    }
+                }
+            }
+            ForwardAction::Http {
+                id,
+                address,
+                request,
+                fresh,
+            } => {
+                self.metrics.count("engine_attempt");
+                let options = SendOptions {
+                    silence: ENGINE_SILENCE,
+                    fresh,
+                    gathering: false,
+                };
+                let cancel = self.client.send(id, &address, request, options);
+                self.requests.insert(id, cancel);
+            }
+            ForwardAction::CancelHttp(id) => {
+                self.metrics.count("engine_attempt_cancelled");
+                self.requests.remove(&id);
+            }
+            // Only reward calls are given up for it.
+            ForwardAction::EngineFailed(_) => {}
+        }
+    }
 }
--- a/crates/server/src/gateway_process/mod.rs
+++ b/crates/server/src/gateway_process/mod.rs
@@ -3,7 +3,8 @@
 use futures_channel::mpsc::{unbounded, UnboundedReceiver, UnboundedSender};
 use futures_util::{select_biased, FutureExt, StreamExt};
 use monoio::net::TcpListener;
-use peatgrade_gateway::{CallId, Gateway, GatewaySettings, HttpId, Part};
+use peatgrade_forward::{CallId, HttpId, Part};
+use peatgrade_gateway::{Gateway, GatewaySettings};
 use peatgrade_ports::{Answer, Codec, ObjectKind};
 use peatgrade_runtime::http_client::Cancel;
 use peatgrade_runtime::{serve_controlled, HttpClient, Incoming, LinkSocket, ServerControl};
--- a/crates/server/src/metrics.rs
+++ b/crates/server/src/metrics.rs
@@ -30,6 +30,8 @@
     pub request_seconds: Histogram,
     /// Time to write and sync the log once.
     pub sync_seconds: Histogram,
+    /// Time from a whole text to its score.
+    pub score_seconds: Histogram,
 }
 
 impl Metrics {
@@ -41,12 +43,14 @@
         let state = IntGaugeVec::new(opts, &["name"]).expect("fixed name and label");
         let request_seconds = histogram("peatgrade_request_seconds", "Time of a request", 0.002);
         let sync_seconds = histogram("peatgrade_log_sync_seconds", "Time of a log sync", 0.000_2);
-        let all: [Box<dyn prometheus::core::Collector>; 5] = [
+        let score_seconds = histogram("peatgrade_score_seconds", "Time to a score", 0.005);
+        let all: [Box<dyn prometheus::core::Collector>; 6] = [
             Box::new(events.clone()),
             Box::new(answers.clone()),
             Box::new(state.clone()),
             Box::new(request_seconds.clone()),
             Box::new(sync_seconds.clone()),
+            Box::new(score_seconds.clone()),
         ];
         for collector in all {
             registry.register(collector).expect("names differ");
@@ -58,6 +62,7 @@
             state,
             request_seconds,
             sync_seconds,
+            score_seconds,
         }
     }
 
--- a/crates/server/src/storage/calls.rs
+++ b/crates/server/src/storage/calls.rs
@@ -203,6 +203,7 @@
                 completed: result.completed,
                 text: result.text.to_vec(),
                 versions: result.versions.clone(),
+                score: result.score.clone(),
             });
         }
         let reply = JobReply {
--- a/crates/server/src/storage/engines.rs
+++ b/crates/server/src/storage/engines.rs
@@ -2,13 +2,14 @@
 
 use bytes::BytesMut;
 use peatgrade_fleet::{CoordinatorAction, OrderOutcome};
+use peatgrade_forward::HttpId;
 use peatgrade_jobs::{DispatchAction, RunId, RunPart};
 use peatgrade_ports::{EngineCall, Instance};
 use peatgrade_runtime::SendOptions;
 use peatgrade_schema::encode;
 use peatgrade_schema::replication::mod_JobCommand::OneOfbody;
 use peatgrade_schema::replication::{JobCommand, OrderNote};
-use peatgrade_types::http::{HttpFailure, HttpStep, ResponsePart};
+use peatgrade_types::http::{HttpFailure, HttpRequest, HttpStep, ResponsePart};
 use peatgrade_types::Time;
 use std::time::Duration;
 
@@ -18,6 +19,8 @@
 
 /// Longest silence within a run; the dispatcher moves it long before.
 const RUN_SILENCE: Duration = Duration::from_secs(60);
+/// Longest silence within a reward call; its own deadline is shorter.
+const SCORE_SILENCE: Duration = Duration::from_secs(5);
 /// Longest wait for the answer to an order or for a report.
 const CONTROL_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -40,22 +43,39 @@
 #[derive(Debug)]
 pub(super) enum EngineExchange {
     Run(RunId),
+    Score(HttpId),
     Order(Instance, u16),
     Report(Instance, u16, BytesMut),
 }
 
 impl StorageProcess {
     fn begin(&mut self, exchange: EngineExchange, address: &str, call: &EngineCall) {
+        let request = self.codec.engine_request(call);
+        self.begin_request(exchange, address, request);
+    }
+
+    pub(super) fn begin_request(
+        &mut self,
+        exchange: EngineExchange,
+        address: &str,
+        request: HttpRequest,
+    ) {
         let id = ExchangeId(self.next_exchange);
         self.next_exchange += 1;
         let options = match exchange {
             EngineExchange::Run(_) => SendOptions::gathering(RUN_SILENCE),
+            EngineExchange::Score(_) => SendOptions::reusing(SCORE_SILENCE),
             _ => SendOptions::reusing(CONTROL_TIMEOUT),
         };
-        let request = self.codec.engine_request(call);
         let cancel = self.client.send(id, address, request, options);
-        if let EngineExchange::Run(run) = exchange {
-            self.run_exchanges.insert(run, id);
+        match exchange {
+            EngineExchange::Run(run) => {
+                self.run_exchanges.insert(run, id);
+            }
+            EngineExchange::Score(score) => {
+                self.scores.exchanges.insert(score, id);
+            }
+            EngineExchange::Order(..) | EngineExchange::Report(..) => {}
         }
         self.exchanges.insert(id, exchange);
         self.cancels.insert(id, cancel);
@@ -75,6 +95,11 @@
                     self.metrics.count("item_run_cancelled");
                     self.cancel_run(run);
                 }
+                DispatchAction::Score { score, call } => {
+                    self.metrics.count("reward_call");
+                    self.start_score(now, score, *call);
+                }
+                DispatchAction::CancelScore(score) => self.cancel_score(score),
                 DispatchAction::List(results) => self.propose(now, OneOfbody::results(results)),
                 DispatchAction::Keep(progress) => self.propose(now, OneOfbody::progress(progress)),
             }
@@ -92,11 +117,16 @@
 
     fn cancel_run(&mut self, run: RunId) {
         if let Some(id) = self.run_exchanges.remove(&run) {
-            self.exchanges.remove(&id);
-            self.cancels.remove(&id);
+            self.drop_exchange(id);
         }
     }
 
+    /// Breaks an exchange off; nothing of it is heard any more.
+    pub(super) fn drop_exchange(&mut self, id: ExchangeId) {
+        self.exchanges.remove(&id);
+        self.cancels.remove(&id);
+    }
+
     pub(super) fn carry_out_coordination(&mut self, action: CoordinatorAction) {
         match action {
             CoordinatorAction::Order(order) => {
@@ -155,6 +185,10 @@
                 let run = *run;
                 self.on_run_part(now, run, part);
             }
+            Some(EngineExchange::Score(score)) => {
+                let score = *score;
+                self.on_score_part(now, score, part);
+            }
             Some(EngineExchange::Order(_, status)) => match part {
                 ResponsePart::Head(head) => *status = head.status,
                 ResponsePart::Data(_) => {}
@@ -169,8 +203,14 @@
             },
         }
         if last {
-            if let Some(EngineExchange::Run(run)) = self.exchanges.remove(&id) {
-                self.run_exchanges.remove(&run);
+            match self.exchanges.remove(&id) {
+                Some(EngineExchange::Run(run)) => {
+                    self.run_exchanges.remove(&run);
+                }
+                Some(EngineExchange::Score(score)) => {
+                    self.scores.exchanges.remove(&score);
+                }
+                _ => {}
             }
             self.cancels.remove(&id);
         }
--- a/crates/server/src/storage/leadership.rs
+++ b/crates/server/src/storage/leadership.rs
@@ -6,6 +6,7 @@
 use peatgrade_types::{Duration, Time};
 use std::collections::BTreeMap;
 
+use crate::clock::steady_now;
 use crate::watcher::{watch, Wanted, WatchTiming};
 
 use super::process::StorageProcess;
@@ -102,7 +103,7 @@
     /// Takes up the work for a job.
     pub(super) fn open_job(&mut self, id: &str) {
         self.dispatcher
-            .open_job(id, &self.jobs, &self.configuration);
+            .open_job(steady_now(), id, &self.jobs, &self.configuration);
         if let (Some(coordinator), Some(job)) = (&mut self.coordinator, self.jobs.get(id)) {
             coordinator.demanded(&job.spec.model, job.spec.items.len());
         }
@@ -144,6 +145,7 @@
                 .poll(now, &self.configuration, &mut self.directory);
             let actions = self.dispatcher.take_actions();
             self.carry_out_dispatch(actions);
+            self.tick_scores(now);
             self.coordinate(now);
         }
     }
--- a/crates/server/src/storage/mod.rs
+++ b/crates/server/src/storage/mod.rs
@@ -5,6 +5,7 @@
 //!  replicas --messages--> Replica --committed--> JobStore
 //!  gateways --job calls-> JobCalls --proposals--> Replica
 //!  leader:  JobStore --> Dispatcher <--> engines
+//!           whole texts --> Forwarder <--> scorers
 //!           versions --> VersionCoordinator <--> engines
 //!           registrations, WrongReplica --> Group --> changes of members
 //! ```
@@ -21,6 +22,7 @@
 mod registration;
 mod replication;
 mod retirement;
+mod scores;
 mod updates;
 
 pub use process::run_storage;
--- a/crates/server/src/storage/process.rs
+++ b/crates/server/src/storage/process.rs
@@ -3,6 +3,7 @@
 use futures_channel::mpsc::{unbounded, UnboundedSender};
 use futures_util::{select_biased, FutureExt, StreamExt};
 use peatgrade_fleet::{EngineDirectory, VersionCoordinator};
+use peatgrade_forward::Forwarder;
 use peatgrade_jobs::{Dispatcher, JobStore, RunId};
 use peatgrade_ports::{Codec, Configuration, VersionOrder};
 use peatgrade_replication::{
@@ -34,6 +35,7 @@
 use super::pressure::{Pressure, Room};
 use super::registration::{self, Founding};
 use super::retirement::Retirement;
+use super::scores::ScoreCalls;
 
 /// Time between two looks at what is due.
 const LEADER_TICK: Duration = Duration::from_millis(15);
@@ -101,6 +103,7 @@
     pub client: HttpClient<ExchangeId>,
     pub exchanges: HashMap<ExchangeId, EngineExchange>,
     pub run_exchanges: HashMap<RunId, ExchangeId>,
+    pub scores: ScoreCalls,
     pub cancels: HashMap<ExchangeId, Cancel>,
     pub next_exchange: u64,
     pub updates: UnboundedSender<StoreUpdate>,
@@ -146,6 +149,7 @@
         })?;
         let (log_file, recovered) = open_log(&settings)?;
         let id = ReplicaId(recovered.state.replica);
+        let seed = hash_bytes(settings.name.as_bytes());
         log::info!(
             "step=start role=storage replica={id} fresh={} entries={} term={} torn_bytes={} peer={} zone={}",
             recovered.fresh,
@@ -158,7 +162,7 @@
         let replica_settings = ReplicaSettings {
             id,
             address: settings.peer_address.clone(),
-            seed: hash_bytes(settings.name.as_bytes()),
+            seed,
             timing: Timing::default(),
         };
         let replica = Replica::new(now, replica_settings, &recovered.state, recovered.log);
@@ -182,6 +186,7 @@
             disk_mb: settings.disk_limit_mb,
             memory_mb: settings.memory_limit_mb,
         };
+        let forwarder = Forwarder::new(codec.clone(), settings.zone.clone(), seed);
         let group = Group::new(voters_for(settings.tolerated_losses));
         let process = Self {
             dispatcher: Dispatcher::new(Box::new(move || reader_codec.event_reader())),
@@ -202,6 +207,7 @@
             client: HttpClient::new(parts),
             exchanges: HashMap::new(),
             run_exchanges: HashMap::new(),
+            scores: ScoreCalls::new(forwarder),
             cancels: HashMap::new(),
             next_exchange: 1,
             updates,
