Entries go by the connection; bytes are counted by kind and path

Small entries went by datagram, overtook larger ones before them on the connection, were refused and made the leader begin again.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -57,8 +57,8 @@
     /// A gateway that knows nothing yet.
     pub fn new(settings: GatewaySettings, codec: Rc<dyn Codec>) -> Self {
         Self {
+            relay: JobRelay::new(RelaySettings::default(), settings.zone.clone()),
             forwarder: Forwarder::new(codec.clone(), settings.zone, settings.seed),
-            relay: JobRelay::new(RelaySettings::default()),
             codec,
             leaving: false,
             configuration: None,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -55,6 +55,7 @@
 /// Batch-job calls under way.
 pub struct JobRelay {
     settings: RelaySettings,
+    zone: String,
     replicas: Vec<String>,
     leader: Option<String>,
     calls: BTreeMap<u64, Pending>,
@@ -63,10 +64,11 @@
 }
 
 impl JobRelay {
-    /// A relay that knows no replica.
-    pub fn new(settings: RelaySettings) -> Self {
+    /// A relay in `zone` that knows no replica.
+    pub fn new(settings: RelaySettings, zone: String) -> Self {
         Self {
             settings,
+            zone,
             replicas: Vec::new(),
             leader: None,
             calls: BTreeMap::new(),
@@ -141,6 +143,7 @@
         pending.next = now + self.settings.resend + pending.wait;
         let call = JobCall {
             call: id,
+            zone: self.zone.clone(),
             body: pending.body.clone(),
         };
         actions.push(GatewayAction::Job { address, call });
--- a/crates/gateway/tests/relay.rs
+++ b/crates/gateway/tests/relay.rs
@@ -39,7 +39,7 @@
 }
 
 fn started(actions: &mut Vec<GatewayAction>) -> (JobRelay, u64) {
-    let mut relay = JobRelay::new(RelaySettings::default());
+    let mut relay = JobRelay::new(RelaySettings::default(), "z".into());
     relay.set_replicas(vec![LEADER.into()]);
     let body = OneOfbody::submit(AcceptJob::default());
     relay.start(Time(0), CallId(1), body, Duration(0), actions);
--- a/crates/server/src/metrics.rs
+++ b/crates/server/src/metrics.rs
@@ -24,6 +24,8 @@
     pub events: IntCounterVec,
     /// Answers to callers, by `status`.
     pub answers: IntCounterVec,
+    /// Bytes, by `kind` of message and `path`.
+    pub traffic: IntCounterVec,
     /// State, by `name`.
     pub state: IntGaugeVec,
     /// Time from a caller's request to the end of its answer.
@@ -39,14 +41,17 @@
         let registry = Registry::new();
         let events = counters("peatgrade_events_total", "Things that happened", "event");
         let answers = counters("peatgrade_answers_total", "Answers to callers", "status");
+        let opts = Opts::new("peatgrade_traffic_bytes_total", "Bytes of messages");
+        let traffic = IntCounterVec::new(opts, &["kind", "path"]).expect("fixed name and labels");
         let opts = Opts::new("peatgrade_state", "Present state of the process");
         let state = IntGaugeVec::new(opts, &["name"]).expect("fixed name and label");
         let request_seconds = histogram("peatgrade_request_seconds", "Time of a request", 0.002);
         let sync_seconds = histogram("peatgrade_log_sync_seconds", "Time of a log sync", 0.000_2);
         let score_seconds = histogram("peatgrade_score_seconds", "Time to a score", 0.005);
-        let all: [Box<dyn prometheus::core::Collector>; 6] = [
+        let all: [Box<dyn prometheus::core::Collector>; 7] = [
             Box::new(events.clone()),
             Box::new(answers.clone()),
+            Box::new(traffic.clone()),
             Box::new(state.clone()),
             Box::new(request_seconds.clone()),
             Box::new(sync_seconds.clone()),
@@ -59,6 +64,7 @@
             registry,
             events,
             answers,
+            traffic,
             state,
             request_seconds,
             sync_seconds,
--- a/crates/server/src/storage/engines.rs
+++ b/crates/server/src/storage/engines.rs
@@ -16,6 +16,7 @@
 use crate::clock::steady_now;
 
 use super::process::StorageProcess;
+use super::traffic::{self, Path};
 
 /// Longest silence within a run; the dispatcher moves it long before.
 const RUN_SILENCE: Duration = Duration::from_secs(60);
@@ -42,7 +43,8 @@
 /// What an exchange is for.
 #[derive(Debug)]
 pub(super) enum EngineExchange {
-    Run(RunId),
+    /// A run, and the path to its engine.
+    Run(RunId, Path),
     Score(HttpId),
     Order(Instance, u16),
     Report(Instance, u16, BytesMut),
@@ -63,13 +65,13 @@
         let id = ExchangeId(self.next_exchange);
         self.next_exchange += 1;
         let options = match exchange {
-            EngineExchange::Run(_) => SendOptions::gathering(RUN_SILENCE),
+            EngineExchange::Run(..) => SendOptions::gathering(RUN_SILENCE),
             EngineExchange::Score(_) => SendOptions::reusing(SCORE_SILENCE),
             _ => SendOptions::reusing(CONTROL_TIMEOUT),
         };
         let cancel = self.client.send(id, address, request, options);
         match exchange {
-            EngineExchange::Run(run) => {
+            EngineExchange::Run(run, _) => {
                 self.run_exchanges.insert(run, id);
             }
             EngineExchange::Score(score) => {
@@ -89,7 +91,8 @@
             match action {
                 DispatchAction::Run { run, address, call } => {
                     self.metrics.count("item_run");
-                    self.begin(EngineExchange::Run(run), &address, &call);
+                    let path = self.path_of(&call);
+                    self.begin(EngineExchange::Run(run, path), &address, &call);
                 }
                 DispatchAction::Cancel(run) => {
                     self.metrics.count("item_run_cancelled");
@@ -106,6 +109,15 @@
         }
     }
 
+    /// The path to the engine that a call is for.
+    fn path_of(&self, call: &EngineCall) -> Path {
+        let EngineCall::Run { instance, .. } = call else {
+            return Path::UnknownZone;
+        };
+        let zone = self.directory.get(instance).map(|state| &state.record.zone);
+        Path::between(&self.settings.zone, zone.map_or("", String::as_str))
+    }
+
     fn propose(&mut self, now: Time, body: OneOfbody) {
         let command = encode(&JobCommand { body });
         if self.replica.propose(now, command).is_none() {
@@ -181,8 +193,11 @@
         let last = matches!(part, ResponsePart::End | ResponsePart::Failed(_));
         match self.exchanges.get_mut(&id) {
             None => {}
-            Some(EngineExchange::Run(run)) => {
-                let run = *run;
+            Some(EngineExchange::Run(run, path)) => {
+                let (run, path) = (*run, *path);
+                if let ResponsePart::Data(data) = &part {
+                    traffic::count(&self.metrics, "item_events", path, data.len());
+                }
                 self.on_run_part(now, run, part);
             }
             Some(EngineExchange::Score(score)) => {
@@ -204,7 +219,7 @@
         }
         if last {
             match self.exchanges.remove(&id) {
-                Some(EngineExchange::Run(run)) => {
+                Some(EngineExchange::Run(run, _)) => {
                     self.run_exchanges.remove(&run);
                 }
                 Some(EngineExchange::Score(score)) => {
--- a/crates/server/src/storage/mod.rs
+++ b/crates/server/src/storage/mod.rs
@@ -23,6 +23,7 @@
 mod replication;
 mod retirement;
 mod scores;
+mod traffic;
 mod updates;
 
 pub use process::run_storage;
--- a/crates/server/src/storage/process.rs
+++ b/crates/server/src/storage/process.rs
@@ -36,6 +36,7 @@
 use super::registration::{self, Founding};
 use super::retirement::Retirement;
 use super::scores::ScoreCalls;
+use super::traffic::CallerZones;
 
 /// Time between two looks at what is due.
 const LEADER_TICK: Duration = Duration::from_millis(15);
@@ -124,6 +125,8 @@
     /// Machines to be emptied.
     pub retirements: BTreeMap<String, Retirement>,
     pub room: Room,
+    /// Zones of the gateways that call.
+    pub caller_zones: CallerZones,
     /// What there is too little of for another job.
     pub pressure: Option<Pressure>,
     pub stop_at: Option<Time>,
@@ -220,6 +223,7 @@
             work_void: false,
             retirements: BTreeMap::new(),
             room,
+            caller_zones: CallerZones::default(),
             pressure: None,
             stop_at: None,
             last_dispatch: Time(0),
--- a/crates/server/src/storage/replication.rs
+++ b/crates/server/src/storage/replication.rs
@@ -12,6 +12,7 @@
 use crate::ServerError;
 
 use super::process::StorageProcess;
+use super::traffic::{self, Path};
 
 /// Bytes of a record beside its command, about.
 const RECORD_BYTES: u64 = 64;
@@ -24,7 +25,12 @@
         self.link.heard(&message.from_address);
         let now = steady_now();
         match message.body {
-            OneOfbody::job_call(call) => self.on_job_call(now, &message.from_address, call),
+            OneOfbody::job_call(call) => {
+                self.caller_zones.learn(&message.from_address, &call.zone);
+                let path = Path::between(&self.settings.zone, &call.zone);
+                traffic::count(&self.metrics, "job_call", path, bytes.len());
+                self.on_job_call(now, &message.from_address, call);
+            }
             OneOfbody::wrong_replica(told) => self.on_wrong_replica(now, told),
             OneOfbody::job_reply(_) | OneOfbody::None => {}
             _ if message.to != self.replica.id().0 => {
@@ -61,8 +67,23 @@
             from_address: self.settings.peer_address.clone(),
             body: outgoing.body,
         };
+        let delivery = delivery_of(&message.body);
         let bytes = encode(&message);
-        self.link.send(&outgoing.address, bytes, Delivery::Light);
+        let zone = self.zone_of_replica(outgoing.to);
+        let path = Path::between(&self.settings.zone, &zone);
+        traffic::count(
+            &self.metrics,
+            traffic::kind_of(&message.body),
+            path,
+            bytes.len(),
+        );
+        self.link.send(&outgoing.address, bytes, delivery);
+    }
+
+    fn zone_of_replica(&self, replica: ReplicaId) -> String {
+        let members = self.replica.members();
+        let member = members.into_iter().find(|m| m.replica == replica.0);
+        member.map(|member| member.zone).unwrap_or_default()
     }
 
     pub(super) fn reply(&mut self, address: &str, body: OneOfbody) {
@@ -73,8 +94,15 @@
             from_address: self.settings.peer_address.clone(),
             body,
         };
-        self.link
-            .send(address, encode(&message), Delivery::Connected);
+        let bytes = encode(&message);
+        let path = Path::between(&self.settings.zone, self.caller_zones.get(address));
+        traffic::count(
+            &self.metrics,
+            traffic::kind_of(&message.body),
+            path,
+            bytes.len(),
+        );
+        self.link.send(address, bytes, Delivery::Connected);
     }
 
     /// Sends, persists and applies until the replica wants nothing more.
@@ -198,3 +226,17 @@
         }
     }
 }
+
+/// Entries go by the connection, however few they are: one that came by datagram
+/// would overtake those before it, be refused for what is missing, and make the
+/// leader send all of them again. Anything else may come in any order.
+fn delivery_of(body: &OneOfbody) -> Delivery {
+    match body {
+        OneOfbody::append_request(append) if !append.entries.is_empty() => Delivery::Connected,
+        _ => Delivery::Light,
+    }
+}
+
+#[cfg(test)]
+#[path = "../../tests/unit/delivery.rs"]
+mod tests;
--- /dev/null
+++ b/crates/server/src/storage/traffic.rs
@@ -0,0 +1,89 @@
+//! Bytes by kind of message, and whether they cross zones: what a deployment pays
+//! for, and what tells where they go.
+
+use peatgrade_schema::replication::mod_ReplicaMessage::OneOfbody;
+use std::collections::HashMap;
+
+use crate::metrics::Metrics;
+
+/// Gateways whose zone is remembered; more than any deployment has.
+const MAX_CALLERS: usize = 4_096;
+
+/// Where a message goes or comes from, as seen from here.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub(super) enum Path {
+    /// Within the zone of this machine.
+    SameZone,
+    /// From or to another one.
+    OtherZone,
+    /// Whoever it is has not told.
+    UnknownZone,
+}
+
+impl Path {
+    /// The path between two zones; an empty one is not known.
+    pub fn between(own: &str, other: &str) -> Self {
+        match other {
+            "" => Path::UnknownZone,
+            other if other == own => Path::SameZone,
+            _ => Path::OtherZone,
+        }
+    }
+
+    fn label(self) -> &'static str {
+        match self {
+            Path::SameZone => "same_zone",
+            Path::OtherZone => "other_zone",
+            Path::UnknownZone => "unknown_zone",
+        }
+    }
+}
+
+/// Zones of gateways, by the address that they are answered at.
+#[derive(Debug, Default)]
+pub(super) struct CallerZones {
+    zones: HashMap<String, String>,
+}
+
+impl CallerZones {
+    pub fn learn(&mut self, address: &str, zone: &str) {
+        let known = self.zones.get(address).is_some_and(|known| known == zone);
+        if known || zone.is_empty() {
+            return;
+        }
+        if self.zones.len() >= MAX_CALLERS {
+            self.zones.clear();
+        }
+        self.zones.insert(address.to_string(), zone.to_string());
+    }
+
+    pub fn get(&self, address: &str) -> &str {
+        self.zones.get(address).map_or("", String::as_str)
+    }
+}
+
+/// Counts bytes of a kind on a path.
+pub(super) fn count(metrics: &Metrics, kind: &str, path: Path, bytes: usize) {
+    let labels = [kind, path.label()];
+    metrics
+        .traffic
+        .with_label_values(&labels)
+        .inc_by(bytes as u64);
+}
+
+/// The kind of a message, as metrics name it.
+pub(super) fn kind_of(body: &OneOfbody) -> &'static str {
+    match body {
+        OneOfbody::append_request(append) if append.entries.is_empty() => "heartbeat",
+        OneOfbody::append_request(_) => "log_entries",
+        OneOfbody::append_response(_) => "log_answer",
+        OneOfbody::job_reply(reply) if reply.results.is_empty() => "job_answer",
+        OneOfbody::job_reply(_) => "job_results",
+        OneOfbody::job_call(_) => "job_call",
+        _ => "membership",
+    }
+}
+
+#[cfg(test)]
+#[path = "../../tests/unit/traffic.rs"]
+mod tests;
--- /dev/null
+++ b/crates/server/tests/unit/delivery.rs
@@ -0,0 +1,22 @@
+//! How messages of replicas travel.
+
+use super::*;
+use peatgrade_schema::replication::{AppendRequest, LogEntry, VoteRequest};
+
+#[test]
+fn entries_go_by_the_connection_and_overtake_nothing() {
+    let entry = LogEntry {
+        index: 7,
+        command: b"small enough for a datagram".to_vec(),
+        ..LogEntry::default()
+    };
+    let entries = OneOfbody::append_request(AppendRequest {
+        entries: vec![entry],
+        ..AppendRequest::default()
+    });
+    assert_eq!(delivery_of(&entries), Delivery::Connected);
+    let heartbeat = OneOfbody::append_request(AppendRequest::default());
+    assert_eq!(delivery_of(&heartbeat), Delivery::Light);
+    let vote = OneOfbody::vote_request(VoteRequest::default());
+    assert_eq!(delivery_of(&vote), Delivery::Light);
+}
