Reads that look back are answered by the replica of the reader's zone

Hypothesis: listed results never change, so any replica that holds them may answer. Change: the leader names to each gateway a sound replica of its zone; reads go there first. It answers if what stands at the position was listed 2 s ago or more, or if nothing can follow, and sends everyone else on to the leader: a trainer reads twice a second and misses nothing that is new. One that is silent for 100 ms is left for 3 s.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -27,6 +27,10 @@
     pub pause: Duration,
     /// Time after which a call is given up, beyond its own wait.
     pub give_up: Duration,
+    /// Time after which a near replica that has not answered is left.
+    pub near_patience: Duration,
+    /// How long it is left alone then.
+    pub near_rest: Duration,
 }
 
 impl Default for RelaySettings {
@@ -35,6 +39,10 @@
             resend: Duration::from_millis(350),
             pause: Duration::from_millis(40),
             give_up: Duration::from_millis(1_300),
+            // A round trip within a zone and a busy machine's pause.
+            near_patience: Duration::from_millis(100),
+            // About a contact time: a machine that was cut off is back by then.
+            near_rest: Duration::from_millis(3_000),
         }
     }
 }
@@ -47,6 +55,8 @@
     next: Time,
     sent: bool,
     tried: usize,
+    /// The near replica has it just now.
+    at_near: bool,
     /// Copies that nobody has replied to: one that was held up may still come
     /// to a leader.
     copies: usize,
@@ -58,6 +68,10 @@
     zone: String,
     replicas: Vec<String>,
     leader: Option<String>,
+    /// A replica in this zone that has listed results, as the leader says, and
+    /// until when it is left alone.
+    near: Option<String>,
+    near_rests_until: Time,
     calls: BTreeMap<u64, Pending>,
     next_call: u64,
     leaderless_since: Option<Time>,
@@ -71,6 +85,8 @@
             zone,
             replicas: Vec::new(),
             leader: None,
+            near: None,
+            near_rests_until: Time(0),
             calls: BTreeMap::new(),
             next_call: 1,
             leaderless_since: Some(Time(0)),
@@ -118,6 +134,7 @@
             next: now,
             sent: false,
             tried: 0,
+            at_near: false,
             copies: 0,
         };
         self.calls.insert(id, pending);
@@ -129,8 +146,12 @@
             return;
         };
         let others = self.replicas.len();
-        let address = match &self.leader {
-            Some(leader) => leader.clone(),
+        let looks_back = matches!(pending.body, OneOfbody::read(_)) && pending.tried == 0;
+        let near = self.near.as_ref();
+        let near = near.filter(|_| looks_back && now >= self.near_rests_until);
+        pending.at_near = near.is_some();
+        let address = match near.or(self.leader.as_ref()) {
+            Some(address) => address.clone(),
             None if others > 0 => self.replicas[(pending.tried + id as usize) % others].clone(),
             None => {
                 pending.next = now + self.settings.pause;
@@ -140,7 +161,10 @@
         pending.tried += 1;
         pending.copies += 1;
         pending.sent = true;
-        pending.next = now + self.settings.resend + pending.wait;
+        pending.next = match pending.at_near {
+            true => now + self.settings.near_patience,
+            false => now + self.settings.resend + pending.wait,
+        };
         let call = JobCall {
             call: id,
             zone: self.zone.clone(),
@@ -160,8 +184,12 @@
         if matches!(reply.status, JobStatus::NOT_LEADER) {
             return self.on_not_leader(now, from, &reply, actions);
         }
-        self.leader = Some(from.to_string());
-        self.leaderless_since = None;
+        // Only the leader names a replica near this gateway, or none.
+        if !reply.follows {
+            self.leader = Some(from.to_string());
+            self.leaderless_since = None;
+            self.near = Some(reply.near_address.clone()).filter(|near| !near.is_empty());
+        }
         let pending = self.calls.remove(&reply.call)?;
         let last = pending.copies <= 1;
         if matches!(reply.status, JobStatus::NO_ROOM) && !last {
@@ -202,6 +230,14 @@
         None
     }
 
+    /// The near replica did not answer: the leader is asked instead for a while.
+    fn leave_near(&mut self, now: Time) {
+        if let Some(near) = &self.near {
+            log::info!("belief=near-replica-silent address={near}");
+        }
+        self.near_rests_until = now + self.settings.near_rest;
+    }
+
     fn lose_leader(&mut self, now: Time) {
         if let Some(leader) = self.leader.take() {
             log::info!("belief=leader-lost address={leader}");
@@ -226,7 +262,9 @@
                 answers.extend(pending.map(|p| (p.caller, given_up(&p))));
                 continue;
             }
-            if pending.sent && self.leader.is_some() && pending.tried > 0 {
+            if pending.at_near {
+                self.leave_near(now);
+            } else if pending.sent && self.leader.is_some() && pending.tried > 0 {
                 // It did not answer in time: ask the others.
                 self.lose_leader(now);
             }
--- a/crates/gateway/tests/relay.rs
+++ b/crates/gateway/tests/relay.rs
@@ -4,7 +4,7 @@
 use peatgrade_gateway::{GatewayAction, JobRelay, RelaySettings};
 use peatgrade_ports::{Answer, Refusal};
 use peatgrade_schema::replication::mod_JobCall::OneOfbody;
-use peatgrade_schema::replication::{AcceptJob, JobReply, JobStatus};
+use peatgrade_schema::replication::{AcceptJob, JobReply, JobStatus, ReadJob};
 use peatgrade_types::{Duration, Time};
 
 const LEADER: &str = "10.0.0.1:7000";
@@ -83,3 +83,100 @@
     let answer = relay.on_reply(Time(2_000), "10.0.0.2:7000", no_room(call), &mut actions);
     assert_eq!(refusal(answer), (Refusal::NotRun, true));
 }
+
+const NEAR: &str = "10.0.0.2:7000";
+
+/// A relay that knows the leader and a replica of its own zone.
+fn with_near_replica(actions: &mut Vec<GatewayAction>) -> JobRelay {
+    let (mut relay, call) = started(actions);
+    let reply = JobReply {
+        call,
+        near_address: NEAR.into(),
+        ..JobReply::default()
+    };
+    relay.on_reply(Time(0), LEADER, reply, actions);
+    relay
+}
+
+fn read(relay: &mut JobRelay, now: Time, actions: &mut Vec<GatewayAction>) -> (String, u64) {
+    let body = OneOfbody::read(ReadJob::default());
+    let wait = Duration::from_millis(1_000);
+    relay.start(now, CallId(2), body, wait, actions);
+    sent_to(actions)
+}
+
+fn sent_to(actions: &mut Vec<GatewayAction>) -> (String, u64) {
+    match actions.drain(..).next_back() {
+        Some(GatewayAction::Job { address, call }) => (address, call.call),
+        other => panic!("nothing was sent: {other:?}"),
+    }
+}
+
+#[test]
+fn reads_are_asked_of_a_replica_in_the_same_zone_first() {
+    let mut actions = Vec::new();
+    let mut relay = with_near_replica(&mut actions);
+    let (address, call) = read(&mut relay, Time(0), &mut actions);
+    assert_eq!(address, NEAR);
+    let reply = JobReply {
+        call,
+        total: 40,
+        follows: true,
+        ..JobReply::default()
+    };
+    let answer = relay.on_reply(Time(500), NEAR, reply, &mut actions);
+    assert!(matches!(
+        answer,
+        Some((CallId(2), Answer::Results { total: 40, .. }))
+    ));
+    // It answered, and still does not lead.
+    let body = OneOfbody::submit(AcceptJob::default());
+    relay.start(Time(600), CallId(3), body, Duration(0), &mut actions);
+    assert_eq!(sent_to(&mut actions).0, LEADER);
+    assert_eq!(read(&mut relay, Time(700), &mut actions).0, NEAR);
+}
+
+/// What is new is the leader's to answer, at once.
+#[test]
+fn a_read_that_the_near_replica_cannot_answer_goes_on_to_the_leader() {
+    let mut actions = Vec::new();
+    let mut relay = with_near_replica(&mut actions);
+    let (_, call) = read(&mut relay, Time(0), &mut actions);
+    let reply = JobReply {
+        call,
+        status: JobStatus::NOT_LEADER,
+        leader_address: LEADER.into(),
+        ..JobReply::default()
+    };
+    let answer = relay.on_reply(Time(500), NEAR, reply, &mut actions);
+    assert!(answer.is_none());
+    assert_eq!(sent_to(&mut actions).0, LEADER);
+}
+
+#[test]
+fn a_silent_near_replica_is_left_soon_and_for_a_while() {
+    let mut actions = Vec::new();
+    let mut relay = with_near_replica(&mut actions);
+    let (_, first) = read(&mut relay, Time(0), &mut actions);
+    let later = Time(0) + Duration::from_millis(110);
+    assert!(relay.tick(later, &mut actions).is_empty());
+    assert_eq!(sent_to(&mut actions), (LEADER.to_string(), first));
+    assert_eq!(read(&mut relay, later, &mut actions).0, LEADER);
+    assert!(!relay.misses_leader(later + Duration::from_millis(800)));
+    let much_later = later + Duration::from_millis(3_100);
+    assert_eq!(read(&mut relay, much_later, &mut actions).0, NEAR);
+}
+
+/// The near replica may be gone for good; the leader then names none.
+#[test]
+fn the_leader_takes_back_what_it_said_of_a_near_replica() {
+    let mut actions = Vec::new();
+    let mut relay = with_near_replica(&mut actions);
+    let (_, call) = read(&mut relay, Time(0), &mut actions);
+    let reply = JobReply {
+        call,
+        ..JobReply::default()
+    };
+    relay.on_reply(Time(500), LEADER, reply, &mut actions);
+    assert_eq!(read(&mut relay, Time(600), &mut actions).0, LEADER);
+}
--- a/crates/jobs/src/store.rs
+++ b/crates/jobs/src/store.rs
@@ -23,6 +23,8 @@
     pub versions: Vec<u64>,
     /// Signature of the answer to its reward call; empty if it has none.
     pub score: String,
+    /// When this replica learnt of it.
+    pub known_since: Time,
 }
 
 /// Answers of engines that said that an item failed.
@@ -56,6 +58,14 @@
 }
 
 impl Job {
+    /// Whether all that will ever be read from a position on is known here, or
+    /// what stands there was listed at least `age` ago.
+    pub fn is_settled(&self, now: Time, position: usize, age: Duration) -> bool {
+        let complete = self.ended || self.results.len() == self.spec.items.len();
+        let first = self.results.get(position);
+        complete || first.is_some_and(|result| now.since(result.known_since) >= age)
+    }
+
     /// Index of an item by its id.
     pub fn item_index(&self, id: &str) -> Option<usize> {
         self.spec.items.iter().position(|item| item.id == id)
@@ -99,7 +109,7 @@
         }
         match decode::<JobCommand>(command).map(|command| command.body) {
             Ok(OneOfbody::accept(spec)) => self.accept(now, index, spec),
-            Ok(OneOfbody::results(list)) => self.list(list),
+            Ok(OneOfbody::results(list)) => self.list(now, list),
             Ok(OneOfbody::end(end)) => self.end(&end.job),
             Ok(OneOfbody::progress(progress)) => self.keep_progress(progress),
             Ok(OneOfbody::order(note)) => Applied::Ordered {
@@ -138,7 +148,7 @@
         Applied::Accepted(id)
     }
 
-    fn list(&mut self, list: ListResults) -> Applied {
+    fn list(&mut self, now: Time, list: ListResults) -> Applied {
         let Some(job) = self.jobs.get_mut(&list.job).filter(|job| !job.ended) else {
             return Applied::Nothing;
         };
@@ -162,6 +172,7 @@
                 text,
                 versions: result.versions,
                 score: result.score,
+                known_since: now,
             });
         }
         if job.results.len() == before {
--- a/crates/jobs/tests/store.rs
+++ b/crates/jobs/tests/store.rs
@@ -157,3 +157,23 @@
         Applied::Nothing
     );
 }
+
+/// A replica that does not lead answers only reads that look back.
+#[test]
+fn results_are_settled_once_they_are_old_or_nothing_can_follow() {
+    let age = Duration::from_millis(2_000);
+    let mut scene = Scene::new();
+    scene.apply(result(0, "text", 0));
+    let settled = |scene: &Scene, at: Time, position: usize| {
+        scene.store.get("j").unwrap().is_settled(at, position, age)
+    };
+    let (early, late) = (Time(1_999_000), Time(2_000_000));
+    assert!(!settled(&scene, early, 0));
+    assert!(settled(&scene, late, 0));
+    assert!(!settled(&scene, late, 1), "another may be listed");
+    scene.apply(result(1, "text", 0));
+    assert!(settled(&scene, early, 0) && settled(&scene, early, 2));
+    scene.apply(accept("k", &["c", "d"]));
+    scene.apply(OneOfbody::end(EndJob { job: "k".into() }));
+    assert!(scene.store.get("k").unwrap().is_settled(early, 0, age));
+}
--- a/crates/server/src/storage/calls.rs
+++ b/crates/server/src/storage/calls.rs
@@ -1,5 +1,6 @@
 //! Batch-job calls that gateways pass on.
 
+use peatgrade_replication::ReplicaId;
 use peatgrade_schema::encode;
 use peatgrade_schema::replication::mod_JobCall::OneOfbody as CallBody;
 use peatgrade_schema::replication::mod_JobCommand::OneOfbody as CommandBody;
@@ -10,8 +11,17 @@
 use peatgrade_types::{Duration, Time};
 use std::collections::{BTreeSet, HashMap};
 
+use crate::clock::steady_now;
+
 use super::process::StorageProcess;
 
+/// A replica that does not lead answers a read of results that it has known for so
+/// long: who reads them only now looks back, and misses nothing that is new. A
+/// trainer reads twice a second, so what it asks for is newer.
+const SETTLED_AFTER: Duration = Duration::from_millis(2_000);
+/// A replica that has answered the leader within this span may be asked by others.
+const NEAR_ALIVE: Duration = Duration::from_millis(200);
+
 /// Longest time that a read waits for a result.
 const MAX_WAIT: Duration = Duration::from_millis(1_500);
 
@@ -72,6 +82,12 @@
             call: call.call,
         };
         if !self.replica.may_answer(now) || !self.working {
+            if let CallBody::read(read) = &call.body {
+                if self.has_settled(now, read) {
+                    self.metrics.count("read_by_follower");
+                    return self.reply_results(&caller, read);
+                }
+            }
             return self.reply_status(&caller, JobStatus::NOT_LEADER);
         }
         match call.body {
@@ -83,6 +99,28 @@
         }
     }
 
+    /// Whether this replica can answer a read although it does not lead: listed
+    /// results never change.
+    fn has_settled(&self, now: Time, read: &ReadJob) -> bool {
+        let job = self.jobs.get(&read.job);
+        job.is_some_and(|job| job.is_settled(now, read.position as usize, SETTLED_AFTER))
+    }
+
+    /// A sound replica in the zone of a caller, while this one leads from another.
+    fn near_replica(&self, address: &str) -> String {
+        let zone = self.caller_zones.get(address);
+        if zone.is_empty() || zone == self.settings.zone || !self.working {
+            return String::new();
+        }
+        let now = steady_now();
+        let members = self.replica.members().into_iter();
+        let mut near = members.filter(|member| {
+            let progress = self.replica.progress(ReplicaId(member.replica));
+            member.zone == zone && progress.is_some_and(|p| p.alive(now, NEAR_ALIVE))
+        });
+        near.next().map(|near| near.address).unwrap_or_default()
+    }
+
     fn on_submit(&mut self, now: Time, caller: Caller, submit: AcceptJob) {
         if self.jobs.get(&submit.job).is_some() {
             return self.reply_status(&caller, JobStatus::OK);
@@ -181,6 +219,7 @@
             call: caller.call,
             status,
             leader_address: self.replica.leader_address().unwrap_or("").to_string(),
+            near_address: self.near_replica(&caller.address),
             ..JobReply::default()
         };
         self.reply(&caller.address, OneOfbody::job_reply(reply));
@@ -212,6 +251,8 @@
             total: job.spec.items.len() as u64,
             position: read.position,
             results,
+            follows: !self.working,
+            near_address: self.near_replica(&caller.address),
             ..JobReply::default()
         };
         self.reply(&caller.address, OneOfbody::job_reply(reply));
--- a/crates/server/src/storage/engines.rs
+++ b/crates/server/src/storage/engines.rs
@@ -112,7 +112,7 @@
     /// The path to the engine that a call is for.
     fn path_of(&self, call: &EngineCall) -> Path {
         let EngineCall::Run { instance, .. } = call else {
-            return Path::UnknownZone;
+            return Path::Unknown;
         };
         let zone = self.directory.get(instance).map(|state| &state.record.zone);
         Path::between(&self.settings.zone, zone.map_or("", String::as_str))
--- a/crates/server/src/storage/traffic.rs
+++ b/crates/server/src/storage/traffic.rs
@@ -13,28 +13,28 @@
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub(super) enum Path {
     /// Within the zone of this machine.
-    SameZone,
+    Inside,
     /// From or to another one.
-    OtherZone,
+    Across,
     /// Whoever it is has not told.
-    UnknownZone,
+    Unknown,
 }
 
 impl Path {
     /// The path between two zones; an empty one is not known.
     pub fn between(own: &str, other: &str) -> Self {
         match other {
-            "" => Path::UnknownZone,
-            other if other == own => Path::SameZone,
-            _ => Path::OtherZone,
+            "" => Path::Unknown,
+            other if other == own => Path::Inside,
+            _ => Path::Across,
         }
     }
 
     fn label(self) -> &'static str {
         match self {
-            Path::SameZone => "same_zone",
-            Path::OtherZone => "other_zone",
-            Path::UnknownZone => "unknown_zone",
+            Path::Inside => "same_zone",
+            Path::Across => "other_zone",
+            Path::Unknown => "unknown_zone",
         }
     }
 }
--- a/crates/server/tests/unit/traffic.rs
+++ b/crates/server/tests/unit/traffic.rs
@@ -6,14 +6,14 @@
 fn a_path_is_known_once_its_other_end_has_told_its_zone() {
     let mut zones = CallerZones::default();
     let path = |zones: &CallerZones| Path::between("a", zones.get("10.0.0.1:1"));
-    assert_eq!(path(&zones), Path::UnknownZone);
+    assert_eq!(path(&zones), Path::Unknown);
     zones.learn("10.0.0.1:1", "");
-    assert_eq!(path(&zones), Path::UnknownZone);
+    assert_eq!(path(&zones), Path::Unknown);
     zones.learn("10.0.0.1:1", "b");
-    assert_eq!(path(&zones), Path::OtherZone);
+    assert_eq!(path(&zones), Path::Across);
     // The address may pass to a machine elsewhere.
     zones.learn("10.0.0.1:1", "a");
-    assert_eq!(path(&zones), Path::SameZone);
+    assert_eq!(path(&zones), Path::Inside);
 }
 
 #[test]
