Links compress what they carry

Change: a frame of a link is compressed by zstd, level 1, if it has 512 bytes or more and gets shorter; lengths are bounded before memory is taken. One codec a process. Weighed: compressing commands before they go into the log saves disk too, but puts the format into the log; lz4 has no entropy coding, and these texts have no repeats.

--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -13,6 +13,7 @@
 //! checks that none is open.
 
 pub mod event_loop;
+mod frames;
 pub mod http_client;
 pub mod http_server;
 pub mod link_socket;
--- a/crates/runtime/src/link_socket.rs
+++ b/crates/runtime/src/link_socket.rs
@@ -1,11 +1,9 @@
 //! Messages between processes as bytes: datagrams for small ones, frames on a
 //! connection for large ones and for those that should not get lost.
 //!
-//! Both may lose messages; who sends expects that. A frame is a length of four
-//! bytes, big-endian, and the message. A connection on which nothing came back
+//! Both may lose messages; who sends expects that. A connection on which nothing came back
 //! for a while may be dead without a sign, so it is made anew.
 
-use bytes::{BufMut, BytesMut};
 use futures_channel::mpsc::{unbounded, UnboundedReceiver, UnboundedSender};
 use futures_util::StreamExt;
 use monoio::io::{AsyncReadRentExt, AsyncWriteRentExt};
@@ -17,10 +15,10 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use crate::frames::{FrameCodec, FrameHeader, HEADER};
+
 /// Largest message sent in one datagram; larger ones could be fragmented.
 const MAX_DATAGRAM: usize = 1_200;
-/// Largest frame accepted.
-const MAX_FRAME: usize = 40 * 1024 * 1024;
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Longest time that one frame may take to be handed to the system.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -51,6 +49,7 @@
 /// The sockets of one process.
 pub struct LinkSocket {
     udp: Rc<UdpSocket>,
+    frames: Rc<FrameCodec>,
     connections: HashMap<SocketAddr, Sending>,
     heard: HashMap<SocketAddr, Instant>,
     dropped: u64,
@@ -62,9 +61,11 @@
         let udp = Rc::new(UdpSocket::bind(address)?);
         let listener = TcpListener::bind(address)?;
         monoio::spawn(receive_datagrams(udp.clone(), received.clone()));
-        monoio::spawn(accept_frames(listener, received));
+        let frames = Rc::new(FrameCodec::new()?);
+        monoio::spawn(accept_frames(listener, frames.clone(), received));
         Ok(Self {
             udp,
+            frames,
             connections: HashMap::new(),
             heard: HashMap::new(),
             dropped: 0,
@@ -94,7 +95,8 @@
         let sending = self.connections.entry(address).or_insert_with(|| {
             let (queue, receiver) = unbounded();
             let waiting = Rc::new(Cell::new(0));
-            monoio::spawn(send_frames(address, receiver, waiting.clone()));
+            let frames = self.frames.clone();
+            monoio::spawn(send_frames(address, frames, receiver, waiting.clone()));
             Sending {
                 queue,
                 waiting,
@@ -110,6 +112,11 @@
         }
     }
 
+    /// Bytes sent over connections so far, and what they were compressed to.
+    pub fn sent_bytes(&self) -> (u64, u64) {
+        self.frames.sent()
+    }
+
     /// Bytes that wait for connections.
     pub fn waiting_bytes(&self) -> usize {
         let connections = self.connections.values();
@@ -151,11 +158,15 @@
     }
 }
 
-async fn accept_frames(listener: TcpListener, received: UnboundedSender<Vec<u8>>) {
+async fn accept_frames(
+    listener: TcpListener,
+    frames: Rc<FrameCodec>,
+    received: UnboundedSender<Vec<u8>>,
+) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                monoio::spawn(receive_frames(stream, received.clone()));
+                monoio::spawn(receive_frames(stream, frames.clone(), received.clone()));
             }
             Err(error) => {
                 log::warn!("step=accept-link error={error}");
@@ -165,18 +176,29 @@
     }
 }
 
-async fn receive_frames(mut stream: TcpStream, received: UnboundedSender<Vec<u8>>) {
+async fn receive_frames(
+    mut stream: TcpStream,
+    frames: Rc<FrameCodec>,
+    received: UnboundedSender<Vec<u8>>,
+) {
     loop {
-        let (result, length) = stream.read_exact(vec![0_u8; 4]).await;
+        let (result, header) = stream.read_exact(Box::new([0_u8; HEADER])).await;
         if result.is_err() {
             return;
         }
-        let length = u32::from_be_bytes([length[0], length[1], length[2], length[3]]) as usize;
-        if length > MAX_FRAME {
-            return log::warn!("step=receive-frame reason=too-large bytes={length}");
+        let header = match FrameHeader::parse(&header) {
+            Ok(header) => header,
+            Err(error) => return log::warn!("step=receive-frame error={error}"),
+        };
+        let (result, body) = stream.read_exact(vec![0_u8; header.length]).await;
+        if result.is_err() {
+            return;
         }
-        let (result, frame) = stream.read_exact(vec![0_u8; length]).await;
-        if result.is_err() || received.unbounded_send(frame).is_err() {
+        let message = match frames.message(header, body) {
+            Ok(message) => message,
+            Err(error) => return log::warn!("step=receive-frame error={error}"),
+        };
+        if received.unbounded_send(message).is_err() {
             return;
         }
     }
@@ -184,6 +206,7 @@
 
 async fn send_frames(
     address: SocketAddr,
+    frames: Rc<FrameCodec>,
     mut queue: UnboundedReceiver<Vec<u8>>,
     waiting: Rc<Cell<usize>>,
 ) {
@@ -194,10 +217,8 @@
     let _ = stream.set_nodelay(true);
     while let Ok(Some(bytes)) = monoio::time::timeout(IDLE, queue.next()).await {
         waiting.set(waiting.get() - bytes.len());
-        let mut frame = BytesMut::with_capacity(4 + bytes.len());
-        frame.put_u32(bytes.len() as u32);
-        frame.put_slice(&bytes);
-        let writing = monoio::time::timeout(WRITE_TIMEOUT, stream.write_all(frame.freeze()));
+        let frame = frames.frame(&bytes);
+        let writing = monoio::time::timeout(WRITE_TIMEOUT, stream.write_all(frame));
         match writing.await {
             Ok((Ok(_), _)) => {}
             _ => return,
--- a/crates/runtime/tests/link_socket.rs
+++ b/crates/runtime/tests/link_socket.rs
@@ -14,8 +14,9 @@
     let (waiting, dropped) = block_on(async move {
         let (received, _arrived) = unbounded();
         let mut link = LinkSocket::open("127.0.0.1:0", received).unwrap();
+        let message = noise(100_000);
         for _ in 0..400 {
-            link.send(&peer, vec![0; 100_000], Delivery::Connected);
+            link.send(&peer, message.clone(), Delivery::Connected);
             monoio::time::sleep(Duration::from_millis(1)).await;
         }
         (link.waiting_bytes(), link.dropped())
@@ -43,6 +44,18 @@
     assert_eq!(from, to);
 }
 
+/// Bytes that compression does not make fewer: what waits is what was given.
+fn noise(count: usize) -> Vec<u8> {
+    let mut state = 1_u64;
+    let bytes = std::iter::repeat_with(|| {
+        state = state
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1);
+        (state >> 33) as u8
+    });
+    bytes.take(count).collect()
+}
+
 /// An address that no outgoing connection uses: those start at 127.0.0.1.
 fn loopback_address() -> String {
     let pid = std::process::id();
--- /dev/null
+++ b/crates/runtime/tests/unit/frames.rs
@@ -0,0 +1,63 @@
+//! Frames carry messages as they were, and refuse what is none.
+
+use super::*;
+use rstest::rstest;
+
+fn through(codec: &FrameCodec, message: &[u8]) -> (usize, Vec<u8>) {
+    let frame = codec.frame(message);
+    let header = frame[..HEADER].try_into().unwrap();
+    let header = FrameHeader::parse(&header).unwrap();
+    assert_eq!(header.length, frame.len() - HEADER);
+    let body = frame[HEADER..].to_vec();
+    (frame.len(), codec.message(header, body).unwrap())
+}
+
+#[rstest]
+#[case::empty(0)]
+#[case::short(100)]
+#[case::just_below(LEAST_BYTES - 1)]
+#[case::long(300_000)]
+fn a_message_arrives_as_it_was(#[case] length: usize) {
+    let codec = FrameCodec::new().unwrap();
+    let letters = (0..length).map(|index| b'a' + (index * index % 26) as u8);
+    let message: Vec<u8> = letters.collect();
+    assert_eq!(through(&codec, &message).1, message);
+}
+
+#[test]
+fn long_texts_take_fewer_bytes_and_noise_takes_no_more_than_itself() {
+    let codec = FrameCodec::new().unwrap();
+    let mut state = 1_u64;
+    let mut random = || {
+        state = state
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1);
+        (state >> 33) as u8
+    };
+    let letters: Vec<u8> = (0..20_000).map(|_| b'a' + random() % 26).collect();
+    let (bytes, message) = through(&codec, &letters);
+    assert_eq!(message, letters);
+    assert!(bytes < letters.len() * 7 / 10, "{bytes}");
+    let noise: Vec<u8> = (0..20_000).map(|_| random()).collect();
+    assert_eq!(through(&codec, &noise), (noise.len() + HEADER, noise));
+    let (plain, wire) = codec.sent();
+    assert!(plain == 40_000 && wire < plain);
+}
+
+/// A length is not believed before memory is taken for it.
+#[test]
+fn frames_that_are_none_are_refused() {
+    let codec = FrameCodec::new().unwrap();
+    let parse = FrameHeader::parse;
+    assert!(parse(&[0xff, 0xff, 0xff, 0xff, PLAIN]).is_err());
+    let unknown = parse(&[0, 0, 0, 1, 9]).unwrap();
+    assert!(codec.message(unknown, vec![0]).is_err());
+    let broken = parse(&[0, 0, 0, 4, COMPRESSED]).unwrap();
+    assert!(codec.message(broken, b"none".to_vec()).is_err());
+    let bomb = zstd::bulk::compress(&vec![0; MAX_FRAME + 1], LEVEL).unwrap();
+    let header = FrameHeader {
+        length: bomb.len(),
+        kind: COMPRESSED,
+    };
+    assert!(codec.message(header, bomb).is_err());
+}
--- a/crates/server/src/storage/housekeeping.rs
+++ b/crates/server/src/storage/housekeeping.rs
@@ -90,6 +90,8 @@
             ("unscored_items", self.dispatcher.unscored_items() as u64),
             ("reward_calls", self.dispatcher.reward_calls() as u64),
             ("link_waiting_bytes", self.link.waiting_bytes() as u64),
+            ("link_sent_bytes", self.link.sent_bytes().0),
+            ("link_sent_wire_bytes", self.link.sent_bytes().1),
             ("link_messages_dropped", self.link.dropped()),
             ("engines_weighed", self.dispatcher.engines_weighed()),
             ("item_runs", self.dispatcher.running() as u64),
