--- a/crates/server/src/watcher.rs
+++ b/crates/server/src/watcher.rs
@@ -31,6 +31,10 @@
 /// Shortest and longest wait, whatever the settings say.
 const MIN_WAIT_MS: u64 = 400;
 const MAX_WAIT_MS: u64 = 8_000;
+/// Changes of the engine list are told together once in this share of the time that
+/// a leaving engine serves on, in percent. The rest is for the answer on its way and
+/// a busy machine; each look less is a call less for each machine.
+const BATCH_PERCENT: u64 = 75;
 /// First pause after a failure, and the longest.
 const FIRST_PAUSE: Duration = Duration::from_millis(60);
 const MAX_PAUSE: Duration = Duration::from_millis(500);
@@ -94,7 +98,7 @@
     /// a leaving engine goes on serving.
     pub fn batched(settings: &ServerSettings) -> Self {
         Self {
-            pace: Duration::from_millis(settings.engine_drain_ms / 2),
+            pace: Duration::from_millis(settings.engine_drain_ms * BATCH_PERCENT / 100),
             ..Self::prompt(settings)
         }
     }
