A reward call without a route is logged once; planted breaks for what is new

Cause: an item whose scorer has no route was put off each 100 ms with a line each time: 2,480 lines a second for a job of 248 items. Change: one line an item. Ten more breaks are planted: calls before the end of a text, kept scores, unlogged whole texts, calls for ever, after the end and in all slots, followers that answer for what is new, entries by datagram, lapsed engines. A break that is planted in the time of a list needs the file it moved to.

--- a/crates/jobs/src/dispatcher/scoring.rs
+++ b/crates/jobs/src/dispatcher/scoring.rs
@@ -112,15 +112,16 @@
             }
             let route = configuration.route(&reward_call.host, &reward_call.path);
             let Some(route) = route.filter(|route| takes_reward_calls(route)) else {
-                // The next configuration may bring it; until then nothing ran.
-                log::info!(
-                    "decision=hold-score item={} job={} reward_call={} reason=no-route configuration={}",
-                    item.item().id,
-                    key.0,
-                    reward_call.id,
-                    configuration.version
-                );
-                self.unscored.postpone(now, &key, ROUTE_WAIT);
+                // The next configuration may bring it; until then nothing runs.
+                if self.unscored.postpone(now, &key, ROUTE_WAIT) {
+                    log::info!(
+                        "decision=hold-score item={} job={} reward_call={} reason=no-route configuration={}",
+                        item.item().id,
+                        key.0,
+                        reward_call.id,
+                        configuration.version
+                    );
+                }
                 continue;
             };
             let under_way = self.unscored.calls_on(&route.name);
--- a/crates/jobs/src/scores.rs
+++ b/crates/jobs/src/scores.rs
@@ -117,10 +117,14 @@
         }
     }
 
-    /// No call for an item before `pause` is over.
-    pub fn postpone(&mut self, now: Time, key: &ItemKey, pause: Duration) {
-        if let Some(unscored) = self.items.get_mut(key) {
-            unscored.not_before = now + pause;
-        }
+    /// No call for an item before `pause` is over. Whether it had not been put off
+    /// before.
+    pub fn postpone(&mut self, now: Time, key: &ItemKey, pause: Duration) -> bool {
+        let Some(unscored) = self.items.get_mut(key) else {
+            return false;
+        };
+        let first = unscored.not_before == unscored.since;
+        unscored.not_before = now + pause;
+        first
     }
 }
--- a/scripts/planted-breaks.sh
+++ b/scripts/planted-breaks.sh
@@ -87,8 +87,8 @@
 plant "slow engines count as any other" $J/placement.rs \
     "slow == SlowEngines::Allowed || !is_slow(now, state, self.median)" \
     "slow == SlowEngines::Allowed || state.record.slots > 0" peatgrade-jobs items_go
-plant "each leader counts failures anew" $J/dispatcher/mod.rs \
-    "open.failures = job.failures.get(&index).copied().unwrap_or(0);" "" peatgrade-jobs failures_of
+plant "each leader counts failures anew" $J/dispatcher/takeover.rs \
+    "open.failures = job.failures.get(&index).copied().unwrap_or_default();" "" peatgrade-jobs failures_of
 plant "a connection for one request is kept" crates/runtime/src/http_client.rs \
     "let kept = sent_whole && !self.options.fresh;" "let kept = sent_whole;" \
     peatgrade-runtime requests_that
@@ -98,4 +98,35 @@
     "monoio::time::timeout(self.patience, first_of" \
     "monoio::time::timeout(CALL_TIMEOUT, first_of" \
     peatgrade-platform a_silent
+plant "a text is scored before its end has come" $J/dispatcher/answers.rs \
+    "                item.empty_ends = 0;" \
+    "                item.empty_ends = 0;
+                let key = run.key.clone();
+                self.on_whole(now, &key);" peatgrade-jobs scoring
+plant "a score of another reward call is kept" $J/dispatcher/takeover.rs \
+    "reward_call.is_none() || reward_call == scored_by" \
+    "reward_call.is_none() || scored_by.is_some()" peatgrade-jobs scoring
+plant "a whole text is not in the log" $J/dispatcher/mod.rs \
+    "whole: item.text.whole && !item.restarted," "whole: false," peatgrade-jobs scoring
+plant "a reward call that fails is tried for ever" $J/dispatcher/scoring.rs \
+    "item.failures.reward_calls >= route.max_attempts" \
+    "item.failures.reward_calls > 1_000 * route.max_attempts" peatgrade-jobs scoring
+plant "reward calls outlive their job" $J/dispatcher/mod.rs \
+    "            self.drop_score(&key);
+            if let Some(item)" "            if let Some(item)" peatgrade-jobs scoring
+plant "reward calls take all slots" $J/dispatcher/scoring.rs "SLOTS_DIVISOR: u32 = 2" \
+    "SLOTS_DIVISOR: u32 = 1" peatgrade-jobs scoring
+plant "a replica that follows answers for what is new" $J/store.rs \
+    "first.is_some_and(|result| now.since(result.known_since) >= age)" \
+    "first.is_some_and(|result| now >= result.known_since || age.0 == 0)" \
+    peatgrade-jobs settled
+plant "entries by datagram" crates/server/src/storage/replication.rs \
+    "!append.entries.is_empty() => Delivery::Connected" \
+    "!append.entries.is_empty() => Delivery::Light" peatgrade-server entries
+plant "lapsed engines are gone at once" crates/fleet/src/directory.rs \
+    "RETURN_GRACE: Duration = Duration::from_millis(2_000)" \
+    "RETURN_GRACE: Duration = Duration::from_millis(0)" peatgrade-fleet entr
+plant "lapsed engines stay for good" crates/fleet/src/directory.rs \
+    "state.lapsed_until.is_some_and(|at| now >= at)" \
+    "state.lapsed_until.is_some_and(|at| now.0 == 0 && at.0 == 0)" peatgrade-fleet entr
 exit $unnoticed
