--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -108,15 +108,15 @@
     ) -> Vec<GatewayAction> {
         let mut actions = Vec::new();
         if self.leaving {
-            log::info!("decision=refuse {message} reason=leaving");
             let reason = "this gateway is stopping";
-            let later = Some(COME_BACK);
-            self.refuse(&mut actions, call, Refusal::NotRun, reason, later);
+            let (subject, later) = (message.to_string(), Some(COME_BACK));
+            self.refuse(&mut actions, call, &subject, Refusal::NotRun, reason, later);
             return actions;
         }
         match message {
             CallerMessage::Bad(bad) => {
-                self.refuse(&mut actions, call, Refusal::Malformed, &bad.reason, None);
+                let (subject, refusal) = ("request=unreadable", Refusal::Malformed);
+                self.refuse(&mut actions, call, subject, refusal, &bad.reason, None);
             }
             CallerMessage::Request(request) => self.on_request(now, call, request, &mut actions),
             CallerMessage::ReadJob(read) => {
@@ -148,25 +148,21 @@
         request: CallerRequest,
         actions: &mut Vec<GatewayAction>,
     ) {
+        let subject = format!("request={} host={}", request.id, request.host);
         let Some(configuration) = self.configuration.clone() else {
             let reason = "no configuration is known yet";
             let later = Some(COME_BACK_STARTING);
-            return self.refuse(actions, call, Refusal::NotRun, reason, later);
+            return self.refuse(actions, call, &subject, Refusal::NotRun, reason, later);
         };
+        let subject = format!("{subject} configuration={}", configuration.version);
         let route = configuration.route(&request.host, &request.http.path);
         let Some(route) = route else {
-            log::info!(
-                "decision=refuse request={} reason=no-route host={} configuration={}",
-                request.id,
-                request.host,
-                configuration.version
-            );
             let reason = "no route matches host and path";
-            return self.refuse(actions, call, Refusal::NoRoute, reason, None);
+            return self.refuse(actions, call, &subject, Refusal::NoRoute, reason, None);
         };
         if request.http.body.len() > configuration.limits.body_bytes {
             let reason = "the body is longer than allowed";
-            return self.refuse(actions, call, Refusal::Malformed, reason, None);
+            return self.refuse(actions, call, &subject, Refusal::Malformed, reason, None);
         }
         if route.kind != RouteKind::Batch {
             let version = configuration.version;
@@ -181,18 +177,24 @@
                 let body = OneOfbody::submit(submission);
                 self.relay.start(now, call, body, Duration(0), actions);
             }
-            Err(bad) => self.refuse(actions, call, Refusal::Malformed, &bad.reason, None),
+            Err(bad) => {
+                let refusal = Refusal::Malformed;
+                self.refuse(actions, call, &subject, refusal, &bad.reason, None);
+            }
         }
     }
 
+    /// Answers at once without any engine. `subject` names what is refused in the log.
     fn refuse(
         &self,
         actions: &mut Vec<GatewayAction>,
         call: CallId,
+        subject: &str,
         refusal: Refusal,
         detail: &str,
         retry_after: Option<Duration>,
     ) {
+        log::info!("decision=refuse {subject} refusal={refusal:?} reason={detail}");
         let answer = Answer::Refused {
             refusal,
             detail: detail.to_string(),
