--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -37,6 +37,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct EngineDirectory {
     engines: BTreeMap<Instance, EngineState>,
+    /// When the first engine that lapsed counts as gone, if one has.
+    next_drop: Option<Time>,
     /// When the list was last confirmed.
     pub confirmed: Time,
 }
@@ -70,16 +72,26 @@
                 self.engines.insert(instance, state);
             }
         }
+        self.note_next_drop();
+    }
+
+    fn note_next_drop(&mut self) {
+        let lapsed = self.engines.values().filter_map(|state| state.lapsed_until);
+        self.next_drop = lapsed.min();
     }
 
     /// Engines whose entry has not come back in time: they are gone.
     pub fn drop_lapsed(&mut self, now: Time) -> Vec<Instance> {
+        if self.next_drop.is_none_or(|next| now < next) {
+            return Vec::new();
+        }
         let engines = self.engines.iter();
         let over = engines.filter(|(_, state)| state.lapsed_until.is_some_and(|at| now >= at));
         let over: Vec<Instance> = over.map(|(instance, _)| instance.clone()).collect();
         for instance in &over {
             self.engines.remove(instance);
         }
+        self.note_next_drop();
         over
     }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -222,6 +222,8 @@
         let pause = self.settings.pause;
         let pending = self.calls.get_mut(&reply.call)?;
         pending.copies = pending.copies.saturating_sub(1);
+        // It has answered, whatever it said.
+        pending.at_near = false;
         if known && pending.tried % 4 != 0 {
             self.send(now, reply.call, actions);
         } else {
--- a/crates/gateway/tests/relay.rs
+++ b/crates/gateway/tests/relay.rs
@@ -153,6 +153,24 @@
     assert_eq!(sent_to(&mut actions).0, LEADER);
 }
 
+/// A replica that knows no leader either is not silent.
+#[test]
+fn a_near_replica_that_knows_no_leader_is_asked_again_next_time() {
+    let mut actions = Vec::new();
+    let mut relay = with_near_replica(&mut actions);
+    let (_, call) = read(&mut relay, Time(0), &mut actions);
+    let reply = JobReply {
+        call,
+        status: JobStatus::NOT_LEADER,
+        ..JobReply::default()
+    };
+    relay.on_reply(Time(500), NEAR, reply, &mut actions);
+    let later = Time(0) + Duration::from_millis(110);
+    relay.tick(later, &mut actions);
+    assert_eq!(sent_to(&mut actions).0, LEADER);
+    assert_eq!(read(&mut relay, later, &mut actions).0, NEAR);
+}
+
 #[test]
 fn a_silent_near_replica_is_left_soon_and_for_a_while() {
     let mut actions = Vec::new();
--- a/crates/jobs/src/dispatcher/scoring.rs
+++ b/crates/jobs/src/dispatcher/scoring.rs
@@ -124,14 +124,15 @@
                 }
                 continue;
             };
-            let under_way = self.unscored.calls_on(&route.name);
-            let room = rooms
-                .entry(&route.name)
-                .or_insert_with(|| room_for_calls(now, route, directory).saturating_sub(under_way));
+            let room = rooms.entry(&route.name).or_insert_with(|| {
+                let under_way = self.unscored.calls_on(&route.name);
+                room_for_calls(now, route, directory).saturating_sub(under_way)
+            });
             if *room == 0 {
                 continue;
             }
             *room -= 1;
+            let room_left = *room;
             let request = request_of(reward_call);
             let call = ScoreCall {
                 request,
@@ -145,7 +146,7 @@
                 continue;
             };
             log::info!(
-                "decision=score item={} job={} reward_call={} route={} under_way={under_way} failures={}",
+                "decision=score item={} job={} reward_call={} route={} room_left={room_left} failures={}",
                 item.item().id,
                 key.0,
                 reward_call.id,
