--- a/scripts/planted-breaks.sh
+++ b/scripts/planted-breaks.sh
@@ -98,11 +98,14 @@
     "monoio::time::timeout(self.patience, first_of" \
     "monoio::time::timeout(CALL_TIMEOUT, first_of" \
     peatgrade-platform a_silent
-plant "a text is scored before its end has come" $J/dispatcher/answers.rs \
-    "                item.empty_ends = 0;" \
-    "                item.empty_ends = 0;
-                let key = run.key.clone();
-                self.on_whole(now, &key);" peatgrade-jobs scoring
+plant "a text is scored before its end has come" $J/dispatcher/mod.rs \
+    "        self.call_scorers(now, configuration, directory);" \
+    "        let begun = self.items.iter().filter(|(_, item)| !item.text.events.is_empty());
+        let begun: Vec<ItemKey> = begun.map(|(key, _)| key.clone()).collect();
+        for key in begun {
+            self.on_whole(now, &key);
+        }
+        self.call_scorers(now, configuration, directory);" peatgrade-jobs scoring
 plant "a score of another reward call is kept" $J/dispatcher/takeover.rs \
     "reward_call.is_none() || reward_call == scored_by" \
     "reward_call.is_none() || scored_by.is_some()" peatgrade-jobs scoring
