Sight: turns of the main task, reigns of leaders, and the way of each end are in logs and metrics

The hypotheses of the incident (leaders that are busy longer than an election takes; ends that are forgotten; looks that cost more with each route) could not be told apart from the logs. New: peatgrade_turn_seconds, step=slow-turn with what the turn did, elected_ms, led_ms and runs_started of each reign, and for each submission and end decision=relay, relayed, give-up, drop-call at the gateway, decision=abandon and belief=ended at the storage machines. No logic changed.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -209,11 +209,11 @@
     }
 
     /// A caller has gone away.
-    pub fn on_gone(&mut self, call: CallId) -> Vec<GatewayAction> {
+    pub fn on_gone(&mut self, now: Time, call: CallId) -> Vec<GatewayAction> {
         let mut forwards = Vec::new();
         self.forwarder
             .abandon(call, &mut self.directory, &mut forwards);
-        self.relay.caller_gone(call);
+        self.relay.caller_gone(now, call);
         forwards.into_iter().map(GatewayAction::Forward).collect()
     }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -62,6 +62,35 @@
     copies: usize,
 }
 
+impl Pending {
+    /// Whether it is meant to change the state of a job.
+    fn changes_something(&self) -> bool {
+        matches!(self.body, OneOfbody::submit(_) | OneOfbody::end(_))
+    }
+
+    /// What the log calls it.
+    fn subject(&self) -> String {
+        match &self.body {
+            OneOfbody::submit(submit) => format!("call=submit job={}", submit.job),
+            OneOfbody::end(end) => format!("call=end job={}", end.job),
+            OneOfbody::read(read) => format!("call=read job={}", read.job),
+            OneOfbody::item(item) => format!("call=item job={} item={}", item.job, item.item),
+            OneOfbody::None => "call=none".into(),
+        }
+    }
+
+    /// Names what became of it, and why.
+    fn log_end(&self, decision: &str, reason: &str, now: Time) {
+        log::info!(
+            "decision={decision} {} reason={reason} age_ms={} tried={} unanswered={}",
+            self.subject(),
+            now.since(self.started).as_millis(),
+            self.tried,
+            self.copies
+        );
+    }
+}
+
 /// Batch-job calls under way.
 pub struct JobRelay {
     settings: RelaySettings,
@@ -137,10 +166,22 @@
             at_near: false,
             copies: 0,
         };
+        self.log_start(&pending);
         self.calls.insert(id, pending);
         self.send(now, id, actions);
     }
 
+    fn log_start(&self, pending: &Pending) {
+        // Reads come twice a second from each trainer and change nothing.
+        if pending.changes_something() {
+            log::info!(
+                "decision=relay {} leader={}",
+                pending.subject(),
+                self.leader.as_deref().unwrap_or("none")
+            );
+        }
+    }
+
     fn send(&mut self, now: Time, id: u64, actions: &mut Vec<GatewayAction>) {
         let Some(pending) = self.calls.get_mut(&id) else {
             return;
@@ -191,6 +232,10 @@
             self.near = Some(reply.near_address.clone()).filter(|near| !near.is_empty());
         }
         let pending = self.calls.remove(&reply.call)?;
+        if pending.changes_something() {
+            let outcome = format!("{:?}", reply.status);
+            pending.log_end("relayed", &outcome, now);
+        }
         let last = pending.copies <= 1;
         if matches!(reply.status, JobStatus::NO_ROOM) && !last {
             // Another copy may yet be taken.
@@ -260,8 +305,10 @@
             let pending = &self.calls[&id];
             let age = now.since(pending.started);
             if age >= self.settings.give_up + pending.wait {
-                let pending = self.calls.remove(&id);
-                answers.extend(pending.map(|p| (p.caller, given_up(&p))));
+                if let Some(pending) = self.calls.remove(&id) {
+                    pending.log_end("give-up", "no-answer", now);
+                    answers.push((pending.caller, given_up(&pending)));
+                }
                 continue;
             }
             if pending.at_near {
@@ -276,8 +323,14 @@
     }
 
     /// A caller has gone away.
-    pub fn caller_gone(&mut self, caller: CallId) {
-        self.calls.retain(|_, pending| pending.caller != caller);
+    pub fn caller_gone(&mut self, now: Time, caller: CallId) {
+        self.calls.retain(|_, pending| {
+            let gone = pending.caller == caller;
+            if gone {
+                pending.log_end("drop-call", "caller-gone", now);
+            }
+            !gone
+        });
     }
 }
 
--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -129,7 +129,7 @@
 fn work_for_a_caller_that_left_is_stopped() {
     let mut scene = Scene::new(RouteKind::Safe, 3);
     scene.call();
-    let actions = scene.gateway.on_gone(CallId(1));
+    let actions = scene.gateway.on_gone(scene.now, CallId(1));
     scene.carry_out(actions);
     assert_eq!(scene.cancelled.len(), 1);
     assert_eq!(scene.gateway.in_flight(), 0);
--- a/crates/server/src/gateway_process/mod.rs
+++ b/crates/server/src/gateway_process/mod.rs
@@ -287,7 +287,7 @@
         for call in gone {
             self.calls.remove(&call);
             self.metrics.count("caller_gone");
-            let actions = self.gateway.on_gone(call);
+            let actions = self.gateway.on_gone(now, call);
             self.carry_out(actions);
         }
         if self.leaves(now) {
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -20,6 +20,7 @@
 mod signals;
 mod storage;
 mod store_client;
+mod turns;
 mod watcher;
 
 use peatgrade_ports::Codec;
--- a/crates/server/src/metrics.rs
+++ b/crates/server/src/metrics.rs
@@ -34,6 +34,8 @@
     pub sync_seconds: Histogram,
     /// Time from a whole text to its score.
     pub score_seconds: Histogram,
+    /// Time that the main task works before it hears or sends anything again.
+    pub turn_seconds: Histogram,
 }
 
 impl Metrics {
@@ -48,7 +50,8 @@
         let request_seconds = histogram("peatgrade_request_seconds", "Time of a request", 0.002);
         let sync_seconds = histogram("peatgrade_log_sync_seconds", "Time of a log sync", 0.000_2);
         let score_seconds = histogram("peatgrade_score_seconds", "Time to a score", 0.005);
-        let all: [Box<dyn prometheus::core::Collector>; 7] = [
+        let turn_seconds = histogram("peatgrade_turn_seconds", "Time of a turn", 0.000_2);
+        let all: [Box<dyn prometheus::core::Collector>; 8] = [
             Box::new(events.clone()),
             Box::new(answers.clone()),
             Box::new(traffic.clone()),
@@ -56,6 +59,7 @@
             Box::new(request_seconds.clone()),
             Box::new(sync_seconds.clone()),
             Box::new(score_seconds.clone()),
+            Box::new(turn_seconds.clone()),
         ];
         for collector in all {
             registry.register(collector).expect("names differ");
@@ -69,6 +73,7 @@
             request_seconds,
             sync_seconds,
             score_seconds,
+            turn_seconds,
         }
     }
 
--- a/crates/server/src/storage/calls.rs
+++ b/crates/server/src/storage/calls.rs
@@ -282,6 +282,10 @@
 
     /// This machine leads no more: nobody may wait here for an answer.
     pub(super) fn abandon_calls(&mut self) {
+        for (job, callers) in &self.calls.ends {
+            let count = callers.len();
+            log::info!("decision=abandon call=end job={job} callers={count} reason=not-leading");
+        }
         for caller in self.calls.take_all() {
             self.reply_status(&caller, JobStatus::NOT_LEADER);
         }
--- a/crates/server/src/storage/engines.rs
+++ b/crates/server/src/storage/engines.rs
@@ -91,15 +91,19 @@
             match action {
                 DispatchAction::Run { run, address, call } => {
                     self.metrics.count("item_run");
+                    self.turns.work.started += 1;
+                    self.runs_started += 1;
                     let path = self.path_of(&call);
                     self.begin(EngineExchange::Run(run, path), &address, &call);
                 }
                 DispatchAction::Cancel(run) => {
                     self.metrics.count("item_run_cancelled");
+                    self.turns.work.cancelled += 1;
                     self.cancel_run(run);
                 }
                 DispatchAction::Score { score, call } => {
                     self.metrics.count("reward_call");
+                    self.turns.work.started += 1;
                     self.start_score(now, score, *call);
                 }
                 DispatchAction::CancelScore(score) => self.cancel_score(score),
--- a/crates/server/src/storage/leadership.rs
+++ b/crates/server/src/storage/leadership.rs
@@ -62,6 +62,8 @@
 
     fn start_leading(&mut self, now: Time) {
         self.working = true;
+        self.led_since = now;
+        self.runs_started = 0;
         let quiet = self.quiet_engines();
         let waiting = quiet.values().filter(|until| now < **until).count();
         let mut coordinator = VersionCoordinator::new(
@@ -93,8 +95,9 @@
             self.follow_kind(kind, wanted.clone());
         }
         log::info!(
-            "step=lead term={} open_jobs={} open_items={} quiet_engines={waiting}",
+            "step=lead term={} elected_ms={} open_jobs={} open_items={} quiet_engines={waiting}",
             self.replica.term(),
+            now.since(self.replica.leader_since()).as_millis(),
             open.len(),
             self.dispatcher.open_items()
         );
@@ -130,7 +133,13 @@
         let dropped = self.dispatcher.take_actions();
         self.carry_out_dispatch(dropped);
         self.abandon_calls();
-        log::info!("step=follow term={}", self.replica.term());
+        log::info!(
+            "step=follow term={} led_ms={} runs_started={} leader={}",
+            self.replica.term(),
+            steady_now().since(self.led_since).as_millis(),
+            self.runs_started,
+            self.replica.leader_address().unwrap_or("none")
+        );
     }
 
     /// The leader's work: items and versions.
--- a/crates/server/src/storage/process.rs
+++ b/crates/server/src/storage/process.rs
@@ -26,6 +26,7 @@
 use crate::settings::{ServerRole, ServerSettings};
 use crate::signals::{process_signals, ProcessSignal};
 use crate::store_client::StoreClient;
+use crate::turns::TurnWatch;
 use crate::watcher::{StoreUpdate, Wanted};
 use crate::ServerError;
 
@@ -66,6 +67,7 @@
             founding = inputs.foundings.next() => founding.map(Input::Founding),
             _ = tick => None,
         };
+        process.turns.begin(steady_now());
         let mut next = first;
         let mut handled = 0;
         while let Some(input) = next {
@@ -77,7 +79,9 @@
                 None
             };
         }
+        process.turns.work.inputs = handled;
         process.work()?;
+        process.note_turn(steady_now());
         if process.may_exit() {
             log::info!("step=exit leads={}", process.replica.role() == Role::Leader);
             return Ok(());
@@ -138,6 +142,10 @@
     pub last_leader: Option<String>,
     pub store_heard: Time,
     pub pauses: PauseWatch,
+    pub turns: TurnWatch,
+    /// When this machine began to lead, and runs that it has started since.
+    pub led_since: Time,
+    pub runs_started: u64,
 }
 
 impl StorageProcess {
@@ -234,6 +242,9 @@
             last_leader: None,
             store_heard: now,
             pauses: PauseWatch::new(now),
+            turns: TurnWatch::new(now),
+            led_since: now,
+            runs_started: 0,
         };
         let inputs = Inputs {
             signals,
@@ -318,6 +329,26 @@
         Ok(())
     }
 
+    /// Names a turn that kept heartbeats waiting.
+    fn note_turn(&mut self, now: Time) {
+        let Some(took) = self.turns.end(now, &self.metrics) else {
+            return;
+        };
+        self.metrics.count("slow_turn");
+        let work = self.turns.work;
+        log::warn!(
+            "step=slow-turn turn_ms={} leads={} inputs={} started={} cancelled={} applied={} open_items={} routes={}",
+            took.as_millis(),
+            self.working,
+            work.inputs,
+            work.started,
+            work.cancelled,
+            work.applied,
+            self.dispatcher.open_items(),
+            self.configuration.routes.len()
+        );
+    }
+
     fn may_exit(&self) -> bool {
         let Some(since) = self.stop_at else {
             return false;
--- a/crates/server/src/storage/replication.rs
+++ b/crates/server/src/storage/replication.rs
@@ -134,6 +134,7 @@
                 if entry.members.is_some() {
                     self.log_members();
                 }
+                self.turns.work.applied += 1;
                 let applied = self.jobs.apply(now, entry.index, &entry.command);
                 self.on_applied(now, applied);
             }
@@ -166,6 +167,7 @@
             }
             Applied::Ended(job) => {
                 self.metrics.count("job_ended");
+                log::info!("belief=ended job={job} leads={}", self.working);
                 self.dispatcher.end_job(now, &job, &mut self.directory);
                 self.calls.ended(&job);
             }
