--- a/crates/server/src/storage/updates.rs
+++ b/crates/server/src/storage/updates.rs
@@ -100,7 +100,11 @@
 
     fn configure(&mut self, configuration: Configuration) {
         if configuration.version > self.configuration.version {
-            log::info!("belief=configuration version={}", configuration.version);
+            log::info!(
+                "belief=configuration version={} routes={}",
+                configuration.version,
+                configuration.routes.len()
+            );
             self.configuration = configuration;
         }
     }
