--- /dev/null
+++ b/crates/ports/tests/routes.rs
@@ -0,0 +1,50 @@
+//! How a request's route is found.
+
+use peatgrade_ports::{Configuration, Route, RouteKind};
+use peatgrade_types::Duration;
+use std::time::{Duration as Span, Instant};
+
+fn route(host: &str, prefix: &str) -> Route {
+    Route {
+        name: format!("{host}{prefix}"),
+        host: host.into(),
+        prefix: prefix.into(),
+        kind: RouteKind::Safe,
+        timeout: Duration::from_secs(1),
+        target_latency: Duration::from_millis(100),
+        priority: 1,
+        targets: Vec::new(),
+        max_attempts: 1,
+        resumable: false,
+        max_queue: Duration::from_secs(1),
+        result_deadline: Duration::from_secs(1),
+        single_version: false,
+    }
+}
+
+/// A leader asks for the route of each waiting item at each look, some hundred
+/// items two hundred times a second: that must not take longer the more routes
+/// other requests have. Going through 20,000 routes for each of 20,000 lookups takes
+/// some seconds even on a fast machine, a lookup by host some milliseconds.
+#[test]
+fn a_route_is_found_without_a_look_at_those_of_other_hosts() {
+    const OTHERS: usize = 20_000;
+    const LOOKUPS: usize = 20_000;
+    const LIMIT: Span = Span::from_millis(500);
+    let others = (0..OTHERS).map(|index| route(&format!("h{index:06}.example"), "/a/"));
+    let mut routes: Vec<Route> = others.collect();
+    routes.push(route("ours.example", "/a/"));
+    routes.push(route("ours.example", "/a/b/"));
+    let configuration = Configuration {
+        version: 1,
+        routes,
+        ..Configuration::default()
+    };
+    let began = Instant::now();
+    for _ in 0..LOOKUPS {
+        let found = configuration.route("ours.example", "/a/b/c");
+        assert_eq!(found.map(|route| route.prefix.as_str()), Some("/a/b/"));
+    }
+    let took = began.elapsed();
+    assert!(took < LIMIT, "{LOOKUPS} lookups took {took:?}");
+}
--- /dev/null
+++ b/crates/server/tests/takeover/main.rs
@@ -0,0 +1,39 @@
+//! Leaders whose work takes time: the whole group on a virtual clock, each machine
+//! busy while it handles a message or starts a run, as on a fraction of a core.
+
+mod cluster;
+mod engines;
+
+use cluster::Cluster;
+use peatgrade_types::Duration;
+
+/// Jobs and items that are open at once: six steps of 83, about what three
+/// trainers have open before 416 places of engines.
+const JOBS: usize = 6;
+const ITEMS: usize = 83;
+
+fn submit_all(cluster: &mut Cluster) -> Vec<String> {
+    let jobs: Vec<String> = (0..JOBS).map(|job| format!("job-{job}")).collect();
+    for job in &jobs {
+        cluster.submit(job, ITEMS);
+    }
+    jobs
+}
+
+/// After the loss of a leader all runs must start again, and starting them takes the
+/// next one longer than the others wait for a heartbeat. It must go on being heard
+/// meanwhile, or the one after it takes its place and meets the same work.
+#[test]
+fn a_leader_that_takes_over_hundreds_of_items_stays_in_office() {
+    let mut cluster = Cluster::new(5);
+    cluster.run_until_led();
+    let jobs = submit_all(&mut cluster);
+    cluster.run(Duration::from_secs(1));
+    cluster.stop_leader();
+    cluster.run(Duration::from_secs(15));
+    let terms = cluster.terms_since_first_leader();
+    assert!(terms <= 2, "{terms} elections for one lost leader");
+    for job in &jobs {
+        assert_eq!(cluster.listed(job), ITEMS, "{job}");
+    }
+}
