Mend: leaders work in small turns, ends are kept by whoever hears of them, routes are found by host and path

Cause: a new leader started all open items in one turn (187 to 241 runs, 275 to 503 ms on 0.3 of a core); heartbeats wait for a turn's end and the others for 220 to 360 ms, so each leader was deposed by its first turn and its successor met the same work. Looks that went through all routes for each waiting item made the first such turn. Meanwhile an end that got no answer was forgotten by gateway (after 1.3 s or with its caller) and leader, so that later leaders worked on.

Change: a look of the dispatcher starts 16 runs, the next one follows in 4 ms; a turn handles inputs for 20 ms; RouteTable finds a route by host and the prefixes of the path; a gateway carries an end on until a leader has it and tells all replicas of one that was not taken at once, and answers 502 instead of 503, since the refusal would be false; storage machines keep ends they hear of (AskedEnds), a leader stops the job's work when it hears of its end and begins a term with the ends it knows.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -2,20 +2,30 @@
 //!
 //! A call that has been sent may have been carried out, whatever became of its
 //! answer; only one that was never sent is refused as not run.
+//!
+//! The end of a job is carried on until a leader has it, also when its caller has gone
+//! or was answered: nobody else may know of it, and without it engines go on with work
+//! that nobody wants. One that was not taken at once is told to all replicas, so that
+//! it outlives this gateway.
 
-use bytes::Bytes;
-use peatgrade_forward::{CallId, COME_BACK};
-use peatgrade_ports::{Answer, ListedItem, Refusal};
+use peatgrade_forward::CallId;
+use peatgrade_ports::Answer;
 use peatgrade_schema::replication::mod_JobCall::OneOfbody;
 use peatgrade_schema::replication::{JobCall, JobReply, JobStatus};
 use peatgrade_types::{Duration, Time};
 use std::collections::BTreeMap;
 
+mod answers;
+mod pending;
+
+use answers::{answer_of, given_up};
+use pending::Pending;
+
 use crate::gateway::GatewayAction;
 
-/// When a caller may come back with a job for which there was no room: jobs are
-/// dropped as they grow old.
-const COME_BACK_NO_ROOM: Duration = Duration::from_millis(1_000);
+/// Ends without a caller that are carried on; the oldest give way. A trainer has a
+/// few jobs open, so this is far more than may be asked for in one outage.
+const MAX_CARRIED: usize = 1_024;
 
 /// Spans of the relay.
 #[derive(Clone, Copy, Debug)]
@@ -27,6 +37,10 @@
     pub pause: Duration,
     /// Time after which a call is given up, beyond its own wait.
     pub give_up: Duration,
+    /// Time between two tries of an end that has no caller any more.
+    pub carry_every: Duration,
+    /// How long such an end is carried on.
+    pub carry_for: Duration,
     /// Time after which a near replica that has not answered is left.
     pub near_patience: Duration,
     /// How long it is left alone then.
@@ -39,6 +53,10 @@
             resend: Duration::from_millis(350),
             pause: Duration::from_millis(40),
             give_up: Duration::from_millis(1_300),
+            // Three calls a second to each replica at most, for each end.
+            carry_every: Duration::from_millis(330),
+            // As long as replicas keep a job that is not ended: twice `job_keep_ms`.
+            carry_for: Duration::from_secs(260),
             // A round trip within a zone and a busy machine's pause.
             near_patience: Duration::from_millis(100),
             // About a contact time: a machine that was cut off is back by then.
@@ -47,50 +65,6 @@
     }
 }
 
-struct Pending {
-    caller: CallId,
-    body: OneOfbody,
-    wait: Duration,
-    started: Time,
-    next: Time,
-    sent: bool,
-    tried: usize,
-    /// The near replica has it just now.
-    at_near: bool,
-    /// Copies that nobody has replied to: one that was held up may still come
-    /// to a leader.
-    copies: usize,
-}
-
-impl Pending {
-    /// Whether it is meant to change the state of a job.
-    fn changes_something(&self) -> bool {
-        matches!(self.body, OneOfbody::submit(_) | OneOfbody::end(_))
-    }
-
-    /// What the log calls it.
-    fn subject(&self) -> String {
-        match &self.body {
-            OneOfbody::submit(submit) => format!("call=submit job={}", submit.job),
-            OneOfbody::end(end) => format!("call=end job={}", end.job),
-            OneOfbody::read(read) => format!("call=read job={}", read.job),
-            OneOfbody::item(item) => format!("call=item job={} item={}", item.job, item.item),
-            OneOfbody::None => "call=none".into(),
-        }
-    }
-
-    /// Names what became of it, and why.
-    fn log_end(&self, decision: &str, reason: &str, now: Time) {
-        log::info!(
-            "decision={decision} {} reason={reason} age_ms={} tried={} unanswered={}",
-            self.subject(),
-            now.since(self.started).as_millis(),
-            self.tried,
-            self.copies
-        );
-    }
-}
-
 /// Batch-job calls under way.
 pub struct JobRelay {
     settings: RelaySettings,
@@ -156,7 +130,7 @@
         let id = self.next_call;
         self.next_call += 1;
         let pending = Pending {
-            caller,
+            caller: Some(caller),
             body,
             wait,
             started: now,
@@ -164,6 +138,7 @@
             sent: false,
             tried: 0,
             at_near: false,
+            told_all: false,
             copies: 0,
         };
         self.log_start(&pending);
@@ -199,19 +174,30 @@
                 return;
             }
         };
+        let mut addresses = vec![address.clone()];
+        if pending.is_end() && (pending.tried > 0 || self.leader.is_none()) {
+            // Each keeps it, and the next to lead begins with it.
+            let others = self.replicas.iter().filter(|other| **other != address);
+            addresses.extend(others.cloned());
+        }
         pending.tried += 1;
-        pending.copies += 1;
+        pending.told_all |= addresses.len() > 1;
+        pending.copies += addresses.len();
         pending.sent = true;
-        pending.next = match pending.at_near {
-            true => now + self.settings.near_patience,
-            false => now + self.settings.resend + pending.wait,
+        pending.next = match (pending.at_near, pending.caller) {
+            (true, _) => now + self.settings.near_patience,
+            (false, None) => now + self.settings.carry_every,
+            (false, Some(_)) => now + self.settings.resend + pending.wait,
         };
         let call = JobCall {
             call: id,
             zone: self.zone.clone(),
             body: pending.body.clone(),
         };
-        actions.push(GatewayAction::Job { address, call });
+        actions.extend(addresses.into_iter().map(|address| GatewayAction::Job {
+            address,
+            call: call.clone(),
+        }));
     }
 
     /// Takes a reply; the caller's answer, if the call is done.
@@ -232,6 +218,7 @@
             self.near = Some(reply.near_address.clone()).filter(|near| !near.is_empty());
         }
         let pending = self.calls.remove(&reply.call)?;
+        let caller = pending.caller;
         if pending.changes_something() {
             let outcome = format!("{:?}", reply.status);
             pending.log_end("relayed", &outcome, now);
@@ -239,10 +226,10 @@
         let last = pending.copies <= 1;
         if matches!(reply.status, JobStatus::NO_ROOM) && !last {
             // Another copy may yet be taken.
-            return Some((pending.caller, given_up(&pending)));
+            return Some((caller?, given_up(&pending)));
         }
         let answer = answer_of(&pending.body, reply);
-        Some((pending.caller, answer))
+        Some((caller?, answer))
     }
 
     fn on_not_leader(
@@ -269,7 +256,12 @@
         pending.copies = pending.copies.saturating_sub(1);
         // It has answered, whatever it said.
         pending.at_near = false;
-        if known && pending.tried % 4 != 0 {
+        if pending.told_all {
+            // Each replica says so; one more try is enough for all these answers.
+            if known {
+                pending.next = pending.next.min(now + pause);
+            }
+        } else if known && pending.tried % 4 != 0 {
             self.send(now, reply.call, actions);
         } else {
             pending.next = now + pause;
@@ -302,15 +294,10 @@
             .collect();
         let mut answers = Vec::new();
         for id in due {
-            let pending = &self.calls[&id];
-            let age = now.since(pending.started);
-            if age >= self.settings.give_up + pending.wait {
-                if let Some(pending) = self.calls.remove(&id) {
-                    pending.log_end("give-up", "no-answer", now);
-                    answers.push((pending.caller, given_up(&pending)));
-                }
+            answers.extend(self.give_up_late(now, id));
+            let Some(pending) = self.calls.get(&id) else {
                 continue;
-            }
+            };
             if pending.at_near {
                 self.leave_near(now);
             } else if pending.sent && self.leader.is_some() && pending.tried > 0 {
@@ -322,74 +309,60 @@
         answers
     }
 
-    /// A caller has gone away.
-    pub fn caller_gone(&mut self, now: Time, caller: CallId) {
-        self.calls.retain(|_, pending| {
-            let gone = pending.caller == caller;
-            if gone {
-                pending.log_end("drop-call", "caller-gone", now);
+    /// Answers the caller of a call that has taken too long, and drops an end that
+    /// nobody has taken for as long as its job may live.
+    fn give_up_late(&mut self, now: Time, id: u64) -> Option<(CallId, Answer)> {
+        let pending = self.calls.get(&id)?;
+        let age = now.since(pending.started);
+        let Some(caller) = pending.caller else {
+            if age >= self.settings.carry_for {
+                pending.log_end("drop-call", "carried-too-long", now);
+                self.calls.remove(&id);
             }
-            !gone
-        });
+            return None;
+        };
+        if age < self.settings.give_up + pending.wait {
+            return None;
+        }
+        let answer = given_up(pending);
+        self.leave_caller(now, id, "no-answer");
+        Some((caller, answer))
     }
-}
 
-fn given_up(pending: &Pending) -> Answer {
-    let submits = matches!(pending.body, OneOfbody::submit(_));
-    let refusal = if submits && pending.sent {
-        Refusal::Unknown
-    } else {
-        Refusal::NotRun
-    };
-    Answer::Refused {
-        refusal,
-        detail: "no replica could answer".into(),
-        retry_after: (refusal == Refusal::NotRun).then_some(COME_BACK),
+    /// Nobody waits for a call any more: an end is carried on, all else is dropped.
+    fn leave_caller(&mut self, now: Time, id: u64, reason: &str) {
+        let Some(pending) = self.calls.get_mut(&id) else {
+            return;
+        };
+        if !pending.is_end() {
+            pending.log_end("drop-call", reason, now);
+            self.calls.remove(&id);
+            return;
+        }
+        pending.log_end("carry-on", reason, now);
+        pending.caller = None;
+        self.bound_carried(now);
     }
-}
 
-fn answer_of(body: &OneOfbody, reply: JobReply) -> Answer {
-    let refused = |refusal, detail: &str, retry_after| Answer::Refused {
-        refusal,
-        detail: detail.into(),
-        retry_after,
-    };
-    match reply.status {
-        JobStatus::OK => match body {
-            OneOfbody::submit(_) => Answer::JobAccepted,
-            OneOfbody::end(_) => Answer::JobEnded,
-            OneOfbody::item(_) => Answer::ItemBody(Bytes::from(reply.body)),
-            _ => results(reply),
-        },
-        JobStatus::UNKNOWN_JOB => refused(Refusal::NotFound, "no such batch job", None),
-        JobStatus::UNKNOWN_ITEM => refused(Refusal::NotFound, "no such item", None),
-        JobStatus::CONFLICT => refused(Refusal::Malformed, "another job has this id", None),
-        // Only a leader that is sure that it has not taken the job says so.
-        JobStatus::NO_ROOM => refused(
-            Refusal::NotRun,
-            "no room for another batch job",
-            Some(COME_BACK_NO_ROOM),
-        ),
-        // Something may have been written: promise nothing for a submission.
-        _ if matches!(body, OneOfbody::submit(_)) => {
-            refused(Refusal::Unknown, "the leader changed", None)
+    fn bound_carried(&mut self, now: Time) {
+        let carried = self.calls.iter().filter(|(_, call)| call.caller.is_none());
+        let carried: Vec<u64> = carried.map(|(id, _)| *id).collect();
+        if carried.len() <= MAX_CARRIED {
+            return;
+        }
+        // Ids rise, so the first is the oldest.
+        if let Some(oldest) = self.calls.remove(&carried[0]) {
+            oldest.log_end("drop-call", "too-many-carried", now);
         }
-        _ => refused(Refusal::NotRun, "no leader can be sure", Some(COME_BACK)),
     }
-}
 
-fn results(reply: JobReply) -> Answer {
-    let next = reply.position + reply.results.len() as u64;
-    let listed = reply.results.into_iter().map(|result| ListedItem {
-        item: result.item,
-        completed: result.completed,
-        text: Bytes::from(result.text),
-        versions: result.versions,
-        score: (!result.score.is_empty()).then_some(result.score),
-    });
-    Answer::Results {
-        total: reply.total,
-        next,
-        results: listed.collect(),
+    /// A caller has gone away.
+    pub fn caller_gone(&mut self, now: Time, caller: CallId) {
+        let calls = self.calls.iter();
+        let gone = calls.filter(|(_, pending)| pending.caller == Some(caller));
+        let gone: Vec<u64> = gone.map(|(id, _)| *id).collect();
+        for id in gone {
+            self.leave_caller(now, id, "caller-gone");
+        }
     }
 }
--- a/crates/gateway/tests/ends.rs
+++ b/crates/gateway/tests/ends.rs
@@ -3,10 +3,11 @@
 
 use peatgrade_forward::CallId;
 use peatgrade_gateway::{GatewayAction, JobRelay, RelaySettings};
-use peatgrade_ports::Answer;
+use peatgrade_ports::{Answer, Refusal};
 use peatgrade_schema::replication::mod_JobCall::OneOfbody;
 use peatgrade_schema::replication::{EndJob, JobCall, JobReply, JobStatus};
 use peatgrade_types::{Duration, Time};
+use rstest::rstest;
 
 const REPLICA: &str = "10.0.0.1:7000";
 const CALLER: CallId = CallId(1);
@@ -87,16 +88,37 @@
     }
 }
 
-#[test]
-fn an_end_goes_on_after_its_caller_left() {
+#[rstest]
+#[case::its_caller_left(true)]
+#[case::nobody_answered_in_time(false)]
+fn an_end_goes_on_until_a_leader_has_it(#[case] leaves: bool) {
     let mut scene = Scene::new();
     scene.ask_end();
-    scene.wait(100);
-    scene.relay.caller_gone(scene.now, CALLER);
+    if leaves {
+        scene.wait(100);
+        scene.relay.caller_gone(scene.now, CALLER);
+    }
     scene.wait(20_000);
+    if !leaves {
+        let [Answer::Refused {
+            refusal,
+            retry_after,
+            ..
+        }] = &scene.answers[..]
+        else {
+            panic!("one answer is due: {:?}", scene.answers);
+        };
+        // It may yet be carried out: a promise that it will not would be false.
+        assert_eq!((*refusal, *retry_after), (Refusal::Unknown, None));
+    }
     assert!(scene.sent_within(2_000) > 0, "forgotten");
+    let answers = scene.answers.len();
     scene.reply(JobStatus::OK);
-    assert!(scene.answers.is_empty(), "its caller is gone");
+    assert_eq!(
+        scene.answers.len(),
+        answers,
+        "its caller was answered long ago"
+    );
     let sent = scene.sent.len();
     scene.wait(5_000);
     assert_eq!(scene.sent.len(), sent, "a leader has it");
--- a/crates/gateway/tests/scene/mod.rs
+++ b/crates/gateway/tests/scene/mod.rs
@@ -166,7 +166,7 @@
         };
         gateway.configure(Configuration {
             version: 1,
-            routes: vec![route],
+            routes: vec![route].into(),
             ..Configuration::default()
         });
         let records = (0..engines).map(|index| EngineRecord {
--- a/crates/jobs/src/dispatcher/mod.rs
+++ b/crates/jobs/src/dispatcher/mod.rs
@@ -106,6 +106,8 @@
     medians_at: Time,
     /// Next look at what waits while no engine has a place.
     full_look_at: Time,
+    /// The last look ended before all that could start had started.
+    has_backlog: bool,
     /// Engines weighed for items since the start.
     weighed: u64,
     /// Expected length from which on an item of a job counts as long.
@@ -129,6 +131,7 @@
             medians: HashMap::new(),
             medians_at: Time(0),
             full_look_at: Time(0),
+            has_backlog: false,
             weighed: 0,
             long_from: HashMap::new(),
             reader,
@@ -146,6 +149,11 @@
         self.runs.len()
     }
 
+    /// Whether the last look left work that needs only another look.
+    pub fn has_backlog(&self) -> bool {
+        self.has_backlog
+    }
+
     /// Items whose text is whole and has no score.
     pub fn unscored_items(&self) -> usize {
         self.unscored.len()
@@ -196,6 +204,7 @@
         }
         self.items.clear();
         self.done.clear();
+        self.has_backlog = false;
     }
 
     /// What is to be done.
--- a/crates/jobs/src/dispatcher/starting.rs
+++ b/crates/jobs/src/dispatcher/starting.rs
@@ -23,6 +23,11 @@
 /// Time between two looks at what waits while no engine has a place.
 const FULL_LOOK_EVERY: Duration = Duration::from_millis(100);
 
+/// Runs that one look starts. A start takes a leader on 0.3 of a core 1.2 ms (measured
+/// with 4,208 routes), so a look stays below 20 ms: half a heartbeat of the log, which
+/// waits for the end of the look, and a tenth of the time after which it loses the lead.
+const STARTS_PER_LOOK: usize = 16;
+
 /// Names a group: its job and its name there.
 type GroupKey = (Rc<str>, String);
 
@@ -76,6 +81,7 @@
         configuration: &Configuration,
         directory: &mut EngineDirectory,
     ) {
+        self.has_backlog = false;
         if !self.is_start_due(now, directory) {
             return;
         }
@@ -86,7 +92,12 @@
         let mut rooms = Rooms::default();
         let mut companions = self.companions();
         let crowded = self.is_crowded(directory);
+        let mut starts_left = STARTS_PER_LOOK;
         for key in waiting {
+            if starts_left == 0 {
+                self.has_backlog = true;
+                break;
+            }
             let Some(item) = self.items.get(&key) else {
                 continue;
             };
@@ -159,6 +170,7 @@
             }
             let left = (item.known_since + route.max_queue).since(now);
             self.start(now, &key, instance, left, route.priority, directory);
+            starts_left -= 1;
         }
     }
 
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -16,6 +16,7 @@
 //! only; what it knows is lost with it, and its successor begins the items that
 //! have no result again.
 
+mod asked_ends;
 mod dispatcher;
 mod item;
 mod placement;
@@ -24,6 +25,7 @@
 mod streams;
 mod text;
 
+pub use asked_ends::AskedEnds;
 pub use dispatcher::{DispatchAction, Dispatcher, RunId, RunPart, ScoreCall, ScoreOutcome};
 pub use item::ItemKey;
 pub use scores::ScoreId;
--- a/crates/jobs/tests/dispatch/mod.rs
+++ b/crates/jobs/tests/dispatch/mod.rs
@@ -121,7 +121,7 @@
             directory,
             configuration: Configuration {
                 version: 1,
-                routes: vec![route()],
+                routes: vec![route()].into(),
                 ..Configuration::default()
             },
             started: Vec::new(),
@@ -132,6 +132,13 @@
         }
     }
 
+    /// Changes the routes, as a newer configuration does.
+    pub fn change_routes(&mut self, change: impl FnOnce(&mut Vec<Route>)) {
+        let mut routes: Vec<Route> = self.configuration.routes.iter().cloned().collect();
+        change(&mut routes);
+        self.configuration.routes = routes.into();
+    }
+
     fn apply(&mut self, body: OneOfbody) {
         self.index += 1;
         let command = encode(&JobCommand { body });
@@ -189,6 +196,14 @@
         self.take_actions();
     }
 
+    /// Looks until all that can start has started.
+    pub fn poll_until_started(&mut self) {
+        self.poll();
+        while self.dispatcher.has_backlog() {
+            self.poll();
+        }
+    }
+
     pub fn wait(&mut self, millis: u64) {
         self.now += Duration::from_millis(millis);
         self.poll();
--- a/crates/jobs/tests/scale/mod.rs
+++ b/crates/jobs/tests/scale/mod.rs
@@ -27,7 +27,7 @@
 #[test]
 fn items_that_wait_for_a_place_cost_nothing_until_there_is_one() {
     let mut scene = crowded_scene();
-    scene.poll();
+    scene.poll_until_started();
     assert_eq!(scene.started.len(), ENGINES * SLOTS);
     for started in scene.started.clone() {
         scene.head(started.run, 200, 5);
@@ -44,7 +44,7 @@
 #[test]
 fn a_place_that_becomes_free_is_taken_at_the_next_look() {
     let mut scene = crowded_scene();
-    scene.poll();
+    scene.poll_until_started();
     for started in scene.started.clone() {
         scene.head(started.run, 200, 5);
         scene.data(started.run, "1|0|one\n");
@@ -69,7 +69,7 @@
     let ids: Vec<String> = (0..ITEMS).map(|item| item.to_string()).collect();
     let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
     scene.submit("job", 5, &ids);
-    scene.poll();
+    scene.poll_until_started();
     assert_eq!(scene.started.len(), ITEMS);
     let runs = scene.started.clone();
     for event in 1..10 {
@@ -86,3 +86,27 @@
     assert_eq!(scene.dispatcher.engines_weighed(), before);
     assert!(scene.cancelled.is_empty());
 }
+
+/// A leader is not heard while it starts runs. However many items wait, a look takes
+/// only so long, and the rest starts at once in those that follow.
+#[test]
+fn a_look_starts_a_few_runs_however_many_items_wait() {
+    const MOST_STARTS: usize = 24;
+    let mut scene = crowded_scene();
+    let mut before = 0;
+    let mut looks = 0;
+    while scene.started.len() < ENGINES * SLOTS {
+        scene.poll();
+        let started = scene.started.len() - before;
+        before = scene.started.len();
+        assert!(
+            started > 0 && started <= MOST_STARTS,
+            "{started} in one look"
+        );
+        let is_full = before == ENGINES * SLOTS;
+        let says_so = scene.dispatcher.has_backlog();
+        assert!(is_full || says_so, "a look that left something says so");
+        looks += 1;
+    }
+    assert!(looks <= ENGINES * SLOTS / 8, "{looks} looks");
+}
--- a/crates/jobs/tests/scoring/mod.rs
+++ b/crates/jobs/tests/scoring/mod.rs
@@ -57,7 +57,7 @@
     let mut engines = vec![engine("a", 5), engine("b", 5)];
     engines.extend(scorers);
     let mut scene = Scene::new(engines);
-    scene.configuration.routes.push(scorer_route());
+    scene.change_routes(|routes| routes.push(scorer_route()));
     scene
 }
 
@@ -282,14 +282,14 @@
 #[test]
 fn a_reward_call_waits_for_its_route() {
     let mut scene = scene();
-    let without = scene.configuration.routes.pop().unwrap();
+    scene.change_routes(|routes| routes.truncate(1));
     submit(&mut scene, "j", &["i"]);
     scene.poll();
     run_last(&mut scene, "1|0|one\n");
     scene.wait(2_000);
     assert!(scene.score_calls.is_empty());
     assert!(scores(&scene, "j").is_empty(), "not given up either");
-    scene.configuration.routes.push(without);
+    scene.change_routes(|routes| routes.push(scorer_route()));
     scene.wait(200);
     assert_eq!(scene.score_calls.len(), 1);
 }
@@ -298,7 +298,7 @@
 #[test]
 fn an_item_without_a_score_is_given_up_at_the_queue_limit() {
     let mut scene = scene();
-    scene.configuration.routes.pop();
+    scene.change_routes(|routes| routes.truncate(1));
     submit(&mut scene, "j", &["i"]);
     scene.poll();
     run_last(&mut scene, "1|0|one\n");
--- a/crates/jobs/tests/single_version/mod.rs
+++ b/crates/jobs/tests/single_version/mod.rs
@@ -8,7 +8,7 @@
 fn single_version_scene(engines: &[(&str, u64)]) -> Scene {
     let records = engines.iter().map(|(name, version)| engine(name, *version));
     let mut scene = Scene::new(records.collect());
-    scene.configuration.routes[0].single_version = true;
+    scene.change_routes(|routes| routes[0].single_version = true);
     scene
 }
 
@@ -97,7 +97,7 @@
     scene.part(run, RunPart::End);
     scene.poll();
     scene.directory.saw_version(&Instance("a".into()), "m", 6);
-    scene.configuration.routes[0].single_version = true;
+    scene.change_routes(|routes| routes[0].single_version = true);
     scene.submit("k", 5, &["i"]);
     scene.poll();
     assert_eq!(scene.results("k"), vec![], "not listed again");
--- a/crates/ports/src/configuration.rs
+++ b/crates/ports/src/configuration.rs
@@ -3,13 +3,15 @@
 use peatgrade_types::Duration;
 use std::collections::BTreeMap;
 
+use crate::routes::RouteTable;
+
 /// A whole configuration.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Configuration {
     /// Rises with every change.
     pub version: u64,
-    /// Routes in no order.
-    pub routes: Vec<Route>,
+    /// Routes, found by host and path.
+    pub routes: RouteTable,
     /// Services by name.
     pub services: BTreeMap<String, Service>,
     /// Bounds on what a caller may send.
@@ -113,11 +115,6 @@
 impl Configuration {
     /// The route of a request: of its host, the one with the longest prefix.
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
-        let host = host.split(':').next().unwrap_or(host);
-        let path = path.split('?').next().unwrap_or(path);
-        let matching = self.routes.iter().filter(|route| {
-            route.host.eq_ignore_ascii_case(host) && path.starts_with(&route.prefix)
-        });
-        matching.max_by_key(|route| route.prefix.len())
+        self.routes.find(host, path)
     }
 }
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -14,6 +14,7 @@
 mod codec;
 mod configuration;
 mod engine;
+mod routes;
 mod store;
 
 pub use caller::{
@@ -25,6 +26,7 @@
     AnswerHead, EngineCall, EngineRecord, EngineReport, EventReader, GenerationEvent, Instance,
     OrderAnswer, OrderMode, VersionOrder,
 };
+pub use routes::RouteTable;
 pub use store::{
     ObjectKind, ObjectPage, ObjectWrite, RetirementStage, StoreCall, StoreEvent, StoreObject,
     StoreReply,
--- a/crates/ports/tests/routes.rs
+++ b/crates/ports/tests/routes.rs
@@ -1,7 +1,8 @@
 //! How a request's route is found.
 
-use peatgrade_ports::{Configuration, Route, RouteKind};
+use peatgrade_ports::{Configuration, Route, RouteKind, RouteTable};
 use peatgrade_types::Duration;
+use rstest::rstest;
 use std::time::{Duration as Span, Instant};
 
 fn route(host: &str, prefix: &str) -> Route {
@@ -37,7 +38,7 @@
     routes.push(route("ours.example", "/a/b/"));
     let configuration = Configuration {
         version: 1,
-        routes,
+        routes: routes.into(),
         ..Configuration::default()
     };
     let began = Instant::now();
@@ -48,3 +49,31 @@
     let took = began.elapsed();
     assert!(took < LIMIT, "{LOOKUPS} lookups took {took:?}");
 }
+
+/// Host, path, and the prefix of the route that is due.
+#[rstest]
+#[case::longest("a.example", "/x/y/z", Some("/x/y/"))]
+#[case::shorter("a.example", "/x/q", Some("/x/"))]
+#[case::its_own_prefix("a.example", "/x/y/", Some("/x/y/"))]
+#[case::without_the_last_slash("a.example", "/x/y", Some("/x/"))]
+#[case::everything("b.example", "/any", Some("/"))]
+#[case::capital_letters_and_port("A.Example:80", "/x/y/z", Some("/x/y/"))]
+#[case::slashes_in_the_query("a.example", "/x/q?/y/", Some("/x/"))]
+#[case::other_path("a.example", "/q/x/", None)]
+#[case::other_host("c.example", "/x/y/", None)]
+#[case::no_slash("b.example", "", None)]
+fn the_longest_prefix_of_the_host_wins(
+    #[case] host: &str,
+    #[case] path: &str,
+    #[case] prefix: Option<&str>,
+) {
+    let routes = [
+        route("a.example", "/x/"),
+        route("a.example", "/x/y/"),
+        route("b.example", "/"),
+        route("d.example", "/q/"),
+    ];
+    let table = RouteTable::from_iter(routes);
+    let found = table.find(host, path);
+    assert_eq!(found.map(|route| route.prefix.as_str()), prefix);
+}
--- a/crates/server/src/storage/calls.rs
+++ b/crates/server/src/storage/calls.rs
@@ -88,6 +88,9 @@
                     return self.reply_results(&caller, read);
                 }
             }
+            if let CallBody::end(end) = &call.body {
+                self.hear_end(now, &end.job);
+            }
             return self.reply_status(&caller, JobStatus::NOT_LEADER);
         }
         match call.body {
@@ -150,30 +153,45 @@
         self.calls.submits.entry(job).or_default().push(caller);
     }
 
+    /// Takes note of an end that was asked for, until it is committed.
+    fn hear_end(&mut self, now: Time, job: &str) {
+        let is_ended = self.jobs.get(job).is_some_and(|job| job.ended);
+        if !is_ended && self.asked_ends.ask(now, job) {
+            log::info!("belief=end-asked job={job} leads={}", self.working);
+        }
+    }
+
     fn on_end(&mut self, now: Time, caller: Caller, end: EndJob) {
+        // A job that is unknown may be on its way into the log.
+        self.hear_end(now, &end.job);
         let Some(job) = self.jobs.get(&end.job) else {
             return self.reply_status(&caller, JobStatus::UNKNOWN_JOB);
         };
         if job.ended {
             return self.reply_status(&caller, JobStatus::OK);
         }
-        let id = end.job.clone();
+        let id = end.job;
         if !self.calls.ends.contains_key(&id) {
             log::info!(
                 "decision=end job={id} listed={} items={}",
                 job.results.len(),
                 job.spec.items.len()
             );
-            let command = JobCommand {
-                body: CommandBody::end(end),
-            };
-            if self.replica.propose(now, encode(&command)).is_none() {
-                return self.reply_status(&caller, JobStatus::NOT_LEADER);
-            }
+            // Nothing of it is wanted any more, whatever becomes of the commit.
+            self.dispatcher.end_job(now, &id, &mut self.directory);
+            let dropped = self.dispatcher.take_actions();
+            self.carry_out_dispatch(dropped);
+            self.propose_end(now, &id);
         }
         self.calls.ends.entry(id).or_default().push(caller);
     }
 
+    /// Puts the end of a job into the log.
+    pub(super) fn propose_end(&mut self, now: Time, job: &str) {
+        let end = EndJob { job: job.into() };
+        self.propose(now, CommandBody::end(end));
+    }
+
     fn on_read(&mut self, now: Time, caller: Caller, read: ReadJob) {
         let Some(job) = self.jobs.get(&read.job) else {
             return self.reply_status(&caller, JobStatus::UNKNOWN_JOB);
--- a/crates/server/src/storage/engines.rs
+++ b/crates/server/src/storage/engines.rs
@@ -122,11 +122,11 @@
         Path::between(&self.settings.zone, zone.map_or("", String::as_str))
     }
 
-    fn propose(&mut self, now: Time, body: OneOfbody) {
+    pub(super) fn propose(&mut self, now: Time, body: OneOfbody) {
         let command = encode(&JobCommand { body });
         if self.replica.propose(now, command).is_none() {
             // What the dispatcher believes to be on its way into the log is not.
-            log::info!("step=propose-results reason=not-leading");
+            log::info!("step=propose reason=not-leading");
             self.work_void = true;
         }
     }
--- a/crates/server/src/storage/leadership.rs
+++ b/crates/server/src/storage/leadership.rs
@@ -103,8 +103,11 @@
         );
     }
 
-    /// Takes up the work for a job.
+    /// Takes up the work for a job, unless its end was asked for.
     pub(super) fn open_job(&mut self, id: &str) {
+        if self.asked_ends.is_asked(id) {
+            return self.propose_end(steady_now(), id);
+        }
         self.dispatcher
             .open_job(steady_now(), id, &self.jobs, &self.configuration);
         if let (Some(coordinator), Some(job)) = (&mut self.coordinator, self.jobs.get(id)) {
--- a/crates/server/src/storage/process.rs
+++ b/crates/server/src/storage/process.rs
@@ -4,7 +4,7 @@
 use futures_util::{select_biased, FutureExt, StreamExt};
 use peatgrade_fleet::{EngineDirectory, VersionCoordinator};
 use peatgrade_forward::Forwarder;
-use peatgrade_jobs::{Dispatcher, JobStore, RunId};
+use peatgrade_jobs::{AskedEnds, Dispatcher, JobStore, RunId};
 use peatgrade_ports::{Codec, Configuration, VersionOrder};
 use peatgrade_replication::{
     voters_for, Group, LogFile, LogFileError, Recovered, Replica, ReplicaId, ReplicaSettings, Role,
@@ -42,8 +42,12 @@
 /// Time between two looks at what is due.
 const LEADER_TICK: Duration = Duration::from_millis(15);
 const FOLLOWER_TICK: Duration = Duration::from_millis(30);
+/// The same while more could start at once: the least time between two looks.
+const BACKLOG_TICK: Duration = Duration::from_millis(4);
 /// Inputs handled before the log is persisted once for all of them.
 const MAX_BATCH: usize = 256;
+/// Longest time for that: heartbeats are due each 45 ms and wait for it.
+const MAX_BATCH_TIME: Span = Span::from_millis(20);
 /// Kept back from the time to stop.
 const GRACE_MARGIN_MS: u64 = 600;
 /// Time between two looks at who is a member and who should be.
@@ -56,8 +60,7 @@
 ) -> Result<(), ServerError> {
     let (mut process, mut inputs) = StorageProcess::start(settings, codec)?;
     loop {
-        let leads = process.replica.role() == Role::Leader;
-        let tick = monoio::time::sleep(if leads { LEADER_TICK } else { FOLLOWER_TICK }).fuse();
+        let tick = monoio::time::sleep(process.tick_time()).fuse();
         futures_util::pin_mut!(tick);
         let first = select_biased! {
             signal = inputs.signals.next() => signal.map(Input::Signal),
@@ -67,13 +70,15 @@
             founding = inputs.foundings.next() => founding.map(Input::Founding),
             _ = tick => None,
         };
-        process.turns.begin(steady_now());
+        let began = steady_now();
+        process.turns.begin(began);
         let mut next = first;
         let mut handled = 0;
         while let Some(input) = next {
             process.handle(input);
             handled += 1;
-            next = if handled < MAX_BATCH {
+            let is_in_time = steady_now().since(began) < MAX_BATCH_TIME;
+            next = if handled < MAX_BATCH && is_in_time {
                 inputs.take_waiting()
             } else {
                 None
@@ -98,6 +103,8 @@
     pub store: StoreClient,
     pub jobs: JobStore,
     pub calls: JobCalls,
+    /// Ends that were asked for and are not committed, as far as heard here.
+    pub asked_ends: AskedEnds,
     pub dispatcher: Dispatcher,
     pub coordinator: Option<VersionCoordinator>,
     pub group: Group,
@@ -209,6 +216,7 @@
             store,
             jobs: JobStore::default(),
             calls: JobCalls::default(),
+            asked_ends: AskedEnds::default(),
             coordinator: None,
             group,
             configuration: Configuration::default(),
@@ -256,6 +264,15 @@
         Ok((process, inputs))
     }
 
+    /// Longest wait for an input before a look at what is due.
+    fn tick_time(&self) -> Duration {
+        match self.replica.role() {
+            Role::Leader if self.working && self.dispatcher.has_backlog() => BACKLOG_TICK,
+            Role::Leader => LEADER_TICK,
+            _ => FOLLOWER_TICK,
+        }
+    }
+
     pub fn own_member(&self) -> Member {
         own_member(&self.settings, self.replica.id())
     }
--- a/crates/server/src/storage/replication.rs
+++ b/crates/server/src/storage/replication.rs
@@ -168,6 +168,7 @@
             Applied::Ended(job) => {
                 self.metrics.count("job_ended");
                 log::info!("belief=ended job={job} leads={}", self.working);
+                self.asked_ends.committed(&job);
                 self.dispatcher.end_job(now, &job, &mut self.directory);
                 self.calls.ended(&job);
             }
@@ -182,6 +183,7 @@
     pub(super) fn expire_jobs(&mut self, now: Time) -> Result<(), ServerError> {
         let keep = Duration::from_millis(self.settings.job_keep_ms);
         let applied = self.replica.log().last_index().min(self.applied_index());
+        self.asked_ends.forget(now, keep);
         let needless = self.jobs.expire(now, keep, applied);
         if self.replica.trim(needless) {
             self.log_file.trim(needless + 1);
--- a/crates/server/tests/takeover/cluster.rs
+++ b/crates/server/tests/takeover/cluster.rs
@@ -10,7 +10,7 @@
 use peatgrade_schema::encode;
 use peatgrade_schema::replication::mod_JobCommand::OneOfbody as Command;
 use peatgrade_schema::replication::{
-    AcceptJob, HardState, JobCommand, JobItem, Member, ReplicaMessage,
+    AcceptJob, EndJob, HardState, JobCommand, JobItem, Member, ReplicaMessage,
 };
 use peatgrade_types::{Duration, Time};
 use std::collections::{BTreeMap, VecDeque};
@@ -207,6 +207,12 @@
         self.asked.push((self.now, Command::accept(accept)));
     }
 
+    /// A caller asks for the end of a job until a leader takes it.
+    pub fn ask_end(&mut self, job: &str) {
+        let end = EndJob { job: job.into() };
+        self.asked.push((self.now, Command::end(end)));
+    }
+
     /// Ends the machine that leads, for good.
     pub fn stop_leader(&mut self) {
         let leader = self.machines.iter_mut().find(|machine| machine.working);
@@ -220,6 +226,18 @@
         counts.max().unwrap_or(0)
     }
 
+    pub fn is_ended(&self, job: &str) -> bool {
+        let running = self.machines.iter().filter(|machine| !machine.stopped);
+        let mut jobs = running.filter_map(|machine| machine.jobs.get(job));
+        jobs.any(|job| job.ended)
+    }
+
+    pub fn arrivals_after(&self, job: &str, time: Time) -> usize {
+        let arrivals = self.arrivals.iter();
+        let late = arrivals.filter(|(of, at)| of == job && *at > time);
+        late.count()
+    }
+
     pub fn run(&mut self, span: Duration) {
         let end = self.now + span;
         while self.now < end {
--- a/crates/server/tests/takeover/engines.rs
+++ b/crates/server/tests/takeover/engines.rs
@@ -135,7 +135,7 @@
     };
     Configuration {
         version: 1,
-        routes: vec![route],
+        routes: vec![route].into(),
         ..Configuration::default()
     }
 }
--- a/crates/server/tests/takeover/main.rs
+++ b/crates/server/tests/takeover/main.rs
@@ -20,9 +20,22 @@
     jobs
 }
 
-/// After the loss of a leader all runs must start again, and starting them takes the
-/// next one longer than the others wait for a heartbeat. It must go on being heard
-/// meanwhile, or the one after it takes its place and meets the same work.
+/// Starting all that is open takes a leader longer than the others wait for a
+/// heartbeat. It must go on being heard meanwhile, or the next one takes its place
+/// and meets the same work.
+#[test]
+fn a_leader_that_starts_hundreds_of_runs_stays_in_office() {
+    let mut cluster = Cluster::new(5);
+    cluster.run_until_led();
+    let jobs = submit_all(&mut cluster);
+    cluster.run(Duration::from_secs(15));
+    assert_eq!(cluster.terms_since_first_leader(), 0, "the leader changed");
+    for job in &jobs {
+        assert_eq!(cluster.listed(job), ITEMS, "{job}");
+    }
+}
+
+/// The same after the loss of a leader, when all runs must start again.
 #[test]
 fn a_leader_that_takes_over_hundreds_of_items_stays_in_office() {
     let mut cluster = Cluster::new(5);
@@ -37,3 +50,24 @@
         assert_eq!(cluster.listed(job), ITEMS, "{job}");
     }
 }
+
+/// An end that is asked right after the loss of a leader is committed soon, and
+/// nothing of its job reaches an engine afterwards.
+#[test]
+fn an_end_that_is_asked_during_a_takeover_holds() {
+    let mut cluster = Cluster::new(5);
+    cluster.run_until_led();
+    submit_all(&mut cluster);
+    cluster.run(Duration::from_secs(1));
+    cluster.stop_leader();
+    cluster.ask_end("job-3");
+    cluster.run(Duration::from_secs(2));
+    assert!(
+        cluster.is_ended("job-3"),
+        "no leader took the end within 2 s"
+    );
+    let ended = cluster.now;
+    cluster.run(Duration::from_secs(10));
+    let late = cluster.arrivals_after("job-3", ended);
+    assert_eq!(late, 0, "items arrived after the end");
+}
