--- a/crates/gateway/tests/ends.rs
+++ b/crates/gateway/tests/ends.rs
@@ -10,6 +10,7 @@
 use rstest::rstest;
 
 const REPLICA: &str = "10.0.0.1:7000";
+const OTHERS: [&str; 2] = ["10.0.0.2:7000", "10.0.0.3:7000"];
 const CALLER: CallId = CallId(1);
 /// Time between two looks of the gateway.
 const TICK: Duration = Duration::from_millis(20);
@@ -19,6 +20,8 @@
     now: Time,
     relay: JobRelay,
     sent: Vec<(Time, JobCall)>,
+    /// Where each went.
+    addresses: Vec<String>,
     answers: Vec<Answer>,
 }
 
@@ -30,6 +33,7 @@
             now: Time(1_000_000),
             relay,
             sent: Vec::new(),
+            addresses: Vec::new(),
             answers: Vec::new(),
         }
     }
@@ -46,8 +50,9 @@
 
     fn take(&mut self, actions: Vec<GatewayAction>) {
         for action in actions {
-            if let GatewayAction::Job { call, .. } = action {
+            if let GatewayAction::Job { call, address } = action {
                 self.sent.push((self.now, call));
+                self.addresses.push(address);
             }
         }
     }
@@ -65,14 +70,19 @@
     }
 
     fn reply(&mut self, status: JobStatus) {
+        self.reply_from(REPLICA, status, "");
+    }
+
+    fn reply_from(&mut self, replica: &str, status: JobStatus, leader: &str) {
         let call = self.sent.last().expect("something was sent").1.call;
         let reply = JobReply {
             call,
             status,
+            leader_address: leader.into(),
             ..JobReply::default()
         };
         let mut actions = Vec::new();
-        let answered = self.relay.on_reply(self.now, REPLICA, reply, &mut actions);
+        let answered = self.relay.on_reply(self.now, replica, reply, &mut actions);
         self.answers
             .extend(answered.into_iter().map(|(_, answer)| answer));
         self.take(actions);
@@ -123,3 +133,39 @@
     scene.wait(5_000);
     assert_eq!(scene.sent.len(), sent, "a leader has it");
 }
+
+/// This gateway may be lost before any leader has the end, so others must know of it.
+#[test]
+fn an_end_that_is_not_taken_at_once_is_told_to_all_replicas() {
+    let mut scene = Scene::new();
+    let [second, third] = OTHERS;
+    let all = vec![REPLICA.into(), second.into(), third.into()];
+    scene.relay.set_replicas(all.clone());
+    scene.ask_end();
+    scene.wait(400);
+    let mut told = scene.addresses.clone();
+    told.sort();
+    told.dedup();
+    assert_eq!(told, all);
+}
+
+/// Each replica that does not lead says so; their answers together cause one more try.
+#[test]
+fn answers_of_many_replicas_do_not_multiply_an_end() {
+    let mut scene = Scene::new();
+    let [second, third] = OTHERS;
+    let all = vec![REPLICA.into(), second.into(), third.into()];
+    scene.relay.set_replicas(all);
+    scene.ask_end();
+    scene.wait(400);
+    let sent = scene.sent.len();
+    for replica in [REPLICA, third] {
+        scene.reply_from(replica, JobStatus::NOT_LEADER, second);
+    }
+    scene.wait(100);
+    let more = &scene.addresses[sent..];
+    let to_leader = more.iter().filter(|address| *address == second);
+    assert_eq!(to_leader.count(), 1, "{more:?}");
+    scene.reply_from(second, JobStatus::OK, "");
+    assert!(matches!(scene.answers[..], [Answer::JobEnded]));
+}
