--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -38,6 +38,8 @@
     pub zone: String,
     /// Seed of random choices.
     pub seed: u64,
+    /// Number of the first batch-job call, another in each life.
+    pub first_call: u64,
 }
 
 /// The core of a gateway.
@@ -57,7 +59,11 @@
     /// A gateway that knows nothing yet.
     pub fn new(settings: GatewaySettings, codec: Rc<dyn Codec>) -> Self {
         Self {
-            relay: JobRelay::new(RelaySettings::default(), settings.zone.clone()),
+            relay: JobRelay::new(
+                RelaySettings::default(),
+                settings.zone.clone(),
+                settings.first_call,
+            ),
             forwarder: Forwarder::new(codec.clone(), settings.zone, settings.seed),
             codec,
             leaving: false,
@@ -107,7 +113,8 @@
         message: CallerMessage,
     ) -> Vec<GatewayAction> {
         let mut actions = Vec::new();
-        if self.leaving {
+        // The end of a job is taken to the last: it costs nothing, and work ends with it.
+        if self.leaving && !matches!(message, CallerMessage::EndJob { .. }) {
             let reason = "this gateway is stopping";
             let (subject, later) = (message.to_string(), Some(COME_BACK));
             self.refuse(&mut actions, call, &subject, Refusal::NotRun, reason, later);
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -1,12 +1,12 @@
 //! Calls about batch jobs, passed to the leader of the replica group.
 //!
 //! A call that has been sent may have been carried out, whatever became of its
-//! answer; only one that was never sent is refused as not run.
+//! answer; a submission that was never sent is refused as not run.
 //!
-//! The end of a job is carried on until a leader has it, also when its caller has gone
-//! or was answered: nobody else may know of it, and without it engines go on with work
-//! that nobody wants. One that was not taken at once is told to all replicas, so that
-//! it outlives this gateway.
+//! The end of a job is told to all replicas at once: each keeps it until it is
+//! committed, so that it outlives this gateway and the leader. It is carried on until a
+//! leader has it, also when its caller has gone or was answered, since without it
+//! engines go on with work that nobody wants. So it is never refused as not run.
 
 use peatgrade_forward::CallId;
 use peatgrade_ports::Answer;
@@ -27,6 +27,13 @@
 /// few jobs open, so this is far more than may be asked for in one outage.
 const MAX_CARRIED: usize = 1_024;
 
+/// Time without a leader after which replicas are looked up in the object store, while
+/// a caller waits: two elections.
+const MISSES_LEADER_AFTER: Duration = Duration::from_millis(700);
+/// The same while only ends without a caller wait: each look is a call to the store,
+/// and replicas that have heard of the end pass it on among themselves.
+const MISSES_LEADER_FOR_ENDS_AFTER: Duration = Duration::from_secs(10);
+
 /// Spans of the relay.
 #[derive(Clone, Copy, Debug)]
 pub struct RelaySettings {
@@ -53,8 +60,8 @@
             resend: Duration::from_millis(350),
             pause: Duration::from_millis(40),
             give_up: Duration::from_millis(1_300),
-            // Three calls a second to each replica at most, for each end.
-            carry_every: Duration::from_millis(330),
+            // Replicas that have heard of it pass it on themselves, more often.
+            carry_every: Duration::from_secs(1),
             // As long as replicas keep a job that is not ended: twice `job_keep_ms`.
             carry_for: Duration::from_secs(260),
             // A round trip within a zone and a busy machine's pause.
@@ -82,7 +89,10 @@
 
 impl JobRelay {
     /// A relay in `zone` that knows no replica.
-    pub fn new(settings: RelaySettings, zone: String) -> Self {
+    ///
+    /// Calls are numbered from `first_call` on. It must differ from life to life, or a
+    /// late reply to a call of an earlier life would answer one of this life.
+    pub fn new(settings: RelaySettings, zone: String, first_call: u64) -> Self {
         Self {
             settings,
             zone,
@@ -91,7 +101,7 @@
             near: None,
             near_rests_until: Time(0),
             calls: BTreeMap::new(),
-            next_call: 1,
+            next_call: first_call,
             leaderless_since: Some(Time(0)),
         }
     }
@@ -111,11 +121,15 @@
         if self.replicas.is_empty() {
             return true;
         }
-        if self.calls.is_empty() {
+        let patience = if self.calls.values().any(|call| call.caller.is_some()) {
+            MISSES_LEADER_AFTER
+        } else if !self.calls.is_empty() {
+            MISSES_LEADER_FOR_ENDS_AFTER
+        } else {
             return false;
-        }
+        };
         let since = self.leaderless_since;
-        since.is_some_and(|since| now.since(since) >= Duration::from_millis(700))
+        since.is_some_and(|since| now.since(since) >= patience)
     }
 
     /// Starts a call.
@@ -138,7 +152,7 @@
             sent: false,
             tried: 0,
             at_near: false,
-            told_all: false,
+            awaits: None,
             copies: 0,
         };
         self.log_start(&pending);
@@ -161,28 +175,27 @@
         let Some(pending) = self.calls.get_mut(&id) else {
             return;
         };
-        let others = self.replicas.len();
+        let count = self.replicas.len();
         let looks_back = matches!(pending.body, OneOfbody::read(_)) && pending.tried == 0;
         let near = self.near.as_ref();
         let near = near.filter(|_| looks_back && now >= self.near_rests_until);
         pending.at_near = near.is_some();
         let address = match near.or(self.leader.as_ref()) {
             Some(address) => address.clone(),
-            None if others > 0 => self.replicas[(pending.tried + id as usize) % others].clone(),
+            None if count > 0 => self.replicas[(pending.tried + id as usize) % count].clone(),
             None => {
                 pending.next = now + self.settings.pause;
                 return;
             }
         };
         let mut addresses = vec![address.clone()];
-        if pending.is_end() && (pending.tried > 0 || self.leader.is_none()) {
-            // Each keeps it, and the next to lead begins with it.
+        if pending.is_end() {
             let others = self.replicas.iter().filter(|other| **other != address);
             addresses.extend(others.cloned());
         }
         pending.tried += 1;
-        pending.told_all |= addresses.len() > 1;
         pending.copies += addresses.len();
+        pending.awaits = Some((address, now));
         pending.sent = true;
         pending.next = match (pending.at_near, pending.caller) {
             (true, _) => now + self.settings.near_patience,
@@ -256,9 +269,16 @@
         pending.copies = pending.copies.saturating_sub(1);
         // It has answered, whatever it said.
         pending.at_near = false;
-        if pending.told_all {
-            // Each replica says so; one more try is enough for all these answers.
-            if known {
+        if pending.awaits.as_ref().is_some_and(|(to, _)| to == from) {
+            pending.awaits = None;
+        }
+        if pending.is_end() {
+            // All replicas but one say so, each time. The leader has it as well, unless
+            // it was not known when the end was sent.
+            let leader = &reply.leader_address;
+            let has_it = |(to, _): &(String, Time)| to == leader;
+            let has_it = pending.awaits.as_ref().is_some_and(has_it);
+            if known && !has_it && !self.replicas.contains(leader) {
                 pending.next = pending.next.min(now + pause);
             }
         } else if known && pending.tried % 4 != 0 {
@@ -298,9 +318,10 @@
             let Some(pending) = self.calls.get(&id) else {
                 continue;
             };
+            let silent = pending.is_unanswered_by(self.leader.as_deref(), now, &self.settings);
             if pending.at_near {
                 self.leave_near(now);
-            } else if pending.sent && self.leader.is_some() && pending.tried > 0 {
+            } else if silent {
                 // It did not answer in time: ask the others.
                 self.lose_leader(now);
             }
--- a/crates/gateway/src/relay/pending.rs
+++ b/crates/gateway/src/relay/pending.rs
@@ -4,6 +4,8 @@
 use peatgrade_schema::replication::mod_JobCall::OneOfbody;
 use peatgrade_types::{Duration, Time};
 
+use super::RelaySettings;
+
 pub(super) struct Pending {
     /// Who waits for the answer; nobody for an end that is carried on.
     pub caller: Option<CallId>,
@@ -13,8 +15,8 @@
     pub next: Time,
     pub sent: bool,
     pub tried: usize,
-    /// It was sent to all replicas at once.
-    pub told_all: bool,
+    /// The replica that is to answer, and since when, unless it has.
+    pub awaits: Option<(String, Time)>,
     /// The near replica has it just now.
     pub at_near: bool,
     /// Copies that nobody has replied to: one that was held up may still come
@@ -33,6 +35,20 @@
         matches!(self.body, OneOfbody::end(_))
     }
 
+    /// Whether the leader has had this call for long enough without an answer.
+    pub fn is_unanswered_by(
+        &self,
+        leader: Option<&str>,
+        now: Time,
+        settings: &RelaySettings,
+    ) -> bool {
+        let Some((to, since)) = &self.awaits else {
+            return false;
+        };
+        let is_late = now.since(*since) >= settings.resend + self.wait;
+        leader == Some(to.as_str()) && is_late
+    }
+
     /// What the log calls it.
     pub fn subject(&self) -> String {
         match &self.body {
--- a/crates/gateway/tests/scene/mod.rs
+++ b/crates/gateway/tests/scene/mod.rs
@@ -144,6 +144,7 @@
         let settings = GatewaySettings {
             zone: "z".into(),
             seed: 1,
+            first_call: 1,
         };
         let mut gateway = Gateway::new(settings, Rc::new(PlainCodec));
         let route = Route {
--- a/crates/jobs/src/asked_ends.rs
+++ b/crates/jobs/src/asked_ends.rs
@@ -2,19 +2,34 @@
 //!
 //! Whoever heard of one, leader or not, keeps it until it is committed: the caller may
 //! not ask again, and the machine that it asked may be lost. A leader starts nothing of
-//! such a job and proposes its end, first of all when it takes over.
+//! such a job and proposes its end once in its term; a follower passes it on to the
+//! leader, which may not have heard of it.
 
 use peatgrade_types::{Duration, Time};
 use std::collections::BTreeMap;
 
+use crate::store::JobStore;
+
 /// Ends kept at most; the oldest give way. A job is open for some seconds, so this is
 /// far more than are open at once (target size: 5 trainers).
 const MAX_ASKED: usize = 4_096;
+/// Time between two tries to pass an end on to the leader: about an election.
+const PASS_ON_EVERY: Duration = Duration::from_millis(300);
+
+/// What is known of one end.
+#[derive(Debug)]
+struct AskedEnd {
+    heard: Time,
+    /// Newest term in which this machine proposed it.
+    proposed_term: u64,
+    /// When it may be passed on again.
+    pass_on_at: Time,
+}
 
-/// Ends that were asked for, by job, with the time at which each was heard first.
+/// Ends that were asked for, by job.
 #[derive(Debug, Default)]
 pub struct AskedEnds {
-    asked: BTreeMap<String, Time>,
+    asked: BTreeMap<String, AskedEnd>,
 }
 
 impl AskedEnds {
@@ -26,12 +41,17 @@
         if self.asked.len() >= MAX_ASKED {
             self.drop_oldest();
         }
-        self.asked.insert(job.to_string(), now);
+        let asked = AskedEnd {
+            heard: now,
+            proposed_term: 0,
+            pass_on_at: now + PASS_ON_EVERY,
+        };
+        self.asked.insert(job.to_string(), asked);
         true
     }
 
     fn drop_oldest(&mut self) {
-        let oldest = self.asked.iter().min_by_key(|(_, at)| **at);
+        let oldest = self.asked.iter().min_by_key(|(_, end)| end.heard);
         if let Some(job) = oldest.map(|(job, _)| job.clone()) {
             log::warn!("decision=drop-end job={job} reason=too-many limit={MAX_ASKED}");
             self.asked.remove(&job);
@@ -43,9 +63,35 @@
         self.asked.contains_key(job)
     }
 
-    /// The end of a job is committed.
-    pub fn committed(&mut self, job: &str) {
-        self.asked.remove(job);
+    /// Open jobs whose end the leader of `term` has not proposed yet; it does now.
+    pub fn take_unproposed(&mut self, term: u64, store: &JobStore) -> Vec<String> {
+        let mut jobs = Vec::new();
+        for (job, end) in &mut self.asked {
+            let is_open = store.get(job).is_some_and(|job| !job.ended);
+            if is_open && end.proposed_term < term {
+                end.proposed_term = term;
+                jobs.push(job.clone());
+            }
+        }
+        jobs
+    }
+
+    /// Jobs whose end is to be passed on to the leader now.
+    pub fn take_to_pass_on(&mut self, now: Time) -> Vec<String> {
+        let due = self
+            .asked
+            .iter_mut()
+            .filter(|(_, end)| now >= end.pass_on_at);
+        due.map(|(job, end)| {
+            end.pass_on_at = now + PASS_ON_EVERY;
+            job.clone()
+        })
+        .collect()
+    }
+
+    /// The end of a job is committed; whether it was asked for here.
+    pub fn committed(&mut self, job: &str) -> bool {
+        self.asked.remove(job).is_some()
     }
 
     /// How many there are.
@@ -58,8 +104,14 @@
         self.asked.is_empty()
     }
 
-    /// Drops what is older than jobs are kept.
+    /// Drops what is older than open jobs are kept.
     pub fn forget(&mut self, now: Time, keep: Duration) {
-        self.asked.retain(|_, at| now.since(*at) < keep);
+        self.asked.retain(|job, end| {
+            let is_young = now.since(end.heard) < keep;
+            if !is_young {
+                log::info!("decision=drop-end job={job} reason=too-old");
+            }
+            is_young
+        });
     }
 }
--- a/crates/jobs/src/dispatcher/mod.rs
+++ b/crates/jobs/src/dispatcher/mod.rs
@@ -225,6 +225,7 @@
                 .retain(|_, kept| now.since(kept.at) < KEEP_PARTIAL);
             self.watch_runs(now, directory);
         }
+        self.has_backlog = false;
         self.start_waiting(now, configuration, directory);
         self.call_scorers(now, configuration, directory);
         self.flush();
--- a/crates/jobs/src/dispatcher/scoring.rs
+++ b/crates/jobs/src/dispatcher/scoring.rs
@@ -31,6 +31,10 @@
 /// Time between two looks for a route that no configuration has.
 const ROUTE_WAIT: Duration = Duration::from_millis(100);
 
+/// Reward calls that one look makes: each costs about as much as the start of a run, and
+/// a look may start runs beside them.
+const REWARD_CALLS_PER_LOOK: usize = 8;
+
 /// A reward call to be made.
 #[derive(Clone, Debug)]
 pub struct ScoreCall {
@@ -98,7 +102,12 @@
         directory: &EngineDirectory,
     ) {
         let mut rooms: HashMap<&str, usize> = HashMap::new();
+        let mut calls_left = REWARD_CALLS_PER_LOOK;
         for key in self.unscored.due(now) {
+            if calls_left == 0 {
+                self.has_backlog = true;
+                break;
+            }
             let Some(item) = self.items.get(&key) else {
                 continue;
             };
@@ -155,6 +164,7 @@
             );
             let call = Box::new(call);
             self.actions.push(DispatchAction::Score { score, call });
+            calls_left -= 1;
         }
     }
 
--- a/crates/jobs/src/dispatcher/starting.rs
+++ b/crates/jobs/src/dispatcher/starting.rs
@@ -81,7 +81,6 @@
         configuration: &Configuration,
         directory: &mut EngineDirectory,
     ) {
-        self.has_backlog = false;
         if !self.is_start_due(now, directory) {
             return;
         }
--- a/crates/jobs/tests/scoring/mod.rs
+++ b/crates/jobs/tests/scoring/mod.rs
@@ -358,3 +358,33 @@
     scene.poll();
     assert_eq!(scores(&scene, "later"), vec![scored("i", "one", "s")]);
 }
+
+/// After a takeover hundreds of whole texts may wait for their scores, and a leader is
+/// not heard while it sends their calls.
+#[test]
+fn a_look_makes_a_few_reward_calls_however_many_texts_wait() {
+    const ITEMS: usize = 60;
+    const MOST_CALLS: usize = 16;
+    let engines = (0..ITEMS).map(|index| engine(&format!("e{index}"), 5));
+    let mut scene = Scene::new(engines.chain([scorer("s", 400)]).collect());
+    scene.change_routes(|routes| routes.push(scorer_route()));
+    let names: Vec<String> = (0..ITEMS).map(|index| format!("i{index}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    submit(&mut scene, "j", &names);
+    scene.poll_until_started();
+    for started in scene.started.clone() {
+        scene.head(started.run, 200, 5);
+        scene.data(started.run, "1|0|one\n");
+        scene.part(started.run, RunPart::End);
+    }
+    scene.wait(400);
+    scene.change_leader();
+    scene.score_calls.clear();
+    let mut before = 0;
+    while before < ITEMS {
+        scene.poll();
+        let made = scene.score_calls.len() - before;
+        before = scene.score_calls.len();
+        assert!(made > 0 && made <= MOST_CALLS, "{made} calls in one look");
+    }
+}
--- a/crates/ports/src/routes.rs
+++ b/crates/ports/src/routes.rs
@@ -12,20 +12,44 @@
 #[derive(Clone, Debug, Default)]
 pub struct RouteTable {
     routes: Vec<Route>,
-    /// Position of the last route of each prefix, by host.
-    by_host: HashMap<String, HashMap<String, usize>>,
+    by_host: HashMap<String, HostRoutes>,
+}
+
+/// Routes of one host.
+#[derive(Clone, Debug, Default)]
+struct HostRoutes {
+    /// Position of the last route of each prefix.
+    by_prefix: HashMap<String, usize>,
+    /// Lengths that prefixes have, longest first: a path may be of any length, so only
+    /// these are looked up.
+    lengths: Vec<usize>,
+}
+
+impl HostRoutes {
+    fn add(&mut self, prefix: &str, position: usize) {
+        self.by_prefix.insert(prefix.to_string(), position);
+        let shorter = |length: &usize| *length <= prefix.len();
+        let place = self.lengths.iter().position(shorter);
+        let place = place.unwrap_or(self.lengths.len());
+        if self.lengths.get(place) != Some(&prefix.len()) {
+            self.lengths.insert(place, prefix.len());
+        }
+    }
+
+    fn find(&self, path: &str) -> Option<usize> {
+        let beginnings = self.lengths.iter().filter_map(|length| path.get(..*length));
+        let mut positions = beginnings.filter_map(|prefix| self.by_prefix.get(prefix));
+        positions.next().copied()
+    }
 }
 
 impl RouteTable {
     /// Of the routes of a host, the one with the longest prefix that begins the path.
-    /// Prefixes end with a slash, so only the parts of the path that do can be one.
     pub fn find(&self, host: &str, path: &str) -> Option<&Route> {
         let host = host.split(':').next().unwrap_or(host);
         let path = path.split('?').next().unwrap_or(path);
-        let by_prefix = self.by_host.get(in_small_letters(host).as_ref())?;
-        let mut ends = path.rmatch_indices('/').map(|(start, _)| start + 1);
-        let position = ends.find_map(|end| by_prefix.get(&path[..end]))?;
-        self.routes.get(*position)
+        let routes = self.by_host.get(in_small_letters(host).as_ref())?;
+        self.routes.get(routes.find(path)?)
     }
 
     /// The routes.
@@ -53,11 +77,13 @@
 
 impl From<Vec<Route>> for RouteTable {
     fn from(routes: Vec<Route>) -> Self {
-        let mut by_host: HashMap<String, HashMap<String, usize>> = HashMap::new();
+        let mut by_host: HashMap<String, HostRoutes> = HashMap::new();
         for (position, route) in routes.iter().enumerate() {
             let host = in_small_letters(&route.host).into_owned();
-            let by_prefix = by_host.entry(host).or_default();
-            by_prefix.insert(route.prefix.clone(), position);
+            by_host
+                .entry(host)
+                .or_default()
+                .add(&route.prefix, position);
         }
         Self { routes, by_host }
     }
--- a/crates/ports/tests/routes.rs
+++ b/crates/ports/tests/routes.rs
@@ -62,6 +62,8 @@
 #[case::other_path("a.example", "/q/x/", None)]
 #[case::other_host("c.example", "/x/y/", None)]
 #[case::no_slash("b.example", "", None)]
+#[case::prefix_without_a_slash_at_its_end("e.example", "/b", Some("/b"))]
+#[case::letters_of_several_bytes("a.example", "/é", None)]
 fn the_longest_prefix_of_the_host_wins(
     #[case] host: &str,
     #[case] path: &str,
@@ -72,8 +74,22 @@
         route("a.example", "/x/y/"),
         route("b.example", "/"),
         route("d.example", "/q/"),
+        route("e.example", "/b"),
     ];
     let table = RouteTable::from_iter(routes);
     let found = table.find(host, path);
     assert_eq!(found.map(|route| route.prefix.as_str()), prefix);
 }
+
+/// A caller may send a path of any form: it must not cost more than its length.
+#[test]
+fn a_path_of_many_slashes_costs_no_more_than_another() {
+    const SLASHES: usize = 1_000_000;
+    const LIMIT: Span = Span::from_millis(500);
+    let table = RouteTable::from_iter([route("a.example", "/x/"), route("a.example", "/x/y/")]);
+    let path = "/".repeat(SLASHES);
+    let began = Instant::now();
+    assert!(table.find("a.example", &path).is_none());
+    let took = began.elapsed();
+    assert!(took < LIMIT, "{took:?}");
+}
--- a/crates/replication/src/queries.rs
+++ b/crates/replication/src/queries.rs
@@ -52,6 +52,11 @@
         self.commit
     }
 
+    /// Index up to which entries have been given out to apply.
+    pub fn applied_index(&self) -> u64 {
+        self.applied
+    }
+
     /// When this replica became leader.
     pub fn leader_since(&self) -> Time {
         self.became_leader
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -42,6 +42,12 @@
 /// leave memory.
 const ANSWERS: Duration = Duration::from_secs(2);
 
+/// Entries, and bytes of their commands, that one `Ready` gives out to apply: after a
+/// loss of power the whole log is to be applied, and whoever does so must be heard
+/// meanwhile. On 0.3 of a core this is some 20 ms.
+const MAX_APPLIED_ENTRIES: usize = 256;
+const MAX_APPLIED_BYTES: usize = 256 * 1024;
+
 /// What a replica is told at its start.
 #[derive(Clone, Debug)]
 pub struct ReplicaSettings {
@@ -252,13 +258,25 @@
     /// What is to be done now.
     pub fn ready(&mut self) -> Ready {
         self.send_unsent();
-        while self.applied < self.commit {
+        self.give_out_committed();
+        std::mem::take(&mut self.out)
+    }
+
+    /// Adds committed entries to what is to be applied, a bounded part at a time.
+    fn give_out_committed(&mut self) {
+        let mut bytes = 0;
+        let mut entries = 0;
+        while self.applied < self.commit
+            && entries < MAX_APPLIED_ENTRIES
+            && bytes < MAX_APPLIED_BYTES
+        {
             self.applied += 1;
+            entries += 1;
             if let Some(entry) = self.log.get(self.applied) {
+                bytes += entry.command.len();
                 self.out.committed.push(entry.clone());
             }
         }
-        std::mem::take(&mut self.out)
     }
 
     /// Whether `ready` would return anything.
--- a/crates/server/src/gateway_process/mod.rs
+++ b/crates/server/src/gateway_process/mod.rs
@@ -155,6 +155,8 @@
                 GatewaySettings {
                     zone: settings.zone.clone(),
                     seed,
+                    // Leaves room for as many calls above it.
+                    first_call: u64::from(rand::random::<u32>()) << 31,
                 },
                 codec.clone(),
             ),
--- a/crates/server/src/metrics.rs
+++ b/crates/server/src/metrics.rs
@@ -34,6 +34,8 @@
     pub sync_seconds: Histogram,
     /// Time from a whole text to its score.
     pub score_seconds: Histogram,
+    /// Time by which a leader's heartbeats leave late.
+    pub heartbeat_late_seconds: Histogram,
     /// Time that the main task works before it hears or sends anything again.
     pub turn_seconds: Histogram,
 }
@@ -51,7 +53,10 @@
         let sync_seconds = histogram("peatgrade_log_sync_seconds", "Time of a log sync", 0.000_2);
         let score_seconds = histogram("peatgrade_score_seconds", "Time to a score", 0.005);
         let turn_seconds = histogram("peatgrade_turn_seconds", "Time of a turn", 0.000_2);
-        let all: [Box<dyn prometheus::core::Collector>; 8] = [
+        let late = "Time by which heartbeats are late";
+        let heartbeat_late_seconds = histogram("peatgrade_heartbeat_late_seconds", late, 0.000_2);
+        let all: [Box<dyn prometheus::core::Collector>; 9] = [
+            Box::new(heartbeat_late_seconds.clone()),
             Box::new(events.clone()),
             Box::new(answers.clone()),
             Box::new(traffic.clone()),
@@ -74,6 +79,7 @@
             sync_seconds,
             score_seconds,
             turn_seconds,
+            heartbeat_late_seconds,
         }
     }
 
--- a/crates/server/src/storage/calls.rs
+++ b/crates/server/src/storage/calls.rs
@@ -6,7 +6,7 @@
 use peatgrade_schema::replication::mod_JobCommand::OneOfbody as CommandBody;
 use peatgrade_schema::replication::mod_ReplicaMessage::OneOfbody;
 use peatgrade_schema::replication::{
-    AcceptJob, EndJob, JobCall, JobCommand, JobReply, JobStatus, ListedResult, ReadItem, ReadJob,
+    AcceptJob, JobCall, JobCommand, JobReply, JobStatus, ListedResult, ReadItem, ReadJob,
 };
 use peatgrade_types::{Duration, Time};
 use std::collections::{BTreeSet, HashMap};
@@ -27,7 +27,7 @@
 
 /// Who waits for an answer.
 #[derive(Clone, Debug)]
-struct Caller {
+pub(super) struct Caller {
     address: String,
     call: u64,
 }
@@ -43,7 +43,7 @@
 #[derive(Debug, Default)]
 pub(super) struct JobCalls {
     submits: HashMap<String, Vec<Caller>>,
-    ends: HashMap<String, Vec<Caller>>,
+    pub ends: HashMap<String, Vec<Caller>>,
     reads: Vec<WaitingRead>,
     /// Jobs of which something was committed since the last look.
     changed: BTreeSet<String>,
@@ -153,45 +153,6 @@
         self.calls.submits.entry(job).or_default().push(caller);
     }
 
-    /// Takes note of an end that was asked for, until it is committed.
-    fn hear_end(&mut self, now: Time, job: &str) {
-        let is_ended = self.jobs.get(job).is_some_and(|job| job.ended);
-        if !is_ended && self.asked_ends.ask(now, job) {
-            log::info!("belief=end-asked job={job} leads={}", self.working);
-        }
-    }
-
-    fn on_end(&mut self, now: Time, caller: Caller, end: EndJob) {
-        // A job that is unknown may be on its way into the log.
-        self.hear_end(now, &end.job);
-        let Some(job) = self.jobs.get(&end.job) else {
-            return self.reply_status(&caller, JobStatus::UNKNOWN_JOB);
-        };
-        if job.ended {
-            return self.reply_status(&caller, JobStatus::OK);
-        }
-        let id = end.job;
-        if !self.calls.ends.contains_key(&id) {
-            log::info!(
-                "decision=end job={id} listed={} items={}",
-                job.results.len(),
-                job.spec.items.len()
-            );
-            // Nothing of it is wanted any more, whatever becomes of the commit.
-            self.dispatcher.end_job(now, &id, &mut self.directory);
-            let dropped = self.dispatcher.take_actions();
-            self.carry_out_dispatch(dropped);
-            self.propose_end(now, &id);
-        }
-        self.calls.ends.entry(id).or_default().push(caller);
-    }
-
-    /// Puts the end of a job into the log.
-    pub(super) fn propose_end(&mut self, now: Time, job: &str) {
-        let end = EndJob { job: job.into() };
-        self.propose(now, CommandBody::end(end));
-    }
-
     fn on_read(&mut self, now: Time, caller: Caller, read: ReadJob) {
         let Some(job) = self.jobs.get(&read.job) else {
             return self.reply_status(&caller, JobStatus::UNKNOWN_JOB);
@@ -232,7 +193,7 @@
         self.reply(&caller.address, OneOfbody::job_reply(reply));
     }
 
-    fn reply_status(&mut self, caller: &Caller, status: JobStatus) {
+    pub(super) fn reply_status(&mut self, caller: &Caller, status: JobStatus) {
         let reply = JobReply {
             call: caller.call,
             status,
--- /dev/null
+++ b/crates/server/src/storage/ends.rs
@@ -0,0 +1,93 @@
+//! Ends of jobs: heard by any replica, kept until they are committed.
+
+use peatgrade_schema::replication::mod_JobCall::OneOfbody as CallBody;
+use peatgrade_schema::replication::mod_JobCommand::OneOfbody as CommandBody;
+use peatgrade_schema::replication::mod_ReplicaMessage::OneOfbody;
+use peatgrade_schema::replication::{EndJob, JobCall, JobStatus};
+use peatgrade_types::Time;
+
+use super::calls::Caller;
+use super::process::StorageProcess;
+
+/// Call of a replica that passes an end on: nobody waits for its answer.
+const NO_CALL: u64 = 0;
+
+impl StorageProcess {
+    /// Takes note of an end that was asked for, on disk too, until it is committed.
+    pub(super) fn hear_end(&mut self, now: Time, job: &str) {
+        let is_ended = self.jobs.get(job).is_some_and(|job| job.ended);
+        if is_ended || !self.asked_ends.ask(now, job) {
+            return;
+        }
+        log::info!("belief=end-asked job={job} leads={}", self.working);
+        if let Err(error) = self.ends_file.add(job) {
+            // Others have it as well; only all machines without power would lose it.
+            log::error!("step=write-asked-end job={job} error={error}");
+        }
+    }
+
+    /// A gateway or another replica asks for the end of a job, of this leader.
+    pub(super) fn on_end(&mut self, now: Time, caller: Caller, end: EndJob) {
+        // A job that is unknown may be on its way into the log.
+        self.hear_end(now, &end.job);
+        let Some(job) = self.jobs.get(&end.job) else {
+            return self.reply_status(&caller, JobStatus::UNKNOWN_JOB);
+        };
+        if job.ended {
+            return self.reply_status(&caller, JobStatus::OK);
+        }
+        self.calls.ends.entry(end.job).or_default().push(caller);
+        self.end_asked_jobs(now);
+    }
+
+    /// Stops the work of each open job whose end was asked for, and puts the end into
+    /// the log: nothing of it is wanted any more, whatever becomes of the commit.
+    pub(super) fn end_asked_jobs(&mut self, now: Time) {
+        let term = self.replica.term();
+        for id in self.asked_ends.take_unproposed(term, &self.jobs) {
+            let Some(job) = self.jobs.get(&id) else {
+                continue;
+            };
+            log::info!(
+                "decision=end job={id} listed={} items={} term={term}",
+                job.results.len(),
+                job.spec.items.len()
+            );
+            self.dispatcher.end_job(now, &id, &mut self.directory);
+            let dropped = self.dispatcher.take_actions();
+            self.carry_out_dispatch(dropped);
+            self.propose(now, CommandBody::end(EndJob { job: id }));
+        }
+    }
+
+    /// Passes on to the leader what this replica has heard: the gateway that told it
+    /// may not reach the leader, or be gone.
+    pub(super) fn pass_on_ends(&mut self, now: Time) {
+        if self.working || self.asked_ends.is_empty() {
+            return;
+        }
+        let leader = self.replica.leader_address().map(str::to_string);
+        let Some(leader) = leader.filter(|leader| *leader != self.settings.peer_address) else {
+            return;
+        };
+        for job in self.asked_ends.take_to_pass_on(now) {
+            log::info!("decision=pass-on call=end job={job} leader={leader}");
+            let call = JobCall {
+                call: NO_CALL,
+                zone: self.settings.zone.clone(),
+                body: CallBody::end(EndJob { job }),
+            };
+            self.reply(&leader, OneOfbody::job_call(call));
+        }
+    }
+
+    /// The end of a job is committed: nobody need keep it any more.
+    pub(super) fn forget_asked_end(&mut self, job: &str) {
+        if !self.asked_ends.committed(job) || !self.asked_ends.is_empty() {
+            return;
+        }
+        if let Err(error) = self.ends_file.clear() {
+            log::warn!("step=clear-asked-ends error={error}");
+        }
+    }
+}
--- a/crates/server/src/storage/inputs.rs
+++ b/crates/server/src/storage/inputs.rs
@@ -25,17 +25,28 @@
     pub parts: UnboundedReceiver<(ExchangeId, ResponsePart)>,
     pub updates: UnboundedReceiver<StoreUpdate>,
     pub foundings: UnboundedReceiver<Founding>,
+    /// Whether the next look begins with parts: none of the two may starve the other.
+    pub parts_first: bool,
 }
 
 impl Inputs {
     /// An input that waits already.
     pub fn take_waiting(&mut self) -> Option<Input> {
-        if let Ok(message) = self.messages.try_recv() {
-            return Some(Input::Message(message));
-        }
-        if let Ok((id, part)) = self.parts.try_recv() {
-            return Some(Input::Part(id, part));
-        }
-        self.updates.try_recv().ok().map(Input::Update)
+        self.parts_first = !self.parts_first;
+        let first = if self.parts_first {
+            self.take_part().or_else(|| self.take_message())
+        } else {
+            self.take_message().or_else(|| self.take_part())
+        };
+        first.or_else(|| self.updates.try_recv().ok().map(Input::Update))
+    }
+
+    fn take_message(&mut self) -> Option<Input> {
+        self.messages.try_recv().ok().map(Input::Message)
+    }
+
+    fn take_part(&mut self) -> Option<Input> {
+        let part = self.parts.try_recv().ok();
+        part.map(|(id, part)| Input::Part(id, part))
     }
 }
--- a/crates/server/src/storage/leadership.rs
+++ b/crates/server/src/storage/leadership.rs
@@ -106,7 +106,7 @@
     /// Takes up the work for a job, unless its end was asked for.
     pub(super) fn open_job(&mut self, id: &str) {
         if self.asked_ends.is_asked(id) {
-            return self.propose_end(steady_now(), id);
+            return;
         }
         self.dispatcher
             .open_job(steady_now(), id, &self.jobs, &self.configuration);
@@ -150,6 +150,7 @@
         if !self.working || !self.replica.may_answer(now) {
             return;
         }
+        self.end_asked_jobs(now);
         let due = now.since(self.last_dispatch) >= DISPATCH_EVERY;
         if due && self.engines_known && self.configuration.version > 0 {
             self.last_dispatch = now;
--- a/crates/server/src/storage/mod.rs
+++ b/crates/server/src/storage/mod.rs
@@ -13,6 +13,8 @@
 //! The main task handles what has arrived, then persists once for all of it.
 
 mod calls;
+mod ends;
+mod ends_file;
 mod engines;
 mod housekeeping;
 mod inputs;
--- a/crates/server/src/storage/process.rs
+++ b/crates/server/src/storage/process.rs
@@ -31,6 +31,7 @@
 use crate::ServerError;
 
 use super::calls::JobCalls;
+use super::ends_file::EndsFile;
 use super::engines::{EngineExchange, ExchangeId};
 use super::inputs::{Input, Inputs};
 use super::pressure::{Pressure, Room};
@@ -42,7 +43,7 @@
 /// Time between two looks at what is due.
 const LEADER_TICK: Duration = Duration::from_millis(15);
 const FOLLOWER_TICK: Duration = Duration::from_millis(30);
-/// The same while more could start at once: the least time between two looks.
+/// The same while more could be done at once: the least time between two looks.
 const BACKLOG_TICK: Duration = Duration::from_millis(4);
 /// Inputs handled before the log is persisted once for all of them.
 const MAX_BATCH: usize = 256;
@@ -50,6 +51,8 @@
 const MAX_BATCH_TIME: Span = Span::from_millis(20);
 /// Kept back from the time to stop.
 const GRACE_MARGIN_MS: u64 = 600;
+/// A heartbeat that is late by as much as the next one is due after it twice.
+const LATE_HEARTBEAT: Span = Span::from_millis(90);
 /// Time between two looks at who is a member and who should be.
 const MEMBERS_EVERY: Span = Span::from_millis(20);
 
@@ -105,6 +108,7 @@
     pub calls: JobCalls,
     /// Ends that were asked for and are not committed, as far as heard here.
     pub asked_ends: AskedEnds,
+    pub ends_file: EndsFile,
     pub dispatcher: Dispatcher,
     pub coordinator: Option<VersionCoordinator>,
     pub group: Group,
@@ -166,14 +170,20 @@
             source,
         })?;
         let (log_file, recovered) = open_log(&settings)?;
+        let (ends_file, heard) = open_ends(&settings)?;
+        let mut asked_ends = AskedEnds::default();
+        for job in &heard {
+            asked_ends.ask(now, job);
+        }
         let id = ReplicaId(recovered.state.replica);
         let seed = hash_bytes(settings.name.as_bytes());
         log::info!(
-            "step=start role=storage replica={id} fresh={} entries={} term={} torn_bytes={} peer={} zone={}",
+            "step=start role=storage replica={id} fresh={} entries={} term={} torn_bytes={} asked_ends={} peer={} zone={}",
             recovered.fresh,
             recovered.log.last_index(),
             recovered.state.term,
             recovered.torn_bytes,
+            asked_ends.len(),
             settings.peer_address,
             settings.zone
         );
@@ -216,7 +226,8 @@
             store,
             jobs: JobStore::default(),
             calls: JobCalls::default(),
-            asked_ends: AskedEnds::default(),
+            asked_ends,
+            ends_file,
             coordinator: None,
             group,
             configuration: Configuration::default(),
@@ -260,12 +271,16 @@
             parts: part_inputs,
             updates: update_inputs,
             foundings: founding_inputs,
+            parts_first: false,
         };
         Ok((process, inputs))
     }
 
     /// Longest wait for an input before a look at what is due.
     fn tick_time(&self) -> Duration {
+        if self.replica.has_ready() {
+            return BACKLOG_TICK;
+        }
         match self.replica.role() {
             Role::Leader if self.working && self.dispatcher.has_backlog() => BACKLOG_TICK,
             Role::Leader => LEADER_TICK,
@@ -324,6 +339,7 @@
         }
         self.replica.set_store_age(now.since(self.store_heard));
         if now >= self.replica.next_tick() {
+            self.note_heartbeat(now);
             self.replica.tick(now);
         }
         let members_due = now.since(self.last_members) >= MEMBERS_EVERY;
@@ -335,6 +351,7 @@
             log::info!("belief=engine-gone instance={instance} reason=not-back");
         }
         self.follow_role(now);
+        self.pass_on_ends(now);
         self.pump()?;
         self.lead(now);
         if members_due {
@@ -346,6 +363,21 @@
         Ok(())
     }
 
+    /// Measures how late a leader's heartbeat is: others take it for lost after 220 ms
+    /// without one, whatever kept it from sending.
+    fn note_heartbeat(&self, now: Time) {
+        if self.replica.role() != Role::Leader {
+            return;
+        }
+        let late = now.since(self.replica.next_tick());
+        self.metrics
+            .heartbeat_late_seconds
+            .observe(late.as_secs_f64());
+        if late >= LATE_HEARTBEAT {
+            log::warn!("step=late-heartbeat late_ms={}", late.as_millis());
+        }
+    }
+
     /// Names a turn that kept heartbeats waiting.
     fn note_turn(&mut self, now: Time) {
         let Some(took) = self.turns.end(now, &self.metrics) else {
@@ -387,6 +419,14 @@
     }
 }
 
+/// Ends that were heard in an earlier life and may not be committed.
+fn open_ends(settings: &ServerSettings) -> Result<(EndsFile, Vec<String>), ServerError> {
+    EndsFile::open(Path::new(&settings.data_folder)).map_err(|source| ServerError::System {
+        step: "open the file of asked ends",
+        source,
+    })
+}
+
 fn open_log(settings: &ServerSettings) -> Result<(LogFile, Recovered), LogFileError> {
     let mut fresh = 0;
     while fresh == 0 {
--- a/crates/server/src/storage/replication.rs
+++ b/crates/server/src/storage/replication.rs
@@ -17,6 +17,9 @@
 /// Bytes of a record beside its command, about.
 const RECORD_BYTES: u64 = 64;
 
+/// Longest time that one turn applies entries: heartbeats are due each 45 ms.
+const MAX_PUMP_TIME: Duration = Duration::from_millis(20);
+
 impl StorageProcess {
     pub(super) fn on_message(&mut self, bytes: &[u8]) {
         let Ok(message) = decode::<ReplicaMessage>(bytes) else {
@@ -105,9 +108,11 @@
         self.link.send(address, bytes, Delivery::Connected);
     }
 
-    /// Sends, persists and applies until the replica wants nothing more.
+    /// Sends, persists and applies until the replica wants nothing more, or until the
+    /// next turn must begin: after a start the whole log is applied.
     pub(super) fn pump(&mut self) -> Result<(), ServerError> {
-        while self.replica.has_ready() {
+        let began = steady_now();
+        while self.replica.has_ready() && steady_now().since(began) < MAX_PUMP_TIME {
             let ready = self.replica.ready();
             for message in ready.early {
                 self.send(message);
@@ -168,7 +173,7 @@
             Applied::Ended(job) => {
                 self.metrics.count("job_ended");
                 log::info!("belief=ended job={job} leads={}", self.working);
-                self.asked_ends.committed(&job);
+                self.forget_asked_end(&job);
                 self.dispatcher.end_job(now, &job, &mut self.directory);
                 self.calls.ended(&job);
             }
@@ -182,8 +187,9 @@
 
     pub(super) fn expire_jobs(&mut self, now: Time) -> Result<(), ServerError> {
         let keep = Duration::from_millis(self.settings.job_keep_ms);
-        let applied = self.replica.log().last_index().min(self.applied_index());
-        self.asked_ends.forget(now, keep);
+        let applied = self.replica.applied_index();
+        // An open job is kept for twice as long as one that is ended.
+        self.asked_ends.forget(now, Duration(keep.0 * 2));
         let needless = self.jobs.expire(now, keep, applied);
         if self.replica.trim(needless) {
             self.log_file.trim(needless + 1);
@@ -198,10 +204,6 @@
         Ok(())
     }
 
-    fn applied_index(&self) -> u64 {
-        self.replica.commit_index()
-    }
-
     /// Bytes of the log that must be kept.
     pub(super) fn log_bytes(&self) -> u64 {
         let log = self.replica.log();
