Mend: the log is rewritten in steps of 1 MB, one a turn

Cause: LogFile::rewrite copied and synced all kept entries in one turn of the main task; at some 200 MB on 120 MB/s that outlasts the 220 to 360 ms that others wait for a heartbeat.

Change: begin_rewrite notes where the kept entries stand in the old file, which is only ever appended to; continue_rewrite copies the next records as they are, with their checksums checked, and syncs them. What is appended meanwhile goes to the old file as before and is copied after them in the same order, so a start reads the same from either file; trims and replaced entries need nothing more, a new base ends the rewrite. A step copies as many more bytes as were appended since the last one, so it ends. Then: rename, sync of the folder, places of entries swapped. Records moved to records.rs. rewrite at once stays for open and reset.

The server takes one step a turn, and counts the new file in its look for room on the disk. step=rewrite-log has phase=begin, end, abandon and put-off.

--- a/crates/replication/src/entry_index.rs
+++ b/crates/replication/src/entry_index.rs
@@ -74,6 +74,27 @@
         places.places.push_back(place);
     }
 
+    /// All entries from `first` on with their places; none if some of the
+    /// entries from there on are not known, but later ones are.
+    pub fn entries_from(&self, first: u64) -> Option<Vec<(u64, Place)>> {
+        let places = self.0.borrow();
+        if places.places.is_empty() {
+            return Some(Vec::new());
+        }
+        let skipped = first.checked_sub(places.first)?;
+        let kept = places.places.iter().skip(skipped as usize);
+        Some((first..).zip(kept.copied()).collect())
+    }
+
+    /// Takes over where the same entries stand in another file. Those that were
+    /// forgotten here stay forgotten.
+    pub fn replace(&self, newer: EntryIndex, file: File) {
+        newer.trim(self.0.borrow().first);
+        let mut taken = newer.0.take();
+        taken.file = Some(file);
+        self.0.replace(taken);
+    }
+
     /// Forgets entries before `index`.
     pub fn trim(&self, index: u64) {
         let mut places = self.0.borrow_mut();
--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -25,10 +25,12 @@
 mod handover;
 mod lease;
 mod log_file;
+mod log_rewrite;
 mod log_store;
 mod message;
 mod progress;
 mod queries;
+mod records;
 mod replica;
 mod replicate;
 
--- a/crates/replication/src/log_file.rs
+++ b/crates/replication/src/log_file.rs
@@ -4,24 +4,23 @@
 //! is whole; what comes after it may be missing or torn, so reading stops at
 //! the first record that does not check and the rest is cut off. A rewrite goes
 //! to a second file that takes the place of the first by a rename; the folder
-//! is synced after each file that is made or renamed.
+//! is synced after each file that is renamed. A small log is rewritten at once,
+//! a large one in steps between which the first file is used as before.
 
 use peatgrade_schema::replication::mod_LogRecord::OneOfbody;
-use peatgrade_schema::replication::{HardState, LogBase, LogEntry, LogRecord};
-use peatgrade_schema::{decode, encode};
+use peatgrade_schema::replication::{HardState, LogBase, LogEntry};
 use std::fs::{File, OpenOptions};
 use std::io::{Read, Seek, SeekFrom, Write};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 
-use crate::entry_index::{EntryIndex, EntrySource, Place};
+use crate::entry_index::{EntryIndex, EntrySource};
+use crate::log_rewrite::{create, put_in_place, unreadable, Replaced, Rewrite};
 use crate::log_store::LogStore;
+use crate::records::{put_record, read_records};
 
 const LOG_NAME: &str = "replica.log";
 const NEW_NAME: &str = "replica.log.new";
-const HEADER_BYTES: usize = 8;
-/// Largest record that is read back.
-const MAX_RECORD_BYTES: usize = 256 * 1024 * 1024;
 
 /// Why the log cannot be used, with the step that failed.
 #[derive(Debug, thiserror::Error)]
@@ -57,6 +56,10 @@
     /// Bytes written by the last rewrite.
     compact_length: u64,
     index: EntryIndex,
+    /// The rewrite in steps that is under way.
+    rewriting: Option<Rewrite>,
+    /// The file whose place the last such rewrite has taken.
+    replaced: Option<Replaced>,
 }
 
 impl LogFile {
@@ -85,6 +88,8 @@
             length: whole,
             compact_length: 0,
             index,
+            rewriting: None,
+            replaced: None,
         };
         let (state, mut log) = replay(records);
         log.set_source(opened.source());
@@ -135,14 +140,15 @@
         entries: &[Rc<LogEntry>],
     ) -> Result<(), LogFileError> {
         let mut bytes = Vec::new();
+        let mut places = Vec::new();
         if let Some(state) = state {
-            put_record(&mut bytes, OneOfbody::state(state.clone()));
+            let place = put_record(&mut bytes, OneOfbody::state(state.clone()));
+            places.push((None, place.moved(self.length)));
         }
-        let mut places = Vec::new();
         for entry in entries {
             let body = OneOfbody::entry((**entry).clone());
             let place = put_record(&mut bytes, body);
-            places.push((entry.index, place.moved(self.length)));
+            places.push((Some(entry.index), place.moved(self.length)));
         }
         if bytes.is_empty() {
             return Ok(());
@@ -153,8 +159,13 @@
             .map_err(at("append to", &path))?;
         self.file.sync_data().map_err(at("sync", &path))?;
         self.length += bytes.len() as u64;
-        for (index, place) in places {
-            self.index.note(index, place);
+        for (entry, place) in places {
+            if let Some(index) = entry {
+                self.index.note(index, place);
+            }
+            if let Some(rewrite) = &mut self.rewriting {
+                rewrite.add(entry, place);
+            }
         }
         Ok(())
     }
@@ -169,28 +180,84 @@
         self.index.trim(index);
     }
 
-    /// Replaces the file by one that holds just this state and log.
+    /// Begins to replace the file by one that holds just this state and log;
+    /// [`LogFile::continue_rewrite`] goes on with it. False if entries of the log
+    /// wait to be appended: it can begin once they are.
+    pub fn begin_rewrite(
+        &mut self,
+        state: &HardState,
+        log: &LogStore,
+    ) -> Result<bool, LogFileError> {
+        let path = self.folder.join(LOG_NAME);
+        let first = log.base().index + 1;
+        let entries = self.index.entries_from(first);
+        let entries = entries.ok_or_else(|| unreadable(Some(first), &path))?;
+        let last = entries.last().map_or(first - 1, |(index, _)| *index);
+        if last != log.last_index() {
+            return Ok(false);
+        }
+        let new_path = self.folder.join(NEW_NAME);
+        let rewrite = Rewrite::begin(new_path, path, &head(state, log), entries)?;
+        self.rewriting = Some(rewrite);
+        Ok(true)
+    }
+
+    /// Copies about `max_bytes` more, puts the new file in the place of the old
+    /// one when all is there, and frees the old one in the steps after that. True
+    /// if no rewrite is under way any more. An error ends the rewrite; the log
+    /// must be opened anew after it.
+    pub fn continue_rewrite(&mut self, max_bytes: u64) -> Result<bool, LogFileError> {
+        if let Some(mut rewrite) = self.rewriting.take() {
+            if rewrite.step(&self.file, max_bytes)? {
+                self.finish_rewrite(rewrite)?;
+            } else {
+                self.rewriting = Some(rewrite);
+            }
+            return Ok(false);
+        }
+        let replaced = self.replaced.take();
+        self.replaced = replaced.and_then(|replaced| replaced.free(max_bytes));
+        Ok(self.replaced.is_none())
+    }
+
+    fn finish_rewrite(&mut self, rewrite: Rewrite) -> Result<(), LogFileError> {
+        let rewritten = rewrite.finish(&self.folder)?;
+        self.index.replace(rewritten.index, rewritten.reader);
+        let old = std::mem::replace(&mut self.file, rewritten.file);
+        self.replaced = Some(Replaced::new(old, self.length));
+        self.length = rewritten.length;
+        self.compact_length = rewritten.length;
+        Ok(())
+    }
+
+    /// Whether a rewrite in steps is under way.
+    pub fn is_rewriting(&self) -> bool {
+        self.rewriting.is_some() || self.replaced.is_some()
+    }
+
+    /// Bytes that the file of a rewrite in steps will have, or has while the old
+    /// one is not free yet; 0 if none is under way.
+    pub fn rewrite_length(&self) -> u64 {
+        match &self.rewriting {
+            Some(rewrite) => rewrite.planned_length(),
+            None if self.replaced.is_some() => self.length,
+            None => 0,
+        }
+    }
+
+    /// Replaces the file at once by one that holds just this state and log. Takes
+    /// as long as the log is large: for small ones. Ends a rewrite in steps.
     pub fn rewrite(&mut self, state: &HardState, log: &LogStore) -> Result<(), LogFileError> {
+        self.rewriting = None;
         let new_path = self.folder.join(NEW_NAME);
         let path = self.folder.join(LOG_NAME);
-        let mut bytes = Vec::new();
-        put_record(&mut bytes, OneOfbody::state(state.clone()));
-        put_record(&mut bytes, OneOfbody::base(log.base().clone()));
-        let mut file = OpenOptions::new()
-            .read(true)
-            .write(true)
-            .create(true)
-            .truncate(true)
-            .open(&new_path)
-            .map_err(at("create", &new_path))?;
+        let mut bytes = head(state, log);
+        let mut file = create(&new_path)?;
         let mut length = 0;
         let mut places = Vec::new();
         for index in log.base().index + 1..=log.last_index() {
-            // An entry left out would cut off all that follow it.
-            let entry = log.get(index).ok_or_else(|| {
-                let reason = format!("entry {index} cannot be read back");
-                at("read", &path)(std::io::Error::other(reason))
-            })?;
+            let entry = log.get(index);
+            let entry = entry.ok_or_else(|| unreadable(Some(index), &path))?;
             let place = put_record(&mut bytes, OneOfbody::entry((*entry).clone()));
             places.push((index, place.moved(length)));
             if bytes.len() > 1024 * 1024 {
@@ -202,9 +269,7 @@
         file.write_all(&bytes).map_err(at("write", &new_path))?;
         length += bytes.len() as u64;
         file.sync_all().map_err(at("sync", &new_path))?;
-        std::fs::rename(&new_path, &path).map_err(at("rename", &new_path))?;
-        let folder = File::open(&self.folder).map_err(at("open folder", &self.folder))?;
-        folder.sync_all().map_err(at("sync folder", &self.folder))?;
+        put_in_place(&new_path, &path, &self.folder)?;
         self.file = file;
         self.index
             .reset(&path)
@@ -228,57 +293,17 @@
     }
 }
 
-fn at(step: &'static str, path: &Path) -> impl FnOnce(std::io::Error) -> LogFileError {
+pub(crate) fn at(step: &'static str, path: &Path) -> impl FnOnce(std::io::Error) -> LogFileError {
     let path = path.to_path_buf();
     move |source| LogFileError { step, path, source }
 }
 
-/// Appends a record; where its payload stands in `into`.
-fn put_record(into: &mut Vec<u8>, body: OneOfbody) -> Place {
-    let payload = encode(&LogRecord { body });
-    let place = Place {
-        offset: (into.len() + HEADER_BYTES) as u64,
-        length: payload.len() as u32,
-    };
-    into.extend_from_slice(&(payload.len() as u32).to_le_bytes());
-    into.extend_from_slice(&crc32fast::hash(&payload).to_le_bytes());
-    into.extend_from_slice(&payload);
-    place
-}
-
-/// Whole records from the start, and the number of bytes that they fill. Takes
-/// note of where entries stand.
-fn read_records(bytes: &[u8], index: &EntryIndex) -> (Vec<OneOfbody>, u64) {
-    let mut records = Vec::new();
-    let mut offset = 0;
-    while let Some(header) = bytes.get(offset..offset + HEADER_BYTES) {
-        let length = u32::from_le_bytes([header[0], header[1], header[2], header[3]]) as usize;
-        let checksum = u32::from_le_bytes([header[4], header[5], header[6], header[7]]);
-        let start = offset + HEADER_BYTES;
-        // A run of zeros checks as an empty record, but is none.
-        if length == 0 || length > MAX_RECORD_BYTES {
-            break;
-        }
-        let Some(payload) = bytes.get(start..start + length) else {
-            break;
-        };
-        if crc32fast::hash(payload) != checksum {
-            break;
-        }
-        let Ok(record) = decode::<LogRecord>(payload) else {
-            break;
-        };
-        if let OneOfbody::entry(entry) = &record.body {
-            let place = Place {
-                offset: start as u64,
-                length: length as u32,
-            };
-            index.note(entry.index, place);
-        }
-        records.push(record.body);
-        offset = start + length;
-    }
-    (records, offset as u64)
+/// What a new file begins with.
+fn head(state: &HardState, log: &LogStore) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    put_record(&mut bytes, OneOfbody::state(state.clone()));
+    put_record(&mut bytes, OneOfbody::base(log.base().clone()));
+    bytes
 }
 
 fn replay(records: Vec<OneOfbody>) -> (Option<HardState>, LogStore) {
--- a/crates/server/src/storage/housekeeping.rs
+++ b/crates/server/src/storage/housekeeping.rs
@@ -16,7 +16,7 @@
 const EXPIRE_EVERY: Duration = Duration::from_secs(2);
 
 impl StorageProcess {
-    /// What is due each second or so.
+    /// What is due each second or so, and a step of what goes on for longer.
     pub(super) fn housekeeping(&mut self, now: Time) -> Result<(), ServerError> {
         if now.since(self.last_sweep) >= SWEEP_EVERY {
             self.last_sweep = now;
@@ -30,11 +30,11 @@
             self.last_expire = now;
             self.expire_jobs(now)?;
         }
-        Ok(())
+        self.continue_rewrite()
     }
 
     fn note_pressure(&mut self) {
-        let pressure = self.room.pressure(self.log_bytes(), resident_bytes());
+        let pressure = self.room.pressure(self.disk_bytes(), resident_bytes());
         if pressure != self.pressure {
             let kept = self.log_bytes();
             match pressure {
--- a/crates/server/src/storage/process.rs
+++ b/crates/server/src/storage/process.rs
@@ -99,6 +99,8 @@
     pub codec: Rc<dyn Codec>,
     pub replica: Replica,
     pub log_file: LogFile,
+    /// When the last rewrite of it began.
+    pub rewrite_began: Time,
     pub link: LinkSocket,
     pub store: StoreClient,
     pub jobs: JobStore,
@@ -212,6 +214,7 @@
             codec,
             replica,
             log_file,
+            rewrite_began: now,
             link,
             store,
             jobs: JobStore::default(),
--- a/crates/server/src/storage/replication.rs
+++ b/crates/server/src/storage/replication.rs
@@ -16,6 +16,9 @@
 
 /// Bytes of a record beside its command, about.
 const RECORD_BYTES: u64 = 64;
+/// Bytes of the log that one turn copies during a rewrite: some 8 ms at the
+/// 120 MB/s of a disk, and a sync. Heartbeats are due each 45 ms and wait for it.
+const REWRITE_STEP_BYTES: u64 = 1024 * 1024;
 
 impl StorageProcess {
     pub(super) fn on_message(&mut self, bytes: &[u8]) {
@@ -113,6 +116,9 @@
                 self.send(message);
             }
             if let Some(base) = ready.base {
+                if self.log_file.is_rewriting() {
+                    log::info!("step=rewrite-log phase=abandon base={}", base.index);
+                }
                 self.log_file.reset(&self.replica.hard_state(), base)?;
             }
             let before = steady_now();
@@ -189,11 +195,39 @@
             self.log_file.trim(needless + 1);
             log::debug!("step=trim index={needless}");
         }
-        let kept = self.log_bytes();
-        if self.log_file.length() > kept + self.room.rewrite_bytes() {
-            let state = self.replica.hard_state();
-            self.log_file.rewrite(&state, self.replica.log())?;
-            log::info!("step=rewrite-log bytes={}", self.log_file.length());
+        self.begin_rewrite(now)
+    }
+
+    fn begin_rewrite(&mut self, now: Time) -> Result<(), ServerError> {
+        let (kept, before) = (self.log_bytes(), self.log_file.length());
+        let is_due = before > kept + self.room.rewrite_bytes();
+        if self.log_file.is_rewriting() || !is_due {
+            return Ok(());
+        }
+        let state = self.replica.hard_state();
+        if !self.log_file.begin_rewrite(&state, self.replica.log())? {
+            log::warn!("step=rewrite-log phase=put-off file_bytes={before}");
+            return Ok(());
+        }
+        self.rewrite_began = now;
+        let bytes = self.log_file.rewrite_length();
+        log::info!("step=rewrite-log phase=begin file_bytes={before} bytes={bytes}");
+        Ok(())
+    }
+
+    /// One step of the rewrite that is under way, if there is one: a turn that
+    /// copied all would keep heartbeats waiting.
+    pub(super) fn continue_rewrite(&mut self) -> Result<(), ServerError> {
+        if !self.log_file.is_rewriting() {
+            return Ok(());
+        }
+        if self.log_file.continue_rewrite(REWRITE_STEP_BYTES)? {
+            let took = steady_now().since(self.rewrite_began);
+            log::info!(
+                "step=rewrite-log phase=end bytes={} took_ms={}",
+                self.log_file.length(),
+                took.as_millis()
+            );
         }
         Ok(())
     }
@@ -208,6 +242,12 @@
         log.command_bytes() + log.len() as u64 * RECORD_BYTES
     }
 
+    /// The same, or what a rewrite under way leaves on the disk, if that is more:
+    /// what was trimmed since it began is in its new file yet.
+    pub(super) fn disk_bytes(&self) -> u64 {
+        self.log_bytes().max(self.log_file.rewrite_length())
+    }
+
     /// Logs changes of role and leader.
     pub(super) fn note_role(&mut self) {
         let role = self.replica.role();
