--- a/crates/replication/src/log_file.rs
+++ b/crates/replication/src/log_file.rs
@@ -208,7 +208,7 @@
     /// must be opened anew after it.
     pub fn continue_rewrite(&mut self, max_bytes: u64) -> Result<bool, LogFileError> {
         if let Some(mut rewrite) = self.rewriting.take() {
-            if rewrite.step(&self.file, max_bytes)? {
+            if rewrite.step(max_bytes)? {
                 self.finish_rewrite(rewrite)?;
             } else {
                 self.rewriting = Some(rewrite);
--- a/crates/replication/src/log_rewrite.rs
+++ b/crates/replication/src/log_rewrite.rs
@@ -8,8 +8,7 @@
 
 use std::collections::VecDeque;
 use std::fs::{File, OpenOptions};
-use std::io::Write;
-use std::os::unix::fs::FileExt;
+use std::io::{Read, Seek, SeekFrom, Write};
 use std::path::{Path, PathBuf};
 
 use crate::entry_index::{EntryIndex, Place};
@@ -49,6 +48,8 @@
 pub(crate) struct Rewrite {
     file: File,
     path: PathBuf,
+    /// The old file, to be read: whoever appends to it has a place of their own.
+    old: File,
     old_path: PathBuf,
     /// Bytes written.
     length: u64,
@@ -84,9 +85,11 @@
     ) -> Result<Self, LogFileError> {
         let mut file = create(&path)?;
         file.write_all(head).map_err(at("write", &path))?;
+        let old = File::open(&old_path).map_err(at("open for reading", &old_path))?;
         let mut rewrite = Self {
             file,
             path,
+            old,
             old_path,
             length: head.len() as u64,
             pieces: VecDeque::with_capacity(entries.len()),
@@ -120,7 +123,7 @@
     ///
     /// Each step syncs what it wrote: one sync of all would take as long as
     /// all steps.
-    pub fn step(&mut self, old: &File, max_bytes: u64) -> Result<bool, LogFileError> {
+    pub fn step(&mut self, max_bytes: u64) -> Result<bool, LogFileError> {
         let budget = max_bytes + std::mem::take(&mut self.appended);
         let mut bytes = Vec::new();
         loop {
@@ -129,7 +132,7 @@
             if run.is_empty() {
                 break;
             }
-            self.copy_run(old, &run, &mut bytes)?;
+            self.copy_run(&run, &mut bytes)?;
         }
         self.file
             .write_all(&bytes)
@@ -159,18 +162,14 @@
     }
 
     /// Reads a run at once and checks each record, so that no damage is passed on.
-    fn copy_run(
-        &mut self,
-        old: &File,
-        run: &[Piece],
-        into: &mut Vec<u8>,
-    ) -> Result<(), LogFileError> {
+    fn copy_run(&mut self, run: &[Piece], into: &mut Vec<u8>) -> Result<(), LogFileError> {
         let (Some(first), Some(last)) = (run.first(), run.last()) else {
             return Ok(());
         };
         let start = into.len();
         into.resize(start + (last.end() - first.begin()) as usize, 0);
-        let read = old.read_exact_at(&mut into[start..], first.begin());
+        let sought = self.old.seek(SeekFrom::Start(first.begin()));
+        let read = sought.and_then(|_| self.old.read_exact(&mut into[start..]));
         read.map_err(at("read", &self.old_path))?;
         for piece in run {
             let offset = start + (piece.begin() - first.begin()) as usize;
--- /dev/null
+++ b/crates/server/src/storage/opening.rs
@@ -0,0 +1,38 @@
+//! What a storage process finds on its disk, and what it is to others.
+
+use peatgrade_replication::{LogFile, LogFileError, Recovered, ReplicaId};
+use peatgrade_schema::replication::Member;
+use std::path::Path;
+
+use crate::settings::ServerSettings;
+use crate::ServerError;
+
+use super::ends_file::EndsFile;
+
+/// This machine as a member of a group.
+pub(super) fn own_member(settings: &ServerSettings, id: ReplicaId) -> Member {
+    Member {
+        replica: id.0,
+        name: settings.name.clone(),
+        address: settings.peer_address.clone(),
+        zone: settings.zone.clone(),
+        voter: false,
+    }
+}
+
+/// Ends that were heard in an earlier life and may not be committed.
+pub(super) fn open_ends(settings: &ServerSettings) -> Result<(EndsFile, Vec<String>), ServerError> {
+    EndsFile::open(Path::new(&settings.data_folder)).map_err(|source| ServerError::System {
+        step: "open the file of asked ends",
+        source,
+    })
+}
+
+/// The log, or an empty one of a new incarnation.
+pub(super) fn open_log(settings: &ServerSettings) -> Result<(LogFile, Recovered), LogFileError> {
+    let mut fresh = 0;
+    while fresh == 0 {
+        fresh = rand::random();
+    }
+    LogFile::open(Path::new(&settings.data_folder), fresh)
+}
--- a/crates/server/src/storage/process.rs
+++ b/crates/server/src/storage/process.rs
@@ -7,15 +7,13 @@
 use peatgrade_jobs::{AskedEnds, Dispatcher, JobStore, RunId};
 use peatgrade_ports::{Codec, Configuration, VersionOrder};
 use peatgrade_replication::{
-    voters_for, Group, LogFile, LogFileError, Recovered, Replica, ReplicaId, ReplicaSettings, Role,
-    Timing,
+    voters_for, Group, LogFile, Replica, ReplicaId, ReplicaSettings, Role, Timing,
 };
 use peatgrade_runtime::http_client::Cancel;
 use peatgrade_runtime::{HttpClient, LinkSocket};
 use peatgrade_schema::replication::Member;
 use peatgrade_types::{hash_bytes, Duration as Span, Time};
 use std::collections::{BTreeMap, HashMap};
-use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -34,6 +32,7 @@
 use super::ends_file::EndsFile;
 use super::engines::{EngineExchange, ExchangeId};
 use super::inputs::{Input, Inputs};
+use super::opening::{open_ends, open_log, own_member};
 use super::pressure::{Pressure, Room};
 use super::registration::{self, Founding};
 use super::retirement::Retirement;
@@ -51,8 +50,6 @@
 const MAX_BATCH_TIME: Span = Span::from_millis(20);
 /// Kept back from the time to stop.
 const GRACE_MARGIN_MS: u64 = 600;
-/// A heartbeat that is late by as much as the next one is due after it twice.
-const LATE_HEARTBEAT: Span = Span::from_millis(90);
 /// Time between two looks at who is a member and who should be.
 const MEMBERS_EVERY: Span = Span::from_millis(20);
 
@@ -366,41 +363,6 @@
         Ok(())
     }
 
-    /// Measures how late a leader's heartbeat is: others take it for lost after 220 ms
-    /// without one, whatever kept it from sending.
-    fn note_heartbeat(&self, now: Time) {
-        if self.replica.role() != Role::Leader {
-            return;
-        }
-        let late = now.since(self.replica.next_tick());
-        self.metrics
-            .heartbeat_late_seconds
-            .observe(late.as_secs_f64());
-        if late >= LATE_HEARTBEAT {
-            log::warn!("step=late-heartbeat late_ms={}", late.as_millis());
-        }
-    }
-
-    /// Names a turn that kept heartbeats waiting.
-    fn note_turn(&mut self, now: Time) {
-        let Some(took) = self.turns.end(now, &self.metrics) else {
-            return;
-        };
-        self.metrics.count("slow_turn");
-        let work = self.turns.work;
-        log::warn!(
-            "step=slow-turn turn_ms={} leads={} inputs={} started={} cancelled={} applied={} open_items={} routes={}",
-            took.as_millis(),
-            self.working,
-            work.inputs,
-            work.started,
-            work.cancelled,
-            work.applied,
-            self.dispatcher.open_items(),
-            self.configuration.routes.len()
-        );
-    }
-
     fn may_exit(&self) -> bool {
         let Some(since) = self.stop_at else {
             return false;
@@ -411,29 +373,3 @@
         handed || age >= limit.min(2_000)
     }
 }
-
-fn own_member(settings: &ServerSettings, id: ReplicaId) -> Member {
-    Member {
-        replica: id.0,
-        name: settings.name.clone(),
-        address: settings.peer_address.clone(),
-        zone: settings.zone.clone(),
-        voter: false,
-    }
-}
-
-/// Ends that were heard in an earlier life and may not be committed.
-fn open_ends(settings: &ServerSettings) -> Result<(EndsFile, Vec<String>), ServerError> {
-    EndsFile::open(Path::new(&settings.data_folder)).map_err(|source| ServerError::System {
-        step: "open the file of asked ends",
-        source,
-    })
-}
-
-fn open_log(settings: &ServerSettings) -> Result<(LogFile, Recovered), LogFileError> {
-    let mut fresh = 0;
-    while fresh == 0 {
-        fresh = rand::random();
-    }
-    LogFile::open(Path::new(&settings.data_folder), fresh)
-}
