A gateway that ends stops reading first, then answers what it has read

Cause: after step=exit a gateway's connections went on reading requests for 30 ms and nobody answered them.

Change: ServerClosing. Connections that rest are closed, a request of which a part has come is read to its end, and the process ends when no connection is open, at most 450 ms later. A request that crosses the close is not read.

--- a/crates/runtime/src/http_server.rs
+++ b/crates/runtime/src/http_server.rs
@@ -44,7 +44,13 @@
     control: ServerControl,
 ) {
     loop {
-        match listener.accept().await {
+        let accepting = listener.accept();
+        futures_util::pin_mut!(accepting);
+        let accepted = control.closing.unless_closed(accepting, || true).await;
+        let Some(accepted) = accepted else {
+            return;
+        };
+        match accepted {
             Ok((stream, _)) => {
                 let _ = stream.set_nodelay(true);
                 monoio::spawn(connection(stream, requests.clone(), control.clone()));
@@ -219,11 +225,14 @@
     requests: UnboundedSender<Incoming>,
     control: ServerControl,
 ) {
+    let _open = control.closing.count_connection();
     let (read_half, write_half) = stream.into_split();
     let allowance = Rc::new(Cell::new(0));
+    let total = Rc::new(Cell::new(0));
     let reader = LimitedReader {
         io: read_half,
         allowance: allowance.clone(),
+        total: total.clone(),
     };
     let mut decoder = RequestDecoder::new(reader);
     let mut writer = ResponseWriter::new(write_half);
@@ -231,7 +240,14 @@
     loop {
         let read = match next.take() {
             Some(read) => read,
-            None => read_request(&mut decoder, &allowance, &control).await,
+            None => {
+                let before = total.get();
+                let reading = read_request(&mut decoder, &allowance, &control);
+                futures_util::pin_mut!(reading);
+                let rests = || total.get() == before;
+                let read = control.closing.unless_closed(reading, rests).await;
+                read.unwrap_or(Err(ReadEnd::Closed))
+            }
         };
         let request = match read {
             Ok(request) => request,
@@ -256,6 +272,7 @@
         }
         // While the answer is made, the connection is read on, to see whether
         // the caller goes away; a request that comes early is kept.
+        let before = total.get();
         let reading = read_request(&mut decoder, &allowance, &control);
         futures_util::pin_mut!(reading);
         let mut reading = Some(reading);
@@ -288,7 +305,11 @@
         }
         next = match (early, reading) {
             (Some(read), _) => Some(read),
-            (None, Some(pending)) => Some(pending.await),
+            (None, Some(pending)) => {
+                let rests = || total.get() == before;
+                let read = control.closing.unless_closed(pending, rests).await;
+                Some(read.unwrap_or(Err(ReadEnd::Closed)))
+            }
             (None, None) => None,
         };
     }
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -22,11 +22,13 @@
 pub mod peer_socket;
 mod response_reader;
 mod response_writer;
-pub mod server_limits;
+pub mod server_closing;
+mod server_limits;
 
 pub use event_loop::{block_on, now, open_rings};
 pub use http_client::{HttpClient, SendOptions};
 pub use http_server::{serve, serve_controlled, Incoming};
 pub use link_socket::{Delivery, LinkSocket};
 pub use peer_socket::PeerSocket;
+pub use server_closing::ServerClosing;
 pub use server_limits::{ServerControl, ServerLimits};
--- a/crates/runtime/src/server_limits.rs
+++ b/crates/runtime/src/server_limits.rs
@@ -7,6 +7,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use crate::server_closing::ServerClosing;
+
 /// Bounds on what a caller may send.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub struct ServerLimits {
@@ -42,6 +44,8 @@
     pub stopping: Rc<Cell<bool>>,
     /// Bounds, in force from the next request on.
     pub limits: Rc<Cell<ServerLimits>>,
+    /// Ends the server.
+    pub closing: ServerClosing,
 }
 
 /// A reader that fails once its allowance is used up, so that nobody can make
@@ -50,6 +54,8 @@
 pub(crate) struct LimitedReader<R> {
     pub io: R,
     pub allowance: Rc<Cell<usize>>,
+    /// Bytes that were read.
+    pub total: Rc<Cell<u64>>,
 }
 
 impl<R> LimitedReader<R> {
@@ -64,6 +70,7 @@
         if let Ok(count) = &result {
             let left = self.allowance.get().saturating_sub(*count);
             self.allowance.set(left);
+            self.total.set(self.total.get() + *count as u64);
         }
         (result, buffer)
     }
--- a/crates/runtime/tests/http_server.rs
+++ b/crates/runtime/tests/http_server.rs
@@ -2,7 +2,7 @@
 
 use futures_channel::mpsc::unbounded;
 use futures_util::StreamExt;
-use peatgrade_runtime::{block_on, serve_controlled, ServerControl, ServerLimits};
+use peatgrade_runtime::{block_on, serve_controlled, Incoming, ServerControl, ServerLimits};
 use peatgrade_types::http::{ResponseHead, ResponsePart};
 use rstest::rstest;
 use std::io::{Read, Write};
@@ -124,3 +124,82 @@
     };
     assert_eq!(exchange(&mut connect(address), sent).0, status);
 }
+
+/// A server that closes when it has taken one request; it answers that one later.
+fn start_closing_server() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.set_nonblocking(true).unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        block_on(async move {
+            let control = ServerControl::default();
+            let (requests, mut received) = unbounded();
+            let listener = monoio::net::TcpListener::from_std(listener).unwrap();
+            monoio::spawn(serve_controlled(listener, requests, control.clone()));
+            let first: Option<Incoming> = received.next().await;
+            control.closing.close();
+            monoio::time::sleep(LATE_ANSWER).await;
+            let mut next = first;
+            while let Some(incoming) = next.take() {
+                let parts = [
+                    ResponsePart::Head(ResponseHead::new(200, "text/plain")),
+                    ResponsePart::Data(incoming.request.body),
+                    ResponsePart::End,
+                ];
+                for part in parts {
+                    let _ = incoming.respond.unbounded_send(part);
+                }
+                let pause = monoio::time::sleep(LATE_ANSWER);
+                futures_util::pin_mut!(pause);
+                next = match futures_util::future::select(received.next(), pause).await {
+                    futures_util::future::Either::Left((incoming, _)) => incoming,
+                    futures_util::future::Either::Right(_) => None,
+                };
+            }
+            while control.closing.open_connections() > 0 {
+                monoio::time::sleep(Duration::from_millis(5)).await;
+            }
+        })
+        .unwrap();
+    });
+    address
+}
+
+/// Time that the closing server takes to answer.
+const LATE_ANSWER: Duration = Duration::from_millis(100);
+
+/// Everything that comes until the connection ends.
+fn read_to_end(stream: &mut TcpStream) -> String {
+    stream
+        .set_read_timeout(Some(Duration::from_secs(5)))
+        .unwrap();
+    let mut answer = Vec::new();
+    let ended = stream.read_to_end(&mut answer);
+    let text = String::from_utf8_lossy(&answer).into_owned();
+    ended.unwrap_or_else(|error| panic!("{error} after {text:?}"));
+    text
+}
+
+/// What was read is answered, also if only a part of it had come; a connection that
+/// rests is closed at once.
+#[test]
+fn a_server_that_closes_answers_what_it_has_read() {
+    let address = start_closing_server();
+    let mut resting = TcpStream::connect(address).unwrap();
+    let mut begun = TcpStream::connect(address).unwrap();
+    let whole = request(10, 4);
+    let (first_half, second_half) = whole.split_at(whole.len() - 2);
+    begun.write_all(first_half).unwrap();
+    std::thread::sleep(Duration::from_millis(50));
+    let mut asking = TcpStream::connect(address).unwrap();
+    asking.write_all(&whole).unwrap();
+    assert_eq!(read_to_end(&mut resting), "");
+    begun.write_all(second_half).unwrap();
+    for stream in [&mut asking, &mut begun] {
+        let answer = read_to_end(stream);
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer:?}");
+        assert!(answer.ends_with("bbbb"), "{answer:?}");
+    }
+    let late = TcpStream::connect(address);
+    assert!(late.is_err(), "nothing is accepted any more");
+}
--- a/crates/server/src/gateway_process/mod.rs
+++ b/crates/server/src/gateway_process/mod.rs
@@ -41,6 +41,8 @@
 const LEAVE_AFTER_MS: u64 = 3_300;
 /// Kept back from the time to stop, for the last answers.
 const GRACE_MARGIN_MS: u64 = 600;
+/// Longest time to answer what was read last: most of the margin.
+const CLOSE_LIMIT_MS: u64 = 450;
 
 /// Runs a gateway until it has been told to stop and has drained.
 pub async fn run_gateway(
@@ -49,7 +51,7 @@
 ) -> Result<(), ServerError> {
     let (mut process, mut inputs) = GatewayProcess::start(settings, codec)?;
     loop {
-        let busy = process.gateway.in_flight() > 0;
+        let busy = process.gateway.in_flight() > 0 || process.closing_since.is_some();
         let tick = monoio::time::sleep(if busy { BUSY_TICK } else { IDLE_TICK }).fuse();
         futures_util::pin_mut!(tick);
         select_biased! {
@@ -62,7 +64,7 @@
             _ = tick => {}
         }
         process.tick();
-        if process.may_exit() {
+        if process.may_exit() && process.is_closed() {
             log::info!("step=exit in_flight={}", process.gateway.in_flight());
             monoio::time::sleep(Duration::from_millis(30)).await;
             return Ok(());
@@ -99,6 +101,7 @@
     engines_known: bool,
     server: ServerControl,
     stop_at: Option<Time>,
+    closing_since: Option<Time>,
     last_sweep: Time,
     last_search: Time,
     replica_lists: UnboundedSender<Vec<String>>,
@@ -172,6 +175,7 @@
             engines_known: false,
             server,
             stop_at: None,
+            closing_since: None,
             last_sweep: steady_now(),
             last_search: Time(0),
             replica_lists,
@@ -225,6 +229,21 @@
         drained || age.as_millis() >= limit
     }
 
+    /// Closes the callers' connections: what was read is answered, nothing more is read.
+    /// Whether that is done, or has taken too long.
+    fn is_closed(&mut self) -> bool {
+        let now = steady_now();
+        let since = *self.closing_since.get_or_insert(now);
+        self.gateway.leave();
+        self.server.closing.close();
+        let open = self.server.closing.open_connections();
+        let is_late = now.since(since).as_millis() >= CLOSE_LIMIT_MS;
+        if is_late && open > 0 {
+            log::warn!("step=close open_connections={open} reason=took-too-long");
+        }
+        open == 0 || is_late
+    }
+
     fn on_call(&mut self, incoming: Option<Incoming>) {
         let Some(Incoming { request, respond }) = incoming else {
             return;
