--- a/crates/jobs/src/dispatcher/scoring.rs
+++ b/crates/jobs/src/dispatcher/scoring.rs
@@ -33,7 +33,7 @@
 
 /// Reward calls that one look makes: each costs about as much as the start of a run, and
 /// a look may start runs beside them.
-const REWARD_CALLS_PER_LOOK: usize = 8;
+const REWARD_CALLS_PER_LOOK: usize = 4;
 
 /// A reward call to be made.
 #[derive(Clone, Debug)]
--- a/crates/jobs/src/dispatcher/starting.rs
+++ b/crates/jobs/src/dispatcher/starting.rs
@@ -24,9 +24,10 @@
 const FULL_LOOK_EVERY: Duration = Duration::from_millis(100);
 
 /// Runs that one look starts. A start takes a leader on 0.3 of a core 1.2 ms (measured
-/// with 4,208 routes), so a look stays below 20 ms: half a heartbeat of the log, which
-/// waits for the end of the look, and a tenth of the time after which it loses the lead.
-const STARTS_PER_LOOK: usize = 16;
+/// with 4,208 routes), so these take 10 ms, and 70 ms on a machine that is seven times
+/// slower. Heartbeats are due each 45 ms and wait for the end of the look; the lead is
+/// lost after 220 ms without one.
+const STARTS_PER_LOOK: usize = 8;
 
 /// Names a group: its job and its name there.
 type GroupKey = (Rc<str>, String);
--- a/crates/server/tests/takeover/cluster.rs
+++ b/crates/server/tests/takeover/cluster.rs
@@ -1,27 +1,24 @@
 //! Machines of a replica group that lead as the storage process does: inputs, then
 //! the log, then items to engines, and nothing is heard or sent in between.
 
-use peatgrade_fleet::EngineDirectory;
-use peatgrade_jobs::{Applied, DispatchAction, Dispatcher, JobStore, RunId, RunPart};
-use peatgrade_ports::{Configuration, EngineCall};
-use peatgrade_replication::{
-    LogStore, Outgoing, Replica, ReplicaId, ReplicaSettings, Role, Timing,
-};
-use peatgrade_schema::encode;
+use peatgrade_jobs::DispatchAction;
+use peatgrade_ports::EngineCall;
+use peatgrade_replication::Outgoing;
 use peatgrade_schema::replication::mod_JobCommand::OneOfbody as Command;
-use peatgrade_schema::replication::{
-    AcceptJob, EndJob, HardState, JobCommand, JobItem, Member, ReplicaMessage,
-};
+use peatgrade_schema::replication::{AcceptJob, EndJob, JobItem, Member, ReplicaMessage};
 use peatgrade_types::{Duration, Time};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 
-use crate::engines::{self, EngineRun, Lines, Sent};
+use crate::engines::EngineRun;
+use crate::machine::{member, Machine};
 
 /// Time to start a run, on 0.3 of a core: 190 to 241 runs took 250 to 490 ms in the
 /// trial of an own day with 4,208 routes.
 const START_COST: Duration = Duration(1_200);
 /// Time to handle a message or a part of an answer there.
 const INPUT_COST: Duration = Duration(150);
+/// How much slower a slow machine is: as much as the users' sheets name.
+const SLOWNESS: u64 = 7;
 /// Time between two looks at what is due.
 const TICK: Duration = Duration::from_millis(15);
 /// Time that a message is under way.
@@ -29,21 +26,6 @@
 /// Time between two tries of a caller whose call was not taken.
 const ASK_AGAIN: Duration = Duration::from_millis(40);
 
-struct Machine {
-    replica: Replica,
-    jobs: JobStore,
-    dispatcher: Dispatcher,
-    directory: EngineDirectory,
-    configuration: Configuration,
-    runs: BTreeMap<RunId, EngineRun>,
-    inbox: VecDeque<ReplicaMessage>,
-    working: bool,
-    stopped: bool,
-    /// The turn under way ends then.
-    busy_until: Time,
-    next_turn: Time,
-}
-
 /// The group, and what engines have seen.
 pub struct Cluster {
     pub now: Time,
@@ -51,112 +33,14 @@
     flying: BTreeMap<(Time, u64), (usize, ReplicaMessage)>,
     sequence: u64,
     first_term: u64,
+    /// By how much all machines are slower than usual.
+    slowness: u64,
     /// When an item of a job reached an engine.
     arrivals: Vec<(String, Time)>,
     /// Commands that callers want taken, until a leader has them in its log.
     asked: Vec<(Time, Command)>,
 }
 
-fn member(index: usize) -> Member {
-    Member {
-        replica: index as u64 + 1,
-        name: format!("machine-{index}"),
-        address: index.to_string(),
-        zone: "z".into(),
-        voter: true,
-    }
-}
-
-impl Machine {
-    fn new(now: Time, index: usize, members: Vec<Member>) -> Self {
-        let settings = ReplicaSettings {
-            id: ReplicaId(index as u64 + 1),
-            address: index.to_string(),
-            seed: index as u64,
-            timing: Timing::default(),
-        };
-        let state = HardState {
-            term: 0,
-            vote: 0,
-            replica: index as u64 + 1,
-        };
-        let mut replica = Replica::new(now, settings, &state, LogStore::default());
-        replica.found(members);
-        Self {
-            replica,
-            jobs: JobStore::default(),
-            dispatcher: Dispatcher::new(Box::new(|| Box::new(Lines::default()))),
-            directory: engines::directory(now),
-            configuration: engines::configuration(),
-            runs: BTreeMap::new(),
-            inbox: VecDeque::new(),
-            working: false,
-            stopped: false,
-            busy_until: now,
-            next_turn: now,
-        }
-    }
-
-    fn may_work(&self, now: Time) -> bool {
-        self.working && self.replica.may_answer(now)
-    }
-
-    fn propose(&mut self, now: Time, body: Command) -> bool {
-        let command = encode(&JobCommand { body });
-        self.replica.propose(now, command).is_some()
-    }
-
-    fn apply(&mut self, now: Time, index: u64, command: &[u8]) {
-        match self.jobs.apply(now, index, command) {
-            Applied::Accepted(job) if self.working => self.open(now, &job),
-            Applied::Listed(job) => self.dispatcher.listed(&job, &self.jobs),
-            Applied::Ended(job) => self.dispatcher.end_job(now, &job, &mut self.directory),
-            _ => {}
-        }
-    }
-
-    fn open(&mut self, now: Time, job: &str) {
-        self.dispatcher
-            .open_job(now, job, &self.jobs, &self.configuration);
-    }
-
-    /// Begins and ends the work of a leader as the role changes.
-    fn follow_role(&mut self, now: Time) {
-        let leads = self.replica.role() == Role::Leader;
-        if self.working && !leads {
-            self.working = false;
-            self.dispatcher.stop(&mut self.directory);
-            self.dispatcher.take_actions();
-            self.runs.clear();
-        }
-        if !self.working && leads && self.replica.may_answer(now) {
-            self.working = true;
-            let open = self.jobs.iter().filter(|(_, job)| !job.ended);
-            let open: Vec<String> = open.map(|(id, _)| id.clone()).collect();
-            open.iter().for_each(|job| self.open(now, job));
-        }
-    }
-
-    fn take_engine_parts(&mut self, now: Time) -> u64 {
-        let sent = engines::take_sent(&mut self.runs, now);
-        let count = sent.len() as u64;
-        for (run, part) in sent {
-            let part = match part {
-                Sent::Head(head) => RunPart::Head(head),
-                Sent::Data(data) => RunPart::Data(data),
-                Sent::End => RunPart::End,
-            };
-            if matches!(part, RunPart::End) {
-                self.runs.remove(&run);
-            }
-            let (configuration, directory) = (&self.configuration, &mut self.directory);
-            self.dispatcher
-                .on_part(now, run, part, configuration, directory);
-        }
-        count
-    }
-}
-
 impl Cluster {
     pub fn new(count: usize) -> Self {
         let now = Time(1_000_000);
@@ -168,11 +52,17 @@
             flying: BTreeMap::new(),
             sequence: 0,
             first_term: 0,
+            slowness: 1,
             arrivals: Vec::new(),
             asked: Vec::new(),
         }
     }
 
+    /// All machines turn slow.
+    pub fn slow_down(&mut self) {
+        self.slowness = SLOWNESS;
+    }
+
     pub fn run_until_led(&mut self) {
         while !self.machines.iter().any(|machine| machine.working) {
             self.run(Duration(1_000));
@@ -246,7 +136,8 @@
             self.ask();
             for index in 0..self.machines.len() {
                 let machine = &self.machines[index];
-                let heard = !machine.inbox.is_empty() || self.now >= machine.next_turn;
+                let waiting = !machine.inbox.is_empty() || !machine.parts.is_empty();
+                let heard = waiting || self.now >= machine.next_turn;
                 if heard && self.now >= machine.busy_until && !machine.stopped {
                     self.turn(index);
                 }
@@ -292,16 +183,11 @@
     fn turn(&mut self, index: usize) {
         let now = self.now;
         let machine = &mut self.machines[index];
-        let inbox = std::mem::take(&mut machine.inbox);
-        let mut inputs = inbox.len() as u64;
-        for message in inbox {
-            machine.replica.step(now, message);
-        }
-        inputs += machine.take_engine_parts(now);
+        let input_cost = Duration(INPUT_COST.0 * self.slowness);
+        let mut cost = machine.take_inputs(now, input_cost);
         if now >= machine.replica.next_tick() {
             machine.replica.tick(now);
         }
-        let mut cost = Duration(inputs * INPUT_COST.0);
         machine.follow_role(now);
         self.pump(index, cost);
         cost = Duration(cost.0 + self.lead(index).0);
@@ -324,7 +210,7 @@
         for action in machine.dispatcher.take_actions() {
             match action {
                 DispatchAction::Run { run, call, .. } => {
-                    cost = Duration(cost.0 + START_COST.0);
+                    cost = Duration(cost.0 + START_COST.0 * self.slowness);
                     let EngineCall::Run { id, last_event, .. } = *call else {
                         continue;
                     };
--- a/crates/server/tests/takeover/main.rs
+++ b/crates/server/tests/takeover/main.rs
@@ -3,6 +3,7 @@
 
 mod cluster;
 mod engines;
+mod machine;
 
 use cluster::Cluster;
 use peatgrade_types::Duration;
@@ -71,3 +72,17 @@
     let late = cluster.arrivals_after("job-3", ended);
     assert_eq!(late, 0, "items arrived after the end");
 }
+
+/// Machines that are seven times slower start runs seven times slower, and are heard.
+#[test]
+fn slow_machines_elect_no_leader_after_leader() {
+    let mut cluster = Cluster::new(5);
+    cluster.run_until_led();
+    submit_all(&mut cluster);
+    cluster.run(Duration::from_secs(1));
+    cluster.slow_down();
+    cluster.stop_leader();
+    cluster.run(Duration::from_secs(15));
+    let terms = cluster.terms_since_first_leader();
+    assert!(terms <= 3, "{terms} elections for one lost leader");
+}
