--- a/scripts/planted-breaks.sh
+++ b/scripts/planted-breaks.sh
@@ -1,17 +1,19 @@
 #!/usr/bin/env bash
 # Plants one break after another into a scratch copy and runs the tests that
 # should notice it. Prints a line for each; ends with 1 if one goes unnoticed.
+# ONLY=PATTERN plants those whose name matches.
 set -euo pipefail
 top=$(cd "$(dirname "$0")/.." && pwd)
 copy=${1:-$(mktemp -d)}
 git -C "$top" worktree add --detach --force "$copy" HEAD >/dev/null
 trap 'git -C "$top" worktree remove --force "$copy"' EXIT
-export CARGO_TARGET_DIR="$top/target"
+export CARGO_TARGET_DIR="${CARGO_TARGET_DIR:-$top/target}"
 unnoticed=0
 
 # name | file | what to replace | by what | package | tests
 plant() {
     local name=$1 file=$2 from=$3 to=$4 package=$5 tests=$6
+    [[ $name =~ ${ONLY:-} ]] || return 0
     if ! FROM="$from" TO="$to" perl -0777 -i -pe \
         'BEGIN{$n=0} $n+=s/\Q$ENV{FROM}\E/$ENV{TO}/; END{exit($n?0:1)}' "$copy/$file"; then
         echo "$name: NOT PLANTED, $file has changed"
@@ -93,7 +95,7 @@
     "let kept = sent_whole && !self.options.fresh;" "let kept = sent_whole;" \
     peatgrade-runtime requests_that
 plant "a gateway that leaves takes requests" crates/gateway/src/gateway.rs \
-    "        if self.leaving {" "        if false && self.leaving {" peatgrade-gateway a_gateway_that_leaves
+    "if self.leaving && !matches" "if false && !matches" peatgrade-gateway a_gateway_that_leaves
 plant "a silent store is waited for" crates/server/src/listing.rs \
     "monoio::time::timeout(self.patience, first_of" \
     "monoio::time::timeout(CALL_TIMEOUT, first_of" \
@@ -132,4 +134,38 @@
 plant "lapsed engines stay for good" crates/fleet/src/directory.rs \
     "state.lapsed_until.is_some_and(|at| now >= at)" \
     "state.lapsed_until.is_some_and(|at| now.0 == 0 && at.0 == 0)" peatgrade-fleet entr
+G=crates/gateway/src/relay
+S=crates/server/src
+plant "turn: all open items start in one look" $J/dispatcher/starting.rs \
+    "STARTS_PER_LOOK: usize = 8" "STARTS_PER_LOOK: usize = 100_000" peatgrade-server leader
+plant "turn: reward calls without bound" $J/dispatcher/scoring.rs \
+    "REWARD_CALLS_PER_LOOK: usize = 4" "REWARD_CALLS_PER_LOOK: usize = 100_000" \
+    peatgrade-jobs scoring
+plant "turn: a whole log is applied at once" $R/replica.rs \
+    "MAX_APPLIED_ENTRIES: usize = 256" "MAX_APPLIED_ENTRIES: usize = 1_000_000" \
+    peatgrade-replication a_long_log
+plant "turn: routes are gone through one by one" crates/ports/src/routes.rs \
+    "        let routes = self.by_host.get(in_small_letters(host).as_ref())?;
+        self.routes.get(routes.find(path)?)" \
+    "        let mut matching: Vec<&Route> = self.routes.iter().collect();
+        matching.retain(|r| r.host.eq_ignore_ascii_case(host) && path.starts_with(&r.prefix));
+        matching.into_iter().max_by_key(|r| r.prefix.len())" peatgrade-ports ""
+plant "end: dropped with its caller" $G/mod.rs "if !pending.is_end() {" \
+    "if pending.sent || !pending.is_end() {" peatgrade-gateway end
+plant "end: refused as not run" $G/answers.rs "pending.is_end() || (submits" \
+    "(submits" peatgrade-gateway end
+plant "end: told to one replica" $G/mod.rs "        if pending.is_end() {
+            let others" "        if false && pending.is_end() {
+            let others" peatgrade-gateway end
+plant "end: a slow leader is asked more often" $G/mod.rs \
+    "if known && !has_it && !self.replicas.contains(leader)" \
+    "if known && (has_it || !has_it)" peatgrade-gateway slow
+plant "end: a leader does nothing with what it heard before" $S/storage/leadership.rs \
+    "        self.end_asked_jobs(now);
+" "" peatgrade-platform only_heard
+plant "end: what was heard is not on disk" $S/storage/ends.rs "self.ends_file.add(job)" \
+    "std::io::Result::Ok(())" peatgrade-platform only_heard
+plant "stop: a gateway ends while it reads" $S/gateway_process/mod.rs \
+    "process.may_exit() && process.is_closed()" "process.may_exit()" \
+    peatgrade-platform overlapping
 exit $unnoticed
