--- a/crates/jobs/src/asked_ends.rs
+++ b/crates/jobs/src/asked_ends.rs
@@ -3,7 +3,7 @@
 //! Whoever heard of one, leader or not, keeps it until it is committed: the caller may
 //! not ask again, and the machine that it asked may be lost. A leader starts nothing of
 //! such a job and proposes its end once in its term; a follower passes it on to the
-//! leader, which may not have heard of it.
+//! leader a few times, since that may not have heard of it.
 
 use peatgrade_types::{Duration, Time};
 use std::collections::BTreeMap;
@@ -13,8 +13,19 @@
 /// Ends kept at most; the oldest give way. A job is open for some seconds, so this is
 /// far more than are open at once (target size: 5 trainers).
 const MAX_ASKED: usize = 4_096;
-/// Time between two tries to pass an end on to the leader: about an election.
-const PASS_ON_EVERY: Duration = Duration::from_millis(300);
+/// Longest id of a job whose end is kept: 16 digits are usual.
+const MAX_ID_BYTES: usize = 256;
+/// How long the end of an unknown job is kept by a leader: an acceptance that is on its
+/// way into the log is committed by then, or its term is over.
+const KEEP_UNKNOWN: Duration = Duration::from_secs(10);
+/// Wait before an end is passed on to the leader for the first time: about an election.
+/// It doubles each time.
+const FIRST_PASS_ON: Duration = Duration::from_millis(300);
+/// How often an end is passed on: for 77 s in all.
+const MAX_PASS_ONS: u32 = 8;
+/// Ends that are passed on at once, so that a machine that comes back with many does not
+/// flood the leader.
+const PASS_ONS_AT_ONCE: usize = 16;
 
 /// What is known of one end.
 #[derive(Debug)]
@@ -22,8 +33,9 @@
     heard: Time,
     /// Newest term in which this machine proposed it.
     proposed_term: u64,
-    /// When it may be passed on again.
+    /// When it is passed on next, and how often it was.
     pass_on_at: Time,
+    passed_on: u32,
 }
 
 /// Ends that were asked for, by job.
@@ -38,13 +50,18 @@
         if self.asked.contains_key(job) {
             return false;
         }
+        if job.len() > MAX_ID_BYTES {
+            log::warn!("decision=drop-end reason=long-id bytes={}", job.len());
+            return false;
+        }
         if self.asked.len() >= MAX_ASKED {
             self.drop_oldest();
         }
         let asked = AskedEnd {
             heard: now,
             proposed_term: 0,
-            pass_on_at: now + PASS_ON_EVERY,
+            pass_on_at: now + FIRST_PASS_ON,
+            passed_on: 0,
         };
         self.asked.insert(job.to_string(), asked);
         true
@@ -78,15 +95,28 @@
 
     /// Jobs whose end is to be passed on to the leader now.
     pub fn take_to_pass_on(&mut self, now: Time) -> Vec<String> {
-        let due = self
-            .asked
-            .iter_mut()
-            .filter(|(_, end)| now >= end.pass_on_at);
-        due.map(|(job, end)| {
-            end.pass_on_at = now + PASS_ON_EVERY;
-            job.clone()
-        })
-        .collect()
+        let ends = self.asked.iter_mut();
+        let due = ends.filter(|(_, end)| now >= end.pass_on_at && end.passed_on < MAX_PASS_ONS);
+        due.take(PASS_ONS_AT_ONCE)
+            .map(|(job, end)| {
+                end.passed_on += 1;
+                end.pass_on_at = now + Duration(FIRST_PASS_ON.0 << end.passed_on);
+                job.clone()
+            })
+            .collect()
+    }
+
+    /// Drops ends of jobs that a leader has not got to know in time: there are none.
+    pub fn forget_unknown(&mut self, now: Time, store: &JobStore) {
+        self.asked.retain(|job, end| {
+            let is_young = now.since(end.heard) < KEEP_UNKNOWN;
+            is_young || store.get(job).is_some()
+        });
+    }
+
+    /// The jobs.
+    pub fn jobs(&self) -> impl Iterator<Item = &str> {
+        self.asked.keys().map(String::as_str)
     }
 
     /// The end of a job is committed; whether it was asked for here.
--- a/crates/jobs/tests/asked_ends.rs
+++ b/crates/jobs/tests/asked_ends.rs
@@ -82,18 +82,58 @@
     assert!(ends.take_unproposed(4, &store).is_empty());
 }
 
+/// The leader may not have heard of it; one that does not want it is not asked for ever.
 #[test]
-fn an_end_is_passed_on_now_and_then() {
+fn an_end_is_passed_on_a_few_times_and_ever_more_rarely() {
+    const MINUTES: u64 = 4;
     let mut ends = AskedEnds::default();
     ends.ask(Time(0), "job");
-    let soon = Time(0) + Duration::from_millis(290);
-    assert!(
-        ends.take_to_pass_on(soon).is_empty(),
-        "the leader was told too"
-    );
-    let later = Time(0) + Duration::from_millis(300);
-    assert_eq!(ends.take_to_pass_on(later), ["job"]);
-    assert!(ends.take_to_pass_on(later).is_empty());
-    let again = later + Duration::from_millis(300);
-    assert_eq!(ends.take_to_pass_on(again), ["job"]);
+    let mut times = Vec::new();
+    for tick in 0..MINUTES * 600 {
+        let now = Time(0) + Duration::from_millis(tick * 100);
+        if !ends.take_to_pass_on(now).is_empty() {
+            times.push(now.0 / 1_000);
+        }
+    }
+    assert_eq!(times[0], 300, "the leader was told too");
+    assert!((5..10).contains(&times.len()), "{times:?}");
+    let pauses: Vec<u64> = times.windows(2).map(|pair| pair[1] - pair[0]).collect();
+    assert!(pauses.windows(2).all(|pair| pair[0] < pair[1]), "{times:?}");
+    assert!(ends.is_asked("job"), "and kept");
+}
+
+/// A machine that comes back with many ends does not flood the leader.
+#[test]
+fn few_ends_are_passed_on_at_once() {
+    const MANY: usize = 200;
+    let mut ends = AskedEnds::default();
+    for number in 0..MANY {
+        ends.ask(Time(0), &format!("job-{number}"));
+    }
+    let later = Time(0) + Duration::from_secs(1);
+    let first = ends.take_to_pass_on(later);
+    let second = ends.take_to_pass_on(later);
+    assert!(first.len() < 20 && !first.is_empty());
+    assert!(second.iter().all(|job| !first.contains(job)), "by turns");
+}
+
+/// A leader knows all jobs that there are, but for one that is being accepted.
+#[test]
+fn ends_of_jobs_that_there_are_not_are_forgotten_soon() {
+    let mut ends = AskedEnds::default();
+    let store = store_with("known");
+    ends.ask(Time(0), "known");
+    ends.ask(Time(0), "unknown");
+    ends.forget_unknown(Time(0) + Duration::from_secs(9), &store);
+    assert!(ends.is_asked("unknown"));
+    ends.forget_unknown(Time(0) + Duration::from_secs(10), &store);
+    assert!(!ends.is_asked("unknown"));
+    assert!(ends.is_asked("known"));
+}
+
+#[test]
+fn an_id_that_no_job_has_is_not_kept() {
+    let mut ends = AskedEnds::default();
+    assert!(!ends.ask(Time(0), &"x".repeat(10_000)));
+    assert!(ends.is_empty());
 }
--- a/crates/replication/src/log_file.rs
+++ b/crates/replication/src/log_file.rs
@@ -77,6 +77,7 @@
         let mut bytes = Vec::new();
         file.read_to_end(&mut bytes)
             .map_err(at("read log", &path))?;
+        remove_unfinished(folder)?;
         let index = EntryIndex::default();
         index.reset(&path).map_err(at("open for reading", &path))?;
         let (records, whole) = read_records(&bytes, &index);
@@ -298,6 +299,17 @@
     move |source| LogFileError { step, path, source }
 }
 
+/// Removes what a rewrite has left that was cut short.
+fn remove_unfinished(folder: &Path) -> Result<(), LogFileError> {
+    let path = folder.join(NEW_NAME);
+    match std::fs::remove_file(&path) {
+        Err(error) if error.kind() != std::io::ErrorKind::NotFound => {
+            Err(at("remove unfinished", &path)(error))
+        }
+        _ => Ok(()),
+    }
+}
+
 /// What a new file begins with.
 fn head(state: &HardState, log: &LogStore) -> Vec<u8> {
     let mut bytes = Vec::new();
--- a/crates/runtime/src/http_server.rs
+++ b/crates/runtime/src/http_server.rs
@@ -293,7 +293,8 @@
                     }
                 },
             };
-            let last = close || control.stopping.get();
+            // A request that came early is answered, too, before the connection ends.
+            let last = close || (control.stopping.get() && early.is_none());
             match response.write(&mut writer, part, last).await {
                 Ok(Progress::More) => {}
                 Ok(Progress::Done) => break !last,
--- a/crates/server/src/gateway_process/mod.rs
+++ b/crates/server/src/gateway_process/mod.rs
@@ -64,7 +64,8 @@
             _ = tick => {}
         }
         process.tick();
-        if process.may_exit() && process.is_closed() {
+        let ends = process.closing_since.is_some() || process.may_exit();
+        if ends && process.is_closed() {
             log::info!("step=exit in_flight={}", process.gateway.in_flight());
             monoio::time::sleep(Duration::from_millis(30)).await;
             return Ok(());
--- a/crates/server/src/storage/calls.rs
+++ b/crates/server/src/storage/calls.rs
@@ -29,7 +29,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct Caller {
     address: String,
-    call: u64,
+    pub call: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -89,7 +89,7 @@
                 }
             }
             if let CallBody::end(end) = &call.body {
-                self.hear_end(now, &end.job);
+                self.hear_end(now, call.call, &end.job);
             }
             return self.reply_status(&caller, JobStatus::NOT_LEADER);
         }
--- a/crates/server/src/storage/ends.rs
+++ b/crates/server/src/storage/ends.rs
@@ -4,7 +4,7 @@
 use peatgrade_schema::replication::mod_JobCommand::OneOfbody as CommandBody;
 use peatgrade_schema::replication::mod_ReplicaMessage::OneOfbody;
 use peatgrade_schema::replication::{EndJob, JobCall, JobStatus};
-use peatgrade_types::Time;
+use peatgrade_types::{Duration, Time};
 
 use super::calls::Caller;
 use super::process::StorageProcess;
@@ -13,23 +13,49 @@
 const NO_CALL: u64 = 0;
 
 impl StorageProcess {
-    /// Takes note of an end that was asked for, on disk too, until it is committed.
-    pub(super) fn hear_end(&mut self, now: Time, job: &str) {
+    /// Takes note of an end that was asked for, until it is committed; a member of the
+    /// group keeps it on disk too.
+    pub(super) fn hear_end(&mut self, now: Time, call: u64, job: &str) {
+        if call == NO_CALL && self.jobs.get(job).is_none() {
+            // Whoever passed it on keeps it, and comes again if the job is accepted yet.
+            return;
+        }
         let is_ended = self.jobs.get(job).is_some_and(|job| job.ended);
         if is_ended || !self.asked_ends.ask(now, job) {
             return;
         }
         log::info!("belief=end-asked job={job} leads={}", self.working);
+        if !self.member_watches.get() {
+            return;
+        }
         if let Err(error) = self.ends_file.add(job) {
-            // Others have it as well; only all machines without power would lose it.
+            // It is kept in memory, and by each other replica that was reached.
             log::error!("step=write-asked-end job={job} error={error}");
         }
     }
 
+    /// Waits once for the disk to have all ends that this turn has heard of.
+    pub(super) fn sync_ends(&mut self) {
+        if let Err(error) = self.ends_file.sync() {
+            log::error!("step=sync-asked-ends error={error}");
+        }
+    }
+
+    /// Drops ends that nobody waits for any more, from memory and from disk.
+    pub(super) fn forget_ends(&mut self, now: Time, keep: Duration) {
+        self.asked_ends.forget(now, keep);
+        if self.working && self.replica.may_answer(now) {
+            self.asked_ends.forget_unknown(now, &self.jobs);
+        }
+        if let Err(error) = self.ends_file.keep_only(self.asked_ends.jobs()) {
+            log::error!("step=rewrite-asked-ends error={error}");
+        }
+    }
+
     /// A gateway or another replica asks for the end of a job, of this leader.
     pub(super) fn on_end(&mut self, now: Time, caller: Caller, end: EndJob) {
         // A job that is unknown may be on its way into the log.
-        self.hear_end(now, &end.job);
+        self.hear_end(now, caller.call, &end.job);
         let Some(job) = self.jobs.get(&end.job) else {
             return self.reply_status(&caller, JobStatus::UNKNOWN_JOB);
         };
@@ -80,14 +106,4 @@
             self.reply(&leader, OneOfbody::job_call(call));
         }
     }
-
-    /// The end of a job is committed: nobody need keep it any more.
-    pub(super) fn forget_asked_end(&mut self, job: &str) {
-        if !self.asked_ends.committed(job) || !self.asked_ends.is_empty() {
-            return;
-        }
-        if let Err(error) = self.ends_file.clear() {
-            log::warn!("step=clear-asked-ends error={error}");
-        }
-    }
 }
--- a/crates/server/src/storage/ends_file.rs
+++ b/crates/server/src/storage/ends_file.rs
@@ -7,17 +7,21 @@
 
 use std::fs::{File, OpenOptions};
 use std::io::{Read, Write};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 const FILE_NAME: &str = "asked-ends";
-/// Length from which on the file is emptied as soon as no end waits: one write of a disk.
-const MAX_IDLE_BYTES: u64 = 4_096;
+const NEW_NAME: &str = "asked-ends.new";
+/// Length from which on the file is written anew without what nobody waits for: one
+/// block of a disk.
+const MAX_BYTES: u64 = 4_096;
 
 /// The file with ends that wait for their commit.
 #[derive(Debug)]
 pub(super) struct EndsFile {
+    folder: PathBuf,
     file: File,
     length: u64,
+    needs_sync: bool,
 }
 
 impl EndsFile {
@@ -36,30 +40,58 @@
         let text = String::from_utf8_lossy(&bytes);
         let jobs = text.lines().filter_map(job_of_line).map(str::to_string);
         let jobs = jobs.collect();
-        let length = bytes.len() as u64;
-        Ok((Self { file, length }, jobs))
+        let ends_file = Self {
+            folder: folder.to_path_buf(),
+            file,
+            length: bytes.len() as u64,
+            needs_sync: false,
+        };
+        Ok((ends_file, jobs))
     }
 
-    /// Adds an end, and waits until the disk has it.
+    /// Adds an end; the disk has it after the next [`EndsFile::sync`].
     pub fn add(&mut self, job: &str) -> std::io::Result<()> {
-        // A torn line before this one must not take it along.
-        let line = format!("\n{:08x} {job}\n", crc32fast::hash(job.as_bytes()));
+        let line = line_of(job);
+        self.needs_sync = true;
         self.file.write_all(line.as_bytes())?;
         self.length += line.len() as u64;
-        self.file.sync_data()
+        Ok(())
     }
 
-    /// No end waits any more.
-    pub fn clear(&mut self) -> std::io::Result<()> {
-        if self.length < MAX_IDLE_BYTES {
+    /// Waits until the disk has all that was added.
+    pub fn sync(&mut self) -> std::io::Result<()> {
+        if std::mem::take(&mut self.needs_sync) {
+            self.file.sync_data()?;
+        }
+        Ok(())
+    }
+
+    /// Leaves out all but these ends, if the file has grown.
+    pub fn keep_only<'a>(&mut self, jobs: impl Iterator<Item = &'a str>) -> std::io::Result<()> {
+        if self.length < MAX_BYTES {
             return Ok(());
         }
-        self.file.set_len(0)?;
-        self.length = 0;
-        self.file.sync_data()
+        let text: String = jobs.map(line_of).collect();
+        if text.len() as u64 * 2 > self.length {
+            return Ok(());
+        }
+        let path = self.folder.join(NEW_NAME);
+        let mut file = File::create(&path)?;
+        file.write_all(text.as_bytes())?;
+        file.sync_all()?;
+        std::fs::rename(&path, self.folder.join(FILE_NAME))?;
+        File::open(&self.folder)?.sync_all()?;
+        self.file = file;
+        self.length = text.len() as u64;
+        Ok(())
     }
 }
 
+/// A torn line before this one must not take it along, so it begins a new one.
+fn line_of(job: &str) -> String {
+    format!("\n{:08x} {job}\n", crc32fast::hash(job.as_bytes()))
+}
+
 fn job_of_line(line: &str) -> Option<&str> {
     let (check, job) = line.split_once(' ')?;
     let check = u32::from_str_radix(check, 16).ok()?;
--- a/crates/server/src/storage/lateness.rs
+++ b/crates/server/src/storage/lateness.rs
@@ -5,7 +5,7 @@
 
 use super::process::StorageProcess;
 
-/// A heartbeat that is late by as much as the next one is due after it twice.
+/// Two times the heartbeat interval of the log (45 ms).
 const LATE_HEARTBEAT: Span = Span::from_millis(90);
 
 impl StorageProcess {
--- a/crates/server/src/storage/process.rs
+++ b/crates/server/src/storage/process.rs
@@ -337,6 +337,7 @@
             self.metrics.count("paused");
             log::warn!("step=paused paused_ms={}", gap.as_millis());
         }
+        self.sync_ends();
         self.replica.set_store_age(now.since(self.store_heard));
         if now >= self.replica.next_tick() {
             self.note_heartbeat(now);
--- a/crates/server/src/storage/replication.rs
+++ b/crates/server/src/storage/replication.rs
@@ -179,7 +179,7 @@
             Applied::Ended(job) => {
                 self.metrics.count("job_ended");
                 log::info!("belief=ended job={job} leads={}", self.working);
-                self.forget_asked_end(&job);
+                self.asked_ends.committed(&job);
                 self.dispatcher.end_job(now, &job, &mut self.directory);
                 self.calls.ended(&job);
             }
@@ -195,7 +195,7 @@
         let keep = Duration::from_millis(self.settings.job_keep_ms);
         let applied = self.replica.applied_index();
         // An open job is kept for twice as long as one that is ended.
-        self.asked_ends.forget(now, Duration(keep.0 * 2));
+        self.forget_ends(now, Duration(keep.0 * 2));
         let needless = self.jobs.expire(now, keep, applied);
         if self.replica.trim(needless) {
             self.log_file.trim(needless + 1);
--- a/crates/server/tests/unit/ends_file.rs
+++ b/crates/server/tests/unit/ends_file.rs
@@ -1,6 +1,6 @@
 //! Ends on disk survive what a disk survives.
 
-use super::{EndsFile, FILE_NAME};
+use super::{EndsFile, FILE_NAME, NEW_NAME};
 use std::fs::{self, File};
 use std::io::Write;
 use std::path::PathBuf;
@@ -13,20 +13,20 @@
     folder
 }
 
+fn add(file: &mut EndsFile, job: &str) {
+    file.add(job).unwrap();
+    file.sync().unwrap();
+}
+
 #[test]
 fn ends_are_there_after_a_restart() {
     let folder = folder("restart");
     let (mut file, jobs) = EndsFile::open(&folder).unwrap();
     assert!(jobs.is_empty());
-    file.add("job-1").unwrap();
-    file.add("job 2").unwrap();
-    file.clear().unwrap();
+    add(&mut file, "job-1");
+    add(&mut file, "job 2");
     let (_, jobs) = EndsFile::open(&folder).unwrap();
-    assert_eq!(
-        jobs,
-        ["job-1", "job 2"],
-        "a short file is not worth a write"
-    );
+    assert_eq!(jobs, ["job-1", "job 2"]);
     fs::remove_dir_all(&folder).unwrap();
 }
 
@@ -34,26 +34,46 @@
 fn a_torn_line_costs_itself_only() {
     let folder = folder("torn");
     let (mut file, _) = EndsFile::open(&folder).unwrap();
-    file.add("job-1").unwrap();
+    add(&mut file, "job-1");
     let mut torn = File::options().append(true).open(folder.join(FILE_NAME));
     torn.as_mut().unwrap().write_all(b"\n0000ab12 jo").unwrap();
     let (mut file, jobs) = EndsFile::open(&folder).unwrap();
     assert_eq!(jobs, ["job-1"]);
-    file.add("job-2").unwrap();
+    add(&mut file, "job-2");
     let (_, jobs) = EndsFile::open(&folder).unwrap();
     assert_eq!(jobs, ["job-1", "job-2"]);
     fs::remove_dir_all(&folder).unwrap();
 }
 
+/// However long some end waits, those that are over are left out, and what is added
+/// later is kept too.
 #[test]
 fn the_file_does_not_grow_for_ever() {
     let folder = folder("long");
     let (mut file, _) = EndsFile::open(&folder).unwrap();
+    add(&mut file, "waits");
     for number in 0..1_000 {
-        file.add(&format!("job-{number}")).unwrap();
-        file.clear().unwrap();
+        add(&mut file, &format!("job-{number}"));
+        file.keep_only(["waits"].into_iter()).unwrap();
     }
+    add(&mut file, "last");
     let length = fs::metadata(folder.join(FILE_NAME)).unwrap().len();
     assert!(length < 10_000, "{length} bytes");
+    let (_, jobs) = EndsFile::open(&folder).unwrap();
+    assert!(jobs.contains(&"waits".to_string()));
+    assert!(jobs.contains(&"last".to_string()));
+    assert!(!jobs.contains(&"job-3".to_string()));
+    fs::remove_dir_all(&folder).unwrap();
+}
+
+/// A crash while the file is written anew leaves the old one.
+#[test]
+fn an_unfinished_new_file_means_nothing() {
+    let folder = folder("unfinished");
+    let (mut file, _) = EndsFile::open(&folder).unwrap();
+    add(&mut file, "job-1");
+    fs::write(folder.join(NEW_NAME), "\n0000").unwrap();
+    let (_, jobs) = EndsFile::open(&folder).unwrap();
+    assert_eq!(jobs, ["job-1"]);
     fs::remove_dir_all(&folder).unwrap();
 }
--- a/scripts/planted-breaks.sh
+++ b/scripts/planted-breaks.sh
@@ -166,6 +166,6 @@
 plant "end: what was heard is not on disk" $S/storage/ends.rs "self.ends_file.add(job)" \
     "std::io::Result::Ok(())" peatgrade-platform only_heard
 plant "stop: a gateway ends while it reads" $S/gateway_process/mod.rs \
-    "process.may_exit() && process.is_closed()" "process.may_exit()" \
+    "if ends && process.is_closed()" "if ends" \
     peatgrade-platform overlapping
 exit $unnoticed
