--- a/crates/node-core/src/distribution.rs
+++ b/crates/node-core/src/distribution.rs
@@ -88,6 +88,15 @@
     }
 }
 
+/// Asks a peer for the changes since `have`.
+fn ask(ctx: &mut Context, from: NodeId, channel: Channel, have: u64) {
+    if ctx.broken(Mutation::NeverAskForNewer) && channel == Channel::CONFIG {
+        return;
+    }
+    let request = ConfigRequest { have, channel };
+    ctx.send(from, OneOfbody::config_request(request));
+}
+
 impl Distribution {
     /// Compares a peer's numbers with the own ones and asks for what is newer.
     pub fn on_digest(&mut self, ctx: &mut Context, from: NodeId, theirs: &Digest) {
@@ -105,11 +114,7 @@
             let due = last.is_none_or(|at| ctx.now.since(*at) >= REPAIR_INTERVAL);
             if theirs > ours && due {
                 self.asked.insert(channel as u8, ctx.now);
-                let request = ConfigRequest {
-                    have: ours,
-                    channel,
-                };
-                ctx.send(from, OneOfbody::config_request(request));
+                ask(ctx, from, channel, ours);
             }
         }
     }
@@ -150,11 +155,7 @@
             pass_on(ctx, channel, base);
         } else if reply.number > base {
             // The changes start above what this node has: ask for the gap.
-            let request = ConfigRequest {
-                have: base,
-                channel,
-            };
-            ctx.send(from, OneOfbody::config_request(request));
+            ask(ctx, from, channel, base);
         }
     }
 }
--- a/crates/node-core/src/mutation.rs
+++ b/crates/node-core/src/mutation.rs
@@ -11,6 +11,8 @@
     ClaimNotRun,
     /// Take configuration of any number.
     IgnoreConfigNumber,
+    /// Do not ask for newer configuration that another node has.
+    NeverAskForNewer,
     /// Do not check staleness when a step is selected.
     IgnoreStaleness,
     /// Do not mark the samples of a sealed step as used.
@@ -32,11 +34,12 @@
 
 impl Mutation {
     /// Every break.
-    pub const ALL: [Mutation; 12] = [
+    pub const ALL: [Mutation; 13] = [
         Mutation::RetryNonRepeatable,
         Mutation::SkipOnceRecord,
         Mutation::ClaimNotRun,
         Mutation::IgnoreConfigNumber,
+        Mutation::NeverAskForNewer,
         Mutation::IgnoreStaleness,
         Mutation::ReuseSamples,
         Mutation::ClaimWantedVersion,
--- a/crates/simulation/tests/deployments.rs
+++ b/crates/simulation/tests/deployments.rs
@@ -139,6 +139,14 @@
     step(53_965, StepKind::ZoneCut { zone: "curepe".into(), for_ms: 5_132 }),
     machine(68_735, "store", FaultKind::Down, 64_434),
 ])]
+// A node that started within a cut was held to what the other side accepted.
+#[case("alumni", 7_310_035, started_behind_a_cut("mids-leic"))]
+#[case("caroni", 7_310_035, started_behind_a_cut("curepe"))]
+// The root of a zone's tree died just as an engine elsewhere began to leave.
+#[case("caroni", 7_310_040, vec![
+    machine(32_887, "phraser-llm-curepe-0", FaultKind::Leave, 30_000),
+    step(33_445, StepKind::NodeCrash { node: 2, for_ms: 17_100, lose_disk: true }),
+])]
 fn what_once_broke_a_promise_does_not_any_more(
     #[case] name: &str,
     #[case] seed: u64,
@@ -152,6 +160,21 @@
     assert_promises(&report);
 }
 
+/// A node of a zone dies, its zone is cut off, and it starts again before the
+/// end of the cut.
+fn started_behind_a_cut(zone: &str) -> Vec<Step> {
+    let crash = StepKind::NodeCrash {
+        node: 5,
+        for_ms: 10_945,
+        lose_disk: false,
+    };
+    let cut = StepKind::ZoneCut {
+        zone: zone.into(),
+        for_ms: 24_878,
+    };
+    vec![step(41_652, crash), step(49_640, cut)]
+}
+
 #[test]
 fn the_store_down_for_an_hour_stops_neither_callers_nor_trainers() {
     let plan = FaultPlan {
