--- a/crates/simulation/src/process.rs
+++ b/crates/simulation/src/process.rs
@@ -55,7 +55,8 @@
     pub restart_after_stop: u64,
     pub started: Time,
     pub traffic: PeerTraffic,
-    /// Since when it has been reachable without a pause or a cut.
+    /// Since when it has been reachable without a pause or a cut; in the
+    /// future while one lasts.
     pub sound_since: Time,
 }
 
@@ -87,7 +88,8 @@
     pub fn start(&mut self, now: Time, region: &str, seeds: &[String], settings: &RunSettings) {
         self.generation = now.0 / 1_000;
         self.started = now;
-        self.sound_since = now;
+        // A cut or storm that began before goes on for the new life, too.
+        self.sound_since = self.sound_since.max(now);
         self.draining_since = None;
         let core = CoreSettings {
             name: self.name.clone(),
--- a/crates/simulation/src/queue.rs
+++ b/crates/simulation/src/queue.rs
@@ -47,9 +47,13 @@
         self.heap.push(Reverse(Entry { at, order, event }));
     }
 
-    pub fn pop(&mut self) -> Option<(Time, E)> {
-        self.heap
-            .pop()
-            .map(|Reverse(entry)| (entry.at, entry.event))
+    /// The next event, unless it comes after `last`.
+    pub fn pop_until(&mut self, last: Time) -> Option<(Time, E)> {
+        let Reverse(next) = self.heap.peek()?;
+        if next.at > last {
+            return None;
+        }
+        let Reverse(entry) = self.heap.pop()?;
+        Some((entry.at, entry.event))
     }
 }
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -281,11 +281,7 @@
             self.schedule_start();
         }
         let last = ORIGIN + Duration::from_millis(millis);
-        while let Some((at, event)) = self.queue.pop() {
-            if at > last {
-                self.queue.push(at, event);
-                return;
-            }
+        while let Some((at, event)) = self.queue.pop_until(last) {
             self.now = at;
             self.events += 1;
             self.note(&event);
