--- a/crates/node-core/src/owner.rs
+++ b/crates/node-core/src/owner.rs
@@ -2,6 +2,7 @@
 //! the first member of its zone in rendezvous order; two owners for a moment
 //! do no harm, since polls change nothing and orders are fenced.
 
+use peatgrade_membership::{Member, State};
 use peatgrade_schema::engine::{EngineOrder, LoadDocument, OrderKind, OrderReply};
 use peatgrade_schema::peer::mod_Envelope::OneOfbody;
 use peatgrade_schema::peer::{EngineLoad, LoadReport, WeightOrder, WeightReport};
@@ -9,7 +10,7 @@
 use peatgrade_types::{rendezvous_order, rendezvous_owner, Duration, EngineId, NodeId, Time};
 use std::collections::BTreeMap;
 
-use crate::bulletin::{note_load, rank, same_bucket, Bulletins};
+use crate::bulletin::{note_load, rank, relies_on, same_bucket, Bulletins};
 use crate::context::{Context, HttpPurpose};
 use crate::distribution::zone_tree;
 use crate::exchange::Ended;
@@ -22,6 +23,11 @@
 /// engine on its way out.
 const TELL: Duration = Duration::from_secs(3);
 const TELL_LEAVING: Duration = Duration::from_millis(900);
+/// Tellings of an engine's leaving that go straight to every member that relies
+/// on it, since the root that passes them on may just have died, and stays root
+/// for 6 s. More than one, since one alone may get lost; few, since each costs a
+/// message for each member.
+const TELL_ALL: u32 = 3;
 /// Time between two choices of the engines to own.
 const CHOICE_INTERVAL: Duration = Duration::from_millis(500);
 /// Wait after an order that failed.
@@ -56,6 +62,8 @@
     boot: u64,
     /// Load last told to the zone's root, and when.
     told: Option<(Time, EngineLoad)>,
+    /// Times that its leaving was told to all.
+    told_all: u32,
 }
 
 /// Engines owned by this node.
@@ -156,6 +164,8 @@
             age: document.age_ms,
             cache_used_permille: document.cache_used_permille,
         };
+        // Weights are swapped often; only what leaves for good is told to all.
+        let leaves = document.leaving;
         owned.load = Some(document);
         note_load(ctx, &load);
         let refresh = if load.leaving { TELL_LEAVING } else { TELL };
@@ -167,10 +177,19 @@
             return;
         }
         owned.told = Some((ctx.now, load.clone()));
-        let zone = ctx.settings.zone.clone();
-        if let Some(root) = zone_tree(ctx, &zone).root() {
-            let loads = vec![load];
-            ctx.send(root, OneOfbody::load_report(LoadReport { loads }));
+        owned.told_all = if leaves { owned.told_all + 1 } else { 0 };
+        let straight = leaves && owned.told_all <= TELL_ALL;
+        let receivers = if straight {
+            members_relying_on(ctx, id)
+        } else {
+            zone_tree(ctx, &ctx.settings.zone)
+                .root()
+                .into_iter()
+                .collect()
+        };
+        for receiver in receivers {
+            let loads = vec![load.clone()];
+            ctx.send(receiver, OneOfbody::load_report(LoadReport { loads }));
         }
     }
 
@@ -315,15 +334,27 @@
     ctx.send(NodeId(order.coordinator), OneOfbody::weight_report(report));
 }
 
-/// Owner of an engine: the first reachable member of its zone, or of the
-/// region if its zone has none.
+/// This node and every other reachable one that may have to use an engine.
+fn members_relying_on(ctx: &Context, id: EngineId) -> Vec<NodeId> {
+    let members = ctx.swim.reachable();
+    let relying = members.filter(|member| relies_on(ctx, &member.zone, id));
+    relying.map(|member| member.identity.node).collect()
+}
+
+/// Owner of an engine: the first member of its zone that is reachable and not
+/// under suspicion, or of the region if its zone has none. An engine may begin
+/// to leave just after its owner died; nobody would hear of it in time if the
+/// next one waited until the first is held for dead.
 fn owner_of(ctx: &Context, id: EngineId, zone: &str) -> Option<NodeId> {
     let key = u64::from(id.0);
+    let trusted = |member: &&Member| member.state != State::Suspect;
     let by_zone = ctx.swim.reachable().filter(|member| member.zone == zone);
+    let by_zone = by_zone.filter(trusted);
     let nodes = by_zone.map(|member| member.identity.node);
     let in_zone = rendezvous_owner(key, nodes, |node| u64::from(node.0));
     in_zone.or_else(|| {
-        let all = ctx.swim.reachable().map(|member| member.identity.node);
+        let all = ctx.swim.reachable().filter(trusted);
+        let all = all.map(|member| member.identity.node);
         rendezvous_owner(key, all, |node| u64::from(node.0))
     })
 }
