--- a/crates/simulation/tests/deployments.rs
+++ b/crates/simulation/tests/deployments.rs
@@ -147,6 +147,11 @@
     machine(32_887, "phraser-llm-curepe-0", FaultKind::Leave, 30_000),
     step(33_445, StepKind::NodeCrash { node: 2, for_ms: 17_100, lose_disk: true }),
 ])]
+// A coordinator that read everything anew gave out the same names of samples.
+#[case("alumni", 9_310_080, vec![
+    step(17_413, StepKind::ZoneCut { zone: "mids-leic".into(), for_ms: 24_858 }),
+    step(24_172, StepKind::NodePause { node: 2, for_ms: 14_498 }),
+])]
 fn what_once_broke_a_promise_does_not_any_more(
     #[case] name: &str,
     #[case] seed: u64,
--- a/crates/simulation/tests/lost_news.rs
+++ b/crates/simulation/tests/lost_news.rs
@@ -75,6 +75,24 @@
     assert_promises(engine, &report);
 }
 
+/// A zone is cut off just before an engine elsewhere begins to leave, and goes on
+/// with what it knew when the cut ends: fuzzed seed 9310077, shrunk.
+#[test]
+fn a_zone_that_was_cut_off_sends_nothing_to_an_engine_that_left_meanwhile() {
+    let cut = StepKind::ZoneCut {
+        zone: "curepe".into(),
+        for_ms: 7_218,
+    };
+    let leave = machine("planner-api-tunapuna-0", FaultKind::Leave, 30_000);
+    let steps = vec![step(24_454, cut), step(25_676, leave)];
+    let settings = RunSettings {
+        seed: 9_310_077,
+        ..settings(60)
+    };
+    let report = run(&deployment("caroni"), &settings, &FaultPlan { steps });
+    assert_promises("cut off", &report);
+}
+
 /// A node starts again within a cut of its zone, during which operators go on
 /// changing things on the other side.
 fn started_within_a_cut(zone: &str, node: usize) -> FaultPlan {
