--- a/crates/node-core/src/coordinator/recover.rs
+++ b/crates/node-core/src/coordinator/recover.rs
@@ -3,7 +3,7 @@
 use peatgrade_consensus::{Decision, RegisterError};
 use peatgrade_schema::peer::{Manifest, ManifestEntry, TrainerRecord};
 use peatgrade_schema::{decode, encode};
-use peatgrade_training::{fence, SamplePool};
+use peatgrade_training::fence;
 use peatgrade_types::{Duration, NodeId};
 
 use super::{trainer_key, Coordinator, Stage};
@@ -51,7 +51,7 @@
         };
         self.record = record;
         self.stage = Stage::Recovering;
-        self.pool = SamplePool::new(self.pool.policy().clone(), self.epoch);
+        self.pool = self.pool.anew();
         self.awaited = self.record.sealed.len();
         for sealed in self.record.sealed.clone() {
             let hints = sealed.stored_on.iter().map(|&node| NodeId(node)).collect();
--- a/crates/training/src/pool.rs
+++ b/crates/training/src/pool.rs
@@ -52,6 +52,15 @@
         }
     }
 
+    /// An empty pool of the same coordinator, which reads everything anew. It
+    /// goes on counting, since names given out before may be in a sealed step.
+    pub fn anew(&self) -> Self {
+        Self {
+            counter: self.counter,
+            ..Self::new(self.policy.clone(), self.epoch)
+        }
+    }
+
     /// Policy in force.
     pub fn policy(&self) -> &PoolPolicy {
         &self.policy
--- a/crates/training/tests/training.rs
+++ b/crates/training/tests/training.rs
@@ -125,6 +125,27 @@
     );
 }
 
+/// A coordinator whose seal had no known outcome reads everything anew under the
+/// same epoch.
+#[test]
+fn a_pool_that_is_read_anew_gives_out_no_name_twice() {
+    let mut before = pool(policy());
+    let names = |orders: Vec<Order>| -> BTreeSet<u64> {
+        let both = orders.iter().flat_map(|order| [order.sample, order.group]);
+        both.collect()
+    };
+    let given = names(before.start_groups(NOW, 1, 0));
+    let mut after = before.anew();
+    assert_eq!(after.complete_groups() + after.running(), 0);
+    after.offer_prompt(Prompt {
+        text: b"prompt".to_vec(),
+        seed: 1,
+    });
+    let again = names(after.start_groups(NOW, 1, 0));
+    assert_eq!(again.len(), given.len());
+    assert!(again.is_disjoint(&given), "{again:?}");
+}
+
 #[test]
 fn without_carry_over_surplus_is_dropped() {
     let mut pool = pool(PoolPolicy {
