--- a/crates/simulation/tests/deployments.rs
+++ b/crates/simulation/tests/deployments.rs
@@ -152,6 +152,11 @@
     step(17_413, StepKind::ZoneCut { zone: "mids-leic".into(), for_ms: 24_858 }),
     step(24_172, StepKind::NodePause { node: 2, for_ms: 14_498 }),
 ])]
+// The simulation left parts out of the middle of an answer.
+#[case("alumni", 9_310_213, vec![
+    step(75_191, StepKind::NodePause { node: 0, for_ms: 11_817 }),
+    step(140_379, StepKind::ZoneCut { zone: "mids-brum".into(), for_ms: 4_570 }),
+])]
 fn what_once_broke_a_promise_does_not_any_more(
     #[case] name: &str,
     #[case] seed: u64,
