--- a/crates/simulation/src/process.rs
+++ b/crates/simulation/src/process.rs
@@ -27,6 +27,8 @@
     /// Last sign of the other side.
     pub heard: Time,
     pub seen_head: bool,
+    /// Whether a part of the answer was lost: nothing comes after it.
+    pub torn: bool,
 }
 
 /// Bytes of peer messages, with headers.
--- a/crates/simulation/src/world/actions.rs
+++ b/crates/simulation/src/world/actions.rs
@@ -216,6 +216,7 @@
                 timeout,
                 heard: self.now,
                 seen_head: false,
+                torn: false,
             },
         );
         let home = process.zone.clone();
@@ -395,11 +396,14 @@
     }
 
     fn part_leaves(&mut self, node: usize, generation: u64, id: HttpId, part: ResponsePart) {
-        let process = &self.nodes[node];
-        let Some(open) = process.http.get(&id) else {
+        let process = &mut self.nodes[node];
+        let Some(open) = process.http.get_mut(&id) else {
             return;
         };
-        if self.network.separated(self.now, &process.zone, &open.zone) {
+        // A connection delivers in order or not at all: what comes after a part
+        // that was lost waits for it, until the time limit ends the request.
+        open.torn |= self.network.separated(self.now, &process.zone, &open.zone);
+        if open.torn {
             return;
         }
         let base = if process.zone == open.zone {
