--- a/crates/simulation/tests/lost_news.rs
+++ b/crates/simulation/tests/lost_news.rs
@@ -93,6 +93,32 @@
     assert_promises("cut off", &report);
 }
 
+/// An engine hangs, begins to leave meanwhile, and goes on, while the store is
+/// down: fuzzed seed 9330075, shrunk.
+#[test]
+fn an_engine_that_began_to_leave_while_it_hung_gets_nothing_when_it_goes_on() {
+    let engine = "ranker-llm-mids-leic-0";
+    let pause = StepKind::NodePause {
+        node: 2,
+        for_ms: 19_928,
+    };
+    let other = machine("rollout-llm-mids-brum-3", FaultKind::Leave, 30_000);
+    let steps = vec![
+        step(21_969, machine("store", FaultKind::Down, 25_296)),
+        step(43_270, other),
+        step(97_608, pause),
+        step(112_191, machine("store", FaultKind::Down, 68_358)),
+        step(136_220, machine(engine, FaultKind::Hang, 11_110)),
+        step(139_014, machine(engine, FaultKind::Leave, 30_000)),
+    ];
+    let settings = RunSettings {
+        seed: 9_330_075,
+        ..settings(180)
+    };
+    let report = run(&deployment("alumni"), &settings, &FaultPlan { steps });
+    assert_promises("hung", &report);
+}
+
 /// A node starts again within a cut of its zone, during which operators go on
 /// changing things on the other side.
 fn started_within_a_cut(zone: &str, node: usize) -> FaultPlan {
