--- a/crates/routing/src/load.rs
+++ b/crates/routing/src/load.rs
@@ -5,8 +5,10 @@
 
 /// A report older than this says nothing any more.
 const STALE: Duration = Duration::from_secs(15);
-/// An engine whose owner has not reached it for this long gets no new work.
-pub const SILENT: Duration = Duration::from_secs(8);
+/// An engine whose owner has not reached it for this long gets no new work: it may
+/// have begun to leave just after its last report, and 6 s later nothing may reach it.
+/// Half a second is for the request's way there.
+pub const SILENT: Duration = Duration::from_millis(5_500);
 
 /// One engine's own account of its load.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/crates/routing/src/select.rs
+++ b/crates/routing/src/select.rs
@@ -152,8 +152,7 @@
         match latest {
             None => !want.needs_weights,
             Some((report, age)) => {
-                let fresh = age < SILENT || !want.needs_weights;
-                !report.leaving && fresh && report.weights >= want.oldest_weights
+                !report.leaving && age < SILENT && report.weights >= want.oldest_weights
             }
         }
     }
