Accepted work fits: texts and bodies are left to the log, a start needs bounded memory

A start read the whole log into memory and decoded all of it before it left entries to the file; what the allocator had taken stayed.

Ruled out: a true lack of room. The log was some 100 MB on disks of 350 MB.

Change: - Texts of results beyond the newest 8 MB are read back from the log entries that were applied (progress records, then the result), whole or not at all. - Headers and bodies of ended jobs are left to the log; a body is read back when asked. - A start goes through the file record by record; entries stay there. - Entries held for a member that lags are bounded (2 MB). - An entry read back is checked against its CRC-32. - Free memory is given back before a job is refused for lack of it. - Metrics and a log line for the memory by owner.

Weighed: a second file for texts. Reads would be one piece, but it takes disk beside the log, and a rewrite needs twice the log already.

--- a/crates/jobs/src/dispatcher/mod.rs
+++ b/crates/jobs/src/dispatcher/mod.rs
@@ -144,6 +144,13 @@
         self.items.len()
     }
 
+    /// Bytes of texts that are not whole or not listed, and of those kept for later jobs.
+    pub fn text_bytes(&self) -> usize {
+        let open = self.items.values().map(|item| item.text.bytes());
+        let kept = self.kept.values().map(|kept| kept.text.bytes());
+        open.chain(kept).sum()
+    }
+
     /// Runs under way.
     pub fn running(&self) -> usize {
         self.runs.len()
--- a/crates/jobs/src/dispatcher/takeover.rs
+++ b/crates/jobs/src/dispatcher/takeover.rs
@@ -7,6 +7,7 @@
 
 use super::{starting, Dispatcher};
 use crate::item::OpenItem;
+use crate::listed_text::TextReader;
 use crate::store::{Earlier, JobStore, StoredResult};
 use crate::text::{PartialText, TextEvent};
 
@@ -25,13 +26,14 @@
         let name: Rc<str> = Rc::from(id);
         self.long_from
             .insert(name.clone(), starting::long_from(&job.spec));
+        let mut texts = store.text_reader();
         for index in 0..job.spec.items.len() {
             if job.positions.contains_key(&index) {
                 continue;
             }
             let earlier = store.earlier(id, index);
             let single = must_be_single(configuration, &job.spec, index);
-            if let Some(result) = result_again(&job.spec, index, single, earlier) {
+            if let Some(result) = result_again(&job.spec, index, single, earlier, &mut texts) {
                 log::info!(
                     "decision=relist item={} job={id} versions={:?}",
                     job.spec.items[index].id,
@@ -50,7 +52,7 @@
                     open.logged_whole = text.whole;
                     open.text = text.clone();
                 }
-                None => self.take_earlier(&mut open, earlier),
+                None => self.take_earlier(&mut open, earlier, &mut texts),
             }
             if open.text.whole && !open.is_consistent() {
                 open.restart();
@@ -66,13 +68,18 @@
     }
 
     /// Begins an item that comes back with what is known of its text.
-    fn take_earlier(&mut self, open: &mut OpenItem, earlier: Option<Earlier<'_>>) {
+    fn take_earlier(
+        &mut self,
+        open: &mut OpenItem,
+        earlier: Option<Earlier<'_>>,
+        texts: &mut TextReader<'_>,
+    ) {
         let least = open.spec.min_version;
         let kept = self.kept.remove(&open.item().id);
         let kept = kept.filter(|kept| kept.body == open.item().body);
         let logged = match earlier {
             Some(Earlier::Partial(text)) => Some(text.clone()),
-            Some(Earlier::Whole(result, _)) => text_of(result),
+            Some(Earlier::Whole(result, job, _)) => text_of(result, job, texts),
             None => None,
         };
         let texts = kept.map(|kept| kept.text).into_iter().chain(logged);
@@ -104,8 +111,9 @@
     index: usize,
     single: bool,
     earlier: Option<Earlier<'_>>,
+    texts: &mut TextReader<'_>,
 ) -> Option<ItemResult> {
-    let Some(Earlier::Whole(result, scored_by)) = earlier else {
+    let Some(Earlier::Whole(result, job, scored_by)) = earlier else {
         return None;
     };
     let reward_call = spec.items[index].reward_call.as_ref();
@@ -113,10 +121,14 @@
     let consistent = !single || result.versions.len() <= 1;
     // A score belongs to the call that gave it.
     let scored = reward_call.is_none() || reward_call == scored_by;
-    (fresh && consistent && scored).then(|| ItemResult {
+    if !(fresh && consistent && scored) {
+        return None;
+    }
+    let text = texts.read(job, result.item, &result.text)?;
+    Some(ItemResult {
         item: index as u64,
         completed: true,
-        text: result.text.to_vec(),
+        text: text.to_vec(),
         versions: result.versions.clone(),
         logged_events: 0,
         score: match reward_call {
@@ -128,13 +140,13 @@
 
 /// The whole text of a result, to be scored by another call. Which version made
 /// which event is not kept of results, so a text of several is made anew.
-fn text_of(result: &StoredResult) -> Option<PartialText> {
+fn text_of(result: &StoredResult, job: &str, texts: &mut TextReader<'_>) -> Option<PartialText> {
     let [version] = result.versions[..] else {
         return None;
     };
     let event = TextEvent {
         version,
-        data: result.text.clone(),
+        data: texts.read(job, result.item, &result.text)?,
     };
     Some(PartialText {
         events: vec![event],
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -19,6 +19,7 @@
 mod asked_ends;
 mod dispatcher;
 mod item;
+mod listed_text;
 mod placement;
 mod scores;
 mod store;
@@ -28,6 +29,7 @@
 pub use asked_ends::AskedEnds;
 pub use dispatcher::{DispatchAction, Dispatcher, RunId, RunPart, ScoreCall, ScoreOutcome};
 pub use item::ItemKey;
+pub use listed_text::{CommandLog, ListedText, TextReader};
 pub use scores::ScoreId;
-pub use store::{Applied, Earlier, Failures, Job, JobStore, StoredResult};
+pub use store::{Applied, Earlier, Failures, Job, JobMemory, JobStore, StoredResult};
 pub use text::{PartialText, TextEvent};
--- a/crates/jobs/src/store.rs
+++ b/crates/jobs/src/store.rs
@@ -3,13 +3,20 @@
 use bytes::Bytes;
 use peatgrade_schema::decode;
 use peatgrade_schema::replication::mod_JobCommand::OneOfbody;
-use peatgrade_schema::replication::{AcceptJob, JobCommand, KeepProgress, ListResults, RewardCall};
-use peatgrade_types::{Duration, Time};
+use peatgrade_schema::replication::{
+    AcceptJob, JobCommand, JobItem, KeepProgress, ListResults, RewardCall,
+};
+use peatgrade_types::{hash_bytes, Duration, Time};
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 
+use crate::listed_text::{CommandLog, ListedText, LoggedEvents, RecentTexts, TextReader};
 use crate::text::{PartialText, TextEvent};
 
+/// Bytes of listed texts held in memory beside the log: what a trainer that reads twice
+/// a second asks for, at the 2 MB/s of 130 engines, with room for a few seconds' delay.
+const MAX_RECENT_BYTES: usize = 8 * 1024 * 1024;
+
 /// A listed result. Its position and content never change.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StoredResult {
@@ -17,8 +24,8 @@
     pub item: usize,
     /// Whether it is whole; otherwise it was given up.
     pub completed: bool,
-    /// Its text.
-    pub text: Bytes,
+    /// Its text, to be read with [`JobStore::text_reader`].
+    pub text: ListedText,
     /// Versions that made an event of it.
     pub versions: Vec<u64>,
     /// Signature of the answer to its reward call; empty if it has none.
@@ -49,10 +56,14 @@
     pub positions: HashMap<usize, usize>,
     /// Texts that are not whole, by item.
     pub progress: HashMap<usize, PartialText>,
+    /// Where the log holds the events of `progress`.
+    logged: HashMap<usize, LoggedEvents>,
     /// Answers that said that an item failed, by item.
     pub failures: HashMap<usize, Failures>,
-    /// Whether it is ended.
+    /// Whether it is ended. Headers and bodies of its items are left to the log then.
     pub ended: bool,
+    /// Hash of each item's body, once bodies are left to the log.
+    body_hashes: Vec<u64>,
     /// Index of its first log entry.
     pub first_index: u64,
 }
@@ -93,15 +104,74 @@
     Nothing,
 }
 
+/// Bytes that jobs take in memory, by owner.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct JobMemory {
+    /// Items as they were handed in: bodies and headers while their job is open.
+    pub items: usize,
+    /// Results without their texts.
+    pub results: usize,
+    /// Texts of results that are in memory.
+    pub recent_texts: usize,
+    /// Texts that are not whole.
+    pub progress: usize,
+}
+
 /// All jobs of a replica group.
 #[derive(Clone, Debug, Default)]
 pub struct JobStore {
     jobs: BTreeMap<String, Job>,
     /// Jobs that hold an item, and its index there.
     holders: HashMap<String, Vec<(Rc<str>, usize)>>,
+    /// Reads texts that were dropped from memory; none keeps all texts there.
+    log: Option<Rc<dyn CommandLog>>,
+    recent: RecentTexts,
 }
 
 impl JobStore {
+    /// A store that leaves texts to the log from which its commands come.
+    pub fn with_log(log: Rc<dyn CommandLog>) -> Self {
+        Self {
+            log: Some(log),
+            ..Self::default()
+        }
+    }
+
+    /// Reads texts of listed results.
+    pub fn text_reader(&self) -> TextReader<'_> {
+        TextReader::new(self.log.as_deref())
+    }
+
+    /// Body of an item as it was handed in; of an ended job from the log.
+    pub fn body(&self, job: &Job, item: usize) -> Option<Vec<u8>> {
+        if job.body_hashes.is_empty() {
+            return Some(job.spec.items.get(item)?.body.clone());
+        }
+        let command = self.log.as_ref()?.command(job.first_index)?;
+        let command = decode::<JobCommand>(&command).ok()?;
+        match command.body {
+            OneOfbody::accept(mut spec) if spec.job == job.spec.job && item < spec.items.len() => {
+                Some(spec.items.swap_remove(item).body)
+            }
+            _ => None,
+        }
+    }
+
+    /// Bytes that it holds in memory, by owner.
+    pub fn memory(&self) -> JobMemory {
+        let mut memory = JobMemory {
+            recent_texts: self.recent.bytes(),
+            ..JobMemory::default()
+        };
+        for job in self.jobs.values() {
+            memory.items += job.spec.items.iter().map(item_bytes).sum::<usize>();
+            memory.results += job.results.len() * std::mem::size_of::<StoredResult>();
+            let texts = job.progress.values();
+            memory.progress += texts.map(PartialText::bytes).sum::<usize>();
+        }
+        memory
+    }
+
     /// Applies a committed command.
     pub fn apply(&mut self, now: Time, index: u64, command: &[u8]) -> Applied {
         if command.is_empty() {
@@ -109,9 +179,9 @@
         }
         match decode::<JobCommand>(command).map(|command| command.body) {
             Ok(OneOfbody::accept(spec)) => self.accept(now, index, spec),
-            Ok(OneOfbody::results(list)) => self.list(now, list),
+            Ok(OneOfbody::results(list)) => self.list(now, index, list),
             Ok(OneOfbody::end(end)) => self.end(&end.job),
-            Ok(OneOfbody::progress(progress)) => self.keep_progress(progress),
+            Ok(OneOfbody::progress(progress)) => self.keep_progress(index, progress),
             Ok(OneOfbody::order(note)) => Applied::Ordered {
                 engine: note.engine,
                 fence: note.fence,
@@ -140,19 +210,22 @@
             results: Vec::new(),
             positions: HashMap::new(),
             progress: HashMap::new(),
+            logged: HashMap::new(),
             failures: HashMap::new(),
             ended: false,
+            body_hashes: Vec::new(),
             first_index,
         };
         self.jobs.insert(id.clone(), job);
         Applied::Accepted(id)
     }
 
-    fn list(&mut self, now: Time, list: ListResults) -> Applied {
+    fn list(&mut self, now: Time, index: u64, list: ListResults) -> Applied {
         let Some(job) = self.jobs.get_mut(&list.job).filter(|job| !job.ended) else {
             return Applied::Nothing;
         };
         let before = job.results.len();
+        let name: Rc<str> = Rc::from(list.job.as_str());
         for result in list.results {
             let item = result.item as usize;
             // The first result of an item stands, whoever else made one.
@@ -160,16 +233,20 @@
                 continue;
             }
             let logged = job.progress.get(&item);
-            let Some(text) = whole_text(logged, result.logged_events, result.text) else {
+            let count = result.logged_events as usize;
+            let Some(text) = whole_text(logged, count, result.text) else {
                 log::error!("step=list-result job={} item={item} error=gap", list.job);
                 continue;
             };
             job.progress.remove(&item);
+            let events = job.logged.remove(&item).filter(|_| count > 0);
+            let events = events.unwrap_or_default();
+            self.recent.add(&name, job.results.len(), text.len());
             job.positions.insert(item, job.results.len());
             job.results.push(StoredResult {
                 item,
                 completed: result.completed,
-                text,
+                text: ListedText::new(text, events, count, index),
                 versions: result.versions,
                 score: result.score,
                 known_since: now,
@@ -178,13 +255,29 @@
         if job.results.len() == before {
             return Applied::Nothing;
         }
+        self.drop_surplus_texts();
         Applied::Listed(list.job)
     }
 
+    /// Leaves the oldest texts to the log.
+    fn drop_surplus_texts(&mut self) {
+        if self.log.is_none() {
+            return;
+        }
+        while let Some((job, position)) = self.recent.take_surplus(MAX_RECENT_BYTES) {
+            let job = self.jobs.get_mut(&*job);
+            let result = job.and_then(|job| job.results.get_mut(position));
+            if let Some(result) = result {
+                self.recent.dropped(result.text.held_bytes());
+                result.text.drop_held();
+            }
+        }
+    }
+
     /// Adds events to texts that are not whole. Records of one item follow each
     /// other without a gap, since one leader at a time adds them; what doesn't
     /// follow stems from a leader of the past.
-    fn keep_progress(&mut self, progress: KeepProgress) -> Applied {
+    fn keep_progress(&mut self, entry: u64, progress: KeepProgress) -> Applied {
         let Some(job) = self.jobs.get_mut(&progress.job) else {
             return Applied::Nothing;
         };
@@ -212,6 +305,7 @@
             text.events.extend(events);
             text.last_event = Some(item.last_event);
             text.whole |= item.whole;
+            job.logged.entry(index).or_default().entries.push(entry);
         }
         Applied::Nothing
     }
@@ -220,6 +314,9 @@
         match self.jobs.get_mut(id) {
             Some(job) if !job.ended => {
                 job.ended = true;
+                if self.log.is_some() {
+                    job.drop_requests();
+                }
                 Applied::Ended(id.to_string())
             }
             _ => Applied::Nothing,
@@ -230,6 +327,7 @@
     pub fn clear(&mut self) {
         self.jobs.clear();
         self.holders.clear();
+        self.recent.clear();
     }
 
     /// A job.
@@ -246,11 +344,18 @@
     /// that. Returns the log index before which nothing is needed any more.
     pub fn expire(&mut self, now: Time, keep: Duration, applied: u64) -> u64 {
         let twice = Duration(keep.0 * 2);
+        let recent = &mut self.recent;
         self.jobs.retain(|_, job| {
             let age = now.since(job.known_since);
-            age < keep || (!job.ended && age < twice)
+            let is_kept = age < keep || (!job.ended && age < twice);
+            if !is_kept {
+                let texts = job.results.iter().map(|result| result.text.held_bytes());
+                recent.dropped(texts.sum());
+            }
+            is_kept
         });
         let jobs = &self.jobs;
+        self.recent.retain(|job| jobs.contains_key(job));
         self.holders.retain(|_, holders| {
             holders.retain(|(job, _)| jobs.contains_key(&**job));
             !holders.is_empty()
@@ -267,8 +372,9 @@
             .filter(|(id, _)| **id != *job)
             .filter_map(|(id, index)| {
                 let other = self.jobs.get(&**id)?;
-                let same = other.spec.items[*index].body == spec.body;
-                same.then(|| other.held(*index)).flatten()
+                other
+                    .has_body(*index, &spec.body)
+                    .then(|| other.held(*index, id))?
             });
         held.next()
     }
@@ -277,20 +383,45 @@
 /// What a job holds of an item.
 #[derive(Clone, Copy, Debug)]
 pub enum Earlier<'a> {
-    /// Its result, and the reward call that scored it.
-    Whole(&'a StoredResult, Option<&'a RewardCall>),
+    /// Its result, the job that has it, and the reward call that scored it.
+    Whole(&'a StoredResult, &'a str, Option<&'a RewardCall>),
     /// Its beginning.
     Partial(&'a PartialText),
 }
 
 impl Job {
-    fn held(&self, item: usize) -> Option<Earlier<'_>> {
+    /// Drops what only its items' runs need: an ended job is kept for its results.
+    /// At 1.8 KB an item (600 of body, the rest headers) this is a quarter of what a
+    /// job of 160 items with texts of 5 KB takes.
+    fn drop_requests(&mut self) {
+        let items = &self.spec.items;
+        self.body_hashes = items.iter().map(|item| hash_bytes(&item.body)).collect();
+        let items = items.iter().map(|item| JobItem {
+            id: item.id.clone(),
+            reward_call: item.reward_call.clone(),
+            ..JobItem::default()
+        });
+        self.spec = Rc::new(AcceptJob {
+            items: items.collect(),
+            ..without_items(&self.spec)
+        });
+    }
+
+    /// Whether an item has this body.
+    fn has_body(&self, item: usize, body: &[u8]) -> bool {
+        match self.body_hashes.get(item) {
+            Some(hash) => *hash == hash_bytes(body),
+            None => self.spec.items[item].body == body,
+        }
+    }
+
+    fn held<'a>(&'a self, item: usize, name: &'a str) -> Option<Earlier<'a>> {
         if let Some(position) = self.positions.get(&item) {
             let result = self.results.get(*position)?;
             let reward_call = self.spec.items[item].reward_call.as_ref();
             return result
                 .completed
-                .then_some(Earlier::Whole(result, reward_call));
+                .then_some(Earlier::Whole(result, name, reward_call));
         }
         self.progress.get(&item).map(Earlier::Partial)
     }
@@ -298,11 +429,36 @@
 
 /// The first `count` events, which the log holds already, and what a result adds
 /// to them.
-fn whole_text(logged: Option<&PartialText>, count: u64, added: Vec<u8>) -> Option<Bytes> {
-    let count = count as usize;
+fn whole_text(logged: Option<&PartialText>, count: usize, added: Vec<u8>) -> Option<Bytes> {
     if count == 0 {
         return Some(Bytes::from(added));
     }
     let logged = logged.filter(|text| text.events.len() >= count)?;
     Some(Bytes::from(logged.joined_with(count, &added)))
 }
+
+/// A job's head.
+fn without_items(spec: &AcceptJob) -> AcceptJob {
+    AcceptJob {
+        job: spec.job.clone(),
+        host: spec.host.clone(),
+        path: spec.path.clone(),
+        step: spec.step,
+        model: spec.model.clone(),
+        min_version: spec.min_version,
+        desired: spec.desired,
+        items: Vec::new(),
+    }
+}
+
+/// What an item takes in memory, about.
+fn item_bytes(item: &JobItem) -> usize {
+    let headers = item.headers.iter();
+    let headers = headers.map(|h| h.name.len() + h.value.len() + std::mem::size_of_val(h));
+    std::mem::size_of_val(item)
+        + item.id.len()
+        + item.path.len()
+        + item.body.len()
+        + item.group.len()
+        + headers.sum::<usize>()
+}
--- a/crates/jobs/src/text.rs
+++ b/crates/jobs/src/text.rs
@@ -55,6 +55,14 @@
         text
     }
 
+    /// Bytes that its events take in memory.
+    pub fn bytes(&self) -> usize {
+        let events = self.events.iter();
+        events
+            .map(|event| event.data.len() + std::mem::size_of_val(event))
+            .sum()
+    }
+
     /// Versions that made an event, in rising order.
     pub fn versions(&self) -> Vec<u64> {
         let mut versions: Vec<u64> = self.events.iter().map(|event| event.version).collect();
--- a/crates/jobs/tests/dispatch/mod.rs
+++ b/crates/jobs/tests/dispatch/mod.rs
@@ -293,12 +293,14 @@
 
     /// Results of a job as (item, completed, text, versions).
     pub fn results(&self, job: &str) -> Vec<(String, bool, String, Vec<u64>)> {
+        let mut texts = self.store.text_reader();
         let job = self.store.get(job).unwrap();
         let listed = job.results.iter().map(|result| {
+            let text = texts.read(&job.spec.job, result.item, &result.text);
             (
                 job.spec.items[result.item].id.clone(),
                 result.completed,
-                String::from_utf8(result.text.to_vec()).unwrap(),
+                String::from_utf8(text.unwrap().to_vec()).unwrap(),
                 result.versions.clone(),
             )
         });
--- a/crates/jobs/tests/scoring/mod.rs
+++ b/crates/jobs/tests/scoring/mod.rs
@@ -83,12 +83,14 @@
 
 /// Results of a job as (item, completed, text, score).
 fn scores(scene: &Scene, job: &str) -> Vec<(String, bool, String, String)> {
+    let mut texts = scene.store.text_reader();
     let job = scene.store.get(job).unwrap();
     let listed = job.results.iter().map(|result| {
+        let text = texts.read(&job.spec.job, result.item, &result.text);
         (
             job.spec.items[result.item].id.clone(),
             result.completed,
-            String::from_utf8(result.text.to_vec()).unwrap(),
+            String::from_utf8(text.unwrap().to_vec()).unwrap(),
             result.score.clone(),
         )
     });
--- a/crates/jobs/tests/store.rs
+++ b/crates/jobs/tests/store.rs
@@ -32,8 +32,12 @@
 
     fn texts(&self) -> Vec<(usize, String)> {
         let results = self.store.get("j").unwrap().results.iter();
-        let text = |bytes: &[u8]| String::from_utf8(bytes.to_vec()).unwrap();
-        results.map(|r| (r.item, text(&r.text))).collect()
+        let mut reader = self.store.text_reader();
+        let texts = results.map(|result| {
+            let text = reader.read("j", result.item, &result.text).unwrap();
+            (result.item, String::from_utf8(text.to_vec()).unwrap())
+        });
+        texts.collect()
     }
 }
 
--- a/crates/replication/src/entry_index.rs
+++ b/crates/replication/src/entry_index.rs
@@ -11,6 +11,8 @@
 use std::path::Path;
 use std::rc::Rc;
 
+use crate::records::{checked_record, HEADER_BYTES};
+
 /// Reads entries that were dropped from memory.
 pub trait EntrySource: std::fmt::Debug {
     /// An entry, if it can be read.
@@ -110,15 +112,19 @@
         let offset = index.checked_sub(places.first)?;
         let place = places.places.get(offset as usize)?;
         let mut file = places.file.as_ref()?;
-        let mut payload = vec![0; place.length as usize];
+        let mut record = vec![0; HEADER_BYTES + place.length as usize];
         let read = file
-            .seek(SeekFrom::Start(place.offset))
-            .and_then(|_| file.read_exact(&mut payload));
+            .seek(SeekFrom::Start(place.offset - HEADER_BYTES as u64))
+            .and_then(|_| file.read_exact(&mut record));
         if let Err(error) = read {
             log::error!("step=read-entry index={index} error={error}");
             return None;
         }
-        match decode::<LogRecord>(&payload).map(|record| record.body) {
+        let Some(payload) = checked_record(&record, 0) else {
+            log::error!("step=read-entry index={index} error=damaged");
+            return None;
+        };
+        match decode::<LogRecord>(payload).map(|record| record.body) {
             Ok(OneOfbody::entry(entry)) if entry.index == index => Some(entry),
             _ => {
                 log::error!("step=read-entry index={index} error=another-record");
--- a/crates/replication/src/log_file.rs
+++ b/crates/replication/src/log_file.rs
@@ -10,14 +10,14 @@
 use peatgrade_schema::replication::mod_LogRecord::OneOfbody;
 use peatgrade_schema::replication::{HardState, LogBase, LogEntry};
 use std::fs::{File, OpenOptions};
-use std::io::{Read, Seek, SeekFrom, Write};
+use std::io::{BufReader, Seek, SeekFrom, Write};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 
 use crate::entry_index::{EntryIndex, EntrySource};
 use crate::log_rewrite::{create, put_in_place, unreadable, Replaced, Rewrite};
 use crate::log_store::LogStore;
-use crate::records::{put_record, read_records};
+use crate::records::{put_record, RecordReader};
 
 const LOG_NAME: &str = "replica.log";
 const NEW_NAME: &str = "replica.log.new";
@@ -74,15 +74,17 @@
             .truncate(false)
             .open(&path)
             .map_err(at("open log", &path))?;
-        let mut bytes = Vec::new();
-        file.read_to_end(&mut bytes)
-            .map_err(at("read log", &path))?;
         remove_unfinished(folder)?;
         let index = EntryIndex::default();
         index.reset(&path).map_err(at("open for reading", &path))?;
-        let (records, whole) = read_records(&bytes, &index);
-        let torn_bytes = bytes.len() as u64 - whole;
-        drop(bytes);
+        let replayed = replay(&file, &index).map_err(at("read log", &path))?;
+        let Replayed {
+            state,
+            mut log,
+            whole,
+        } = replayed;
+        let length = file.seek(SeekFrom::End(0)).map_err(at("seek in", &path))?;
+        let torn_bytes = length - whole;
         let mut opened = Self {
             folder: folder.to_path_buf(),
             file,
@@ -92,7 +94,6 @@
             rewriting: None,
             replaced: None,
         };
-        let (state, mut log) = replay(records);
         log.set_source(opened.source());
         if let Some(state) = state {
             if torn_bytes > 0 {
@@ -318,18 +319,39 @@
     bytes
 }
 
-fn replay(records: Vec<OneOfbody>) -> (Option<HardState>, LogStore) {
+/// What the records of a file amount to.
+struct Replayed {
+    state: Option<HardState>,
+    log: LogStore,
+    /// Bytes of whole records.
+    whole: u64,
+}
+
+/// Bytes read from the file at once.
+const REPLAY_BUFFER_BYTES: usize = 256 * 1024;
+
+/// Goes through a file. The content of entries stays there: a start needs no more
+/// memory than the process had before it.
+fn replay(file: &File, index: &EntryIndex) -> std::io::Result<Replayed> {
+    let mut reader = RecordReader::new(BufReader::with_capacity(REPLAY_BUFFER_BYTES, file));
     let mut state = None;
     let mut log = LogStore::default();
-    for record in records {
+    while let Some((record, place)) = reader.next()? {
         match record {
             OneOfbody::state(newer) => state = Some(newer),
             OneOfbody::base(base) => log.reset(base),
-            OneOfbody::entry(entry) => take_entry(&mut log, entry),
+            OneOfbody::entry(entry) => {
+                index.note(entry.index, place);
+                take_entry(&mut log, entry);
+            }
             OneOfbody::None => {}
         }
     }
-    (state, log)
+    Ok(Replayed {
+        state,
+        log,
+        whole: reader.whole_bytes(),
+    })
 }
 
 fn take_entry(log: &mut LogStore, entry: LogEntry) {
@@ -340,7 +362,7 @@
         log.truncate_from(entry.index);
     }
     if entry.index == log.last_index() + 1 {
-        log.push(entry);
+        log.push_from_file(entry);
     }
 }
 
--- a/crates/replication/src/log_store.rs
+++ b/crates/replication/src/log_store.rs
@@ -105,6 +105,7 @@
         }
         let first = self.released.max(self.base.index) + 1;
         for index in first..=index.min(self.last_index()) {
+            self.released = index;
             let offset = (index - self.base.index - 1) as usize;
             let Slot::Held(entry) = &self.entries[offset] else {
                 continue;
@@ -115,10 +116,26 @@
                     bytes: entry.command.len(),
                 };
             }
-            self.released = index;
         }
     }
 
+    /// The last entry before which more than `most` bytes of commands are held behind
+    /// it, up to `until`: what must be left to the file for memory to stay bounded.
+    pub fn surplus_index(&self, until: u64, most: usize) -> u64 {
+        let mut held = 0;
+        let mut index = until.min(self.last_index());
+        while index > self.released.max(self.base.index) {
+            if let Some(Slot::Held(entry)) = self.slot(index) {
+                held += entry.command.len();
+            }
+            if held > most {
+                return index;
+            }
+            index -= 1;
+        }
+        0
+    }
+
     /// Bytes of all commands, wherever they are.
     pub fn command_bytes(&self) -> u64 {
         let bytes = self.entries.iter().map(|slot| match slot {
@@ -172,6 +189,16 @@
         self.entries.push_back(Slot::Held(Rc::new(entry)));
     }
 
+    /// Adds an entry that was read from the file, whose content stays there.
+    pub(crate) fn push_from_file(&mut self, entry: LogEntry) {
+        let (term, bytes) = (entry.term, entry.command.len());
+        let changes_members = entry.members.is_some();
+        self.push(entry);
+        if let Some(slot) = self.entries.back_mut().filter(|_| !changes_members) {
+            *slot = Slot::InFile { term, bytes };
+        }
+    }
+
     /// Drops `index` and all after it.
     pub fn truncate_from(&mut self, index: u64) {
         let keep = index.saturating_sub(self.base.index + 1);
--- a/crates/replication/src/records.rs
+++ b/crates/replication/src/records.rs
@@ -3,8 +3,9 @@
 use peatgrade_schema::replication::mod_LogRecord::OneOfbody;
 use peatgrade_schema::replication::LogRecord;
 use peatgrade_schema::{decode, encode};
+use std::io::Read;
 
-use crate::entry_index::{EntryIndex, Place};
+use crate::entry_index::Place;
 
 /// Length and CRC-32 before each record.
 pub(crate) const HEADER_BYTES: usize = 8;
@@ -27,8 +28,7 @@
 /// Payload of the record at `offset`, if it is whole.
 pub(crate) fn checked_record(bytes: &[u8], offset: usize) -> Option<&[u8]> {
     let header = bytes.get(offset..offset + HEADER_BYTES)?;
-    let length = u32::from_le_bytes([header[0], header[1], header[2], header[3]]) as usize;
-    let checksum = u32::from_le_bytes([header[4], header[5], header[6], header[7]]);
+    let (length, checksum) = parse_header(header);
     let start = offset + HEADER_BYTES;
     // A run of zeros checks as an empty record, but is none.
     if length == 0 || length > MAX_RECORD_BYTES {
@@ -38,25 +38,66 @@
     (crc32fast::hash(payload) == checksum).then_some(payload)
 }
 
-/// Whole records from the start, and the number of bytes that they fill. Takes
-/// note of where entries stand.
-pub(crate) fn read_records(bytes: &[u8], index: &EntryIndex) -> (Vec<OneOfbody>, u64) {
-    let mut records = Vec::new();
-    let mut offset = 0;
-    while let Some(payload) = checked_record(bytes, offset) {
-        let (start, length) = (offset + HEADER_BYTES, payload.len());
-        let Ok(record) = decode::<LogRecord>(payload) else {
-            break;
-        };
-        if let OneOfbody::entry(entry) = &record.body {
-            let place = Place {
-                offset: start as u64,
-                length: length as u32,
-            };
-            index.note(entry.index, place);
+/// Reads records one after another, so that memory holds one at a time.
+pub(crate) struct RecordReader<R> {
+    source: R,
+    /// Where the next record begins.
+    offset: u64,
+}
+
+impl<R: Read> RecordReader<R> {
+    /// Reads from the beginning of `source`.
+    pub fn new(source: R) -> Self {
+        Self { source, offset: 0 }
+    }
+
+    /// Bytes of the whole records read so far.
+    pub fn whole_bytes(&self) -> u64 {
+        self.offset
+    }
+
+    /// The next record and where its payload stands; none before the first that is
+    /// torn or missing.
+    pub fn next(&mut self) -> std::io::Result<Option<(OneOfbody, Place)>> {
+        let mut header = [0; HEADER_BYTES];
+        if !fill(&mut self.source, &mut header)? {
+            return Ok(None);
+        }
+        let (length, _) = parse_header(&header);
+        if length == 0 || length > MAX_RECORD_BYTES {
+            return Ok(None);
         }
-        records.push(record.body);
-        offset = start + length;
+        // A torn header may name any length: take no more memory than there is to read.
+        let mut record = header.to_vec();
+        let mut payload = (&mut self.source).take(length as u64);
+        payload.read_to_end(&mut record)?;
+        let Some(payload) = checked_record(&record, 0) else {
+            return Ok(None);
+        };
+        let Ok(decoded) = decode::<LogRecord>(payload) else {
+            return Ok(None);
+        };
+        let place = Place {
+            offset: self.offset + HEADER_BYTES as u64,
+            length: length as u32,
+        };
+        self.offset += record.len() as u64;
+        Ok(Some((decoded.body, place)))
     }
-    (records, offset as u64)
+}
+
+/// Fills `into`; false if the source ends before.
+fn fill(source: &mut impl Read, into: &mut [u8]) -> std::io::Result<bool> {
+    match source.read_exact(into) {
+        Ok(()) => Ok(true),
+        Err(error) if error.kind() == std::io::ErrorKind::UnexpectedEof => Ok(false),
+        Err(error) => Err(error),
+    }
+}
+
+/// Length and checksum that a header names.
+fn parse_header(header: &[u8]) -> (usize, u32) {
+    let length = u32::from_le_bytes([header[0], header[1], header[2], header[3]]);
+    let checksum = u32::from_le_bytes([header[4], header[5], header[6], header[7]]);
+    (length as usize, checksum)
 }
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -11,7 +11,7 @@
 use crate::lease;
 use crate::log_store::LogStore;
 use crate::message::{Outgoing, ReplicaId};
-use crate::progress::Progress;
+use crate::progress::{Progress, MAX_IN_FLIGHT_BYTES};
 
 /// Spans of the protocol. The lease must be shorter than `election_min`, for
 /// which every voter keeps faith with a leader it has heard.
@@ -48,6 +48,10 @@
 const MAX_APPLIED_ENTRIES: usize = 256;
 const MAX_APPLIED_BYTES: usize = 256 * 1024;
 
+/// Bytes of applied commands that a leader holds for members that lack them; what they
+/// lack beyond it is read from the file. Four times what is on the way to one.
+const MAX_HELD_BYTES: usize = 4 * MAX_IN_FLIGHT_BYTES;
+
 /// What a replica is told at its start.
 #[derive(Clone, Debug)]
 pub struct ReplicaSettings {
@@ -304,6 +308,9 @@
             let answering = self.progress.values().filter(|p| p.alive(now, ANSWERS));
             let least = answering.map(|progress| progress.match_index).min();
             index = index.min(least.unwrap_or(index));
+            // A member that answers and lacks much would keep all of that in memory.
+            let surplus = self.log.surplus_index(self.applied, MAX_HELD_BYTES);
+            index = index.max(surplus);
         }
         self.log.release(index);
     }
--- a/crates/replication/tests/log_file.rs
+++ b/crates/replication/tests/log_file.rs
@@ -234,3 +234,75 @@
     fs::write(folder.log(), b"").unwrap();
     assert_eq!(log.members().len(), 1);
 }
+
+/// A start needs no more memory than the process had before it: the content of entries
+/// stays in the file, and is read when somebody asks.
+#[test]
+fn a_start_leaves_the_content_of_entries_to_the_file() {
+    let folder = Folder::new("start");
+    let (mut file, _) = LogFile::open(&folder.0, 77).unwrap();
+    let entries: Vec<Rc<LogEntry>> = (1..=100).map(|index| entry(index, 2)).collect();
+    file.append(Some(&state(3)), &entries).unwrap();
+    let (_, read) = LogFile::open(&folder.0, 78).unwrap();
+    assert_eq!(read.log.held_bytes(), 0);
+    assert_eq!(read.log.command_bytes(), 4_000);
+    for entry in &entries {
+        assert_eq!(read.log.get(entry.index).as_ref(), Some(entry));
+    }
+}
+
+/// Who the members are must be known at once, and stands in an entry.
+#[test]
+fn a_start_knows_the_members_that_an_entry_names() {
+    let folder = Folder::new("members");
+    let (mut file, _) = LogFile::open(&folder.0, 77).unwrap();
+    let member = Member {
+        replica: 77,
+        name: "a".into(),
+        ..Member::default()
+    };
+    let change = LogEntry {
+        members: Some(Members {
+            members: vec![member.clone()],
+        }),
+        ..(*entry(2, 2)).clone()
+    };
+    let entries = [entry(1, 2), Rc::new(change), entry(3, 2)];
+    file.append(Some(&state(3)), &entries).unwrap();
+    let (_, read) = LogFile::open(&folder.0, 78).unwrap();
+    assert_eq!(read.log.members(), vec![member]);
+    assert_eq!(read.log.members_index(), 2);
+}
+
+/// An entry that was damaged on the disk is not given out for another.
+#[test]
+fn an_entry_that_was_damaged_since_the_start_is_not_read() {
+    let folder = Folder::new("damaged");
+    let (mut file, _) = LogFile::open(&folder.0, 77).unwrap();
+    file.append(Some(&state(3)), &[entry(1, 2)]).unwrap();
+    let (_, read) = LogFile::open(&folder.0, 78).unwrap();
+    let mut bytes = fs::read(folder.log()).unwrap();
+    let last = bytes.len() - 1;
+    bytes[last] ^= 1;
+    fs::write(folder.log(), bytes).unwrap();
+    assert!(read.log.get(1).is_none());
+}
+
+/// What a member lacks is held only up to a bound; the rest is read from the file.
+#[test]
+fn the_surplus_of_held_entries_is_named() {
+    let folder = Folder::new("surplus");
+    let (mut file, mut read) = LogFile::open(&folder.0, 77).unwrap();
+    let entries: Vec<Rc<LogEntry>> = (1..=10).map(|index| entry(index, 2)).collect();
+    file.append(Some(&state(3)), &entries).unwrap();
+    for entry in &entries {
+        read.log.push((**entry).clone());
+    }
+    assert_eq!(read.log.surplus_index(10, 400), 0, "all of it fits");
+    let surplus = read.log.surplus_index(10, 100);
+    assert_eq!(surplus, 8, "two entries of 40 bytes fit");
+    read.log.release(surplus);
+    assert_eq!(read.log.held_bytes(), 80);
+    assert_eq!(read.log.surplus_index(10, 100), 0);
+    assert_eq!(read.log.get(3), Some(entry(3, 2)));
+}
--- /dev/null
+++ b/crates/server/src/storage/applied_commands.rs
@@ -0,0 +1,15 @@
+//! The commands of the log file, for whoever needs one again that was applied.
+
+use peatgrade_jobs::CommandLog;
+use peatgrade_replication::EntrySource;
+use std::rc::Rc;
+
+/// Commands by the index of their entry.
+#[derive(Debug)]
+pub(super) struct AppliedCommands(pub Rc<dyn EntrySource>);
+
+impl CommandLog for AppliedCommands {
+    fn command(&self, index: u64) -> Option<Vec<u8>> {
+        self.0.read(index).map(|entry| entry.command)
+    }
+}
--- a/crates/server/src/storage/calls.rs
+++ b/crates/server/src/storage/calls.rs
@@ -25,6 +25,12 @@
 /// Longest time that a read waits for a result.
 const MAX_WAIT: Duration = Duration::from_millis(1_500);
 
+/// What a result takes in a reply beside its text: ids, versions, framing.
+const RESULT_HEAD_BYTES: usize = 200;
+/// Bytes of the log that one reply reads back at most, beyond the record that passes it.
+/// A guess to be measured: heartbeats are due each 45 ms, and the reply waits for it.
+const MAX_READ_BACK: usize = 256 * 1024;
+
 /// Who waits for an answer.
 #[derive(Clone, Debug)]
 pub(super) struct Caller {
@@ -184,10 +190,14 @@
         let Some(index) = job.item_index(&item.item) else {
             return self.reply_status(caller, JobStatus::UNKNOWN_ITEM);
         };
+        let Some(body) = self.jobs.body(job, index) else {
+            log::error!("step=read-body job={} item={}", item.job, item.item);
+            return self.reply_status(caller, JobStatus::NOT_LEADER);
+        };
         let reply = JobReply {
             call: caller.call,
             status: JobStatus::OK,
-            body: job.spec.items[index].body.clone(),
+            body,
             ..JobReply::default()
         };
         self.reply(&caller.address, OneOfbody::job_reply(reply));
@@ -211,19 +221,28 @@
         let from = (read.position as usize).min(job.results.len());
         let mut bytes = 0;
         let mut results = Vec::new();
+        let mut texts = self.jobs.text_reader();
         for result in &job.results[from..] {
-            bytes += result.text.len() + 200;
-            if !results.is_empty() && bytes as u64 > read.max_bytes {
+            bytes += result.text.len() + RESULT_HEAD_BYTES;
+            let is_enough = bytes as u64 > read.max_bytes || texts.read_bytes() > MAX_READ_BACK;
+            if !results.is_empty() && is_enough {
                 break;
             }
+            let Some(text) = texts.read(&read.job, result.item, &result.text) else {
+                break;
+            };
             results.push(ListedResult {
                 item: job.spec.items[result.item].id.clone(),
                 completed: result.completed,
-                text: result.text.to_vec(),
+                text: text.to_vec(),
                 versions: result.versions.clone(),
                 score: result.score.clone(),
             });
         }
+        if results.is_empty() && from < job.results.len() {
+            // The log cannot give it back just now; another replica may.
+            return self.reply_status(caller, JobStatus::NOT_LEADER);
+        }
         let reply = JobReply {
             call: caller.call,
             status: JobStatus::OK,
--- a/crates/server/src/storage/housekeeping.rs
+++ b/crates/server/src/storage/housekeeping.rs
@@ -3,7 +3,6 @@
 use peatgrade_replication::{voters_for, ReplicaId, Role};
 use peatgrade_types::{Duration, Time};
 
-use crate::metrics::resident_bytes;
 use crate::ServerError;
 
 use super::process::StorageProcess;
@@ -22,7 +21,8 @@
             self.last_sweep = now;
             self.client.sweep();
             self.replica.release(now);
-            self.note_pressure();
+            self.note_pressure(now);
+            self.note_memory();
             self.note_behind(now);
             self.set_state(now);
         }
@@ -33,8 +33,9 @@
         self.continue_rewrite()
     }
 
-    fn note_pressure(&mut self) {
-        let pressure = self.room.pressure(self.disk_bytes(), resident_bytes());
+    fn note_pressure(&mut self, now: Time) {
+        let used = self.used_memory(now);
+        let pressure = self.room.pressure(self.disk_bytes(), used);
         if pressure != self.pressure {
             let kept = self.log_bytes();
             match pressure {
@@ -79,7 +80,6 @@
             ("term", self.replica.term()),
             ("commit_index", self.replica.commit_index()),
             ("log_bytes", self.log_file.length()),
-            ("log_bytes_in_memory", self.replica.log().held_bytes()),
             ("members", self.replica.members().len() as u64),
             (
                 "members_wanted",
--- a/crates/server/src/storage/mod.rs
+++ b/crates/server/src/storage/mod.rs
@@ -12,6 +12,7 @@
 //!
 //! The main task handles what has arrived, then persists once for all of it.
 
+mod applied_commands;
 mod calls;
 mod ends;
 mod ends_file;
@@ -20,6 +21,7 @@
 mod inputs;
 mod lateness;
 mod leadership;
+mod memory;
 mod opening;
 mod pressure;
 mod process;
--- a/crates/server/src/storage/pressure.rs
+++ b/crates/server/src/storage/pressure.rs
@@ -54,8 +54,13 @@
         if self.disk_mb > 0 && at_rewrite > self.disk_mb * MEGABYTE {
             return Some(Pressure::Disk);
         }
+        self.lacks_memory(resident).then_some(Pressure::Memory)
+    }
+
+    /// Whether `resident` bytes of memory are too many for another job.
+    pub fn lacks_memory(&self, resident: u64) -> bool {
         let allowed = self.memory_mb * MEGABYTE * MEMORY_PERCENT / 100;
-        (self.memory_mb > 0 && resident > allowed).then_some(Pressure::Memory)
+        self.memory_mb > 0 && resident > allowed
     }
 }
 
--- a/crates/server/src/storage/process.rs
+++ b/crates/server/src/storage/process.rs
@@ -28,10 +28,12 @@
 use crate::watcher::{StoreUpdate, Wanted};
 use crate::ServerError;
 
+use super::applied_commands::AppliedCommands;
 use super::calls::JobCalls;
 use super::ends_file::EndsFile;
 use super::engines::{EngineExchange, ExchangeId};
 use super::inputs::{Input, Inputs};
+use super::memory::MemoryWatch;
 use super::opening::{open_ends, open_log, own_member};
 use super::pressure::{Pressure, Room};
 use super::registration::{self, Founding};
@@ -139,6 +141,7 @@
     /// Machines to be emptied.
     pub retirements: BTreeMap<String, Retirement>,
     pub room: Room,
+    pub memory: MemoryWatch,
     /// Zones of the gateways that call.
     pub caller_zones: CallerZones,
     /// What there is too little of for another job.
@@ -215,6 +218,7 @@
         };
         let forwarder = Forwarder::new(codec.clone(), settings.zone.clone(), seed);
         let group = Group::new(voters_for(settings.tolerated_losses));
+        let commands = Rc::new(AppliedCommands(log_file.source()));
         let process = Self {
             dispatcher: Dispatcher::new(Box::new(move || reader_codec.event_reader())),
             settings,
@@ -224,7 +228,7 @@
             rewrite_began: now,
             link,
             store,
-            jobs: JobStore::default(),
+            jobs: JobStore::with_log(commands),
             calls: JobCalls::default(),
             asked_ends,
             ends_file,
@@ -250,6 +254,7 @@
             work_void: false,
             retirements: BTreeMap::new(),
             room,
+            memory: MemoryWatch::default(),
             caller_zones: CallerZones::default(),
             pressure: None,
             stop_at: None,
