A gateway that hears no storage machine refuses batch calls at once

Ruled out: readiness. A gateway that is cut off still serves lookups, and if all said they were not ready, none would be asked. Reads, bodies and submissions that were never sent are refused as not run, to be asked elsewhere; a submission that was sent is answered 502; ends are carried on. While all publishers rest one is tried each second, so that the end of a cut is heard (a test).

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -134,15 +134,15 @@
                     wait_ms: wait.as_millis(),
                     max_bytes: MAX_RESULT_BYTES,
                 });
-                self.relay.start(now, call, body, wait, &mut actions);
+                self.relay_call(now, call, body, wait, &mut actions);
             }
             CallerMessage::ReadItem { job, item } => {
                 let body = OneOfbody::item(ReadItem { job, item });
-                self.relay.start(now, call, body, Duration(0), &mut actions);
+                self.relay_call(now, call, body, Duration(0), &mut actions);
             }
             CallerMessage::EndJob { job } => {
                 let body = OneOfbody::end(EndJob { job });
-                self.relay.start(now, call, body, Duration(0), &mut actions);
+                self.relay_call(now, call, body, Duration(0), &mut actions);
             }
         }
         actions
@@ -182,7 +182,7 @@
         match self.codec.submission(&request) {
             Ok(submission) => {
                 let body = OneOfbody::submit(submission);
-                self.relay.start(now, call, body, Duration(0), actions);
+                self.relay_call(now, call, body, Duration(0), actions);
             }
             Err(bad) => {
                 let refusal = Refusal::Malformed;
@@ -191,6 +191,25 @@
         }
     }
 
+    /// Passes a batch-job call on, or answers it at once.
+    fn relay_call(
+        &mut self,
+        now: Time,
+        call: CallId,
+        body: OneOfbody,
+        wait: Duration,
+        actions: &mut Vec<GatewayAction>,
+    ) {
+        if let Some(answer) = self.relay.start(now, call, body, wait, actions) {
+            self.respond(actions, call, &answer);
+        }
+    }
+
+    /// A replica has sent news, which come all the time.
+    pub fn heard_replica(&mut self, now: Time) {
+        self.relay.heard_replica(now);
+    }
+
     /// Answers at once without any engine. `subject` names what is refused in the log.
     fn refuse(
         &self,
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -7,6 +7,9 @@
 //! committed, so that it outlives this gateway and the leader. It is carried on until a
 //! leader has it, also when its caller has gone or was answered, since without it
 //! engines go on with work that nobody wants. So it is never refused as not run.
+//!
+//! A gateway that has heard no replica for some time is cut off from them, and others
+//! may not be: what it cannot pass on is refused at once, so that the caller asks there.
 
 use peatgrade_forward::CallId;
 use peatgrade_ports::Answer;
@@ -17,9 +20,11 @@
 
 mod answers;
 mod pending;
+mod settings;
 
 use answers::{answer_of, given_up};
 use pending::Pending;
+pub use settings::RelaySettings;
 
 use crate::gateway::GatewayAction;
 
@@ -34,44 +39,6 @@
 /// and replicas that have heard of the end pass it on among themselves.
 const MISSES_LEADER_FOR_ENDS_AFTER: Duration = Duration::from_secs(10);
 
-/// Spans of the relay.
-#[derive(Clone, Copy, Debug)]
-pub struct RelaySettings {
-    /// Time after which an unanswered call goes to another replica, beyond the
-    /// time that the call may wait by itself.
-    pub resend: Duration,
-    /// Pause before a call that found no leader is sent again.
-    pub pause: Duration,
-    /// Time after which a call is given up, beyond its own wait.
-    pub give_up: Duration,
-    /// Time between two tries of an end that has no caller any more.
-    pub carry_every: Duration,
-    /// How long such an end is carried on.
-    pub carry_for: Duration,
-    /// Time after which a near replica that has not answered is left.
-    pub near_patience: Duration,
-    /// How long it is left alone then.
-    pub near_rest: Duration,
-}
-
-impl Default for RelaySettings {
-    fn default() -> Self {
-        Self {
-            resend: Duration::from_millis(350),
-            pause: Duration::from_millis(40),
-            give_up: Duration::from_millis(1_300),
-            // Replicas that have heard of it pass it on themselves, more often.
-            carry_every: Duration::from_secs(1),
-            // As long as replicas keep a job that is not ended: twice `job_keep_ms`.
-            carry_for: Duration::from_secs(260),
-            // A round trip within a zone and a busy machine's pause.
-            near_patience: Duration::from_millis(100),
-            // About a contact time: a machine that was cut off is back by then.
-            near_rest: Duration::from_millis(3_000),
-        }
-    }
-}
-
 /// Batch-job calls under way.
 pub struct JobRelay {
     settings: RelaySettings,
@@ -85,6 +52,9 @@
     calls: BTreeMap<u64, Pending>,
     next_call: u64,
     leaderless_since: Option<Time>,
+    /// When a replica was heard last, once one that tells news all the time was heard:
+    /// before that this gateway just begins.
+    heard: Option<Time>,
 }
 
 impl JobRelay {
@@ -103,6 +73,7 @@
             calls: BTreeMap::new(),
             next_call: first_call,
             leaderless_since: Some(Time(0)),
+            heard: None,
         }
     }
 
@@ -132,7 +103,18 @@
         since.is_some_and(|since| now.since(since) >= patience)
     }
 
-    /// Starts a call.
+    /// A replica has sent news, which come all the time.
+    pub fn heard_replica(&mut self, now: Time) {
+        self.heard = Some(now);
+    }
+
+    /// Whether no replica has been heard for so long that others are to be asked.
+    fn is_cut_off(&self, now: Time) -> bool {
+        let heard = self.heard;
+        heard.is_some_and(|heard| now.since(heard) >= self.settings.cut_off_after)
+    }
+
+    /// Starts a call; its answer, if it is refused at once.
     pub fn start(
         &mut self,
         now: Time,
@@ -140,7 +122,7 @@
         body: OneOfbody,
         wait: Duration,
         actions: &mut Vec<GatewayAction>,
-    ) {
+    ) -> Option<Answer> {
         let id = self.next_call;
         self.next_call += 1;
         let pending = Pending {
@@ -155,9 +137,14 @@
             awaits: None,
             copies: 0,
         };
+        if self.is_cut_off(now) && !pending.is_end() {
+            pending.log_end("refuse", "cut-off", now);
+            return Some(given_up(&pending));
+        }
         self.log_start(&pending);
         self.calls.insert(id, pending);
         self.send(now, id, actions);
+        None
     }
 
     fn log_start(&self, pending: &Pending) {
@@ -221,6 +208,7 @@
         reply: JobReply,
         actions: &mut Vec<GatewayAction>,
     ) -> Option<(CallId, Answer)> {
+        self.heard = self.heard.map(|_| now);
         if matches!(reply.status, JobStatus::NOT_LEADER) {
             return self.on_not_leader(now, from, &reply, actions);
         }
@@ -306,10 +294,11 @@
 
     /// Sends again and gives up what is due; answers for callers.
     pub fn tick(&mut self, now: Time, actions: &mut Vec<GatewayAction>) -> Vec<(CallId, Answer)> {
+        let is_cut_off = self.is_cut_off(now);
         let due: Vec<u64> = self
             .calls
             .iter()
-            .filter(|(_, pending)| now >= pending.next)
+            .filter(|(_, pending)| now >= pending.next || (is_cut_off && !pending.is_end()))
             .map(|(id, _)| *id)
             .collect();
         let mut answers = Vec::new();
@@ -335,6 +324,7 @@
     fn give_up_late(&mut self, now: Time, id: u64) -> Option<(CallId, Answer)> {
         let pending = self.calls.get(&id)?;
         let age = now.since(pending.started);
+        let is_cut_off = self.is_cut_off(now) && !pending.is_end();
         let Some(caller) = pending.caller else {
             if age >= self.settings.carry_for {
                 pending.log_end("drop-call", "carried-too-long", now);
@@ -342,11 +332,13 @@
             }
             return None;
         };
-        if age < self.settings.give_up + pending.wait {
+        let is_late = age >= self.settings.give_up + pending.wait;
+        if !is_late && !is_cut_off {
             return None;
         }
         let answer = given_up(pending);
-        self.leave_caller(now, id, "no-answer");
+        let reason = if is_late { "no-answer" } else { "cut-off" };
+        self.leave_caller(now, id, reason);
         Some((caller, answer))
     }
 
--- a/crates/gateway/tests/relay.rs
+++ b/crates/gateway/tests/relay.rs
@@ -6,6 +6,9 @@
 use peatgrade_schema::replication::mod_JobCall::OneOfbody;
 use peatgrade_schema::replication::{AcceptJob, JobReply, JobStatus, ReadJob};
 use peatgrade_types::{Duration, Time};
+use refusals::refusal;
+
+mod refusals;
 
 const LEADER: &str = "10.0.0.1:7000";
 
@@ -24,20 +27,6 @@
     }
 }
 
-fn refusal(answer: Option<(CallId, Answer)>) -> (Refusal, bool) {
-    match answer {
-        Some((
-            _,
-            Answer::Refused {
-                refusal,
-                retry_after,
-                ..
-            },
-        )) => (refusal, retry_after.is_some()),
-        other => panic!("not refused: {other:?}"),
-    }
-}
-
 fn started(actions: &mut Vec<GatewayAction>) -> (JobRelay, u64) {
     let mut relay = JobRelay::new(RelaySettings::default(), "z".into(), 1);
     relay.set_replicas(vec![LEADER.into()]);
--- a/crates/jobs/src/dispatcher/takeover.rs
+++ b/crates/jobs/src/dispatcher/takeover.rs
@@ -7,9 +7,10 @@
 
 use super::{starting, Dispatcher};
 use crate::item::OpenItem;
+use crate::job::{Earlier, Job, StoredResult};
 use crate::listed_text::TextReader;
 use crate::listing::{Finished, JobListing};
-use crate::store::{Earlier, Job, JobStore, StoredResult};
+use crate::store::JobStore;
 use crate::text::{PartialText, TextEvent};
 
 /// Age up to which a job counts as accepted by this leader: a turn or two, and less than
--- a/crates/jobs/src/item.rs
+++ b/crates/jobs/src/item.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 
 use crate::dispatcher::RunId;
-use crate::store::Failures;
+use crate::job::Failures;
 use crate::text::PartialText;
 
 /// Names an item: its job and its index there.
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -19,6 +19,7 @@
 mod asked_ends;
 mod dispatcher;
 mod item;
+mod job;
 mod listed_text;
 mod listing;
 mod placement;
@@ -30,7 +31,8 @@
 pub use asked_ends::AskedEnds;
 pub use dispatcher::{DispatchAction, Dispatcher, RunId, RunPart, ScoreCall, ScoreOutcome};
 pub use item::ItemKey;
+pub use job::{Earlier, Failures, Job, StoredResult};
 pub use listed_text::{CommandLog, ListedText, TextReader};
 pub use scores::ScoreId;
-pub use store::{Applied, Earlier, Failures, Job, JobMemory, JobStore, StoredResult};
+pub use store::{Applied, JobMemory, JobStore};
 pub use text::{PartialText, TextEvent};
--- a/crates/mirror/src/subscriber.rs
+++ b/crates/mirror/src/subscriber.rs
@@ -64,6 +64,8 @@
     members_index: u64,
     known: BTreeMap<ObjectKind, Known>,
     asked: Option<Asked>,
+    /// When the last request left.
+    tried_at: Time,
     next_call: u64,
     started: Time,
     watches_store: bool,
@@ -82,6 +84,7 @@
             members_index: 0,
             known: KINDS.iter().map(|kind| (*kind, Known::default())).collect(),
             asked: None,
+            tried_at: Time(0),
             next_call: first_call,
             started: now,
             watches_store: false,
@@ -108,8 +111,8 @@
         now.since(oldest.unwrap_or(self.started))
     }
 
-    /// Machines that may publish, as (zone, address), best last: those elsewhere come
-    /// after those in the own zone, and the leader, which has other work, last of all.
+    /// Machines that may publish, as zones and addresses in any order. Those in the own
+    /// zone are asked first, and the leader, which has other work, last of all.
     pub fn set_publishers(&mut self, machines: Vec<(String, String)>, leader: &str) {
         let before = std::mem::take(&mut self.publishers);
         let mut order = rendezvous_order(self.key, machines.iter(), |(_, address)| {
@@ -189,9 +192,18 @@
     }
 
     fn ask(&mut self, now: Time) -> Option<SubscriberAction> {
+        let earliest = self.publishers.iter().map(|p| p.rests_until).min()?;
+        // While all of them rest, one is tried now and then: a cut may be over.
+        let tried_until = self.tried_at + self.timing.rest;
+        let from = if earliest > now && now >= tried_until {
+            earliest
+        } else {
+            now
+        };
         let publishers = self.publishers.iter_mut();
-        let mut awake = publishers.filter(|publisher| now >= publisher.rests_until);
+        let mut awake = publishers.filter(|publisher| from >= publisher.rests_until);
         let publisher = awake.next()?;
+        self.tried_at = now;
         let call = self.next_call;
         self.next_call += 1;
         self.asked = Some(Asked {
--- a/crates/mirror/tests/subscriber.rs
+++ b/crates/mirror/tests/subscriber.rs
@@ -155,3 +155,16 @@
     assert!(world.has_newest());
     assert!(world.longest_delay() < BOUND_MS);
 }
+
+/// After a long cut the publishers are heard again soon, however often they were silent.
+#[test]
+fn after_a_long_cut_publishers_are_heard_again_within_two_seconds() {
+    let mut world = World::new();
+    world.run_for(2_000);
+    world.set_all(Fault::CutFromSubscriber);
+    world.run_for(60_000);
+    assert!(world.watches_store());
+    world.set_all(Fault::None);
+    world.run_for(2_000);
+    assert!(!world.watches_store());
+}
--- a/crates/server/src/gateway_process/news.rs
+++ b/crates/server/src/gateway_process/news.rs
@@ -121,6 +121,7 @@
 
     pub(super) fn on_mirror_reply(&mut self, now: Time, reply: MirrorReply) {
         self.search.heard = now;
+        self.gateway.heard_replica(now);
         let mut actions = Vec::new();
         for update in self.subscriber.on_reply(now, reply, &mut actions) {
             self.take_update(update);
--- a/scripts/planted-breaks.sh
+++ b/scripts/planted-breaks.sh
@@ -121,7 +121,7 @@
             if let Some(item)" "            if let Some(item)" peatgrade-jobs scoring
 plant "reward calls take all slots" $J/dispatcher/scoring.rs "SLOTS_DIVISOR: u32 = 2" \
     "SLOTS_DIVISOR: u32 = 1" peatgrade-jobs scoring
-plant "a replica that follows answers for what is new" $J/store.rs \
+plant "a replica that follows answers for what is new" $J/job.rs \
     "first.is_some_and(|result| now.since(result.known_since) >= age)" \
     "first.is_some_and(|result| now >= result.known_since || age.0 == 0)" \
     peatgrade-jobs settled
@@ -168,7 +168,7 @@
 plant "text: put together from other records than it was listed with" $J/listed_text.rs \
     "let is_whole = left == 0 && whole.len() == text.length;" \
     "let is_whole = whole.len() <= text.length;" peatgrade-jobs listed_text
-plant "text: a body of another item is taken for the same" $J/store.rs \
+plant "text: a body of another item is taken for the same" $J/job.rs \
     "Some(hash) => *hash == hash_bytes(body)," "Some(_) => true," peatgrade-jobs listed_text
 plant "start: the last entry of a log is left out" $R/log_file.rs \
     "if entry.index == log.last_index() + 1 {" \
