--- a/crates/jobs/src/listed_text.rs
+++ b/crates/jobs/src/listed_text.rs
@@ -98,6 +98,12 @@
         self.read_bytes
     }
 
+    /// Whether a text can be read without the log.
+    pub fn is_at_hand(&self, text: &ListedText) -> bool {
+        let mut entries = text.events.entries.iter().chain([&text.entry]);
+        text.held.is_some() || entries.all(|entry| self.commands.contains_key(entry))
+    }
+
     /// A text of the item `item` of `job`; none if the log cannot give it back.
     pub fn read(&mut self, job: &str, item: usize, text: &ListedText) -> Option<Bytes> {
         if let Some(held) = &text.held {
--- a/crates/jobs/tests/listed_text.rs
+++ b/crates/jobs/tests/listed_text.rs
@@ -246,3 +246,20 @@
         .expire(Time(0) + Duration::from_secs(121), keep, 3);
     assert_eq!(scene.store.memory().recent_texts, 0);
 }
+
+/// Who reads back a record for one text has those of its other items too.
+#[test]
+fn texts_that_share_records_are_at_hand_together() {
+    let mut scene = Scene::new(2 + HELD_MEGABYTES + 1);
+    scene.keep(vec![progress(0, 0, &["a"]), progress(1, 0, &["b"])]);
+    scene.list(vec![result(0, b"\nend", 1), result(1, b"\nend", 1)]);
+    scene.push_out(2);
+    let job = scene.store.get("j").unwrap();
+    let mut reader = scene.store.text_reader();
+    assert!(!reader.is_at_hand(&job.results[0].text));
+    reader.read("j", 0, &job.results[0].text).unwrap();
+    let read = reader.read_bytes();
+    assert!(reader.is_at_hand(&job.results[1].text));
+    reader.read("j", 1, &job.results[1].text).unwrap();
+    assert_eq!(reader.read_bytes(), read);
+}
--- a/crates/server/src/storage/calls.rs
+++ b/crates/server/src/storage/calls.rs
@@ -224,7 +224,9 @@
         let mut texts = self.jobs.text_reader();
         for result in &job.results[from..] {
             bytes += result.text.len() + RESULT_HEAD_BYTES;
-            let is_enough = bytes as u64 > read.max_bytes || texts.read_bytes() > MAX_READ_BACK;
+            let is_read_back = texts.read_bytes() > MAX_READ_BACK;
+            let is_costly = is_read_back && !texts.is_at_hand(&result.text);
+            let is_enough = bytes as u64 > read.max_bytes || is_costly;
             if !results.is_empty() && is_enough {
                 break;
             }
--- a/scripts/planted-breaks.sh
+++ b/scripts/planted-breaks.sh
@@ -174,6 +174,8 @@
     "if entry.index == log.last_index() + 1 {" \
     "if entry.index == log.last_index() + 1 && entry.index % 100 != 0 {" \
     peatgrade-replication a_start
+plant "start: entries of a log are held in memory" $R/log_file.rs \
+    "log.push_from_file(entry);" "log.push(entry);" peatgrade-replication a_start
 M=crates/mirror/src
 plant "mirror: a publisher vouches for a watch that is dead" $M/publisher.rs \
     "age: now.since(self.proven).0," "age: 0," peatgrade-mirror subscriber
