--- a/scripts/planted-breaks.sh
+++ b/scripts/planted-breaks.sh
@@ -167,9 +167,9 @@
     peatgrade-platform overlapping
 plant "text: put together from other records than it was listed with" $J/listed_text.rs \
     "let is_whole = left == 0 && whole.len() == text.length;" \
-    "let is_whole = whole.len() <= text.length;" peatgrade-jobs listed_text
+    "let is_whole = whole.len() <= text.length;" peatgrade-jobs a_text
 plant "text: a body of another item is taken for the same" $J/job.rs \
-    "Some(hash) => *hash == hash_bytes(body)," "Some(_) => true," peatgrade-jobs listed_text
+    "Some(hash) => *hash == hash_bytes(body)," "Some(_) => true," peatgrade-jobs same_body
 plant "start: the last entry of a log is left out" $R/log_file.rs \
     "if entry.index == log.last_index() + 1 {" \
     "if entry.index == log.last_index() + 1 && entry.index % 100 != 0 {" \
