Logs name what is asked for, and when a request is sent again

Cause looked for: which tries belong to one request, and which broken connections are hidden behind a second one. Ruled out: nothing yet; no logic is changed. Change: sends, failed attempts and refusals carry the fingerprint of the request; the client says when a kept connection broke and a new one is tried.

--- a/crates/forward/src/answers.rs
+++ b/crates/forward/src/answers.rs
@@ -255,8 +255,9 @@
             return;
         };
         log::info!(
-            "decision=attempt-failed request={} engine={} error={failure}",
+            "decision=attempt-failed request={} fingerprint={} engine={} error={failure}",
             forward.request.id,
+            forward.fingerprint,
             attempt.instance
         );
         if forward.streaming == Some(id) {
@@ -294,8 +295,9 @@
             (true, false) => Refusal::Unknown,
         };
         log::info!(
-            "decision=refuse request={} refusal={refusal:?} attempts={} refusals={} held_us={}",
+            "decision=refuse request={} fingerprint={} refusal={refusal:?} attempts={} refusals={} held_us={}",
             forward.request.id,
+            forward.fingerprint,
             forward.tried.len(),
             forward.refusals,
             now.since(forward.received).0
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -3,6 +3,7 @@
 use bytes::BytesMut;
 use peatgrade_fleet::EngineDirectory;
 use peatgrade_ports::{AnswerHead, CallerRequest, Codec, EngineCall, Instance, Route, RouteKind};
+use peatgrade_quarantine::{Fingerprint, RequestParts};
 use peatgrade_types::http::ResponseHead;
 use peatgrade_types::{Duration, Time};
 use rand::rngs::SmallRng;
@@ -35,6 +36,8 @@
 
 pub(crate) struct Forward {
     pub request: CallerRequest,
+    /// What is asked for, whatever the id of this try.
+    pub fingerprint: Fingerprint,
     pub service: String,
     pub kind: RouteKind,
     pub max_attempts: u32,
@@ -109,6 +112,7 @@
         let asked = request.deadline.unwrap_or(DEFAULT_DEADLINE);
         let caller_limit = Duration(asked.0.saturating_sub(RETURN_MARGIN.0));
         let forward = Forward {
+            fingerprint: fingerprint_of(&request),
             service: self.draw_service(route),
             kind: route.kind,
             max_attempts: route.max_attempts.max(1),
@@ -194,9 +198,10 @@
         forward.open.push(id);
         let left = forward.deadline.since(now);
         log::info!(
-            "decision=send request={} engine={instance} service={} attempt={} running={} \
-             latency_us={:.0} left_ms={} configuration={} list_age_ms={}",
+            "decision=send request={} fingerprint={} engine={instance} service={} attempt={} \
+             running={} latency_us={:.0} left_ms={} configuration={} list_age_ms={}",
             forward.request.id,
+            forward.fingerprint,
             forward.service,
             forward.sends,
             state.experience.running,
@@ -308,3 +313,13 @@
         due.map(|(call, _)| *call).collect()
     }
 }
+
+fn fingerprint_of(request: &CallerRequest) -> Fingerprint {
+    Fingerprint::of(&RequestParts {
+        method: &request.http.method,
+        host: &request.host,
+        path: &request.http.path,
+        headers: &request.http.headers,
+        body: &request.http.body,
+    })
+}
--- /dev/null
+++ b/crates/quarantine/src/fingerprint.rs
@@ -0,0 +1,58 @@
+//! What makes two requests the same.
+
+use xxhash_rust::xxh3::Xxh3;
+
+/// Headers by which callers name themselves: what one caller sends must not count
+/// against another.
+const CALLER_HEADERS: [&str; 3] = ["authorization", "cookie", "x-api-key"];
+
+/// What a fingerprint is made of. Ids, deadlines and resume points differ from one try
+/// to the next and are left out.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestParts<'a> {
+    /// Method.
+    pub method: &'a str,
+    /// Host, in any case.
+    pub host: &'a str,
+    /// Path with its query.
+    pub path: &'a str,
+    /// Names in small letters, and values.
+    pub headers: &'a [(String, String)],
+    /// Body.
+    pub body: &'a [u8],
+}
+
+/// Names a request by its content: 128 bits of XXH3, the same in all processes.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
+pub struct Fingerprint(pub u128);
+
+impl Fingerprint {
+    /// The fingerprint of a request.
+    pub fn of(parts: &RequestParts<'_>) -> Self {
+        let mut hasher = Xxh3::new();
+        let host = parts.host.to_ascii_lowercase();
+        for text in [parts.method, &host, parts.path] {
+            add_field(&mut hasher, text.as_bytes());
+        }
+        for name in CALLER_HEADERS {
+            let found = parts.headers.iter().find(|(key, _)| key == name);
+            let value = found.map_or("", |(_, value)| value.as_str());
+            add_field(&mut hasher, value.as_bytes());
+        }
+        add_field(&mut hasher, parts.body);
+        Self(hasher.digest128())
+    }
+}
+
+/// With its length, so that bytes cannot pass from one field to the next.
+fn add_field(hasher: &mut Xxh3, bytes: &[u8]) {
+    hasher.update(&(bytes.len() as u64).to_le_bytes());
+    hasher.update(bytes);
+}
+
+/// As logs show it.
+impl std::fmt::Display for Fingerprint {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "{:032x}", self.0)
+    }
+}
--- a/crates/runtime/src/http_client.rs
+++ b/crates/runtime/src/http_client.rs
@@ -237,7 +237,10 @@
                 .exchange(address, connection, bytes.clone(), bodyless, emit)
                 .await;
             match sent {
-                Err(failure) if failure.step != HttpStep::Body && !timed_out(&failure) => {}
+                Err(failure) if failure.step != HttpStep::Body && !timed_out(&failure) => {
+                    // The side that broke it off may have been at work on the request.
+                    log::info!("decision=send-again connection=new error={failure}");
+                }
                 ended => return ended,
             }
         }
