--- a/crates/runtime/tests/http_client.rs
+++ b/crates/runtime/tests/http_client.rs
@@ -3,7 +3,7 @@
 use futures_channel::mpsc::unbounded;
 use futures_util::StreamExt;
 use peatgrade_runtime::{block_on, HttpClient, SendOptions};
-use peatgrade_types::http::{HttpRequest, ResponsePart};
+use peatgrade_types::http::{HttpFailure, HttpRequest, HttpStep, ResponsePart};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -93,3 +93,54 @@
     let connections = send_ten(false);
     assert_eq!(connections.made.load(Ordering::SeqCst), 1);
 }
+
+/// Answers one request; under the second it ends, and its address with it.
+fn start_mortal_server() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut buffer = [0; 1024];
+        let read = stream.read(&mut buffer).unwrap();
+        assert!(read > 0);
+        let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+        stream.write_all(answer).unwrap();
+        let read = stream.read(&mut buffer).unwrap();
+        assert!(read > 0, "the kept connection is used");
+        drop(listener);
+        std::thread::sleep(Duration::from_millis(30));
+    });
+    address
+}
+
+async fn outcome(
+    received: &mut futures_channel::mpsc::UnboundedReceiver<(u32, ResponsePart)>,
+) -> Option<HttpFailure> {
+    loop {
+        match received.next().await {
+            Some((_, ResponsePart::End)) => return None,
+            Some((_, ResponsePart::Failed(failure))) => return Some(failure),
+            _ => {}
+        }
+    }
+}
+
+/// A server that ends under a request was taken for one that could not be reached: the
+/// new connection was refused, and that failure only was reported. Callers were told
+/// that the request had not run.
+#[test]
+fn a_server_that_ends_under_a_request_may_have_run_it() {
+    let address = start_mortal_server().to_string();
+    let failure = block_on(async move {
+        let (parts, mut received) = unbounded();
+        let client = HttpClient::new(parts);
+        let options = SendOptions::reusing(Duration::from_secs(5));
+        let request = || HttpRequest::new("GET", "/", "");
+        let _first = client.send(1, &address, request(), options);
+        assert_eq!(outcome(&mut received).await, None);
+        let _second = client.send(2, &address, request(), options);
+        outcome(&mut received).await
+    })
+    .unwrap();
+    assert_eq!(failure.map(|failure| failure.step), Some(HttpStep::Head));
+}
