--- a/crates/jobs/tests/dispatch/mod.rs
+++ b/crates/jobs/tests/dispatch/mod.rs
@@ -150,6 +150,15 @@
         self.submit_items(job, min_version, items.collect());
     }
 
+    /// Submits items with bodies of their own, under any of these weights.
+    pub fn submit_bodies(&mut self, job: &str, items: &[&str]) {
+        let items = items.iter().map(|id| JobItem {
+            body: id.as_bytes().to_vec(),
+            ..item(id)
+        });
+        self.submit_items(job, 1, items.collect());
+    }
+
     /// Submits items that a reward call scores each.
     pub fn submit_scored(&mut self, job: &str, min_version: u64, items: Vec<(&str, RewardCall)>) {
         let items = items.into_iter().map(|(id, reward_call)| JobItem {
--- a/crates/jobs/tests/dispatcher.rs
+++ b/crates/jobs/tests/dispatcher.rs
@@ -5,6 +5,7 @@
 mod scale;
 mod scoring;
 mod single_version;
+mod suspects;
 
 use dispatch::{engine, Scene};
 use peatgrade_jobs::RunPart;
