--- a/crates/jobs/src/dispatcher/mod.rs
+++ b/crates/jobs/src/dispatcher/mod.rs
@@ -2,8 +2,7 @@
 
 use bytes::Bytes;
 use peatgrade_fleet::EngineDirectory;
-use peatgrade_ports::{AnswerHead, Configuration, EngineCall, EventReader, Instance};
-use peatgrade_quarantine::{Fingerprint, Verdict};
+use peatgrade_ports::{AnswerHead, Configuration, EngineCall, EventReader};
 use peatgrade_schema::replication::{
     ItemProgress, ItemResult, KeepProgress, ListResults, ProgressEvent,
 };
@@ -15,9 +14,11 @@
 mod moving;
 mod scoring;
 mod starting;
+mod suspects;
 mod takeover;
 
 pub use scoring::{ScoreCall, ScoreOutcome};
+pub use suspects::RunRequest;
 
 use crate::item::{ItemKey, OpenItem};
 use crate::listing::{Finished, JobListing};
@@ -83,19 +84,6 @@
     Failed(String),
 }
 
-/// What a run asks of which engine.
-#[derive(Clone, Debug)]
-pub struct RunRequest {
-    /// What is asked for.
-    pub fingerprint: Fingerprint,
-    /// The engine.
-    pub engine: Instance,
-    /// It has answered that it does not run it.
-    pub is_refused: bool,
-    /// When the first event came.
-    pub began: Option<Time>,
-}
-
 struct Kept {
     text: PartialText,
     body: Vec<u8>,
@@ -302,41 +290,6 @@
         }
     }
 
-    /// The request that a run makes, and its engine.
-    pub fn request_of(&self, run: RunId) -> Option<RunRequest> {
-        let run = self.runs.get(&run)?;
-        let item = self.items.get(&run.key)?;
-        let head = run.head.as_ref();
-        Some(RunRequest {
-            fingerprint: item.fingerprint(),
-            engine: run.instance.clone(),
-            is_refused: head.is_some_and(|head| head.not_run || head.misdirected),
-            began: run.first,
-        })
-    }
-
-    /// Breaks off what turned out to end engines: it may still wait there for its turn.
-    fn end_convicted_runs(&mut self, directory: &mut EngineDirectory) {
-        if directory.quarantine.is_empty() {
-            return;
-        }
-        let is_convicted = |key: &ItemKey| {
-            let item = self.items.get(key);
-            let verdict = item.map(|item| directory.quarantine.verdict(item.fingerprint()));
-            matches!(verdict, Some(Verdict::Convicted { .. }))
-        };
-        let keys = self.runs.values().map(|run| run.key.clone());
-        let convicted: Vec<ItemKey> = keys.filter(is_convicted).collect();
-        for key in convicted {
-            log::info!(
-                "decision=hold item={} job={} reason=engines-crash-under-it",
-                self.items[&key].item().id,
-                key.0
-            );
-            self.break_off(&key, directory);
-        }
-    }
-
     /// Ends the run of an item, if it has one; its text stays.
     fn break_off(&mut self, key: &ItemKey, directory: &mut EngineDirectory) {
         let Some(item) = self.items.get_mut(key) else {
--- a/crates/jobs/src/dispatcher/starting.rs
+++ b/crates/jobs/src/dispatcher/starting.rs
@@ -9,6 +9,7 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 
+use super::suspects::{may_start, verdict_of};
 use super::{DispatchAction, Dispatcher, RunId};
 use crate::item::{ItemKey, OpenItem, ITEM_METHOD};
 use crate::placement::{Candidates, Need, SlowEngines};
@@ -110,11 +111,7 @@
                 continue;
             };
             if now.since(item.known_since) >= route.max_queue {
-                let verdict = match directory.quarantine.is_empty() {
-                    true => Verdict::Clear,
-                    false => directory.quarantine.verdict(item.fingerprint()),
-                };
-                let reason = match verdict {
+                let reason = match verdict_of(item, directory) {
                     Verdict::Convicted { .. } => "engines-crash-under-it",
                     _ => "queue-limit",
                 };
@@ -376,25 +373,6 @@
     }
 }
 
-/// Whether an item may run, after engines crashed under it. One that ends engines waits
-/// until it may be given up, and one that may do so leaves an engine to the others.
-fn may_start(now: Time, item: &OpenItem, service: &str, directory: &EngineDirectory) -> bool {
-    if directory.quarantine.is_empty() {
-        return true;
-    }
-    match directory.quarantine.verdict(item.fingerprint()) {
-        Verdict::Clear => true,
-        Verdict::Convicted { .. } => false,
-        Verdict::Suspected { .. } => {
-            let serving = directory.serving(service);
-            let sound = serving
-                .filter(|state| state.experience.is_sound(now))
-                .count();
-            sound > 1 || directory.serving(service).count() == 1
-        }
-    }
-}
-
 /// The service that an item goes to: a stable draw by the route's weights.
 fn target_of<'a>(route: &'a Route, id: &str) -> Option<&'a str> {
     let total: u64 = route.targets.iter().map(|t| u64::from(t.weight)).sum();
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -29,7 +29,9 @@
 mod text;
 
 pub use asked_ends::AskedEnds;
-pub use dispatcher::{DispatchAction, Dispatcher, RunId, RunPart, ScoreCall, ScoreOutcome};
+pub use dispatcher::{
+    DispatchAction, Dispatcher, RunId, RunPart, RunRequest, ScoreCall, ScoreOutcome,
+};
 pub use item::ItemKey;
 pub use job::{Earlier, Failures, Job, StoredResult};
 pub use listed_text::{CommandLog, ListedText, TextReader};
