--- a/crates/quarantine/src/evidence.rs
+++ b/crates/quarantine/src/evidence.rs
@@ -1,6 +1,6 @@
 //! What the time for which an engine ran a request says about the request.
 //!
-//! A request that ends engines does so soon after they begin it (22 to 117 ms in eleven
+//! A request that ends engines does so soon after they begin it (22 to 120 ms in sixteen
 //! runs that were watched), so an engine that crashes under a text that it has been making
 //! for longer crashed for another reason. Without this, items were blamed on days on which
 //! engines crash over and over by themselves: texts take up to 7 s, most of them lose
