Bounds in bytes: texts kept for later jobs, unfinished texts of ended jobs, changes told

Cause: all three were bounded by count or by time only (4,096 texts, 120 s, 512 changes: 70 MB of a configuration of 140 KB). Ruled out: requests held by a publisher (2,048 of some 100 bytes). Change: 8 MB each of kept texts, in a module of their own, and of unfinished texts of ended jobs, the oldest giving way; 1 MB of changes, beyond which all objects are told. What a reply reads back beyond its 256 KB stays a guess.

--- a/crates/jobs/src/dispatcher/mod.rs
+++ b/crates/jobs/src/dispatcher/mod.rs
@@ -21,11 +21,11 @@
 pub use suspects::RunRequest;
 
 use crate::item::{ItemKey, OpenItem};
+use crate::kept_texts::KeptTexts;
 use crate::listing::{Finished, JobListing};
 use crate::scores::{ScoreId, ScoreQueue};
 use crate::store::JobStore;
 use crate::streams::Run;
-use crate::text::PartialText;
 
 /// Names a run of an item.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
@@ -37,10 +37,6 @@
 const PROGRESS_EVERY: Duration = Duration::from_millis(160);
 /// Events that make such a record worth its place.
 const PROGRESS_EVENTS: usize = 3;
-/// Partial texts kept for later jobs.
-const MAX_KEPT: usize = 4_096;
-/// How long they are kept.
-const KEEP_PARTIAL: Duration = Duration::from_secs(60);
 
 /// What the dispatcher wants done.
 #[derive(Clone, Debug)]
@@ -84,19 +80,13 @@
     Failed(String),
 }
 
-struct Kept {
-    text: PartialText,
-    body: Vec<u8>,
-    at: Time,
-}
-
 /// Brings open items to engines.
 pub struct Dispatcher {
     items: BTreeMap<ItemKey, OpenItem>,
     runs: HashMap<RunId, Run>,
     /// Items whose text is whole and has no score.
     unscored: ScoreQueue,
-    kept: HashMap<String, Kept>,
+    kept: KeptTexts,
     /// Results that wait to be listed, by job.
     listings: BTreeMap<Rc<str>, JobListing>,
     next_run: u64,
@@ -127,7 +117,7 @@
             items: BTreeMap::new(),
             runs: HashMap::new(),
             unscored: ScoreQueue::default(),
-            kept: HashMap::new(),
+            kept: KeptTexts::default(),
             listings: BTreeMap::new(),
             next_run: 1,
             progress_at: Time(0),
@@ -153,8 +143,7 @@
     /// Bytes of texts that are not whole or not listed, and of those kept for later jobs.
     pub fn text_bytes(&self) -> usize {
         let open = self.items.values().map(|item| item.text.bytes());
-        let kept = self.kept.values().map(|kept| kept.text.bytes());
-        open.chain(kept).sum()
+        open.sum::<usize>() + self.kept.bytes()
     }
 
     /// Runs under way.
@@ -196,13 +185,10 @@
             self.break_off(&key, directory);
             self.drop_score(&key);
             if let Some(item) = self.items.remove(&key) {
-                if !item.text.events.is_empty() && self.kept.len() < MAX_KEPT {
-                    let kept = Kept {
-                        body: item.item().body.clone(),
-                        at: now,
-                        text: item.text.clone(),
-                    };
-                    self.kept.insert(item.item().id.clone(), kept);
+                if !item.text.events.is_empty() {
+                    let spec = item.item();
+                    let (body, text) = (spec.body.clone(), item.text.clone());
+                    self.kept.keep(now, &spec.id, body, text);
                 }
             }
         }
@@ -234,8 +220,7 @@
     ) {
         if now.since(self.watched_at) >= WATCH_EVERY {
             self.note_look(now);
-            self.kept
-                .retain(|_, kept| now.since(kept.at) < KEEP_PARTIAL);
+            self.kept.forget_old(now);
             self.watch_runs(now, directory);
         }
         self.end_convicted_runs(directory);
--- a/crates/jobs/src/dispatcher/takeover.rs
+++ b/crates/jobs/src/dispatcher/takeover.rs
@@ -83,14 +83,13 @@
         texts: &mut TextReader<'_>,
     ) {
         let least = open.spec.min_version;
-        let kept = self.kept.remove(&open.item().id);
-        let kept = kept.filter(|kept| kept.body == open.item().body);
+        let kept = self.kept.take(&open.item().id, &open.item().body);
         let logged = match earlier {
             Some(Earlier::Partial(text)) => Some(text.clone()),
             Some(Earlier::Whole(result, job, _)) => text_of(result, job, texts),
             None => None,
         };
-        let texts = kept.map(|kept| kept.text).into_iter().chain(logged);
+        let texts = kept.into_iter().chain(logged);
         let longest = texts
             .filter(|text| text.fits(least))
             .max_by_key(|text| (text.whole, text.events.len()));
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -84,6 +84,11 @@
         complete || first.is_some_and(|result| now.since(result.known_since) >= age)
     }
 
+    /// Bytes of its texts that are not whole.
+    pub(crate) fn progress_bytes(&self) -> usize {
+        self.progress.values().map(PartialText::bytes).sum()
+    }
+
     /// Index of an item by its id.
     pub fn item_index(&self, id: &str) -> Option<usize> {
         self.spec.items.iter().position(|item| item.id == id)
--- /dev/null
+++ b/crates/jobs/src/kept_texts.rs
@@ -0,0 +1,92 @@
+//! Beginnings of texts of ended jobs, kept for later jobs that bring their items back.
+
+use peatgrade_types::{Duration, Time};
+use std::collections::{HashMap, VecDeque};
+
+use crate::text::PartialText;
+
+/// How long they are kept.
+const KEEP_FOR: Duration = Duration::from_secs(60);
+/// Bytes of texts and bodies kept. A storage machine of 130 MB takes 53 MB at its peak
+/// (measured with 128 engines); the log has most of these texts too.
+pub const MAX_KEPT_BYTES: usize = 8 * 1024 * 1024;
+
+#[derive(Clone, Debug)]
+struct Kept {
+    text: PartialText,
+    body: Vec<u8>,
+    at: Time,
+}
+
+impl Kept {
+    fn bytes(&self) -> usize {
+        self.text.bytes() + self.body.len()
+    }
+}
+
+/// Texts by item, the oldest giving way.
+#[derive(Clone, Debug, Default)]
+pub struct KeptTexts {
+    texts: HashMap<String, Kept>,
+    /// Items in the order in which they were kept, and when; one that was taken, or kept
+    /// anew, stands here until it would be the oldest.
+    order: VecDeque<(Time, String)>,
+    bytes: usize,
+}
+
+impl KeptTexts {
+    /// Keeps the beginning of an item's text.
+    pub fn keep(&mut self, now: Time, item: &str, body: Vec<u8>, text: PartialText) {
+        self.remove(item);
+        let kept = Kept {
+            text,
+            body,
+            at: now,
+        };
+        self.bytes += kept.bytes();
+        self.texts.insert(item.to_string(), kept);
+        self.order.push_back((now, item.to_string()));
+        while self.bytes > MAX_KEPT_BYTES && self.drop_oldest() {}
+    }
+
+    /// Takes the beginning of an item's text, if its body is the same.
+    pub fn take(&mut self, item: &str, body: &[u8]) -> Option<PartialText> {
+        let kept = self.remove(item)?;
+        (kept.body == body).then_some(kept.text)
+    }
+
+    /// Drops what is too old.
+    pub fn forget_old(&mut self, now: Time) {
+        while let Some((at, _)) = self.order.front() {
+            if now.since(*at) < KEEP_FOR {
+                return;
+            }
+            self.drop_oldest();
+        }
+    }
+
+    /// Bytes of texts and bodies.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    fn drop_oldest(&mut self) -> bool {
+        let Some((at, item)) = self.order.pop_front() else {
+            return false;
+        };
+        if self.texts.get(&item).is_some_and(|kept| kept.at == at) {
+            self.remove(&item);
+        }
+        true
+    }
+
+    fn remove(&mut self, item: &str) -> Option<Kept> {
+        let kept = self.texts.remove(item)?;
+        self.bytes -= kept.bytes();
+        Some(kept)
+    }
+}
+
+#[cfg(test)]
+#[path = "../tests/unit/kept_texts.rs"]
+mod tests;
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -20,6 +20,7 @@
 mod dispatcher;
 mod item;
 mod job;
+mod kept_texts;
 mod listed_text;
 mod listing;
 mod placement;
--- a/crates/jobs/src/store.rs
+++ b/crates/jobs/src/store.rs
@@ -5,7 +5,7 @@
 use peatgrade_schema::replication::mod_JobCommand::OneOfbody;
 use peatgrade_schema::replication::{AcceptJob, JobCommand, JobItem, KeepProgress, ListResults};
 use peatgrade_types::{Duration, Time};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::rc::Rc;
 
 use crate::job::{Earlier, Job, StoredResult};
@@ -16,6 +16,10 @@
 /// a second asks for, at the 2 MB/s of 130 engines, with room for a few seconds' delay.
 const MAX_RECENT_BYTES: usize = 8 * 1024 * 1024;
 
+/// Bytes of unfinished texts of ended jobs held in memory for later jobs that bring their
+/// items back, within 60 s mostly; those of the job that ended first give way.
+pub(crate) const MAX_ENDED_PROGRESS_BYTES: usize = 8 * 1024 * 1024;
+
 /// What a command did.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Applied {
@@ -59,6 +63,8 @@
     /// Reads texts that were dropped from memory; none keeps all texts there.
     log: Option<Rc<dyn CommandLog>>,
     recent: RecentTexts,
+    /// Ended jobs with unfinished texts, the first that ended first.
+    ended_with_progress: VecDeque<String>,
 }
 
 impl JobStore {
@@ -99,8 +105,7 @@
         for job in self.jobs.values() {
             memory.items += job.spec.items.iter().map(item_bytes).sum::<usize>();
             memory.results += job.results.len() * std::mem::size_of::<StoredResult>();
-            let texts = job.progress.values();
-            memory.progress += texts.map(PartialText::bytes).sum::<usize>();
+            memory.progress += job.progress_bytes();
         }
         memory
     }
@@ -239,14 +244,36 @@
                 if self.log.is_some() {
                     job.drop_requests();
                 }
+                if !job.progress.is_empty() {
+                    self.ended_with_progress.push_back(id.to_string());
+                    self.drop_surplus_progress();
+                }
                 Applied::Ended(id.to_string())
             }
             _ => Applied::Nothing,
         }
     }
 
+    fn drop_surplus_progress(&mut self) {
+        let jobs = &self.jobs;
+        self.ended_with_progress
+            .retain(|job| jobs.contains_key(job));
+        let ended = self.ended_with_progress.iter();
+        let mut bytes: usize = ended.map(|job| jobs[job].progress_bytes()).sum();
+        while bytes > MAX_ENDED_PROGRESS_BYTES {
+            let first = self.ended_with_progress.pop_front();
+            let Some(job) = first.and_then(|job| self.jobs.get_mut(&job)) else {
+                return;
+            };
+            bytes -= job.progress_bytes();
+            job.progress.clear();
+            job.logged.clear();
+        }
+    }
+
     /// Forgets everything.
     pub fn clear(&mut self) {
+        self.ended_with_progress.clear();
         self.jobs.clear();
         self.holders.clear();
         self.recent.clear();
--- a/crates/jobs/tests/store.rs
+++ b/crates/jobs/tests/store.rs
@@ -68,12 +68,16 @@
 }
 
 fn progress(item: u64, logged_events: u64, data: &[&str]) -> OneOfbody {
+    progress_of("j", item, logged_events, data)
+}
+
+fn progress_of(job: &str, item: u64, logged_events: u64, data: &[&str]) -> OneOfbody {
     let events = data.iter().map(|text| ProgressEvent {
         version: 1,
         data: text.as_bytes().to_vec(),
     });
     OneOfbody::progress(KeepProgress {
-        job: "j".into(),
+        job: job.into(),
         items: vec![ItemProgress {
             item,
             logged_events,
@@ -181,3 +185,23 @@
     scene.apply(OneOfbody::end(EndJob { job: "k".into() }));
     assert!(scene.store.get("k").unwrap().is_settled(early, 0, age));
 }
+
+/// Trainers that end job after job with most of their texts unfinished: until a job is
+/// dropped, 120 s after it came, its texts were in memory however many there were.
+#[test]
+fn unfinished_texts_of_ended_jobs_are_bounded_in_bytes() {
+    let mut scene = Scene::new();
+    let text = "x".repeat(1024 * 1024);
+    scene.apply(progress(0, 0, &["of an open job"]));
+    for number in 0..40 {
+        let job = format!("ended-{number}");
+        scene.apply(accept(&job, &["a", "b"]));
+        scene.apply(progress_of(&job, 0, 0, &[&text]));
+        scene.apply(OneOfbody::end(EndJob { job }));
+        assert!(scene.store.memory().progress <= 9 * 1024 * 1024);
+    }
+    assert!(scene.store.memory().progress >= 7 * 1024 * 1024);
+    let has_text = |job: &str| !scene.store.get(job).unwrap().progress.is_empty();
+    assert!(has_text("ended-39") && !has_text("ended-0"));
+    assert!(has_text("j"), "it is open");
+}
--- a/crates/mirror/src/publisher.rs
+++ b/crates/mirror/src/publisher.rs
@@ -1,6 +1,7 @@
 //! What a machine that watches the store tells others of it.
 
 use peatgrade_ports::{ObjectKind, StoreUpdate};
+use peatgrade_schema::encoded_size;
 use peatgrade_schema::replication::{MirrorRequest, MirroredKind, MirroredObject};
 use peatgrade_types::{Duration, Time};
 use std::collections::{BTreeMap, VecDeque};
@@ -12,6 +13,9 @@
 /// Changes of a kind kept for subscribers that lack only the newest; others are told
 /// all objects.
 const MAX_CHANGES: usize = 512;
+/// Bytes of them: a configuration of 1,400 routes has some 140 KB, and what is older than
+/// the last few is told as a whole in less.
+const MAX_CHANGE_BYTES: usize = 1024 * 1024;
 /// Requests held at once; more are answered at once.
 const MAX_HELD: usize = 2_048;
 /// Replies with news made in one turn: one with a configuration of 1,400 routes has
@@ -26,6 +30,7 @@
     /// Revision to which they lead.
     revision: u64,
     objects: Vec<MirroredObject>,
+    bytes: usize,
 }
 
 /// A kind as it was read last.
@@ -39,6 +44,7 @@
     changes: VecDeque<Changes>,
     changes_from: u64,
     change_count: usize,
+    change_bytes: usize,
 }
 
 impl Followed {
@@ -50,6 +56,7 @@
             changes: VecDeque::new(),
             changes_from: revision,
             change_count: 0,
+            change_bytes: 0,
         }
     }
 
@@ -69,13 +76,20 @@
                 self.objects.insert(object.name.clone(), object.clone());
             }
         }
+        let bytes = objects.iter().map(encoded_size).sum();
         self.change_count += objects.len();
-        self.changes.push_back(Changes { revision, objects });
-        while self.change_count > MAX_CHANGES {
+        self.change_bytes += bytes;
+        self.changes.push_back(Changes {
+            revision,
+            objects,
+            bytes,
+        });
+        while self.change_count > MAX_CHANGES || self.change_bytes > MAX_CHANGE_BYTES {
             let Some(oldest) = self.changes.pop_front() else {
                 break;
             };
             self.change_count -= oldest.objects.len();
+            self.change_bytes -= oldest.bytes;
             self.changes_from = oldest.revision;
         }
     }
@@ -185,6 +199,11 @@
         }
     }
 
+    /// Bytes of changes that are kept for subscribers.
+    pub fn change_bytes(&self) -> usize {
+        self.followed.values().map(|kind| kind.change_bytes).sum()
+    }
+
     /// Stops telling: the store is not watched here any more.
     pub fn clear(&mut self) {
         self.followed.clear();
--- a/crates/mirror/tests/publisher.rs
+++ b/crates/mirror/tests/publisher.rs
@@ -319,3 +319,21 @@
     });
     lists.collect()
 }
+
+/// 512 changes of a configuration of 140 KB took 70 MB.
+#[test]
+fn changes_are_bounded_in_bytes_and_who_lacks_more_is_told_all() {
+    let mut publisher = publisher();
+    let long = "x".repeat(10_000);
+    for revision in 11..=500 {
+        publisher.take(&changed(1_040, revision, &[(&long, true)]));
+    }
+    assert!(publisher.change_bytes() <= 1024 * 1024);
+    assert!(publisher.change_bytes() >= 512 * 1024);
+    let told = ask(&mut publisher, request(10, 10));
+    assert_eq!(engines(&told), ["a", "b", &long]);
+    assert!(told.kinds.iter().any(|kind| kind.whole));
+    let told = ask(&mut publisher, request(10, 499));
+    assert_eq!(engines(&told), [long]);
+    assert!(told.kinds.iter().all(|kind| !kind.whole));
+}
--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -63,6 +63,11 @@
     bytes
 }
 
+/// Bytes that a message takes when it is encoded.
+pub fn encoded_size<M: MessageWrite>(message: &M) -> usize {
+    message.get_size()
+}
+
 /// Decodes a message that fills `bytes` exactly.
 pub fn decode<'a, M: MessageRead<'a>>(bytes: &'a [u8]) -> Result<M, quick_protobuf::Error> {
     let mut reader = BytesReader::from_bytes(bytes);
