--- a/crates/mirror/tests/world/mod.rs
+++ b/crates/mirror/tests/world/mod.rs
@@ -1,17 +1,22 @@
 //! A store, publishers that follow it and a subscriber, on a virtual clock.
 
-use peatgrade_mirror::{MirrorTiming, Publisher, Subscriber, SubscriberAction};
-use peatgrade_ports::{EngineRecord, Instance, ObjectKind, StoreEvent, StoreObject, StoreUpdate};
-use peatgrade_schema::replication::{Member, MirrorReply, MirrorRequest};
-use peatgrade_types::{hash_pair, Duration, Time};
-use std::collections::{BTreeSet, VecDeque};
+mod machine;
+mod store;
+
+pub use machine::Fault;
+use machine::{Machine, FAULTS};
+use peatgrade_mirror::{MirrorTiming, Subscriber, SubscriberAction};
+use peatgrade_ports::{ObjectKind, StoreUpdate};
+use peatgrade_schema::replication::{Member, MirrorReply};
+use peatgrade_types::{hash_pair, Duration};
+use std::collections::BTreeSet;
+use store::{at, configuration, Store};
 
 /// Time within which the subscriber must act on a change.
 pub const BOUND_MS: u64 = 4_000;
 const STEP_MS: u64 = 5;
 /// A change of the engine list comes this often.
 const CHANGE_EVERY_MS: u64 = 100;
-const ENGINES: u64 = 12;
 /// An answer of the store to the subscriber itself.
 const OWN_CALL_MS: u64 = 30;
 /// Delay of an answer of a slow publisher.
@@ -19,132 +24,6 @@
 const GROUP: usize = 3;
 const SUBSCRIBER: &str = "subscriber";
 
-/// What is wrong with a publisher.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub enum Fault {
-    None,
-    /// Its process is gone, with all it knew.
-    Dead,
-    /// It stands still; what arrives waits.
-    Frozen,
-    /// Its watch never answers.
-    StoreSilent,
-    /// Nothing passes between it and the subscriber.
-    CutFromSubscriber,
-    /// Its answers take long.
-    Slow,
-    /// Each second answer is lost.
-    LosesAnswers,
-    /// What goes by the open connection does not arrive; a new one works.
-    ConnectionsSilent,
-}
-
-const FAULTS: [Fault; 8] = [
-    Fault::None,
-    Fault::Dead,
-    Fault::Frozen,
-    Fault::StoreSilent,
-    Fault::CutFromSubscriber,
-    Fault::Slow,
-    Fault::LosesAnswers,
-    Fault::ConnectionsSilent,
-];
-
-struct Machine {
-    publisher: Publisher,
-    fault: Fault,
-    /// Revision up to which its watch has told; none before a list.
-    read: Option<u64>,
-    watched_at: u64,
-    inbox: VecDeque<MirrorRequest>,
-    connection_is_dead: bool,
-    answers: u64,
-}
-
-impl Machine {
-    fn new() -> Self {
-        Self {
-            publisher: Publisher::default(),
-            fault: Fault::None,
-            read: None,
-            watched_at: 0,
-            inbox: VecDeque::new(),
-            connection_is_dead: false,
-            answers: 0,
-        }
-    }
-}
-
-/// The store's engine list at each revision, and when it came.
-struct Store {
-    lists: Vec<(u64, BTreeSet<String>)>,
-}
-
-impl Store {
-    fn revision(&self) -> u64 {
-        self.lists.len() as u64 - 1
-    }
-
-    fn change(&mut self, now: u64) {
-        let mut list = self.lists[self.lists.len() - 1].1.clone();
-        let name = format!("engine-{}", hash_pair(7, self.revision()) % ENGINES);
-        if !list.remove(&name) {
-            list.insert(name);
-        }
-        self.lists.push((now, list));
-    }
-
-    fn list(&self, now: u64) -> StoreUpdate {
-        let revision = self.revision();
-        let names = self.lists[revision as usize].1.iter();
-        StoreUpdate::Listed {
-            kind: ObjectKind::Engines,
-            at: at(now),
-            revision,
-            objects: names.map(|name| (name.clone(), engine(name))).collect(),
-        }
-    }
-
-    fn changes(&self, now: u64, since: u64) -> StoreUpdate {
-        let mut events = Vec::new();
-        for revision in since + 1..=self.revision() {
-            let before = &self.lists[revision as usize - 1].1;
-            let after = &self.lists[revision as usize].1;
-            for name in before.symmetric_difference(after) {
-                let object = after.contains(name).then(|| engine(name));
-                let name = name.clone();
-                events.push(StoreEvent { name, object });
-            }
-        }
-        StoreUpdate::Changed {
-            kind: ObjectKind::Engines,
-            at: at(now),
-            revision: self.revision(),
-            events,
-        }
-    }
-}
-
-fn configuration(now: u64, revision: u64) -> StoreUpdate {
-    StoreUpdate::Listed {
-        kind: ObjectKind::Configuration,
-        at: at(now),
-        revision,
-        objects: Vec::new(),
-    }
-}
-
-fn engine(name: &str) -> StoreObject {
-    StoreObject::Engine(EngineRecord {
-        instance: Instance(name.into()),
-        ..EngineRecord::default()
-    })
-}
-
-fn at(ms: u64) -> Time {
-    Time(ms * 1_000)
-}
-
 /// All of it.
 pub struct World {
     now: u64,
