--- a/scripts/planted-breaks.sh
+++ b/scripts/planted-breaks.sh
@@ -194,4 +194,44 @@
 plant "pace: a pause of the leader is the engines' fault" $J/dispatcher/moving.rs \
     "if now.since(self.watched_at) >= LATE_LOOK {" \
     "if now.since(self.watched_at) >= LATE_LOOK && now.0 == 0 {" peatgrade-jobs pace
+Q=crates/quarantine/src
+F=crates/forward/src
+plant "deadly: a broken run is taken for one that was never sent" crates/runtime/src/http_client.rs \
+    "connected.map_err(|failure| broken.unwrap_or(failure))" \
+    "connected.map_err(|failure| { let _ = &broken; failure })" peatgrade-runtime may_have_run
+plant "deadly: gateways tell nobody" $S/gateway_process/crashes.rs \
+    "if !self.gateway.directory.quarantine.take_news() {" \
+    "if !self.gateway.directory.quarantine.take_news() || now.0 > 0 {" \
+    peatgrade-platform gateways_that_saw
+plant "deadly: members tell no gateway" $S/storage/publishing.rs \
+    "match crash_digest == published.crash_digest {" \
+    "match crash_digest == published.crash_digest || now.0 > 0 {" \
+    peatgrade-platform gateways_that_saw
+plant "deadly: nothing is kept on disk" $S/storage/crashes.rs \
+    "if self.crashes.is_unwritten && is_due {" \
+    "if self.crashes.is_unwritten && is_due && now.0 == 0 {" \
+    peatgrade-platform outlives_all_processes
+plant "deadly: a broken connection counts as a crash" $F/suspects.rs \
+    "directory.quarantine.engine_answered(&check.instance);" \
+    "directory.engine_refused(now, &check.instance);" peatgrade-gateway did_not_crash
+plant "deadly: the last engine of a service is risked" $F/suspects.rs \
+    "(is_only || spares > 0)" "(is_only || spares + 1 > 0)" peatgrade-gateway last_engine
+plant "deadly: a third engine beside the second" $F/answers.rs \
+    "let is_alone = unsent || forward.open.is_empty();" \
+    "let is_alone = unsent || forward.open.len() < 9;" peatgrade-gateway third_engine
+plant "deadly: company is not weighed" $Q/ledger.rs \
+    "true => CRASHES_WITH_COMPANY," "true => CRASHES_TO_CONVICT," \
+    peatgrade-quarantine always_together
+plant "deadly: what ran to its end is still blamed" $Q/ledger.rs \
+    "self.crashes.retain(|_, at| *at > completed);" "let _ = completed;" \
+    peatgrade-quarantine ""
+plant "deadly: a long run is blamed for a crash" $Q/evidence.rs \
+    "now.since(began) <= YOUNG_RUN" "now.since(began) >= Duration(0)" \
+    peatgrade-jobs not_the_cause
+plant "deadly: items know no verdict" $J/dispatcher/suspects.rs \
+    "Verdict::Convicted { .. } => false," "Verdict::Convicted { .. } => true," \
+    peatgrade-jobs ends_engines
+plant "suspended: spans are too short by the suspension" crates/runtime/src/boot_clock.rs \
+    "Self(read_clock(libc::CLOCK_BOOTTIME))" "Self(read_clock(libc::CLOCK_MONOTONIC))" \
+    peatgrade-platform was_suspended
 exit $unnoticed
