Comments: what each rule of the mend guards against, with its figure

Cause: two comments without a figure, one that was wrong: a request that is forgotten after 15 min starts from nothing. Ruled out: -. Change: comments only. Conclusion: none.

--- a/crates/forward/src/answers.rs
+++ b/crates/forward/src/answers.rs
@@ -288,8 +288,8 @@
         } else {
             forward.may_have_run = true;
         }
-        // After a broken run its copy at another engine is waited for: a third one would
-        // end a third engine, if that is what the request does.
+        // After a broken run its copy at another engine is waited for: a third one beside it
+        // would end a third engine, as it did 28 ms after the second had begun.
         let is_alone = unsent || forward.open.is_empty();
         let repeatable = forward.is_repeatable() || !forward.may_have_run;
         if repeatable && is_alone {
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -173,7 +173,8 @@
         let Some(forward) = self.calls.get_mut(&call) else {
             return;
         };
-        // This machine may have stood still since: nobody waits for the answer any more.
+        // This machine may have been suspended since: nobody waits for the answer any
+        // more, and the engine would be told that no time is left (reasoned).
         if now >= forward.deadline && forward.open.is_empty() {
             return self.end_without_answer(now, call, actions);
         }
@@ -326,7 +327,8 @@
         let quarantine = &directory.quarantine;
         let silent: Vec<CallId> = self.due(|forward| {
             // A second copy of what ended one engine would be under way on another before
-            // the first one shows anything.
+            // the first one shows anything: six of seven tries seen, each of which ended two
+            // or three engines in 0.2 s, had one.
             let may_hedge = quarantine.crashes(forward.fingerprint) == 0 && !forward.may_have_run;
             forward.kind == RouteKind::Safe
                 && may_hedge
--- a/crates/quarantine/src/ledger.rs
+++ b/crates/quarantine/src/ledger.rs
@@ -14,8 +14,9 @@
 const CRASHES_WITH_COMPANY: usize = 4;
 /// Crashes from which on a request is run alone, and not on the last engine of a service.
 const CRASHES_TO_SUSPECT: usize = 2;
-/// How long a crash counts. After it the request may run again, in case engines were
-/// mended meanwhile; one more crash convicts it anew, since this is counted from the last.
+/// How long a request is known after the last crash under it. Then it is forgotten and may
+/// run again, in case engines were mended meanwhile: one that still ends engines ends three
+/// more. A guess: far longer than engines take to come back, 1.5 to 4 s as seen.
 pub const KEEP: Duration = Duration::from_secs(15 * 60);
 /// Crashes kept of a request: more say nothing more.
 pub const MAX_CRASHES: usize = 8;
--- a/crates/runtime/src/boot_clock.rs
+++ b/crates/runtime/src/boot_clock.rs
@@ -2,7 +2,8 @@
 //!
 //! `std::time::Instant` stands still meanwhile (`CLOCK_MONOTONIC`). A lease, a deadline or
 //! the age of news that is measured by it is too young by the suspension: a machine would
-//! go on with what it believed before, as if nothing could have changed.
+//! go on with what it believed before, as if nothing could have changed: after 3 s of it
+//! (a test on real processes) a list of engines counted as new.
 
 use std::ops::Add;
 use std::time::Duration;
