Usage of tenants: each window's report decided once in the log, by one holder

Ruled out: counts by window at the gateways (they don't know true time); a decision kept by the leader only (two reports that differ after its loss).

Change: crate metering: meter at each gateway, true time as a median of all machines' clocks, ledger in the replicated log, reporter on the leader with the term as fencing token. A forwarder tells once for each call that an engine began it. Settings usage_window_ms, usage_late_ms, duty_address, filled where the deployment has them.

--- a/crates/forward/src/action.rs
+++ b/crates/forward/src/action.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use peatgrade_ports::{Answer, Codec};
 use peatgrade_types::http::{HttpRequest, ResponseHead, ResponsePart};
-use peatgrade_types::Duration;
+use peatgrade_types::{Duration, Time};
 
 /// When a caller may come back after a refusal.
 pub const COME_BACK: Duration = Duration::from_millis(50);
@@ -53,6 +53,13 @@
     CancelHttp(HttpId),
     /// An engine ran the request and answered that it failed. The call goes on.
     EngineFailed(CallId),
+    /// An engine began the request; told once for each call.
+    Began {
+        /// Tenant that asked; empty if no key was needed.
+        tenant: String,
+        /// When, about: when it was sent, or when its stream began.
+        at: Time,
+    },
 }
 
 /// The parts of an answer of this system itself.
--- a/crates/forward/src/answers.rs
+++ b/crates/forward/src/answers.rs
@@ -63,6 +63,10 @@
         let foreign = told.id.as_ref().is_some_and(|id| *id != forward.request.id);
         let streams =
             forward.kind == RouteKind::Streaming && told.status == 200 && told.is_signed();
+        if !told.not_run && !told.misdirected && !foreign {
+            let at = if streams { now } else { attempt.sent };
+            forward.tell_began(at, actions);
+        }
         attempt.head = Some((head, told));
         // The head of a stream comes with its beginning, that of other answers at the end.
         attempt.began = streams.then_some(now);
@@ -282,6 +286,10 @@
             return self.on_stream_end(now, call, Some(failure), directory, actions);
         }
         let unsent = failure.step.is_unsent();
+        if !unsent {
+            // It may not have, but most that break off have begun.
+            forward.tell_began(attempt.sent, actions);
+        }
         if unsent {
             forward.sends -= 1;
             forward.refusals += 1;
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -65,9 +65,19 @@
     pub stream: Option<PassedStream>,
     /// The attempt that the stream comes from just now.
     pub streaming: Option<HttpId>,
+    /// It was told that an engine began it.
+    pub began_told: bool,
 }
 
 impl Forward {
+    /// Tells once that an engine began it.
+    pub fn tell_began(&mut self, at: Time, actions: &mut Vec<ForwardAction>) {
+        if !std::mem::replace(&mut self.began_told, true) {
+            let tenant = self.request.tenant.clone();
+            actions.push(ForwardAction::Began { tenant, at });
+        }
+    }
+
     /// Whether it may run more than once.
     pub fn is_repeatable(&self) -> bool {
         let resumes = self.kind == RouteKind::Streaming && self.resumable;
@@ -158,6 +168,7 @@
             resumable: route.resumable,
             stream: None,
             streaming: None,
+            began_told: false,
             request,
         };
         self.calls.insert(call, forward);
--- a/crates/gateway/tests/scene/mod.rs
+++ b/crates/gateway/tests/scene/mod.rs
@@ -4,9 +4,9 @@
 use peatgrade_forward::{CallId, ForwardAction, HttpId};
 use peatgrade_gateway::{Gateway, GatewayAction, GatewaySettings};
 use peatgrade_ports::{
-    Answer, AnswerHead, BadRequest, CallerMessage, CallerRequest, Codec, Configuration, EngineCall,
-    EngineRecord, EngineReport, EventReader, Instance, OrderAnswer, Refusal, Route, RouteKind,
-    StoreCall, StoreReply, Submission, Target,
+    Answer, AnswerHead, BadRequest, CallerMessage, CallerRequest, Codec, Configuration, DutyAnswer,
+    EngineCall, EngineRecord, EngineReport, EventReader, Instance, OrderAnswer, Refusal, Route,
+    RouteKind, StoreCall, StoreReply, Submission, Target, UsageReport,
 };
 use peatgrade_schema::replication::{JobReply, JobStatus};
 use peatgrade_types::http::{HttpFailure, HttpRequest, HttpStep, ResponseHead, ResponsePart};
@@ -121,6 +121,14 @@
     fn store_reply(&self, _: &StoreCall, _: u16, _: &[u8]) -> StoreReply {
         StoreReply::Missing
     }
+
+    fn usage_request(&self, _: &UsageReport) -> HttpRequest {
+        panic!("a gateway reports nothing")
+    }
+
+    fn duty_answer(&self, _: u16) -> DutyAnswer {
+        DutyAnswer::Unknown
+    }
 }
 
 pub struct Sent {
@@ -147,6 +155,8 @@
     pub jobs: Vec<(String, u64)>,
     /// Answers of engines that said that they failed.
     pub engine_failures: usize,
+    /// Tenants whose requests engines began, and when.
+    pub began: Vec<(String, Time)>,
 }
 
 impl Scene {
@@ -203,6 +213,7 @@
             cut: false,
             jobs: Vec::new(),
             engine_failures: 0,
+            began: Vec::new(),
         }
     }
 
@@ -254,6 +265,7 @@
                 }
                 ForwardAction::CancelHttp(id) => self.cancelled.push(id),
                 ForwardAction::EngineFailed(_) => self.engine_failures += 1,
+                ForwardAction::Began { tenant, at } => self.began.push((tenant, at)),
             }
         }
     }
--- a/crates/gateway/tests/tenants/mod.rs
+++ b/crates/gateway/tests/tenants/mod.rs
@@ -6,7 +6,7 @@
 use peatgrade_gateway::GatewayAction;
 use peatgrade_ports::{CallerMessage, CallerRequest, JobRead, Route, RouteKind};
 use peatgrade_schema::replication::JobCall;
-use peatgrade_types::http::{HttpRequest, ResponsePart};
+use peatgrade_types::http::{HttpRequest, HttpStep, ResponsePart};
 use peatgrade_types::Duration;
 use rstest::rstest;
 
@@ -164,3 +164,20 @@
     scene.answer(0, 200, &["id", "signed"], "body");
     assert_eq!(scene.status(), Some(200));
 }
+
+/// An answer, a failure of the engine or a broken answer: it ran. A refusal: it did not.
+#[test]
+fn a_request_counts_once_however_many_engines_it_meets() {
+    let mut scene = scene(RouteKind::Safe, false);
+    let sent_at = scene.now;
+    let actions = scene
+        .gateway
+        .on_call(scene.now, CallId(1), request(digest("known")));
+    scene.carry_out(actions);
+    scene.answer(0, 503, &["id", "not-run"], "");
+    assert!(scene.began.is_empty(), "it has not run there");
+    scene.wait(5);
+    scene.fail(1, HttpStep::Head);
+    scene.answer(2, 200, &["id", "signed"], "body");
+    assert_eq!(scene.began, [("leeds".to_string(), sent_at)]);
+}
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -37,5 +37,5 @@
 pub use job::{Earlier, Failures, Job, StoredResult};
 pub use listed_text::{CommandLog, ListedText, TextReader};
 pub use scores::ScoreId;
-pub use store::{Applied, JobMemory, JobStore};
+pub use store::{Applied, JobMemory, JobStore, UsageCommand};
 pub use text::{PartialText, TextEvent};
--- a/crates/jobs/src/store.rs
+++ b/crates/jobs/src/store.rs
@@ -3,7 +3,9 @@
 use bytes::Bytes;
 use peatgrade_schema::decode;
 use peatgrade_schema::replication::mod_JobCommand::OneOfbody;
-use peatgrade_schema::replication::{AcceptJob, JobCommand, JobItem, KeepProgress, ListResults};
+use peatgrade_schema::replication::{
+    AcceptJob, CountUsage, DecideUsage, JobCommand, JobItem, KeepProgress, ListResults,
+};
 use peatgrade_types::{Duration, Time};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::rc::Rc;
@@ -20,8 +22,19 @@
 /// items back, within 60 s mostly; those of the job that ended first give way.
 pub(crate) const MAX_ENDED_PROGRESS_BYTES: usize = 8 * 1024 * 1024;
 
+/// What a command says of usage.
+#[derive(Clone, Debug, PartialEq)]
+pub enum UsageCommand {
+    /// Counts of gateways.
+    Count(CountUsage),
+    /// What will be reported of a window.
+    Decide(DecideUsage),
+    /// A window needs no report any more.
+    Reported(u64),
+}
+
 /// What a command did.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Applied {
     /// A job is new.
     Accepted(String),
@@ -37,6 +50,8 @@
         /// The token.
         fence: u64,
     },
+    /// Something about usage, which is kept elsewhere.
+    Usage(UsageCommand),
     /// Nothing changed.
     Nothing,
 }
@@ -124,6 +139,11 @@
                 engine: note.engine,
                 fence: note.fence,
             },
+            Ok(OneOfbody::count_usage(count)) => Applied::Usage(UsageCommand::Count(count)),
+            Ok(OneOfbody::decide_usage(decision)) => Applied::Usage(UsageCommand::Decide(decision)),
+            Ok(OneOfbody::usage_reported(reported)) => {
+                Applied::Usage(UsageCommand::Reported(reported.window))
+            }
             Ok(OneOfbody::None) => Applied::Nothing,
             Err(error) => {
                 log::error!("step=apply-command index={index} error={error}");
--- /dev/null
+++ b/crates/metering/tests/parts.rs
@@ -0,0 +1,206 @@
+//! Meter, clocks and ledger, each by itself.
+
+use peatgrade_metering::{Meter, TermHistory, TrueTime, UsageLedger};
+use peatgrade_schema::replication::{
+    CountUsage, CountedBatch, DecideUsage, TenantCount, WindowCount,
+};
+use peatgrade_types::{Duration, Time};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use rstest::rstest;
+
+const START: Time = Time(3_600_000_000);
+
+fn ms(millis: u64) -> Time {
+    START + Duration::from_millis(millis)
+}
+
+#[test]
+fn a_batch_is_told_again_until_it_is_acknowledged() {
+    let mut meter = Meter::new(7);
+    meter.began(ms(0), "leeds");
+    let first = meter.due(ms(10), 0).unwrap();
+    assert_eq!((first.sequence, first.starts.len()), (1, 1));
+    assert!(meter.due(ms(20), 0).is_none(), "it is on its way");
+    meter.began(ms(30), "derby");
+    let again = meter.due(ms(700), 0).unwrap();
+    assert_eq!((again.sequence, &again.starts), (1, &first.starts));
+    assert_eq!(again.sent_at, ms(700).0);
+    meter.acknowledged(8, 1);
+    assert_eq!(meter.unacknowledged(), 2, "another life's batch");
+    meter.acknowledged(7, 1);
+    let second = meter.due(ms(710), 0).unwrap();
+    assert_eq!(
+        (second.sequence, second.starts[0].tenant.as_str()),
+        (2, "derby")
+    );
+    meter.acknowledged(7, 2);
+    assert_eq!(meter.unacknowledged(), 0);
+}
+
+#[test]
+fn a_gateway_without_requests_tells_its_time_now_and_then() {
+    let mut meter = Meter::new(7);
+    let told = (0..100).filter(|tick| meter.due(ms(tick * 100), 5).is_some());
+    assert_eq!(told.count(), 5, "in ten seconds");
+}
+
+/// A leader may be away for long: the oldest counts give way.
+#[test]
+fn what_waits_is_bounded() {
+    let mut meter = Meter::new(7);
+    for number in 0..20_000 {
+        meter.began(ms(number), "leeds");
+    }
+    assert_eq!(meter.unacknowledged(), 8_192);
+    let batch = meter.due(ms(20_000), 0).unwrap();
+    assert_eq!(batch.starts.len(), 512);
+    assert_eq!(batch.starts[0].at, ms(20_000 - 8_192).0);
+}
+
+/// 28 of 100 clocks are set by seconds, the rest lie within 20 ms; messages take up to
+/// 0.2 s.
+#[rstest]
+fn the_time_of_day_is_that_of_most_machines(#[values(1, 2, 3, 4, 5)] seed: u64) {
+    const TRUE_OFFSET: u64 = 1_700_000_000_000_000;
+    let mut random = SmallRng::seed_from_u64(seed);
+    let mut time = TrueTime::default();
+    for round in 0..16 {
+        for machine in 1..=68_u64 {
+            let sent = ms(round * 500 + machine);
+            let skew = 40_000 * machine / 68;
+            let jump = if machine % 100 < 19 { 2_400_000 } else { 0 };
+            let day = TRUE_OFFSET + sent.0 - 20_000 + skew + jump;
+            let arrives = sent + Duration::from_millis(random.random_range(1..200));
+            let steady = Time(sent.0 - 1_000_000_000);
+            time.learn(arrives, machine, steady, day);
+        }
+    }
+    let now = ms(8_000);
+    let error = time.at(now).unwrap().abs_diff(TRUE_OFFSET + now.0);
+    assert!(error < 45_000, "{error} us off");
+    let there = Time(now.0 - 1_000_000_000);
+    let error = time
+        .at_machine(40, there)
+        .unwrap()
+        .abs_diff(TRUE_OFFSET + now.0);
+    assert!(error < 60_000, "{error} us off at another machine");
+}
+
+#[test]
+fn who_is_gone_does_not_count() {
+    let mut time = TrueTime::default();
+    assert_eq!(time.at(ms(0)), None);
+    for machine in 1..=9 {
+        time.learn(ms(0), machine, ms(0), 1_000);
+    }
+    time.learn(ms(11_000), 10, ms(11_000), 9_000_000_000);
+    assert_eq!(time.machines(), 1);
+    assert_eq!(time.at(ms(11_000)), Some(9_000_000_000));
+}
+
+fn batch(sequence: u64, counts: &[(u64, &str, u64)]) -> CountUsage {
+    let counts = counts.iter().map(|(window, tenant, requests)| WindowCount {
+        window: *window,
+        count: Some(TenantCount {
+            tenant: tenant.to_string(),
+            requests: *requests,
+        }),
+    });
+    CountUsage {
+        batches: vec![CountedBatch {
+            meter: 7,
+            sequence,
+            counts: counts.collect(),
+        }],
+    }
+}
+
+fn decision(window: u64, holder: &str, counts: Vec<TenantCount>) -> DecideUsage {
+    DecideUsage {
+        window,
+        counts,
+        holder: holder.into(),
+    }
+}
+
+#[test]
+fn each_batch_counts_once() {
+    let mut ledger = UsageLedger::default();
+    ledger.count(ms(0), 1, batch(1, &[(5, "leeds", 2)]));
+    ledger.count(ms(0), 2, batch(1, &[(5, "leeds", 2)]));
+    ledger.count(ms(0), 3, batch(2, &[(5, "leeds", 1), (6, "derby", 4)]));
+    ledger.count(ms(0), 4, batch(1, &[(5, "leeds", 2)]));
+    assert_eq!(ledger.counts(5)[0].requests, 3);
+    assert_eq!(ledger.counts(6)[0].requests, 4);
+    assert!(ledger.is_counted(7, 2) && !ledger.is_counted(7, 3));
+}
+
+#[test]
+fn what_is_decided_stays_whatever_comes_later() {
+    let mut ledger = UsageLedger::default();
+    ledger.count(ms(0), 1, batch(1, &[(5, "leeds", 2)]));
+    let counts = ledger.counts(5);
+    ledger.decide(2, 1, decision(5, "a", counts.clone()));
+    ledger.count(ms(0), 3, batch(2, &[(5, "leeds", 1)]));
+    ledger.decide(4, 2, decision(5, "b", Vec::new()));
+    let (window, decided) = ledger.first_unreported().unwrap();
+    assert_eq!((window, &decided.counts), (5, &counts));
+    assert_eq!(ledger.late_requests(), 1);
+    let holder = ledger.last_holder().unwrap();
+    assert_eq!((holder.name.as_str(), holder.term), ("b", 2));
+    ledger.reported(5);
+    assert!(ledger.first_unreported().is_none());
+    assert_eq!(ledger.last_decided(), Some(5));
+}
+
+/// A replica knows what the kept part of the log says; a decision that it does not know
+/// would be taken anew, and differ.
+#[test]
+fn the_log_is_kept_from_what_is_needed_on() {
+    let mut ledger = UsageLedger::default();
+    assert_eq!(ledger.needed_from(ms(0)), None);
+    ledger.count(ms(0), 11, batch(1, &[(5, "leeds", 2)]));
+    ledger.count(ms(0), 12, batch(2, &[(6, "leeds", 2)]));
+    assert_eq!(ledger.needed_from(ms(0)), Some(11));
+    ledger.decide(20, 1, decision(5, "a", Vec::new()));
+    assert_eq!(ledger.needed_from(ms(0)), Some(12));
+    ledger.decide(30, 1, decision(6, "a", Vec::new()));
+    ledger.reported(5);
+    assert_eq!(
+        ledger.needed_from(ms(0)),
+        Some(12),
+        "the batch may come again"
+    );
+    assert_eq!(ledger.needed_from(ms(60_000)), Some(30));
+    ledger.reported(6);
+    assert_eq!(
+        ledger.needed_from(ms(60_000)),
+        Some(30),
+        "the newest decision"
+    );
+}
+
+#[test]
+fn windows_are_bounded() {
+    let mut ledger = UsageLedger::default();
+    for window in 1..=1_000 {
+        ledger.count(ms(0), window, batch(window, &[(window, "leeds", 1)]));
+    }
+    assert_eq!(ledger.first_open(), Some(1_000 - 255));
+    for window in 2_000..3_000 {
+        ledger.decide(window, 1, decision(window, "a", Vec::new()));
+    }
+    assert_eq!(ledger.unreported(), 256);
+}
+
+#[test]
+fn the_end_of_a_term_is_when_a_later_one_was_seen() {
+    let mut terms = TermHistory::default();
+    for (at, term) in [(0, 1), (10, 1), (20, 4), (30, 3), (40, 6)] {
+        terms.note(ms(at), term);
+    }
+    assert_eq!(terms.first_after(1), Some(ms(20)));
+    assert_eq!(terms.first_after(4), Some(ms(40)));
+    assert_eq!(terms.first_after(6), None);
+}
--- a/crates/ports/src/codec.rs
+++ b/crates/ports/src/codec.rs
@@ -4,6 +4,7 @@
 use peatgrade_types::http::{HttpRequest, ResponseHead};
 
 use crate::caller::{Answer, BadRequest, CallerMessage, CallerRequest, Submission};
+use crate::duties::{DutyAnswer, UsageReport};
 use crate::engine::{AnswerHead, EngineCall, EngineReport, EventReader, OrderAnswer};
 use crate::store::{StoreCall, StoreReply};
 
@@ -35,4 +36,9 @@
     fn store_request(&self, call: &StoreCall) -> HttpRequest;
     /// The store's answer.
     fn store_reply(&self, call: &StoreCall, status: u16, body: &[u8]) -> StoreReply;
+
+    /// A report of usage to the platform.
+    fn usage_request(&self, report: &UsageReport) -> HttpRequest;
+    /// What a status means in answer to a duty's call.
+    fn duty_answer(&self, status: u16) -> DutyAnswer;
 }
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -13,6 +13,7 @@
 mod caller;
 mod codec;
 mod configuration;
+mod duties;
 mod engine;
 mod routes;
 mod store;
@@ -22,6 +23,7 @@
 };
 pub use codec::Codec;
 pub use configuration::{Configuration, Limits, Route, RouteKind, Service, Target};
+pub use duties::{DutyAnswer, UsageReport};
 pub use engine::{
     AnswerHead, EngineCall, EngineRecord, EngineReport, EventReader, GenerationEvent, Instance,
     OrderAnswer, OrderMode, VersionOrder,
--- a/crates/server/src/clock.rs
+++ b/crates/server/src/clock.rs
@@ -16,6 +16,12 @@
     since.map_or(0, |since| since.as_millis() as u64)
 }
 
+/// The same in microseconds.
+pub fn wall_micros() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_micros() as u64)
+}
+
 /// Microseconds on the steady clock, from an origin of this process. Time for which the
 /// machine was suspended counts.
 pub fn steady_now() -> Time {
--- a/crates/server/src/gateway_process/actions.rs
+++ b/crates/server/src/gateway_process/actions.rs
@@ -78,6 +78,7 @@
                 let cancel = self.client.send(id, &address, request, check_options());
                 self.requests.insert(id, cancel);
             }
+            ForwardAction::Began { tenant, at } => self.usage.began(at, &tenant),
             ForwardAction::CancelHttp(id) => {
                 self.metrics.count("engine_attempt_cancelled");
                 self.requests.remove(&id);
--- a/crates/server/src/gateway_process/mod.rs
+++ b/crates/server/src/gateway_process/mod.rs
@@ -22,9 +22,11 @@
 mod beliefs;
 mod crashes;
 mod news;
+mod usage;
 
 use crashes::CrashExchange;
 use news::{new_subscriber, FoundMachines, MachineSearch};
+use usage::GatewayUsage;
 
 use crate::clock::{steady_now, suspended_time};
 use crate::metrics::{serve_metrics, Metrics};
@@ -115,6 +117,8 @@
     /// Members of the group, as far as known.
     replicas: Vec<String>,
     crashes: CrashExchange,
+    /// What tenants have used.
+    usage: GatewayUsage,
     found_machines: UnboundedSender<FoundMachines>,
     ready_before: bool,
     pauses: PauseWatch,
@@ -172,6 +176,7 @@
             search: MachineSearch::new(steady_now()),
             replicas: Vec::new(),
             crashes: CrashExchange::default(),
+            usage: GatewayUsage::new(settings.usage_window_ms > 0),
             found_machines,
             settings,
             codec,
@@ -233,7 +238,8 @@
         };
         let age = steady_now().since(since);
         let limit = self.settings.grace_ms.saturating_sub(GRACE_MARGIN_MS);
-        let drained = self.leaves(steady_now()) && self.gateway.in_flight() == 0;
+        let is_told = self.usage.unacknowledged() == 0;
+        let drained = self.leaves(steady_now()) && self.gateway.in_flight() == 0 && is_told;
         drained || age.as_millis() >= limit
     }
 
@@ -302,9 +308,11 @@
             }
             OneOfbody::mirror_reply(reply) => {
                 let now = steady_now();
+                self.usage.leader_told(&reply.leader_address);
                 self.exchange_crashes(now, &message.from_address, &reply);
                 self.on_mirror_reply(now, reply);
             }
+            OneOfbody::usage_ack(ack) => self.usage.acknowledged(&ack),
             _ => {}
         }
     }
@@ -336,6 +344,7 @@
         let actions = self.gateway.tick(now);
         self.carry_out(actions);
         self.share_crashes(now);
+        self.tell_usage(now);
         if now.since(self.last_sweep).as_millis() >= 1_000 {
             self.last_sweep = now;
             self.client.sweep();
@@ -359,6 +368,8 @@
             .set("watches_store", u64::from(self.subscriber.watches_store()));
         self.metrics
             .set("requests_in_flight", self.gateway.in_flight() as u64);
+        let untold = self.usage.unacknowledged() as u64;
+        self.metrics.set("usage_unacknowledged", untold);
         self.metrics.set("ready", u64::from(self.ready()));
         for (name, value) in self.gateway.directory.quarantine.figures() {
             self.metrics.set(name, value);
--- a/crates/server/src/settings.rs
+++ b/crates/server/src/settings.rs
@@ -63,6 +63,18 @@
     /// Memory of the process, in megabytes; 0 for no limit. Storage only.
     #[serde(default)]
     pub memory_limit_mb: u64,
+    /// Length of the windows for which the usage of tenants is reported, in milliseconds;
+    /// 0 if it is not. The same on all machines.
+    #[serde(default)]
+    pub usage_window_ms: u64,
+    /// Time after the end of a window until which its report is due, in milliseconds;
+    /// storage only.
+    #[serde(default = "default_usage_late")]
+    pub usage_late_ms: u64,
+    /// IP:port that takes the calls of duties; storage only, needed where usage is
+    /// reported.
+    #[serde(default)]
+    pub duty_address: String,
     /// error, warn, info, debug or trace.
     #[serde(default = "default_level")]
     pub log_level: String,
@@ -103,6 +115,10 @@
     2_000
 }
 
+fn default_usage_late() -> u64 {
+    10_000
+}
+
 fn default_level() -> String {
     "info".into()
 }
@@ -197,10 +213,10 @@
             )*};
         }
         take!(store_address, grace_ms, order_lease_ms, job_keep_ms);
-        take!(loads_at_once, log_level);
+        take!(loads_at_once, log_level, duty_address, usage_late_ms);
         keep!(name, zone, front_address, ready_address, peer_address);
         keep!(metrics_address, data_folder, tolerated_losses);
-        keep!(disk_limit_mb, memory_limit_mb);
+        keep!(disk_limit_mb, memory_limit_mb, usage_window_ms);
         keep!(
             contact_ms,
             config_apply_ms,
@@ -232,7 +248,13 @@
                 is_address("front_address", &self.front_address)?;
                 is_address("ready_address", &self.ready_address)?;
             }
-            ServerRole::Storage => not_empty("data_folder", &self.data_folder)?,
+            ServerRole::Storage => {
+                not_empty("data_folder", &self.data_folder)?;
+                if self.usage_window_ms > 0 {
+                    is_address("duty_address", &self.duty_address)?;
+                    at_least("usage_late_ms", self.usage_late_ms, LEAST_USAGE_LATE_MS)?;
+                }
+            }
         }
         if self.log_level.parse::<log::LevelFilter>().is_err() {
             return Err(SettingsError::Field {
@@ -258,6 +280,8 @@
 
 /// Shortest time in which a watch can be lost and made good.
 const LEAST_CONTACT_MS: u64 = 1_500;
+/// A report needs an election, the lease of an earlier holder and a call in half of it.
+const LEAST_USAGE_LATE_MS: u64 = 2_000;
 /// Larger groups would cost more than they protect.
 const MAX_LOSSES: usize = 4;
 
--- a/crates/server/src/storage/engines.rs
+++ b/crates/server/src/storage/engines.rs
@@ -4,7 +4,7 @@
 use peatgrade_fleet::{CoordinatorAction, OrderOutcome};
 use peatgrade_forward::{note_failure, BrokenRun, HttpId};
 use peatgrade_jobs::{DispatchAction, RunId, RunPart};
-use peatgrade_ports::{EngineCall, Instance};
+use peatgrade_ports::{DutyAnswer, EngineCall, Instance};
 use peatgrade_quarantine::ComesAgain;
 use peatgrade_runtime::SendOptions;
 use peatgrade_schema::encode;
@@ -52,6 +52,8 @@
     Check(HttpId),
     Order(Instance, u16),
     Report(Instance, u16, BytesMut),
+    /// Usage of a window, and the status of the answer.
+    UsageReport(u64, u16),
 }
 
 impl StorageProcess {
@@ -82,7 +84,9 @@
             EngineExchange::Score(score) | EngineExchange::Check(score) => {
                 self.scores.exchanges.insert(score, id);
             }
-            EngineExchange::Order(..) | EngineExchange::Report(..) => {}
+            EngineExchange::Order(..)
+            | EngineExchange::Report(..)
+            | EngineExchange::UsageReport(..) => {}
         }
         self.exchanges.insert(id, exchange);
         self.cancels.insert(id, cancel);
@@ -219,6 +223,18 @@
                 ResponsePart::End => self.on_order_end(now, id, None),
                 ResponsePart::Failed(failure) => self.on_order_end(now, id, Some(failure)),
             },
+            Some(EngineExchange::UsageReport(window, status)) => match part {
+                ResponsePart::Head(head) => *status = head.status,
+                ResponsePart::Data(_) => {}
+                ResponsePart::End => {
+                    let (window, answer) = (*window, self.codec.duty_answer(*status));
+                    self.on_report_answer(now, window, answer);
+                }
+                ResponsePart::Failed(_) => {
+                    let window = *window;
+                    self.on_report_answer(now, window, DutyAnswer::Unknown);
+                }
+            },
             Some(EngineExchange::Report(_, status, body)) => match part {
                 ResponsePart::Head(head) => *status = head.status,
                 ResponsePart::Data(data) => body.extend_from_slice(&data),
--- a/crates/server/src/storage/leadership.rs
+++ b/crates/server/src/storage/leadership.rs
@@ -52,6 +52,7 @@
     /// Begins and ends the leader's work as the role changes.
     pub(super) fn follow_role(&mut self, now: Time) {
         self.note_role();
+        self.usage.terms.note(now, self.replica.term());
         if self.replica.role() != Role::Leader || self.work_void {
             if self.working {
                 self.stop_leading();
@@ -79,6 +80,7 @@
             coordinator.named(model, *version);
         }
         self.coordinator = Some(coordinator);
+        self.begin_reporting(now);
         let open: Vec<String> = self
             .jobs
             .iter()
@@ -135,6 +137,7 @@
         self.work_void = false;
         self.leader_watches.set(false);
         self.coordinator = None;
+        self.stop_reporting();
         self.pending_orders.clear();
         self.dispatcher.stop(&mut self.directory);
         let dropped = self.dispatcher.take_actions();
@@ -155,6 +158,7 @@
             return;
         }
         self.end_asked_jobs(now);
+        self.report_usage(now);
         let due = now.since(self.last_dispatch) >= DISPATCH_EVERY;
         if due && self.engines_known && self.configuration.version > 0 {
             self.last_dispatch = now;
--- a/crates/server/src/storage/mod.rs
+++ b/crates/server/src/storage/mod.rs
@@ -34,5 +34,6 @@
 mod scores;
 mod traffic;
 mod updates;
+mod usage;
 
 pub use process::run_storage;
--- a/crates/server/src/storage/process.rs
+++ b/crates/server/src/storage/process.rs
@@ -42,6 +42,7 @@
 use super::retirement::Retirement;
 use super::scores::ScoreCalls;
 use super::traffic::CallerZones;
+use super::usage::Usage;
 
 /// Time between two looks at what is due.
 const LEADER_TICK: Duration = Duration::from_millis(15);
@@ -147,6 +148,8 @@
     pub retirements: BTreeMap<String, Retirement>,
     pub room: Room,
     pub memory: MemoryWatch,
+    /// What tenants have used.
+    pub usage: Usage,
     /// Zones of the gateways that call.
     pub caller_zones: CallerZones,
     /// What there is too little of for another job.
@@ -265,6 +268,7 @@
             retirements: BTreeMap::new(),
             room,
             memory: MemoryWatch::default(),
+            usage: Usage::default(),
             caller_zones: CallerZones::default(),
             pressure: None,
             stop_at: None,
--- a/crates/server/src/storage/replication.rs
+++ b/crates/server/src/storage/replication.rs
@@ -44,7 +44,13 @@
             OneOfbody::crash_report(report) => {
                 self.on_crash_report(now, &message.from_address, &report);
             }
-            OneOfbody::job_reply(_) | OneOfbody::mirror_reply(_) | OneOfbody::None => {}
+            OneOfbody::usage_batch(batch) => {
+                self.on_usage_batch(now, &message.from_address, batch);
+            }
+            OneOfbody::job_reply(_)
+            | OneOfbody::mirror_reply(_)
+            | OneOfbody::usage_ack(_)
+            | OneOfbody::None => {}
             _ if message.to != self.replica.id().0 => {
                 let told = WrongReplica {
                     member: Some(self.own_member()),
@@ -154,6 +160,7 @@
             if ready.reset {
                 log::info!("step=reset-state index={}", self.replica.log().base().index);
                 self.jobs.clear();
+                self.usage.ledger.clear();
             }
             let now = steady_now();
             for entry in ready.committed {
@@ -162,7 +169,7 @@
                 }
                 self.turns.work.applied += 1;
                 let applied = self.jobs.apply(now, entry.index, &entry.command);
-                self.on_applied(now, applied);
+                self.on_applied(now, entry.index, entry.term, applied);
             }
         }
         Ok(())
@@ -177,7 +184,7 @@
         log::info!("belief=members set={}", names.join(","));
     }
 
-    fn on_applied(&mut self, now: Time, applied: Applied) {
+    fn on_applied(&mut self, now: Time, index: u64, term: u64, applied: Applied) {
         match applied {
             Applied::Accepted(job) => {
                 self.metrics.count("job_accepted");
@@ -202,6 +209,7 @@
                 self.ordered.insert(engine.clone(), (now, fence));
                 self.send_noted_order(now, &engine, fence);
             }
+            Applied::Usage(command) => self.on_usage_command(now, index, term, command),
             Applied::Nothing => {}
         }
     }
@@ -212,6 +220,8 @@
         // An open job is kept for twice as long as one that is ended.
         self.forget_ends(now, Duration(keep.0 * 2));
         let needless = self.jobs.expire(now, keep, applied);
+        let usage = self.usage.ledger.needed_from(now);
+        let needless = usage.map_or(needless, |first| needless.min(first.saturating_sub(1)));
         if self.replica.trim(needless) {
             self.log_file.trim(needless + 1);
             log::debug!("step=trim index={needless}");
--- a/crates/server/src/storage/scores.rs
+++ b/crates/server/src/storage/scores.rs
@@ -98,6 +98,8 @@
                 ForwardAction::EngineFailed(call) => {
                     self.on_score(now, call, ScoreOutcome::EngineFailed);
                 }
+                // What the system asks for itself is no tenant's usage.
+                ForwardAction::Began { .. } => {}
                 ForwardAction::Respond { call, part } => self.on_score_answer(now, call, part),
             }
         }
