Orders after a change of leader: where engines check fences, only turns wait for a lease

Cause: each new leader left all engines that were ordered in the last 3.4 s alone, and after a restart all that the log names, since replayed notes count from then. No engine takes a version meanwhile, and each trainer falls behind by as much.

Ruled out: dropping the wait altogether: this holder, another, this one again within a lease is what must not be, and where engines do not check fences a held-up order of the earlier holder would follow a newer one.

Change: crate fleet keeps each holder's newest order to each engine (the log now names the machine). Setting engines_check_fences, filled from the deployment's; without it all wait as before. Notes are dropped after 60 s; they were kept for ever.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,7 +8,9 @@
 mod coordinator;
 mod directory;
 mod experience;
+mod order_history;
 
 pub use coordinator::{CoordinatorAction, OrderOutcome, VersionCoordinator};
 pub use directory::{EngineDirectory, EngineState};
 pub use experience::Experience;
+pub use order_history::{OrderHistory, OrderRules};
--- a/crates/jobs/src/store.rs
+++ b/crates/jobs/src/store.rs
@@ -49,6 +49,8 @@
         engine: String,
         /// The token.
         fence: u64,
+        /// The machine that holds it; empty in an older log.
+        holder: String,
     },
     /// Something about usage, which is kept elsewhere.
     Usage(UsageCommand),
@@ -138,6 +140,7 @@
             Ok(OneOfbody::order(note)) => Applied::Ordered {
                 engine: note.engine,
                 fence: note.fence,
+                holder: note.holder,
             },
             Ok(OneOfbody::count_usage(count)) => Applied::Usage(UsageCommand::Count(count)),
             Ok(OneOfbody::decide_usage(decision)) => Applied::Usage(UsageCommand::Decide(decision)),
--- a/crates/server/src/settings.rs
+++ b/crates/server/src/settings.rs
@@ -34,6 +34,10 @@
     /// How long a holder's orders keep others from giving any.
     #[serde(default = "default_lease")]
     pub order_lease_ms: u64,
+    /// Whether engines refuse orders whose fencing token is lower than one that they have
+    /// seen: then a new holder need not wait for the lease of the earlier one. Storage only.
+    #[serde(default)]
+    pub engines_check_fences: bool,
     /// How long a batch job is kept.
     #[serde(default = "default_keep")]
     pub job_keep_ms: u64,
@@ -213,6 +217,7 @@
             )*};
         }
         take!(store_address, grace_ms, order_lease_ms, job_keep_ms);
+        take!(engines_check_fences);
         take!(loads_at_once, log_level, duty_address, usage_late_ms);
         keep!(name, zone, front_address, ready_address, peer_address);
         keep!(metrics_address, data_folder, tolerated_losses);
--- a/crates/server/src/storage/engines.rs
+++ b/crates/server/src/storage/engines.rs
@@ -159,6 +159,7 @@
                 let note = OneOfbody::order(OrderNote {
                     engine: engine.clone(),
                     fence: order.fence,
+                    holder: order.holder.clone(),
                 });
                 self.pending_orders.insert(engine, order);
                 self.propose(steady_now(), note);
--- a/crates/server/src/storage/housekeeping.rs
+++ b/crates/server/src/storage/housekeeping.rs
@@ -9,6 +9,8 @@
 
 /// Time between two looks at figures and idle connections.
 const SWEEP_EVERY: Duration = Duration::from_secs(1);
+/// How long orders to engines are remembered: many times any lease.
+const KEEP_ORDERS: Duration = Duration::from_secs(60);
 /// Entries that a member may lack without being named in the log.
 const BEHIND: u64 = 64;
 /// Time between two looks at jobs past their time.
@@ -21,6 +23,7 @@
             self.last_sweep = now;
             self.client.sweep();
             self.directory.quarantine.forget_old(now);
+            self.orders.forget_old(now, KEEP_ORDERS);
             self.replica.release(now);
             self.note_pressure(now);
             self.note_memory();
--- a/crates/server/src/storage/leadership.rs
+++ b/crates/server/src/storage/leadership.rs
@@ -1,6 +1,6 @@
 //! What only the leader does.
 
-use peatgrade_fleet::VersionCoordinator;
+use peatgrade_fleet::{OrderRules, VersionCoordinator};
 use peatgrade_ports::{Instance, ObjectKind};
 use peatgrade_replication::{ReplicaId, Role};
 use peatgrade_types::{Duration, Time};
@@ -124,12 +124,12 @@
     /// When each engine may be ordered. An earlier leader may have sent an order
     /// until its own lease ended, a little after this replica learnt of it.
     fn quiet_engines(&self) -> BTreeMap<Instance, Time> {
-        let lease = Duration::from_millis(self.settings.order_lease_ms);
+        let rules = OrderRules {
+            lease: Duration::from_millis(self.settings.order_lease_ms) + ORDER_SLACK,
+            fences_checked: self.settings.engines_check_fences,
+        };
         let term = self.replica.term();
-        let others = self.ordered.iter().filter(|(_, (_, fence))| *fence != term);
-        others
-            .map(|(engine, (at, _))| (Instance(engine.clone()), *at + lease + ORDER_SLACK))
-            .collect()
+        self.orders.quiet(&self.settings.name, term, rules)
     }
 
     fn stop_leading(&mut self) {
--- a/crates/server/src/storage/process.rs
+++ b/crates/server/src/storage/process.rs
@@ -2,7 +2,7 @@
 
 use futures_channel::mpsc::{unbounded, UnboundedSender};
 use futures_util::{select_biased, FutureExt, StreamExt};
-use peatgrade_fleet::{EngineDirectory, VersionCoordinator};
+use peatgrade_fleet::{EngineDirectory, OrderHistory, VersionCoordinator};
 use peatgrade_forward::Forwarder;
 use peatgrade_jobs::{AskedEnds, Dispatcher, JobStore, RunId};
 use peatgrade_mirror::Publisher;
@@ -139,8 +139,8 @@
     pub member_watches: Wanted,
     /// Watches that only a leader needs.
     pub leader_watches: Wanted,
-    /// When an order to each engine was last noted, and under which token.
-    pub ordered: HashMap<String, (Time, u64)>,
+    /// Orders to engines that were noted.
+    pub orders: OrderHistory,
     /// Orders whose note is on its way into the log.
     pub pending_orders: HashMap<String, VersionOrder>,
     /// Whether the leader's work has begun in this term.
@@ -266,7 +266,7 @@
             versions: BTreeMap::new(),
             member_watches: Wanted::default(),
             leader_watches: Wanted::default(),
-            ordered: HashMap::new(),
+            orders: OrderHistory::default(),
             pending_orders: HashMap::new(),
             working: false,
             work_void: false,
--- a/crates/server/src/storage/replication.rs
+++ b/crates/server/src/storage/replication.rs
@@ -1,6 +1,7 @@
 //! Messages of replicas, and what a replica wants done.
 
 use peatgrade_jobs::Applied;
+use peatgrade_ports::Instance;
 use peatgrade_replication::{Outgoing, ReplicaId, Role};
 use peatgrade_runtime::Delivery;
 use peatgrade_schema::replication::mod_ReplicaMessage::OneOfbody;
@@ -203,8 +204,13 @@
                 self.dispatcher.end_job(now, &job, &mut self.directory);
                 self.calls.ended(&job);
             }
-            Applied::Ordered { engine, fence } => {
-                self.ordered.insert(engine.clone(), (now, fence));
+            Applied::Ordered {
+                engine,
+                fence,
+                holder,
+            } => {
+                let instance = Instance(engine.clone());
+                self.orders.note(now, &instance, &holder, fence);
                 self.send_noted_order(now, &engine, fence);
             }
             Applied::Usage(command) => self.on_usage_command(now, index, term, command),
