--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -43,6 +43,9 @@
     pub seed: u64,
     /// Number of the first batch-job call, another in each life.
     pub first_call: u64,
+    /// Age of the news of the configuration from which on no key is believed; none if
+    /// keys are believed however old it is.
+    pub keys_believed_for: Option<Duration>,
 }
 
 /// The core of a gateway.
@@ -52,6 +55,9 @@
     relay: JobRelay,
     /// Nothing new is taken any more.
     leaving: bool,
+    keys_believed_for: Option<Duration>,
+    /// Time since the store last proved that nothing newer is there.
+    pub news_age: Duration,
     /// Newest configuration; none before the first.
     pub configuration: Option<Rc<Configuration>>,
     /// Engines.
@@ -70,6 +76,8 @@
             forwarder: Forwarder::new(codec.clone(), settings.zone, settings.seed),
             codec,
             leaving: false,
+            keys_believed_for: settings.keys_believed_for,
+            news_age: Duration(0),
             configuration: None,
             directory: EngineDirectory::default(),
         }
@@ -165,21 +173,37 @@
         let Some(configuration) = self.configuration.clone() else {
             return self.refuse_starting(actions, call, &subject);
         };
+        let subject = format!("{subject} configuration={}", configuration.version);
         match configuration.tenant_of_job_call(key) {
+            Ok(Some(_)) if self.is_key_unproven() => {
+                self.refuse_unproven(actions, call, &subject);
+            }
             Ok(tenant) => {
                 let tenant = tenant.unwrap_or("").to_string();
                 self.relay_call(now, call, tenant, body, wait, actions);
             }
-            Err(denied) => {
-                let subject = format!("{subject} configuration={}", configuration.version);
-                self.deny(actions, call, &subject, denied);
-            }
+            Err(denied) => self.deny(actions, call, &subject, denied),
         }
     }
 
+    /// Whether a key may have been taken away without word of it here, where that must not
+    /// be risked.
+    fn is_key_unproven(&self) -> bool {
+        let limit = self.keys_believed_for;
+        limit.is_some_and(|limit| self.news_age >= limit)
+    }
+
+    fn refuse_unproven(&self, actions: &mut Vec<GatewayAction>, call: CallId, subject: &str) {
+        let reason = "keys cannot be checked just now";
+        let subject = format!("{subject} news_age_ms={}", self.news_age.as_millis());
+        let later = Some(COME_BACK);
+        self.refuse(actions, call, &subject, Refusal::NotRun, reason, later);
+    }
+
     /// Nobody who is known asks: final, and nothing of the request goes further.
     fn deny(&self, actions: &mut Vec<GatewayAction>, call: CallId, subject: &str, denied: Denied) {
         let reason = denied.to_string();
+        let subject = &format!("{subject} news_age_ms={}", self.news_age.as_millis());
         self.refuse(actions, call, subject, Refusal::Unauthorized, &reason, None);
     }
 
@@ -207,6 +231,9 @@
             return self.refuse(actions, call, &subject, Refusal::NoRoute, reason, None);
         };
         match configuration.tenant_on(route, request.key) {
+            Ok(Some(_)) if self.is_key_unproven() => {
+                return self.refuse_unproven(actions, call, &subject);
+            }
             Ok(tenant) => request.tenant = tenant.unwrap_or("").to_string(),
             Err(denied) => return self.deny(actions, call, &subject, denied),
         }
--- a/crates/gateway/tests/scene/mod.rs
+++ b/crates/gateway/tests/scene/mod.rs
@@ -165,6 +165,7 @@
             zone: "z".into(),
             seed: 1,
             first_call: 1,
+            keys_believed_for: Some(Duration::from_secs(5)),
         };
         let mut gateway = Gateway::new(settings, Rc::new(PlainCodec));
         let route = Route {
--- a/crates/gateway/tests/tenants/mod.rs
+++ b/crates/gateway/tests/tenants/mod.rs
@@ -181,3 +181,36 @@
     scene.answer(2, 200, &["id", "signed"], "body");
     assert_eq!(scene.began, [("leeds".to_string(), sent_at)]);
 }
+
+/// Where a key must not serve after it may have been taken away, old news is no news; a
+/// public route and a gateway that hears the store go on.
+#[rstest]
+#[case::young(4_999, false, 200)]
+#[case::old(5_000, false, 503)]
+#[case::old_and_public(5_000, true, 200)]
+fn keys_are_not_believed_for_ever(
+    #[case] news_age_ms: u64,
+    #[case] public: bool,
+    #[case] status: u16,
+) {
+    let mut scene = scene(RouteKind::Safe, public);
+    scene.gateway.news_age = Duration::from_millis(news_age_ms);
+    let actions = scene
+        .gateway
+        .on_call(scene.now, CallId(1), request(digest("known")));
+    scene.carry_out(actions);
+    if status == 200 {
+        scene.answer(0, 200, &["id", "signed"], "body");
+    }
+    assert_eq!(scene.status(), Some(status));
+}
+
+#[test]
+fn with_old_news_no_call_about_a_job_is_passed_on() {
+    for message in job_messages(digest("known")) {
+        let mut scene = scene(RouteKind::Batch, false);
+        scene.gateway.news_age = Duration::from_secs(5);
+        assert!(calls(&mut scene, message).is_empty());
+        assert_eq!(scene.status(), Some(503));
+    }
+}
--- a/crates/server/src/gateway_process/mod.rs
+++ b/crates/server/src/gateway_process/mod.rs
@@ -167,6 +167,7 @@
                     seed,
                     // Leaves room for as many calls above it.
                     first_call: u64::from(rand::random::<u32>()) << 31,
+                    keys_believed_for: settings.keys_believed_for(),
                 },
                 codec.clone(),
             ),
@@ -352,6 +353,7 @@
             self.set_state(now);
         }
         self.follow_store(now);
+        self.gateway.news_age = self.subscriber.age(now);
     }
 
     fn set_state(&self, now: Time) {
--- a/crates/server/src/settings.rs
+++ b/crates/server/src/settings.rs
@@ -61,6 +61,11 @@
     /// milliseconds.
     #[serde(default = "default_heartbeat")]
     pub engine_heartbeat_ms: u64,
+    /// Age of the news of the configuration from which on requests that need a key are
+    /// refused, since it may have been taken away; 0 to believe keys however old the news
+    /// is. Gateways only.
+    #[serde(default)]
+    pub keys_believed_ms: u64,
     /// Room for data, in megabytes; 0 for no limit. Storage only.
     #[serde(default)]
     pub disk_limit_mb: u64,
@@ -222,6 +227,7 @@
         keep!(name, zone, front_address, ready_address, peer_address);
         keep!(metrics_address, data_folder, tolerated_losses);
         keep!(disk_limit_mb, memory_limit_mb, usage_window_ms);
+        keep!(keys_believed_ms);
         keep!(
             contact_ms,
             config_apply_ms,
@@ -234,6 +240,12 @@
         (taken, kept)
     }
 
+    /// The same as a span; none if keys are always believed.
+    pub fn keys_believed_for(&self) -> Option<Duration> {
+        let limit = Some(self.keys_believed_ms).filter(|limit| *limit > 0);
+        limit.map(Duration::from_millis)
+    }
+
     /// Spans within which news of the store reach all machines.
     pub fn mirror_timing(&self) -> MirrorTiming {
         let bound_ms = self.config_apply_ms.min(self.engine_drain_ms);
--- a/crates/server/tests/unit/settings.rs
+++ b/crates/server/tests/unit/settings.rs
@@ -81,3 +81,38 @@
         assert!(lost_after * 3 >= contact_ms, "calls have their price");
     }
 }
+
+const STORAGE: &str = r#"
+name = "storage-1"
+zone = "a"
+peer_address = "10.0.0.1:7700"
+store_address = "10.0.0.9:8000"
+data_folder = "/data"
+usage_window_ms = 5000
+duty_address = "10.0.0.8:8000"
+"#;
+
+/// Who is to report usage must know where to, and have time for a change of leader.
+#[rstest]
+#[case::nowhere("duty_address = \"\"", "duty_address")]
+#[case::no_time("usage_late_ms = 1000", "usage_late_ms")]
+fn what_reports_need_is_checked(#[case] line: &str, #[case] field: &str) {
+    let base = STORAGE.lines().filter(|known| !known.starts_with(field));
+    let text = format!("{}\n{line}\n", base.collect::<Vec<_>>().join("\n"));
+    let path = write(field, &text);
+    let error = ServerSettings::load(&path, ServerRole::Storage).unwrap_err();
+    std::fs::remove_file(&path).unwrap();
+    assert!(error.to_string().contains(field), "{error}");
+}
+
+#[test]
+fn without_windows_no_address_for_reports_is_needed() {
+    let text = STORAGE.replace("usage_window_ms = 5000", "");
+    let path = write(
+        "no-usage",
+        &text.replace("duty_address = \"10.0.0.8:8000\"", ""),
+    );
+    let settings = ServerSettings::load(&path, ServerRole::Storage);
+    std::fs::remove_file(&path).unwrap();
+    assert_eq!(settings.unwrap().usage_window_ms, 0);
+}
