--- a/crates/server/src/storage/calls.rs
+++ b/crates/server/src/storage/calls.rs
@@ -179,7 +179,8 @@
                 return self.reply_status(&caller, JobStatus::NO_ROOM);
             }
             log::info!(
-                "decision=accept job={job} items={} step={} model={} min_version={} desired={}",
+                "decision=accept job={job} tenant={} items={} step={} model={} min_version={} desired={}",
+                submit.tenant,
                 submit.items.len(),
                 submit.step,
                 submit.model,
--- a/scripts/planted-breaks.sh
+++ b/scripts/planted-breaks.sh
@@ -234,4 +234,51 @@
 plant "suspended: spans are too short by the suspension" crates/runtime/src/boot_clock.rs \
     "Self(read_clock(libc::CLOCK_BOOTTIME))" "Self(read_clock(libc::CLOCK_MONOTONIC))" \
     peatgrade-platform was_suspended
+
+G=crates/gateway/src
+M=crates/metering/src
+plant "a key goes on to an engine" platform/src/names.rs "OWN_TOWARDS_ENGINES: [&str; 11] = [
+    API_KEY," "OWN_TOWARDS_ENGINES: [&str; 10] = [" peatgrade-platform an_engine_is_told
+plant "a caller names its own tenant" platform/src/names.rs "OWN_TOWARDS_ENGINES: [&str; 11] = [
+    API_KEY,
+    TENANT," "OWN_TOWARDS_ENGINES: [&str; 10] = [
+    API_KEY," peatgrade-platform an_engine_is_told
+plant "a key stays in the request" platform/src/callers.rs "        !is_key
+" "        !is_key || true
+" peatgrade-platform each_message_carries
+plant "the digest shows in logs" crates/authentication/src/key.rs \
+    'formatter.write_str("KeyDigest(..)")' 'write!(formatter, "{:?}", self.0)' \
+    peatgrade-authentication no_output
+plant "an unknown key serves" crates/authentication/src/tenants.rs \
+    "self.by_key.get(&key).ok_or(Denied::UnknownKey)?" "self.by_key.get(&key).unwrap_or(&0)" \
+    peatgrade-authentication ""
+plant "old news keep a key alive" $G/gateway.rs "self.news_age >= limit" "false && self.news_age >= limit" \
+    peatgrade-gateway keys_are_not_believed
+plant "another tenant reads a job" crates/jobs/src/job.rs \
+    "self.spec.tenant.is_empty() || self.spec.tenant == tenant" "tenant.len() < usize::MAX" \
+    peatgrade-jobs a_tenant_cannot_end
+plant "another tenant gets a kept text" crates/jobs/src/item.rs \
+    "tenant: self.spec.tenant.clone()," "tenant: String::new()," peatgrade-jobs ""
+plant "a batch counts twice" $M/ledger.rs "if !self.is_counted(batch.meter, batch.sequence) {" \
+    "if true {" peatgrade-metering ""
+plant "a batch that was lost is not told again" $M/meter.rs "if now.since(outstanding.sent) < RESEND {" \
+    "if true {" peatgrade-metering ""
+plant "a second decision for a window" $M/ledger.rs "            return;
+        }
+        self.last_decided = Some((window, index));" "        }
+        self.last_decided = Some((window, index));" peatgrade-metering ""
+plant "reports within another holder's lease" $M/reporter.rs "!self.is_fenced && is_alone" \
+    "!self.is_fenced" peatgrade-metering ""
+plant "reports with a token that was refused" $M/reporter.rs "self.is_fenced = true;" "" \
+    peatgrade-metering ""
+plant "a window decided before its counts" $M/reporter.rs "is_over && (is_complete || is_late)" \
+    "is_over" peatgrade-metering ""
+plant "the log drops a decision that is needed" $M/ledger.rs ".chain(decided).min()" ".min()" \
+    peatgrade-metering the_log_is_kept
+plant "holders take turns with orders" crates/fleet/src/order_history.rs "if last.holder == holder {" \
+    "if rules.fences_checked {" peatgrade-fleet ""
+plant "versions told to nobody" crates/mirror/src/publisher.rs \
+    "request.wants_versions || kind != ObjectKind::Versions" "kind != ObjectKind::Versions" \
+    peatgrade-mirror versions
+
 exit $unnoticed
