--- a/crates/metering/src/lib.rs
+++ b/crates/metering/src/lib.rs
@@ -22,6 +22,7 @@
 mod meter;
 mod reporter;
 mod term_history;
+mod tries;
 mod true_time;
 
 pub use ledger::{DecidedWindow, Holder, UsageLedger};
--- a/crates/metering/src/reporter.rs
+++ b/crates/metering/src/reporter.rs
@@ -10,6 +10,7 @@
 
 use crate::ledger::UsageLedger;
 use crate::term_history::TermHistory;
+use crate::tries::Tries;
 use crate::true_time::TrueTime;
 
 /// Time for which batches are gathered into one log entry: at 14 requests a second this
@@ -34,13 +35,6 @@
 const MAX_CATCH_UP: u64 = 24;
 /// Batches that wait for the log; a gateway tells what was not taken again.
 const MAX_RECEIVED: usize = 4_096;
-/// Wait for the answer to a report; the platform answers within some milliseconds.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Pause after a report that was not taken, and the longest; doubled each time.
-const FIRST_PAUSE: Duration = Duration::from_millis(250);
-const LONGEST_PAUSE: Duration = Duration::from_millis(2_000);
-/// Tries of one window's report by one holder: a minute.
-const MAX_TRIES: u32 = 24;
 /// Reports under way at once: one without an answer keeps no other waiting. With one at a
 /// time, 3 of 10 calls late and 3 of 10 answers lost, 12 of 15 windows were late.
 const MAX_CALLS: usize = 4;
@@ -97,33 +91,6 @@
     batch: Option<UsageBatch>,
 }
 
-/// Tries of this holder to report a window.
-#[derive(Clone, Copy, Debug)]
-struct Tries {
-    count: u32,
-    /// When the one under way was sent.
-    sent: Option<Time>,
-    next: Time,
-    pause: Duration,
-}
-
-impl Tries {
-    fn new(now: Time) -> Self {
-        Self {
-            count: 0,
-            sent: None,
-            next: now,
-            pause: FIRST_PAUSE,
-        }
-    }
-
-    fn failed(&mut self, now: Time) {
-        self.sent = None;
-        self.next = now + self.pause;
-        self.pause = Duration(self.pause.0 * 2).min(LONGEST_PAUSE);
-    }
-}
-
 /// Brings usage to the log and to the platform, while its machine leads.
 #[derive(Debug)]
 pub struct UsageReporter {
@@ -306,13 +273,11 @@
         }
         self.tries.retain(|window, _| ledger.is_unreported(*window));
         for (window, tries) in &mut self.tries {
-            let is_late = |sent: &mut Time| now.since(*sent) >= CALL_TIMEOUT;
-            if tries.sent.take_if(is_late).is_some() {
-                log_answer(*window, "None", tries.count, self.settings.fence);
-                tries.failed(now);
+            if tries.give_up_late(now) {
+                log_answer(*window, "None", tries.count(), self.settings.fence);
             }
         }
-        let under_way = self.tries.values().filter(|tries| tries.sent.is_some());
+        let under_way = self.tries.values().filter(|tries| tries.is_under_way());
         let room = MAX_CALLS.saturating_sub(under_way.count());
         let mut actions = Vec::new();
         for (window, decided) in ledger.unreported_windows() {
@@ -320,17 +285,19 @@
                 break;
             }
             let tries = self.tries.entry(window).or_insert(Tries::new(now));
-            if tries.sent.is_some() || now < tries.next {
+            if !tries.is_due(now) {
                 continue;
             }
-            if tries.count >= MAX_TRIES {
-                log::error!("decision=give-up-usage window={window} tries={MAX_TRIES}");
-                tries.next = now + PROPOSE_AGAIN;
+            if tries.is_spent() {
+                log::error!(
+                    "decision=give-up-usage window={window} tries={}",
+                    tries.count()
+                );
+                tries.rest(now, PROPOSE_AGAIN);
                 actions.push(UsageAction::Reported(window));
                 continue;
             }
-            tries.count += 1;
-            tries.sent = Some(now);
+            tries.begin(now);
             actions.push(UsageAction::Report(UsageReport {
                 window,
                 counts: decided.by_tenant(),
@@ -344,12 +311,14 @@
     /// The platform has answered a report, or did not.
     pub fn on_answer(&mut self, now: Time, window: u64, answer: DutyAnswer) -> Option<UsageAction> {
         let tries = self.tries.get_mut(&window)?;
-        tries.sent.take()?;
+        if !tries.answered() {
+            return None;
+        }
         let text = format!("{answer:?}");
-        log_answer(window, &text, tries.count, self.settings.fence);
+        log_answer(window, &text, tries.count(), self.settings.fence);
         match answer {
             DutyAnswer::Taken => {
-                tries.next = now + PROPOSE_AGAIN;
+                tries.rest(now, PROPOSE_AGAIN);
                 Some(UsageAction::Reported(window))
             }
             DutyAnswer::Fenced => {
--- a/crates/server/src/storage/mod.rs
+++ b/crates/server/src/storage/mod.rs
@@ -33,6 +33,7 @@
 mod replication;
 mod retirement;
 mod scores;
+mod ticks;
 mod traffic;
 mod updates;
 mod usage;
--- a/crates/server/src/storage/process.rs
+++ b/crates/server/src/storage/process.rs
@@ -16,7 +16,6 @@
 use peatgrade_types::{hash_bytes, Duration as Span, Time};
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
-use std::time::Duration;
 
 use crate::clock::{steady_now, suspended_time};
 use crate::gateway_process::socket_error;
@@ -45,11 +44,6 @@
 use super::traffic::CallerZones;
 use super::usage::Usage;
 
-/// Time between two looks at what is due.
-const LEADER_TICK: Duration = Duration::from_millis(15);
-const FOLLOWER_TICK: Duration = Duration::from_millis(30);
-/// The same while more could be done at once: the least time between two looks.
-const BACKLOG_TICK: Duration = Duration::from_millis(4);
 /// Inputs handled before the log is persisted once for all of them.
 const MAX_BATCH: usize = 256;
 /// Longest time for that: heartbeats are due each 45 ms and wait for it.
@@ -300,18 +294,6 @@
         Ok((process, inputs))
     }
 
-    /// Longest wait for an input before a look at what is due.
-    fn tick_time(&self) -> Duration {
-        if self.replica.has_ready() || self.publisher.has_backlog() {
-            return BACKLOG_TICK;
-        }
-        match self.replica.role() {
-            Role::Leader if self.working && self.dispatcher.has_backlog() => BACKLOG_TICK,
-            Role::Leader => LEADER_TICK,
-            _ => FOLLOWER_TICK,
-        }
-    }
-
     pub fn own_member(&self) -> Member {
         own_member(&self.settings, self.replica.id())
     }
