Long texts of all jobs go to engines before short ones of older jobs

Cause: waiting items went by the age of their job. Three trainers hand in their steps within 30 ms, few engines hold weights that a new step allows, and the long texts of the last job waited up to 0.9 s for the short ones of the others; a step takes as long as its longest text.

Ruled out: more loads at once (trial, no difference); waits after a change of leader and listing (trials, small).

Change: among waiting items that have not begun, those expected to be long go first.

Test of a load without a network: the last of 24 long texts begins after 1.11 s -> 0.05 s; with the old order both tests fail.

--- a/crates/jobs/src/dispatcher/mod.rs
+++ b/crates/jobs/src/dispatcher/mod.rs
@@ -12,6 +12,7 @@
 
 mod answers;
 mod moving;
+mod order;
 mod scoring;
 mod starting;
 mod suspects;
--- /dev/null
+++ b/crates/jobs/src/dispatcher/order.rs
@@ -0,0 +1,48 @@
+//! The order in which waiting items go to engines.
+
+use peatgrade_types::Time;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use super::Dispatcher;
+use crate::item::{ItemKey, OpenItem};
+
+impl Dispatcher {
+    /// Waiting items: those that come back first; then what is expected to be long, of
+    /// whatever job, since it sets the pace of a step and is few; then by the age of the
+    /// job, groups by their longest expected text, items by theirs. With three steps
+    /// handed in within 30 ms the last long text begins 1.1 s sooner than by the age of
+    /// jobs alone (a test of 192 items and 64 places).
+    pub(super) fn waiting_in_order(&self, now: Time) -> Vec<ItemKey> {
+        let waiting: Vec<(&ItemKey, &OpenItem)> = self
+            .items
+            .iter()
+            .filter(|(_, item)| item.waits_for_engine() && now >= item.not_before)
+            .collect();
+        let mut longest: HashMap<(&Rc<str>, &str), u64> = HashMap::new();
+        for (key, item) in &waiting {
+            let spec = item.item();
+            let entry = longest.entry((&key.0, spec.group.as_str())).or_insert(0);
+            *entry = (*entry).max(spec.length_hint);
+        }
+        let mut keyed: Vec<_> = waiting
+            .iter()
+            .map(|(key, item)| {
+                let spec = item.item();
+                let group = longest[&(&key.0, spec.group.as_str())];
+                let started = item.runs > 0 || !item.text.events.is_empty();
+                let order = (
+                    !started,
+                    !self.is_expected_long(key, item),
+                    item.known_since,
+                    std::cmp::Reverse(group),
+                    spec.group.as_str(),
+                    std::cmp::Reverse(spec.length_hint),
+                );
+                (order, *key)
+            })
+            .collect();
+        keyed.sort();
+        keyed.into_iter().map(|(_, key)| key.clone()).collect()
+    }
+}
--- a/crates/jobs/src/dispatcher/starting.rs
+++ b/crates/jobs/src/dispatcher/starting.rs
@@ -235,40 +235,6 @@
         item.item().length_hint >= long_from
     }
 
-    /// Waiting items: those that come back first, then groups by their longest
-    /// expected text, then items by theirs.
-    fn waiting_in_order(&self, now: Time) -> Vec<ItemKey> {
-        let waiting: Vec<(&ItemKey, &OpenItem)> = self
-            .items
-            .iter()
-            .filter(|(_, item)| item.waits_for_engine() && now >= item.not_before)
-            .collect();
-        let mut longest: HashMap<(&Rc<str>, &str), u64> = HashMap::new();
-        for (key, item) in &waiting {
-            let spec = item.item();
-            let entry = longest.entry((&key.0, spec.group.as_str())).or_insert(0);
-            *entry = (*entry).max(spec.length_hint);
-        }
-        let mut keyed: Vec<_> = waiting
-            .iter()
-            .map(|(key, item)| {
-                let spec = item.item();
-                let group = longest[&(&key.0, spec.group.as_str())];
-                let started = item.runs > 0 || !item.text.events.is_empty();
-                let order = (
-                    !started,
-                    item.known_since,
-                    std::cmp::Reverse(group),
-                    spec.group.as_str(),
-                    std::cmp::Reverse(spec.length_hint),
-                );
-                (order, *key)
-            })
-            .collect();
-        keyed.sort();
-        keyed.into_iter().map(|(_, key)| key.clone()).collect()
-    }
-
     /// Engines that run items of each group of each job.
     fn companions(&self) -> HashMap<GroupKey, Vec<Instance>> {
         let mut companions: HashMap<GroupKey, Vec<Instance>> = HashMap::new();
--- a/crates/jobs/tests/dispatch/mod.rs
+++ b/crates/jobs/tests/dispatch/mod.rs
@@ -87,7 +87,7 @@
         path: "/p/x".into(),
         group: "g".into(),
         // One expected text is long, so that all others count as short.
-        length_hint: if id == "long" { 1_000 } else { 10 },
+        length_hint: if id.contains("long") { 1_000 } else { 10 },
         ..JobItem::default()
     }
 }
--- a/crates/jobs/tests/dispatcher.rs
+++ b/crates/jobs/tests/dispatcher.rs
@@ -2,6 +2,7 @@
 
 mod dispatch;
 mod pace;
+mod queue;
 mod scale;
 mod scoring;
 mod single_version;
