--- a/crates/jobs/tests/store.rs
+++ b/crates/jobs/tests/store.rs
@@ -205,3 +205,24 @@
     assert!(has_text("ended-39") && !has_text("ended-0"));
     assert!(has_text("j"), "it is open");
 }
+
+/// A log from before there were tenants names none: its jobs stay open to all, and new
+/// ones are their tenant's own, in the same log.
+#[test]
+fn jobs_of_an_older_log_are_open_to_all_and_later_ones_to_their_tenant() {
+    let mut scene = Scene::new();
+    scene.apply(OneOfbody::accept(AcceptJob {
+        job: "k".into(),
+        tenant: "leeds".into(),
+        ..AcceptJob::default()
+    }));
+    let is_open = |job: &str, tenant: &str| scene.store.get(job).unwrap().is_open_to(tenant);
+    assert!(is_open("j", "leeds") && is_open("j", "derby") && is_open("j", ""));
+    assert!(is_open("k", "leeds") && !is_open("k", "derby") && !is_open("k", ""));
+    scene.apply(OneOfbody::end(EndJob { job: "k".into() }));
+    let is_open = |tenant: &str| scene.store.get("k").unwrap().is_open_to(tenant);
+    assert!(
+        is_open("leeds") && !is_open("derby"),
+        "ended, it is its own still"
+    );
+}
--- a/crates/mirror/tests/publisher.rs
+++ b/crates/mirror/tests/publisher.rs
@@ -441,3 +441,34 @@
     );
     assert!(subscriber.on_own(&versions(13, 8)));
 }
+
+/// What passes between processes lets nobody tell a key.
+#[test]
+fn no_message_holds_a_key() {
+    let configuration = Configuration {
+        version: 1,
+        tenants: tenants(),
+        ..Configuration::default()
+    };
+    let mut publisher = Publisher::default();
+    publisher.take(&StoreUpdate::Listed {
+        kind: ObjectKind::Configuration,
+        at: ms(1_000),
+        revision: 5,
+        objects: vec![(
+            "main".into(),
+            StoreObject::Configuration(Box::new(configuration)),
+        )],
+    });
+    let told = ask(&mut publisher, request(0, 0));
+    let bytes = peatgrade_schema::encode(&MirrorReply {
+        call: told.call,
+        kinds: told.kinds,
+        ..MirrorReply::default()
+    });
+    let contains = |text: &[u8]| bytes.windows(text.len()).any(|part| part == text);
+    assert!(contains(b"leeds"));
+    assert!(["key-a", "key-b", "key-c"]
+        .iter()
+        .all(|key| !contains(key.as_bytes())));
+}
