Reporter: a look each 50 ms, starts that wait bounded, calls given up after 0.5 s

A leader has hundreds of turns a second, and each look weighed the clocks of all gateways. Batches that wait were bounded by number only: 4,096 of 512 starts are some 120 MB, now 65,536 starts, some 4 MB. The exchange with the platform ends after 0.5 s anyway; the reporter waited for 1 s.

Test: batches that wait are bounded, and told again later.

--- a/crates/metering/src/reporter.rs
+++ b/crates/metering/src/reporter.rs
@@ -33,7 +33,12 @@
 const DECIDE_ANYWAY_PERCENT: u64 = 80;
 /// Windows that are made up for after a time without any leader.
 const MAX_CATCH_UP: u64 = 24;
-/// Batches that wait for the log; a gateway tells what was not taken again.
+/// Least time between two looks at what is due: a leader has hundreds of turns a second,
+/// and a look weighs the clocks of all gateways.
+const POLL_EVERY: Duration = Duration::from_millis(50);
+/// Starts that wait for the log, some 4 MB; a gateway tells again what was not taken.
+const MAX_RECEIVED_STARTS: usize = 65_536;
+/// The same for batches.
 const MAX_RECEIVED: usize = 4_096;
 /// Reports under way at once: one without an answer keeps no other waiting. With one at a
 /// time, 3 of 10 calls late and 3 of 10 answers lost, 12 of 15 windows were late.
@@ -98,6 +103,9 @@
     began: Time,
     time: TrueTime,
     received: BTreeMap<BatchKey, Received>,
+    /// Starts of those that were not proposed yet.
+    received_starts: usize,
+    polled: Time,
     last_gathered: Time,
     last_decision: Option<Time>,
     /// By window; those that were taken stand here until the log says so.
@@ -113,6 +121,8 @@
             began: now,
             time: TrueTime::default(),
             received: BTreeMap::new(),
+            received_starts: 0,
+            polled: Time(0),
             last_gathered: now,
             last_decision: None,
             tries: BTreeMap::new(),
@@ -138,12 +148,17 @@
         if ledger.is_counted(key.0, key.1) {
             return Some(acknowledge(address, key));
         }
-        if self.received.len() < MAX_RECEIVED {
-            self.received.entry(key).or_insert_with(|| Received {
+        let starts = batch.starts.len();
+        let is_full = self.received.len() >= MAX_RECEIVED
+            || self.received_starts + starts > MAX_RECEIVED_STARTS;
+        if !is_full && !self.received.contains_key(&key) {
+            self.received_starts += starts;
+            let received = Received {
                 address: address.to_string(),
                 at: now,
                 batch: Some(batch),
-            });
+            };
+            self.received.insert(key, received);
         }
         None
     }
@@ -165,6 +180,10 @@
         ledger: &UsageLedger,
         terms: &TermHistory,
     ) -> Vec<UsageAction> {
+        if now.since(self.polled) < POLL_EVERY {
+            return Vec::new();
+        }
+        self.polled = now;
         self.time.learn(now, OWN_CLOCK, now, time_of_day);
         if now.since(self.began) < SETTLE {
             return Vec::new();
@@ -183,6 +202,7 @@
             return None;
         }
         self.last_gathered = now;
+        self.received_starts = 0;
         let (time, window) = (&self.time, self.settings.window);
         let fresh = self.received.values_mut().filter_map(|r| r.batch.take());
         let batches = fresh.map(|batch| counted(time, window, &batch));
--- a/crates/metering/src/tries.rs
+++ b/crates/metering/src/tries.rs
@@ -2,12 +2,13 @@
 
 use peatgrade_types::{Duration, Time};
 
-/// Wait for the answer to a report; the platform answers within some milliseconds.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Wait for the answer to a report; the platform answers within some milliseconds, and an
+/// exact repeat does no harm.
+const CALL_TIMEOUT: Duration = Duration::from_millis(500);
 /// Pause after a report that was not taken, and the longest; doubled each time.
 const FIRST_PAUSE: Duration = Duration::from_millis(250);
 const LONGEST_PAUSE: Duration = Duration::from_millis(2_000);
-/// Tries of one window's report by one holder: a minute.
+/// Tries of one window's report by one holder: about a minute.
 const MAX_TRIES: u32 = 24;
 
 /// What became of the tries so far.
--- a/crates/metering/tests/reporter.rs
+++ b/crates/metering/tests/reporter.rs
@@ -185,3 +185,32 @@
     // The other's term ended at 10.5 s: its lease is over at 13.9 s.
     assert!(matches!(first, Some(139..=141)), "{first:?}");
 }
+
+/// The log takes nothing: memory is bounded, and what was not taken is told again.
+#[test]
+fn batches_that_wait_are_bounded_by_their_starts() {
+    let mut scene = Scene::new(s(0.0));
+    let start = |number: u64| UsageStart {
+        at: s(1.0).0 + number,
+        tenant: "leeds".into(),
+    };
+    for sequence in 1..=200 {
+        let batch = UsageBatch {
+            meter: 3,
+            sequence,
+            sent_at: s(1.0).0,
+            time_of_day: DAY_ORIGIN + s(1.0).0,
+            starts: (0..512).map(start).collect(),
+        };
+        let ledger = &scene.ledger;
+        scene.reporter.on_batch(s(1.0), "gateway-0", batch, ledger);
+    }
+    let actions = scene.poll_and_commit(s(3.0));
+    let UsageAction::Count(counted) = &actions[0] else {
+        panic!("{actions:?}");
+    };
+    assert_eq!(counted.batches.len(), 65_536 / 512);
+    scene.tell(s(3.1), 201, s(1.0));
+    let next = scene.poll(s(3.4));
+    assert!(matches!(&next[0], UsageAction::Count(counted) if counted.batches.len() == 1));
+}
