Gateway: ends that come before the first configuration are kept

A gateway that knew no configuration yet refused the end of a job with 503, and its caller had gone: 132 items of the job ran on. Ends were passed on in that state before calls about jobs needed a key; since then no key can be looked up.

Ruled out: passing the end on unchecked (it would be a way round the keys); checking at the leader (it would have to trust digests that a gateway never saw checked).

A caller that still waits after 1.3 s is answered with 502, which promises nothing; a planned stop waits for them, as they count as under way.

Tests: an end whose caller has gone is carried on; a waiting caller is answered without a promise; an end with an unknown key is denied. All three fail without the change.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -14,9 +14,12 @@
 use std::rc::Rc;
 
 use crate::relay::{subject_of, JobRelay, RelaySettings};
+use crate::unchecked_ends::UncheckedEnds;
 
 /// Most bytes of results in one answer.
 const MAX_RESULT_BYTES: u64 = 900_000;
+/// Stands for a caller that has gone; the driver numbers callers from 1 on.
+const NO_CALLER: CallId = CallId(0);
 /// When a caller may come back to a gateway that knows nothing yet.
 const COME_BACK_STARTING: Duration = Duration::from_millis(200);
 
@@ -53,6 +56,7 @@
     codec: Rc<dyn Codec>,
     forwarder: Forwarder,
     relay: JobRelay,
+    unchecked_ends: UncheckedEnds,
     /// Nothing new is taken any more.
     leaving: bool,
     keys_believed_for: Option<Duration>,
@@ -75,6 +79,7 @@
             ),
             forwarder: Forwarder::new(codec.clone(), settings.zone, settings.seed),
             codec,
+            unchecked_ends: UncheckedEnds::default(),
             leaving: false,
             keys_believed_for: settings.keys_believed_for,
             news_age: Duration(0),
@@ -113,7 +118,7 @@
 
     /// Requests under way.
     pub fn in_flight(&self) -> usize {
-        self.forwarder.in_flight() + self.relay.in_flight()
+        self.forwarder.in_flight() + self.relay.in_flight() + self.unchecked_ends.len()
     }
 
     /// Takes a caller's message.
@@ -171,6 +176,11 @@
     ) {
         let subject = subject_of(&body);
         let Some(configuration) = self.configuration.clone() else {
+            if let OneOfbody::end(end) = body {
+                if self.unchecked_ends.keep(now, call, end.job, key) {
+                    return log::info!("decision=keep {subject} reason=no-configuration-yet");
+                }
+            }
             return self.refuse_starting(actions, call, &subject);
         };
         let subject = format!("{subject} configuration={}", configuration.version);
@@ -186,6 +196,29 @@
         }
     }
 
+    /// Passes on ends that came before the first configuration, and answers callers that
+    /// have waited for one for long. It is kept, so that it will not be done would be a
+    /// false promise.
+    fn follow_unchecked_ends(&mut self, now: Time, actions: &mut Vec<GatewayAction>) {
+        for call in self.unchecked_ends.take_late_callers(now) {
+            let reason = "no configuration is known yet";
+            let refusal = Refusal::Unknown;
+            self.refuse(actions, call, "call=end", refusal, reason, None);
+        }
+        if self.configuration.is_none() {
+            return;
+        }
+        for end in self.unchecked_ends.take_all() {
+            // Whoever has gone is told nothing, but the end is carried on all the same.
+            let caller = end.caller.unwrap_or(NO_CALLER);
+            let body = OneOfbody::end(EndJob { job: end.job });
+            self.on_job_call(now, caller, end.key, body, Duration(0), actions);
+            if end.caller.is_none() {
+                self.relay.caller_gone(now, NO_CALLER);
+            }
+        }
+    }
+
     /// Whether a key may have been taken away without word of it here, where that must not
     /// be risked.
     fn is_key_unproven(&self) -> bool {
@@ -318,6 +351,7 @@
         let mut forwards = Vec::new();
         self.forwarder
             .abandon(call, &mut self.directory, &mut forwards);
+        self.unchecked_ends.caller_gone(call);
         self.relay.caller_gone(now, call);
         forwards.into_iter().map(GatewayAction::Forward).collect()
     }
@@ -346,6 +380,7 @@
         self.forwarder.tick(now, &mut self.directory, &mut forwards);
         let forwards = forwards.into_iter().map(GatewayAction::Forward);
         let mut actions: Vec<GatewayAction> = forwards.collect();
+        self.follow_unchecked_ends(now, &mut actions);
         for (call, answer) in self.relay.tick(now, &mut actions) {
             self.respond(&mut actions, call, &answer);
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod gateway;
 mod relay;
+mod unchecked_ends;
 
 pub use gateway::{Gateway, GatewayAction, GatewaySettings};
 pub use relay::{JobRelay, RelaySettings};
--- a/crates/gateway/tests/tenants/mod.rs
+++ b/crates/gateway/tests/tenants/mod.rs
@@ -4,7 +4,7 @@
 use peatgrade_authentication::{ApiKey, KeyDigest, Tenant, Tenants};
 use peatgrade_forward::{CallId, ForwardAction};
 use peatgrade_gateway::GatewayAction;
-use peatgrade_ports::{CallerMessage, CallerRequest, JobRead, Route, RouteKind};
+use peatgrade_ports::{CallerMessage, CallerRequest, Configuration, JobRead, Route, RouteKind};
 use peatgrade_schema::replication::JobCall;
 use peatgrade_types::http::{HttpRequest, HttpStep, ResponsePart};
 use peatgrade_types::Duration;
@@ -214,3 +214,51 @@
         assert_eq!(scene.status(), Some(503));
     }
 }
+
+fn starting_gateway() -> (Scene, Configuration) {
+    let mut scene = scene(RouteKind::Batch, false);
+    let configuration = (**scene.gateway.configuration.as_ref().unwrap()).clone();
+    scene.gateway.configuration = None;
+    (scene, configuration)
+}
+
+/// Its caller has gone and does not ask again; engines would go on with the job.
+#[test]
+fn an_end_that_came_before_the_first_configuration_is_carried_on() {
+    let (mut scene, configuration) = starting_gateway();
+    let [_, _, end] = job_messages(digest("known"));
+    assert!(calls(&mut scene, end).is_empty());
+    assert_eq!(scene.gateway.in_flight(), 1, "a stop waits for it");
+    scene.gateway.on_gone(scene.now, CallId(1));
+    scene.wait(700);
+    assert!(scene.jobs.is_empty());
+    assert!(scene.gateway.configure(configuration));
+    scene.wait(15);
+    assert_eq!(scene.jobs.len(), 1);
+    assert_eq!(scene.status(), None, "there is nobody to be answered");
+}
+
+/// It may be carried out yet, so its caller is not told that it will not.
+#[test]
+fn a_caller_that_waits_for_the_first_configuration_is_answered_without_a_promise() {
+    let (mut scene, configuration) = starting_gateway();
+    let [_, _, end] = job_messages(digest("known"));
+    assert!(calls(&mut scene, end).is_empty());
+    scene.wait(1_300);
+    assert_eq!(scene.status(), Some(502));
+    assert!(scene.gateway.configure(configuration));
+    scene.wait(15);
+    assert_eq!(scene.jobs.len(), 1);
+}
+
+/// Once keys can be looked up, an end with none that is known is denied as ever.
+#[test]
+fn an_end_that_was_kept_is_checked() {
+    let (mut scene, configuration) = starting_gateway();
+    let [_, _, end] = job_messages(digest("unknown"));
+    assert!(calls(&mut scene, end).is_empty());
+    assert!(scene.gateway.configure(configuration));
+    scene.wait(15);
+    assert_eq!(scene.status(), Some(401));
+    assert!(scene.jobs.is_empty());
+}
