explain: windows of usage; the decision's line names each tenant's count

Cause: on call there was no way from "this tenant's usage of this window" to what had been decided: the line told sums only, and `explain` knew requests, items and jobs.

Change: `peatgradectl explain NUMBER` shows a window's decision, who made it, each try and its answer. The line names tenants with their counts, 128 at most. Lines about reports of usage no longer stand beside the story of a request, of which they tell nothing.

--- a/crates/app/src/ctl/explain.rs
+++ b/crates/app/src/ctl/explain.rs
@@ -1,4 +1,5 @@
-//! `peatgradectl explain`: what several processes wrote of one request.
+//! `peatgradectl explain`: what several processes wrote of one request, job, item or
+//! window of usage.
 //!
 //! A line belongs to the story if it names the id. Lines that change a belief
 //! that was used (configuration, an engine of the story, the leader) stand
@@ -38,7 +39,7 @@
     }
 
     fn names(&self, id: &str) -> bool {
-        ["request", "item", "job"]
+        ["request", "item", "job", "window"]
             .iter()
             .any(|field| self.text(field) == Some(id))
     }
@@ -49,6 +50,8 @@
                 let engine = self.text("instance").or(self.text("engine"));
                 engine.is_some_and(|engine| engines.contains(engine))
             }
+            // What the platform took tells nothing of a request.
+            Some("usage-report") => false,
             Some(_) => true,
             None => self.fields.contains_key("dependency") || self.text("step") == Some("lead"),
         }
@@ -122,7 +125,7 @@
 fn deciding(own: &[&LogLine], start_ms: u64) -> String {
     let decisions = own.iter().filter(|line| line.text("decision").is_some());
     let good = [
-        "answer", "complete", "send", "run", "accept", "end", "relist",
+        "answer", "complete", "send", "run", "accept", "end", "relist", "usage",
     ];
     let mut bad = decisions
         .clone()
--- a/crates/metering/src/counting.rs
+++ b/crates/metering/src/counting.rs
@@ -1,4 +1,5 @@
-//! From starts at a gateway to counts by window.
+//! Counts by tenant: from starts at a gateway, and as they stand in the log line of a
+//! decision.
 
 use peatgrade_schema::replication::{CountedBatch, TenantCount, UsageBatch, WindowCount};
 use peatgrade_types::{Duration, Time};
@@ -6,6 +7,9 @@
 
 use crate::true_time::TrueTime;
 
+/// Tenants named in one log line, so that it stays at a few KB.
+const MAX_LISTED: usize = 128;
+
 /// The windows in which the starts of a batch lie.
 pub(crate) fn counted(time: &TrueTime, window: Duration, batch: &UsageBatch) -> CountedBatch {
     let mut counts: BTreeMap<(u64, &str), u64> = BTreeMap::new();
@@ -31,3 +35,22 @@
         counts: counts.collect(),
     }
 }
+
+/// Counts for a log line: `tenant:requests`, the busiest first if not all can be named.
+pub(crate) fn listed(counts: &[TenantCount]) -> String {
+    let mut counts: Vec<&TenantCount> = counts.iter().collect();
+    if counts.len() > MAX_LISTED {
+        counts.sort_by_key(|count| std::cmp::Reverse(count.requests));
+    }
+    let named = counts.iter().take(MAX_LISTED);
+    let named = named.map(|count| format!("{}:{}", count.tenant, count.requests));
+    let mut named: Vec<String> = named.collect();
+    if counts.len() > MAX_LISTED {
+        named.push(format!("and-{}-more", counts.len() - MAX_LISTED));
+    }
+    named.join(",")
+}
+
+#[cfg(test)]
+#[path = "../tests/unit/counting.rs"]
+mod tests;
--- a/crates/metering/src/reporter.rs
+++ b/crates/metering/src/reporter.rs
@@ -2,13 +2,11 @@
 //! the platform once it is decided.
 
 use peatgrade_ports::{DutyAnswer, UsageReport};
-use peatgrade_schema::replication::{
-    CountUsage, CountedBatch, DecideUsage, TenantCount, UsageAck, UsageBatch,
-};
+use peatgrade_schema::replication::{CountUsage, CountedBatch, DecideUsage, UsageAck, UsageBatch};
 use peatgrade_types::{Duration, Time};
 use std::collections::BTreeMap;
 
-use crate::counting::counted;
+use crate::counting::{counted, listed};
 use crate::ledger::UsageLedger;
 use crate::term_history::TermHistory;
 use crate::tries::Tries;
@@ -256,12 +254,13 @@
         let (window, counts) = decision;
         self.proposed = Some((window, now));
         log::info!(
-            "decision=usage window={window} tenants={} requests={} holder={} fence={} machines_told_time={}",
+            "decision=usage window={window} tenants={} requests={} holder={} fence={} machines_told_time={} counts={}",
             counts.len(),
-            requests(&counts),
+            counts.iter().map(|count| count.requests).sum::<u64>(),
             self.settings.holder,
             self.settings.fence,
-            self.time.machines()
+            self.time.machines(),
+            listed(&counts)
         );
         Some(UsageAction::Decide(DecideUsage {
             window,
@@ -292,6 +291,7 @@
         let due = Time(now.0 - (age.0 - share(DECIDE_PERCENT).0.min(age.0)));
         let due = due.max(self.began + FIRST_DECISION_AFTER);
         let is_complete = now >= due && self.received.values().all(|received| received.at > due);
+        // Nothing is won by haste any more, and much would be left out.
         if age >= self.settings.late {
             let has_waited = now.since(self.began) >= CATCH_UP_AFTER;
             return (has_waited && is_complete).then_some(next);
@@ -379,7 +379,3 @@
         ack: UsageAck { meter, sequence },
     }
 }
-
-fn requests(counts: &[TenantCount]) -> u64 {
-    counts.iter().map(|count| count.requests).sum()
-}
