A machine that lost the lead can always work as leader again

That machine had stood still for 0.8 s at 10 s and lost the lead. As it stopped, the dispatcher's last proposals failed and set the mark for "what is believed to be on its way into the log is not"; the mark had been cleared just before. With the mark set and no work under way, nothing cleared it again: when the machine won the election at 34.9 s it kept the group with its heartbeats and never took up the work. The log shows `step=propose reason=not-leading` 1 ms before `step=follow`, and no `step=lead` after `role=Leader`.

Change: whether the work goes on is a type of its own. A failed proposal counts only while the work is under way, and each lead begins without one.

--- a/crates/server/src/storage/calls.rs
+++ b/crates/server/src/storage/calls.rs
@@ -107,7 +107,7 @@
             call: call.call,
             tenant: call.tenant,
         };
-        if !self.replica.may_answer(now) || !self.working {
+        if !self.replica.may_answer(now) || !self.working() {
             if let CallBody::read(read) = &call.body {
                 if self.has_settled(now, &caller.tenant, read) {
                     self.metrics.count("read_by_follower");
@@ -148,7 +148,7 @@
     /// A sound replica in the zone of a caller, while this one leads from another.
     fn near_replica(&self, address: &str) -> String {
         let zone = self.caller_zones.get(address);
-        if zone.is_empty() || zone == self.settings.zone || !self.working {
+        if zone.is_empty() || zone == self.settings.zone || !self.working() {
             return String::new();
         }
         let now = steady_now();
@@ -289,7 +289,7 @@
             total: job.spec.items.len() as u64,
             position: read.position,
             results,
-            follows: !self.working,
+            follows: !self.working(),
             near_address: self.near_replica(&caller.address),
             ..JobReply::default()
         };
--- a/crates/server/src/storage/ends.rs
+++ b/crates/server/src/storage/ends.rs
@@ -27,7 +27,7 @@
             return;
         }
         let job = &end.job;
-        log::info!("belief=end-asked job={job} leads={}", self.working);
+        log::info!("belief=end-asked job={job} leads={}", self.working());
         if !self.member_watches.get() {
             return;
         }
@@ -47,7 +47,7 @@
     /// Drops ends that nobody waits for any more, from memory and from disk.
     pub(super) fn forget_ends(&mut self, now: Time, keep: Duration) {
         self.asked_ends.forget(now, keep);
-        if self.working && self.replica.may_answer(now) {
+        if self.working() && self.replica.may_answer(now) {
             self.asked_ends.forget_unknown(now, &self.jobs);
         }
         if let Err(error) = self.ends_file.keep_only(self.asked_ends.requests()) {
@@ -92,7 +92,7 @@
     /// Passes on to the leader what this replica has heard: the gateway that told it
     /// may not reach the leader, or be gone.
     pub(super) fn pass_on_ends(&mut self, now: Time) {
-        if self.working || self.asked_ends.is_empty() {
+        if self.working() || self.asked_ends.is_empty() {
             return;
         }
         let leader = self.replica.leader_address().map(str::to_string);
--- a/crates/server/src/storage/engines.rs
+++ b/crates/server/src/storage/engines.rs
@@ -136,7 +136,7 @@
         if self.replica.propose(now, command).is_none() {
             // What the dispatcher believes to be on its way into the log is not.
             log::info!("step=propose reason=not-leading");
-            self.work_void = true;
+            self.work.proposal_failed();
         }
     }
 
--- a/crates/server/src/storage/housekeeping.rs
+++ b/crates/server/src/storage/housekeeping.rs
@@ -81,6 +81,7 @@
     fn set_state(&self, now: Time) {
         let figures = [
             ("leads", u64::from(self.replica.role() == Role::Leader)),
+            ("works_as_leader", u64::from(self.working())),
             ("term", self.replica.term()),
             ("commit_index", self.replica.commit_index()),
             ("log_bytes", self.log_file.length()),
--- a/crates/server/src/storage/lateness.rs
+++ b/crates/server/src/storage/lateness.rs
@@ -34,7 +34,7 @@
         log::warn!(
             "step=slow-turn turn_ms={} leads={} inputs={} started={} cancelled={} applied={} open_items={} routes={}",
             took.as_millis(),
-            self.working,
+            self.working(),
             work.inputs,
             work.started,
             work.cancelled,
--- a/crates/server/src/storage/leadership.rs
+++ b/crates/server/src/storage/leadership.rs
@@ -53,19 +53,21 @@
     pub(super) fn follow_role(&mut self, now: Time) {
         self.note_role();
         self.usage.terms.note(now, self.replica.term());
-        if self.replica.role() != Role::Leader || self.work_void {
-            if self.working {
-                self.stop_leading();
-            }
-            return;
-        }
-        if !self.working && self.replica.may_answer(now) {
+        let leads = self.replica.role() == Role::Leader;
+        if self.work.must_end(leads) {
+            self.stop_leading();
+        } else if !self.working() && self.replica.may_answer(now) {
             self.start_leading(now);
         }
     }
 
+    /// Whether the leader's work has begun in this term.
+    pub(super) fn working(&self) -> bool {
+        self.work.is_under_way()
+    }
+
     fn start_leading(&mut self, now: Time) {
-        self.working = true;
+        self.work.begin();
         self.led_since = now;
         self.runs_started = 0;
         let quiet = self.quiet_engines();
@@ -133,8 +135,7 @@
     }
 
     fn stop_leading(&mut self) {
-        self.working = false;
-        self.work_void = false;
+        self.work.end();
         self.leader_watches.set(false);
         self.coordinator = None;
         self.stop_reporting();
@@ -154,7 +155,7 @@
 
     /// The leader's work: items and versions.
     pub(super) fn lead(&mut self, now: Time) {
-        if !self.working || !self.replica.may_answer(now) {
+        if !self.working() || !self.replica.may_answer(now) {
             return;
         }
         self.end_asked_jobs(now);
@@ -183,7 +184,7 @@
 
     /// The leader's work: members, and what is to be emptied.
     pub(super) fn change_members(&mut self, now: Time) {
-        if !self.working || !self.replica.may_answer(now) {
+        if !self.working() || !self.replica.may_answer(now) {
             return;
         }
         let me = self.own_member();
--- a/crates/server/src/storage/member_news.rs
+++ b/crates/server/src/storage/member_news.rs
@@ -60,7 +60,7 @@
     pub(super) fn ask_members(&mut self, now: Time) {
         self.unfollow_versions(now);
         let age = now.since(self.store_heard);
-        let is_needed = self.working && age >= ASK_AFTER;
+        let is_needed = self.working() && age >= ASK_AFTER;
         if is_needed != self.member_news.is_asking {
             self.member_news.is_asking = is_needed;
             let age = age.as_millis();
@@ -105,7 +105,7 @@
             return;
         }
         self.member_news.followed_until = now + FOLLOW_FOR;
-        if !self.member_news.version_watch.get() && !self.working {
+        if !self.member_news.version_watch.get() && !self.working() {
             log::info!("decision=follow-versions value=true");
             self.member_news.version_watch = Wanted::new(true.into());
             let wanted = self.member_news.version_watch.clone();
--- a/crates/server/src/storage/mod.rs
+++ b/crates/server/src/storage/mod.rs
@@ -22,6 +22,7 @@
 mod housekeeping;
 mod inputs;
 mod lateness;
+mod leader_work;
 mod leadership;
 mod member_news;
 mod memory;
--- a/crates/server/src/storage/process.rs
+++ b/crates/server/src/storage/process.rs
@@ -34,6 +34,7 @@
 use super::ends_file::EndsFile;
 use super::engines::{EngineExchange, ExchangeId};
 use super::inputs::{Input, Inputs};
+use super::leader_work::LeaderWork;
 use super::member_news::MemberNews;
 use super::memory::MemoryWatch;
 use super::opening::{open_crashes, open_ends, open_log, own_member};
@@ -137,10 +138,7 @@
     pub orders: OrderHistory,
     /// Orders whose note is on its way into the log.
     pub pending_orders: HashMap<String, VersionOrder>,
-    /// Whether the leader's work has begun in this term.
-    pub working: bool,
-    /// The leader's work must begin anew.
-    pub work_void: bool,
+    pub work: LeaderWork,
     /// Machines to be emptied.
     pub retirements: BTreeMap<String, Retirement>,
     pub room: Room,
@@ -262,8 +260,7 @@
             leader_watches: Wanted::default(),
             orders: OrderHistory::default(),
             pending_orders: HashMap::new(),
-            working: false,
-            work_void: false,
+            work: LeaderWork::default(),
             retirements: BTreeMap::new(),
             room,
             memory: MemoryWatch::default(),
--- a/crates/server/src/storage/replication.rs
+++ b/crates/server/src/storage/replication.rs
@@ -187,7 +187,7 @@
         match applied {
             Applied::Accepted(job) => {
                 self.metrics.count("job_accepted");
-                if self.working {
+                if self.working() {
                     self.open_job(&job);
                 }
                 self.calls.accepted(&job);
@@ -199,7 +199,7 @@
             }
             Applied::Ended(job) => {
                 self.metrics.count("job_ended");
-                log::info!("belief=ended job={job} leads={}", self.working);
+                log::info!("belief=ended job={job} leads={}", self.working());
                 self.asked_ends.committed(&job);
                 self.dispatcher.end_job(now, &job, &mut self.directory);
                 self.calls.ended(&job);
--- a/crates/server/src/storage/ticks.rs
+++ b/crates/server/src/storage/ticks.rs
@@ -18,7 +18,7 @@
             return BACKLOG_TICK;
         }
         match self.replica.role() {
-            Role::Leader if self.working && self.dispatcher.has_backlog() => BACKLOG_TICK,
+            Role::Leader if self.working() && self.dispatcher.has_backlog() => BACKLOG_TICK,
             Role::Leader => LEADER_TICK,
             _ => FOLLOWER_TICK,
         }
