--- a/crates/server/tests/unit/leader_work.rs
+++ b/crates/server/tests/unit/leader_work.rs
@@ -21,6 +21,16 @@
     work.end();
     work.proposal_failed();
     assert!(!work.is_under_way() && !work.must_end(true));
+    assert_eq!(format!("{work:?}"), format!("{:?}", LeaderWork::default()));
     work.begin();
     assert!(work.is_under_way() && !work.must_end(true));
 }
+
+#[test]
+fn a_lead_begins_without_failed_proposals() {
+    let mut work = LeaderWork::default();
+    work.begin();
+    work.proposal_failed();
+    work.begin();
+    assert!(!work.must_end(true));
+}
--- a/scripts/planted-breaks.sh
+++ b/scripts/planted-breaks.sh
@@ -282,5 +282,14 @@
 plant "versions told to nobody" crates/mirror/src/publisher.rs \
     "request.wants_versions || kind != ObjectKind::Versions" "kind != ObjectKind::Versions" \
     peatgrade-mirror versions
+plant "an end before the first configuration is dropped" $G/gateway.rs \
+    "if self.unchecked_ends.keep(now, call, end.job, key) {" \
+    "if false && self.unchecked_ends.keep(now, call, end.job, key) {" peatgrade-gateway an_end
+plant "late windows go without what was kept" $M/reporter.rs "(has_waited && is_complete)" "true" \
+    peatgrade-metering ""
+plant "a failed proposal outlives its lead" crates/server/src/storage/leader_work.rs \
+    "self.is_void = self.is_under_way;" "self.is_void = true;" peatgrade-server leader_work
+plant "a late lead begins void" crates/server/src/storage/leader_work.rs \
+    "is_void: false," "is_void: self.is_void," peatgrade-server leader_work
 
 exit $unnoticed
