A gateway that stops answers what it read last while there is time

A gateway had drained and began to close its connections 5.4 s after the signal, of 8 s, just as an end came in (after 1.1 s in which the process got no processor). Nobody led, so the end waited for a leader; 0.46 s later the gateway gave its connection up (`step=close open_connections=1 reason=took-too-long`), with 2 s left.

Ruled out: a kill by the soak (it waits longer than the 8 s); a request that came after the connection was closed (the log has its `decision=relay`).

Change: the limit of 0.45 s holds for connections on which nothing is under way; with something under way it waits until 0.15 s before the end of its time. The times of a stop are a module of their own.

--- a/crates/server/src/gateway_process/mod.rs
+++ b/crates/server/src/gateway_process/mod.rs
@@ -22,6 +22,7 @@
 mod beliefs;
 mod crashes;
 mod news;
+mod stopping;
 mod usage;
 
 use crashes::CrashExchange;
@@ -40,13 +41,6 @@
 /// Time between two looks at what is due, with and without requests under way.
 const BUSY_TICK: Duration = Duration::from_millis(15);
 const IDLE_TICK: Duration = Duration::from_millis(100);
-/// After a stop signal new connections may still come for this long, and are
-/// served for at most half of the time to stop.
-const LEAVE_AFTER_MS: u64 = 3_300;
-/// Kept back from the time to stop, for the last answers.
-const GRACE_MARGIN_MS: u64 = 600;
-/// Longest time to answer what was read last: most of the margin.
-const CLOSE_LIMIT_MS: u64 = 450;
 
 /// Runs a gateway until it has been told to stop and has drained.
 pub async fn run_gateway(
@@ -228,9 +222,8 @@
 
     /// Whether new requests may still come to a gateway that is to stop.
     fn leaves(&self, now: Time) -> bool {
-        let served = LEAVE_AFTER_MS.min(self.settings.grace_ms / 2);
         let stopping = self.stop_at;
-        stopping.is_some_and(|since| now.since(since).as_millis() >= served)
+        stopping.is_some_and(|since| now.since(since) >= stopping::served_for(self.grace()))
     }
 
     fn may_exit(&self) -> bool {
@@ -238,10 +231,15 @@
             return false;
         };
         let age = steady_now().since(since);
-        let limit = self.settings.grace_ms.saturating_sub(GRACE_MARGIN_MS);
+        let limit = stopping::drained_for(self.grace());
         let is_told = self.usage.unacknowledged() == 0;
         let drained = self.leaves(steady_now()) && self.gateway.in_flight() == 0 && is_told;
-        drained || age.as_millis() >= limit
+        drained || age >= limit
+    }
+
+    /// Time from a stop signal to the end of the process at the latest.
+    fn grace(&self) -> peatgrade_types::Duration {
+        peatgrade_types::Duration::from_millis(self.settings.grace_ms)
     }
 
     /// Closes the callers' connections: what was read is answered, nothing more is read.
@@ -252,9 +250,13 @@
         self.gateway.leave();
         self.server.closing.close();
         let open = self.server.closing.open_connections();
-        let is_late = now.since(since).as_millis() >= CLOSE_LIMIT_MS;
+        let in_flight = self.gateway.in_flight();
+        let stopping = now.since(self.stop_at.unwrap_or(since));
+        let is_late = stopping::gives_up(now.since(since), stopping, self.grace(), in_flight);
         if is_late && open > 0 {
-            log::warn!("step=close open_connections={open} reason=took-too-long");
+            log::warn!(
+                "step=close open_connections={open} in_flight={in_flight} reason=took-too-long"
+            );
         }
         open == 0 || is_late
     }
