--- a/scripts/planted-breaks.sh
+++ b/scripts/planted-breaks.sh
@@ -291,5 +291,7 @@
     "self.is_void = self.is_under_way;" "self.is_void = true;" peatgrade-server leader_work
 plant "a late lead begins void" crates/server/src/storage/leader_work.rs \
     "is_void: false," "is_void: self.is_void," peatgrade-server leader_work
+plant "what was read last is dropped at a stop" crates/server/src/gateway_process/stopping.rs \
+    "(in_flight == 0 || stopping >= last_moment)" "true" peatgrade-server stopping
 
 exit $unnoticed
