A server is closed only once nobody can accept any more

A stopping gateway told its server to close, saw no open connection in the same moment, and ended 30 ms later. The task that accepts had not run since; in those 30 ms it accepted a connection and read a lookup from it, which nobody was there to take (`step=exit in_flight=0`, then an orderly end of the stream 4 ms after the lookup was sent, so its bytes had been read).

Ruled out: a request that was not read (the connection would have been reset); one that the gateway knew (its log has no line of it).

Change: who accepts counts as an open connection, and a connection counts from when it was accepted, not from when its task first runs.

Test: a_server_is_not_closed_while_it_may_still_accept; it needs the count of 1 that the old code did not have (0).

--- a/crates/runtime/src/http_server.rs
+++ b/crates/runtime/src/http_server.rs
@@ -18,6 +18,7 @@
 use std::time::Duration;
 
 use crate::response_writer::ResponseWriter;
+use crate::server_closing::OpenConnection;
 use crate::server_limits::{LimitedReader, ServerControl, ServerLimits, TOO_LARGE};
 
 /// Longest time that a body may take.
@@ -43,6 +44,9 @@
     requests: UnboundedSender<Incoming>,
     control: ServerControl,
 ) {
+    // Counts as open itself: a process that saw no open connection and ended as this was
+    // still to learn of the closing read one more request, which got no answer.
+    let _accepting = control.closing.count_connection();
     loop {
         let accepting = listener.accept();
         futures_util::pin_mut!(accepting);
@@ -53,7 +57,8 @@
         match accepted {
             Ok((stream, _)) => {
                 let _ = stream.set_nodelay(true);
-                monoio::spawn(connection(stream, requests.clone(), control.clone()));
+                let open = control.closing.count_connection();
+                monoio::spawn(connection(stream, requests.clone(), control.clone(), open));
             }
             Err(error) => {
                 log::warn!("step=accept error={error}");
@@ -224,8 +229,8 @@
     stream: TcpStream,
     requests: UnboundedSender<Incoming>,
     control: ServerControl,
+    _open: OpenConnection,
 ) {
-    let _open = control.closing.count_connection();
     let (read_half, write_half) = stream.into_split();
     let allowance = Rc::new(Cell::new(0));
     let total = Rc::new(Cell::new(0));
--- a/crates/runtime/src/server_closing.rs
+++ b/crates/runtime/src/server_closing.rs
@@ -40,7 +40,8 @@
         }
     }
 
-    /// Connections that are open.
+    /// Connections that are open, and those who still accept some: none only if nothing
+    /// more can be read.
     pub fn open_connections(&self) -> usize {
         self.open.get()
     }
@@ -66,7 +67,8 @@
     }
 }
 
-/// One open connection.
+/// One open connection, or one who accepts them.
+#[derive(Debug)]
 pub(crate) struct OpenConnection(Rc<Cell<usize>>);
 
 impl Drop for OpenConnection {
--- a/crates/runtime/tests/http_server.rs
+++ b/crates/runtime/tests/http_server.rs
@@ -203,3 +203,24 @@
     let late = TcpStream::connect(address);
     assert!(late.is_err(), "nothing is accepted any more");
 }
+
+/// It may accept one more connection, and read from it, until it has learnt of the closing.
+#[test]
+fn a_server_is_not_closed_while_it_may_still_accept() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.set_nonblocking(true).unwrap();
+    let address = listener.local_addr().unwrap();
+    block_on(async move {
+        let control = ServerControl::default();
+        let (requests, _received) = unbounded();
+        let listener = monoio::net::TcpListener::from_std(listener).unwrap();
+        monoio::spawn(serve_controlled(listener, requests, control.clone()));
+        monoio::time::sleep(Duration::from_millis(5)).await;
+        control.closing.close();
+        assert_eq!(control.closing.open_connections(), 1);
+        monoio::time::sleep(Duration::from_millis(50)).await;
+        assert_eq!(control.closing.open_connections(), 0);
+    })
+    .unwrap();
+    assert!(TcpStream::connect(address).is_err());
+}
