--- a/crates/fleet/src/experience.rs
+++ b/crates/fleet/src/experience.rs
@@ -1,5 +1,6 @@
 //! What this machine has seen of one engine.
 
+use peatgrade_ports::EngineLoad;
 use peatgrade_types::{Duration, Time};
 
 /// Weight of a new latency in its running mean.
@@ -32,8 +33,8 @@
     pub failures: u32,
     /// Avoided until then, unless nothing else is there.
     pub blocked_until: Time,
-    /// Requests running and waiting there, as it last said.
-    pub load: Option<(Time, u32, u32)>,
+    /// What it last said of its load, and when.
+    pub load: Option<(Time, EngineLoad)>,
     /// When the last answer or event came.
     pub heard: Time,
     /// Nobody listened at its address, and nothing came from it since.
@@ -109,10 +110,16 @@
     /// Requests there: this machine's own, or what the engine last said if
     /// that is more.
     pub fn occupied(&self, now: Time) -> u32 {
-        let told = self.load.filter(|(at, ..)| now.since(*at) <= LOAD_FRESH);
-        let told = told.map_or(0, |(_, running, waiting)| running + waiting);
+        let told = self.told_load(now);
+        let told = told.map_or(0, |load| load.running + load.waiting);
         self.running.max(told)
     }
+
+    /// What it said of its load, if that is not too long ago.
+    pub fn told_load(&self, now: Time) -> Option<EngineLoad> {
+        let told = self.load.filter(|(at, _)| now.since(*at) <= LOAD_FRESH);
+        told.map(|(_, load)| load)
+    }
 }
 
 /// Time and events of all generations of an engine, older ones counting less.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`EngineDirectory`]: the discovery list with this machine's own
 //!   experience of each engine: requests under way, pace, failures.
+//! - [`Outlook`]: an engine as it stands just now, which every choice goes by.
 //! - [`VersionCoordinator`]: brings engines to the versions that trainers
 //!   have named, with fenced orders of one holder at a time.
 
@@ -9,8 +10,10 @@
 mod directory;
 mod experience;
 mod order_history;
+mod outlook;
 
 pub use coordinator::{CoordinatorAction, OrderOutcome, VersionCoordinator};
 pub use directory::{EngineDirectory, EngineState};
 pub use experience::Experience;
 pub use order_history::{OrderHistory, OrderRules};
+pub use outlook::Outlook;
--- a/crates/forward/src/answers.rs
+++ b/crates/forward/src/answers.rs
@@ -53,9 +53,7 @@
             return;
         };
         if let Some(state) = directory.get_mut(&attempt.instance) {
-            state.experience.load = told
-                .load
-                .map(|(running, waiting, _)| (now, running, waiting));
+            state.experience.load = told.load.map(|load| (now, load));
         }
         let Some(forward) = self.calls.get_mut(&attempt.call) else {
             return;
--- a/crates/jobs/src/dispatcher/answers.rs
+++ b/crates/jobs/src/dispatcher/answers.rs
@@ -45,9 +45,7 @@
             return;
         };
         if let Some(state) = directory.get_mut(&run.instance) {
-            state.experience.load = head
-                .load
-                .map(|(running, waiting, _)| (now, running, waiting));
+            state.experience.load = head.load.map(|load| (now, load));
         }
         if let Some(version) = head.version {
             run.version = version;
--- a/crates/jobs/tests/dispatch/mod.rs
+++ b/crates/jobs/tests/dispatch/mod.rs
@@ -72,6 +72,7 @@
 pub fn engine(name: &str, version: u64) -> EngineRecord {
     EngineRecord {
         instance: Instance(name.into()),
+        started: None,
         service: "models".into(),
         address: format!("{name}:1"),
         zone: "z".into(),
--- a/crates/mirror/src/encoding.rs
+++ b/crates/mirror/src/encoding.rs
@@ -3,7 +3,7 @@
 use peatgrade_authentication::{KeyDigest, Tenant, Tenants};
 use peatgrade_ports::{
     Configuration, EngineRecord, Instance, Limits, ObjectKind, Route, RouteKind, Service,
-    StoreObject, Target,
+    StartedAt, StoreObject, Target,
 };
 use peatgrade_schema::replication::mod_MirroredObject::OneOfbody;
 use peatgrade_schema::replication::{
@@ -80,6 +80,7 @@
 fn engine_message(record: &EngineRecord) -> MirroredEngine {
     let models = record.models.iter();
     MirroredEngine {
+        started: record.started.map_or(0, |started| started.0),
         service: record.service.clone(),
         address: record.address.clone(),
         zone: record.zone.clone(),
@@ -98,6 +99,7 @@
     let models = engine.models.into_iter();
     EngineRecord {
         instance: Instance(instance),
+        started: Some(engine.started).filter(|at| *at > 0).map(StartedAt),
         service: engine.service,
         address: engine.address,
         zone: engine.zone,
--- a/crates/mirror/tests/publisher.rs
+++ b/crates/mirror/tests/publisher.rs
@@ -4,7 +4,7 @@
 use peatgrade_mirror::{MirrorTiming, Published, Publisher, Subscriber, SubscriberAction};
 use peatgrade_ports::{
     Configuration, EngineRecord, Instance, Limits, ObjectKind, Route, RouteKind, Service,
-    StoreEvent, StoreObject, StoreUpdate, Target,
+    StartedAt, StoreEvent, StoreObject, StoreUpdate, Target,
 };
 use peatgrade_schema::replication::{MirrorReply, MirrorRequest, MirroredKindName};
 use peatgrade_types::{Duration, Time};
@@ -293,6 +293,7 @@
     }));
     let record = StoreObject::Engine(EngineRecord {
         instance: Instance("i-1".into()),
+        started: Some(StartedAt(1_764_700_000_123)),
         service: "s".into(),
         address: "10.1.0.1:80".into(),
         zone: "z".into(),
--- a/crates/ports/src/engine.rs
+++ b/crates/ports/src/engine.rs
@@ -15,11 +15,25 @@
     }
 }
 
+/// When an engine started, by its own account: a Unix millisecond. An engine may start
+/// again under the name that it had; the later start is another life, of which nothing
+/// that was believed of the earlier one is true.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
+pub struct StartedAt(pub u64);
+
+impl std::fmt::Display for StartedAt {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "{}", self.0)
+    }
+}
+
 /// An engine as the discovery list shows it.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct EngineRecord {
-    /// Its present life.
+    /// Its name in the list.
     pub instance: Instance,
+    /// When its present life began; none if it does not say.
+    pub started: Option<StartedAt>,
     /// Service it belongs to.
     pub service: String,
     /// IP and port.
@@ -94,6 +108,20 @@
     pub expected: Option<u64>,
 }
 
+/// What an engine says of its load.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EngineLoad {
+    /// Requests that it runs.
+    pub running: u32,
+    /// Requests that wait there.
+    pub waiting: u32,
+    /// Requests that it can run at once.
+    pub slots: u32,
+    /// How long work takes there just now, in percent of the usual time; none if the
+    /// engine does not say. Others may use its machine, so it changes many times a second.
+    pub slowdown_percent: Option<u32>,
+}
+
 /// What the head of an engine's answer says.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct AnswerHead {
@@ -107,8 +135,8 @@
     pub misdirected: bool,
     /// The instance that answers, if it says so.
     pub instance: Option<Instance>,
-    /// Requests running, waiting, and slots.
-    pub load: Option<(u32, u32, u32)>,
+    /// What the engine says of its load.
+    pub load: Option<EngineLoad>,
     /// Version of the weights.
     pub version: Option<u64>,
     /// The engine's signature under its answer.
@@ -146,6 +174,8 @@
 /// An engine's own account.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct EngineReport {
+    /// When its present life began; none if it does not say.
+    pub started: Option<StartedAt>,
     /// Version of each model.
     pub models: BTreeMap<String, u64>,
     /// Whether an order is being carried out.
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -25,8 +25,8 @@
 pub use configuration::{Configuration, Limits, Route, RouteKind, Service, Target};
 pub use duties::{DutyAnswer, UsageReport};
 pub use engine::{
-    AnswerHead, EngineCall, EngineRecord, EngineReport, EventReader, GenerationEvent, Instance,
-    OrderAnswer, OrderMode, VersionOrder,
+    AnswerHead, EngineCall, EngineLoad, EngineRecord, EngineReport, EventReader, GenerationEvent,
+    Instance, OrderAnswer, OrderMode, StartedAt, VersionOrder,
 };
 pub use routes::RouteTable;
 pub use store::{
--- a/crates/server/src/storage/publishing.rs
+++ b/crates/server/src/storage/publishing.rs
@@ -42,6 +42,7 @@
             leader_address: self.replica.leader_address().unwrap_or("").to_string(),
             crash_digest,
             crashes,
+            observations: Vec::new(),
         };
         self.reply_lightly(&published.address, OneOfbody::mirror_reply(reply));
     }
--- a/crates/server/tests/takeover/engines.rs
+++ b/crates/server/tests/takeover/engines.rs
@@ -102,6 +102,7 @@
 pub fn directory(now: Time) -> EngineDirectory {
     let records = (0..ENGINES).map(|index| EngineRecord {
         instance: Instance(format!("engine-{index}")),
+        started: None,
         service: "models".into(),
         address: format!("engine-{index}:1"),
         zone: "z".into(),
