Backpressure: bytes held for callers count against one budget

Cause: parts of an answer waited in a channel without bound for a caller who did not read (12.8 MB of a streamed answer were held, the connection stayed open), and bodies of 32 MiB were read without a look at what the machine, 120 MB on some gateways, holds already. Ruled out: bounded channels towards engines (they cut off answers left unread for seconds); refusing the newest answer (a caller who stands still would cost the others). Change: MemoryBudget, a third of memory_limit_mb on gateways; Responder in place of a bare channel; writes that see whether the caller goes on reading; the reading of requests has a module of its own.

--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -13,7 +13,7 @@
 use monoio::net::TcpListener;
 use peatgrade_models::platform::STORE;
 use peatgrade_models::{Execution, Fault, Platform, RequestId};
-use peatgrade_runtime::{now, serve, Incoming};
+use peatgrade_runtime::{now, serve, Incoming, Responder};
 use peatgrade_types::http::{ResponseHead, ResponsePart};
 use peatgrade_types::Time;
 use std::collections::BTreeMap;
@@ -34,7 +34,7 @@
 
 struct World {
     platform: Platform,
-    open: BTreeMap<RequestId, UnboundedSender<ResponsePart>>,
+    open: BTreeMap<RequestId, Responder>,
     next: u64,
     executions: Vec<Execution>,
     faults: Vec<Fault>,
@@ -116,13 +116,13 @@
         self.platform.request(now(), address, id, request);
     }
 
-    fn answer_executions(&self, after: usize, respond: &UnboundedSender<ResponsePart>) {
+    fn answer_executions(&self, after: usize, respond: &Responder) {
         let page = self.executions.iter().skip(after).take(EXECUTIONS_PAGE);
         let body = serde_json::to_vec(&page.collect::<Vec<_>>()).unwrap_or_default();
         let head = ResponseHead::new(200, "application/json");
-        let _ = respond.unbounded_send(ResponsePart::Head(head));
-        let _ = respond.unbounded_send(ResponsePart::Data(body.into()));
-        let _ = respond.unbounded_send(ResponsePart::End);
+        let _ = respond.send(ResponsePart::Head(head));
+        let _ = respond.send(ResponsePart::Data(body.into()));
+        let _ = respond.send(ResponsePart::End);
     }
 
     fn start_due_faults(&mut self) {
@@ -153,7 +153,7 @@
         for (id, part) in self.platform.advance(now()) {
             let last = matches!(part, ResponsePart::End | ResponsePart::Failed(_));
             if let Some(respond) = self.open.get(&id) {
-                let _ = respond.unbounded_send(part);
+                let _ = respond.send(part);
             }
             if last {
                 self.open.remove(&id);
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -9,7 +9,9 @@
 use peatgrade_routing::SelectorPolicy;
 use peatgrade_runtime::http_client::Cancel;
 use peatgrade_runtime::peer_socket::PeerMessage;
-use peatgrade_runtime::{now, open_rings, serve, HttpClient, Incoming, PeerSocket, SendOptions};
+use peatgrade_runtime::{
+    now, open_rings, serve, HttpClient, Incoming, PeerSocket, Responder, SendOptions,
+};
 use peatgrade_schema::settings::NodeSettings;
 use peatgrade_storage::{DiskReply, DiskStore, StorageError};
 use peatgrade_types::http::ResponsePart;
@@ -52,7 +54,7 @@
     peers: PeerSocket,
     client: HttpClient<HttpId>,
     disk: Option<DiskThread>,
-    calls: BTreeMap<CallId, UnboundedSender<ResponsePart>>,
+    calls: BTreeMap<CallId, Responder>,
     requests: BTreeMap<HttpId, Cancel>,
     next_call: u64,
 }
@@ -284,7 +286,7 @@
     fn respond(&mut self, call: CallId, part: ResponsePart) {
         let last = matches!(part, ResponsePart::End | ResponsePart::Failed(_));
         if let Some(respond) = self.calls.get(&call) {
-            let _ = respond.unbounded_send(part);
+            let _ = respond.send(part);
         }
         if last {
             self.calls.remove(&call);
--- a/crates/runtime/src/http_server.rs
+++ b/crates/runtime/src/http_server.rs
@@ -1,36 +1,34 @@
 //! The server side of HTTP: one task per connection.
 
-use bytes::{Bytes, BytesMut};
-use futures_channel::mpsc::{unbounded, UnboundedReceiver, UnboundedSender};
+use bytes::Bytes;
+use futures_channel::mpsc::UnboundedSender;
 use futures_util::future::{select, Either};
 use futures_util::StreamExt;
-use monoio::io::stream::Stream as _;
-use monoio::io::{AsyncReadRent, Splitable};
+use monoio::io::Splitable;
 use monoio::net::{TcpListener, TcpStream};
-use monoio_http::common::error::HttpError;
-use monoio_http::common::request::Request;
-use monoio_http::h1::codec::decoder::{FillPayload, RequestDecoder};
-use monoio_http::h1::payload::Payload;
+use monoio_http::h1::codec::decoder::RequestDecoder;
 use peatgrade_schema::engine::Problem;
 use peatgrade_types::http::{HttpRequest, ResponseHead, ResponsePart};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
+use crate::request_reader::{read_request, ReadEnd};
+use crate::responder::{AnswerQueue, Responder};
 use crate::response_writer::ResponseWriter;
 use crate::server_closing::OpenConnection;
-use crate::server_limits::{LimitedReader, ServerControl, ServerLimits, TOO_LARGE};
+use crate::server_limits::{LimitedReader, ServerControl};
 
-/// Longest time that a body may take.
-const BODY_TIMEOUT: Duration = Duration::from_secs(60);
+/// When a caller for whose request there was no room may come back, in seconds: callers
+/// who do not read are cut off after half of it.
+const NO_ROOM_RETRY_S: &str = "1";
 
 /// A request with the way to answer it.
 pub struct Incoming {
     /// The request.
     pub request: HttpRequest,
-    /// Takes the parts of the response. Its other end is dropped when the
-    /// caller goes away.
-    pub respond: UnboundedSender<ResponsePart>,
+    /// Takes the parts of the response. It is closed when the caller goes away.
+    pub respond: Responder,
 }
 
 /// Accepts connections for good and hands whole requests to `requests`.
@@ -68,163 +66,6 @@
     }
 }
 
-/// Why no request came out of a connection.
-enum ReadEnd {
-    Closed,
-    Bad {
-        status: u16,
-        kind: &'static str,
-        detail: String,
-    },
-}
-
-async fn read_request<R: AsyncReadRent>(
-    decoder: &mut RequestDecoder<LimitedReader<R>>,
-    allowance: &Rc<Cell<usize>>,
-    control: &ServerControl,
-) -> Result<HttpRequest, ReadEnd> {
-    let limits = control.limits.get();
-    allowance.set(limits.head_bytes);
-    let patience = limits.idle_time + limits.head_time;
-    let read = monoio::time::timeout(patience, decoder.next()).await;
-    let request = match read {
-        Err(_) | Ok(None) => return Err(ReadEnd::Closed),
-        Ok(Some(Err(error))) => return Err(bad(&limits, Part::Head, &error)),
-        Ok(Some(Ok(request))) => request,
-    };
-    if head_length(&request) > limits.head_bytes {
-        return Err(too_large(&limits, Part::Head));
-    }
-    if !is_framed_clearly(&request) {
-        return Err(ReadEnd::Bad {
-            status: 400,
-            kind: "ambiguous-length",
-            detail: "the length of the request can be read in more than one way".into(),
-        });
-    }
-    if declared_length(&request) > limits.body_bytes {
-        return Err(too_large(&limits, Part::Body));
-    }
-    // The framing of chunks counts as well.
-    allowance.set(limits.body_bytes + limits.head_bytes);
-    let filled = monoio::time::timeout(BODY_TIMEOUT, decoder.fill_payload()).await;
-    match filled {
-        Err(_) => return Err(ReadEnd::Closed),
-        Ok(Err(error)) => return Err(bad(&limits, Part::Body, &error)),
-        Ok(Ok(())) => {}
-    }
-    let request = to_request(request)
-        .await
-        .map_err(|error| bad(&limits, Part::Body, &error))?;
-    if request.body.len() > limits.body_bytes {
-        return Err(too_large(&limits, Part::Body));
-    }
-    Ok(request)
-}
-
-/// The part of a request that was being read.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Part {
-    Head,
-    Body,
-}
-
-/// Bytes of a request's head, without its first line's method and version.
-fn head_length(request: &Request<Payload>) -> usize {
-    let headers = request.headers().iter();
-    let headers = headers.map(|(name, value)| name.as_str().len() + value.len() + 4);
-    let path = request
-        .uri()
-        .path_and_query()
-        .map_or(0, |path| path.as_str().len());
-    path + headers.sum::<usize>()
-}
-
-/// Whether the length of a request can be read in one way only. Otherwise what
-/// one side takes for its body may be another request to the other side.
-fn is_framed_clearly(request: &Request<Payload>) -> bool {
-    let headers = request.headers();
-    let lengths: Vec<&[u8]> = headers
-        .get_all(http::header::CONTENT_LENGTH)
-        .iter()
-        .map(|value| value.as_bytes())
-        .collect();
-    let codings: Vec<&[u8]> = headers
-        .get_all(http::header::TRANSFER_ENCODING)
-        .iter()
-        .map(|value| value.as_bytes())
-        .collect();
-    let digits = |value: &&[u8]| !value.is_empty() && value.iter().all(u8::is_ascii_digit);
-    match (lengths.as_slice(), codings.as_slice()) {
-        ([], []) => true,
-        ([length], []) => digits(length),
-        ([], [coding]) => coding.eq_ignore_ascii_case(b"chunked"),
-        _ => false,
-    }
-}
-
-fn declared_length(request: &Request<Payload>) -> usize {
-    let value = request.headers().get(http::header::CONTENT_LENGTH);
-    let parsed = value.and_then(|value| value.to_str().ok()?.parse().ok());
-    parsed.unwrap_or(0)
-}
-
-fn too_large(limits: &ServerLimits, part: Part) -> ReadEnd {
-    let (status, kind) = match part {
-        Part::Head => (431, "head-too-large"),
-        Part::Body => (413, "body-too-large"),
-    };
-    ReadEnd::Bad {
-        status,
-        kind,
-        detail: format!(
-            "at most {} bytes of head and {} of body",
-            limits.head_bytes, limits.body_bytes
-        ),
-    }
-}
-
-fn bad(limits: &ServerLimits, part: Part, error: &HttpError) -> ReadEnd {
-    let text = error.to_string();
-    if text.contains(TOO_LARGE) {
-        return too_large(limits, part);
-    }
-    if matches!(error, HttpError::IOError(_)) || text.contains("eof") || text.contains("io error") {
-        return ReadEnd::Closed;
-    }
-    ReadEnd::Bad {
-        status: 400,
-        kind: "malformed-http",
-        detail: text,
-    }
-}
-
-async fn to_request(request: Request<Payload>) -> Result<HttpRequest, HttpError> {
-    let (parts, payload) = request.into_parts();
-    let body = match payload {
-        Payload::None => Bytes::new(),
-        Payload::Fixed(mut fixed) => fixed.next().await.transpose()?.unwrap_or_default(),
-        Payload::Stream(mut pieces) => {
-            let mut whole = BytesMut::new();
-            while let Some(piece) = pieces.next().await {
-                whole.extend_from_slice(&piece?);
-            }
-            whole.freeze()
-        }
-    };
-    let headers = parts.headers.iter().map(|(name, value)| {
-        let text = String::from_utf8_lossy(value.as_bytes()).into_owned();
-        (name.as_str().to_string(), text)
-    });
-    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
-    Ok(HttpRequest {
-        method: parts.method.as_str().to_string(),
-        path: path.to_string(),
-        headers: headers.collect(),
-        body,
-    })
-}
-
 async fn connection(
     stream: TcpStream,
     requests: UnboundedSender<Incoming>,
@@ -234,10 +75,12 @@
     let (read_half, write_half) = stream.into_split();
     let allowance = Rc::new(Cell::new(0));
     let total = Rc::new(Cell::new(0));
+    let held = Rc::new(RefCell::new(control.budget.share()));
     let reader = LimitedReader {
         io: read_half,
         allowance: allowance.clone(),
         total: total.clone(),
+        held: held.clone(),
     };
     let mut decoder = RequestDecoder::new(reader);
     let mut writer = ResponseWriter::new(write_half);
@@ -268,7 +111,13 @@
         let close = request
             .header("connection")
             .is_some_and(|v| v.eq_ignore_ascii_case("close"));
-        let (respond, mut parts) = unbounded();
+        let (respond, queue) = Responder::new(&control.budget);
+        let AnswerQueue {
+            mut parts,
+            unread,
+            mut cut_off,
+        } = queue;
+        writer.answers(unread.clone());
         if requests
             .unbounded_send(Incoming { request, respond })
             .is_err()
@@ -298,14 +147,25 @@
                     }
                 },
             };
+            if unread.is_cut_off() {
+                return;
+            }
             // A request that came early is answered, too, before the connection ends.
             let last = close || (control.stopping.get() && early.is_none());
-            match response.write(&mut writer, part, last).await {
-                Ok(Progress::More) => {}
+            let writing = response.write(&mut writer, part, last);
+            futures_util::pin_mut!(writing);
+            let written = match select(writing, &mut cut_off).await {
+                Either::Left((written, _)) => written,
+                Either::Right(_) => return,
+            };
+            match written {
+                Ok(Progress::More(bytes)) => unread.written(bytes),
                 Ok(Progress::Done) => break !last,
                 Err(_) => break false,
             }
         };
+        // What was read since belongs to the next request.
+        held.borrow_mut().shrink_to((total.get() - before) as usize);
         if !finished {
             return;
         }
@@ -322,7 +182,8 @@
 }
 
 enum Progress {
-    More,
+    /// So many bytes of the body were written, and more is to follow.
+    More(usize),
     Done,
 }
 
@@ -351,7 +212,10 @@
                 }
                 self.head = Some(head);
             }
-            Some(ResponsePart::Data(data)) if self.begun => writer.piece(&data).await?,
+            Some(ResponsePart::Data(data)) if self.begun => {
+                writer.piece(&data).await?;
+                return Ok(Progress::More(data.len()));
+            }
             Some(ResponsePart::Data(data)) => match self.first.take() {
                 None => self.first = Some(data),
                 Some(first) => {
@@ -359,6 +223,7 @@
                     writer.begin(&head, &first).await?;
                     writer.piece(&data).await?;
                     self.begun = true;
+                    return Ok(Progress::More(first.len() + data.len()));
                 }
             },
             Some(ResponsePart::End) if self.begun => {
@@ -376,7 +241,7 @@
             Some(ResponsePart::Failed(failure)) => return Err(std::io::Error::other(failure)),
             None => return Err(std::io::Error::other("no more parts")),
         }
-        Ok(Progress::More)
+        Ok(Progress::More(0))
     }
 }
 
@@ -394,9 +259,10 @@
         outcome: String::new(),
     };
     let body = serde_json::to_vec(&problem).unwrap_or_default();
-    let head = ResponseHead::new(status, "application/problem+json");
+    let mut head = ResponseHead::new(status, "application/problem+json");
+    if status == 503 {
+        head.headers
+            .push(("retry-after".into(), NO_ROOM_RETRY_S.into()));
+    }
     let _ = writer.whole(&head, &body, true).await;
 }
-
-/// The receiving end for a request whose parts are wanted elsewhere.
-pub type PartReceiver = UnboundedReceiver<ResponsePart>;
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -6,6 +6,9 @@
 //!  PeerSocket: UDP for small messages, TCP frames for large ones
 //! ```
 //!
+//! Bytes held for callers, who may send much or read slowly, count against one
+//! [`MemoryBudget`].
+//!
 //! Each task owns its socket; tasks and the owner of the state talk by
 //! channels only. The event loop is monoio on its epoll driver, named
 //! explicitly: `monoio-http` enables monoio's io_uring feature through feature
@@ -20,7 +23,10 @@
 pub mod link_socket;
 pub mod log_writer;
 pub mod logging;
+pub mod memory_budget;
 pub mod peer_socket;
+mod request_reader;
+mod responder;
 mod response_reader;
 mod response_writer;
 pub mod server_closing;
@@ -31,6 +37,8 @@
 pub use http_client::{HttpClient, SendOptions};
 pub use http_server::{serve, serve_controlled, Incoming};
 pub use link_socket::{Delivery, LinkSocket};
+pub use memory_budget::{BudgetFigures, MemoryBudget};
 pub use peer_socket::PeerSocket;
+pub use responder::{CallerGone, Responder};
 pub use server_closing::ServerClosing;
 pub use server_limits::{ServerControl, ServerLimits};
--- a/crates/runtime/src/response_writer.rs
+++ b/crates/runtime/src/response_writer.rs
@@ -8,6 +8,12 @@
 use bytes::{BufMut, Bytes, BytesMut};
 use monoio::io::{AsyncWriteRent, AsyncWriteRentExt};
 use peatgrade_types::http::ResponseHead;
+use std::io::ErrorKind;
+use std::rc::Rc;
+use std::task::Poll;
+use std::time::Duration;
+
+use crate::responder::UnreadAnswer;
 
 fn reason(status: u16) -> &'static str {
     let known = http::StatusCode::from_u16(status).ok();
@@ -31,14 +37,51 @@
     into.put_slice(b"\r\n");
 }
 
+/// A caller that takes nothing of its answer for this long has left, or will never read:
+/// callers give up a stream that pauses for some seconds.
+const PATIENCE: Duration = Duration::from_secs(5);
+/// Bytes of one write: the caller's progress is seen between two of them.
+const WRITE_BYTES: usize = 16 * 1024;
+
 /// Writes one response at a time to its connection.
 pub(crate) struct ResponseWriter<W> {
     io: W,
+    /// Where it notes that the caller does not read.
+    unread: Option<Rc<UnreadAnswer>>,
 }
 
 impl<W: AsyncWriteRent> ResponseWriter<W> {
     pub fn new(io: W) -> Self {
-        Self { io }
+        Self { io, unread: None }
+    }
+
+    /// What is written from here on belongs to another answer.
+    pub fn answers(&mut self, unread: Rc<UnreadAnswer>) {
+        self.unread = Some(unread);
+    }
+
+    /// Writes all, as long as the caller goes on reading.
+    async fn write(&mut self, mut bytes: Bytes) -> std::io::Result<()> {
+        while !bytes.is_empty() {
+            let piece = bytes.split_to(bytes.len().min(WRITE_BYTES));
+            let writing = self.io.write_all(piece);
+            futures_util::pin_mut!(writing);
+            // Most writes are taken at once and need no timer.
+            if let Poll::Ready((result, _)) = futures_util::poll!(&mut writing) {
+                result?;
+                continue;
+            }
+            if let Some(unread) = &self.unread {
+                unread.waits();
+            }
+            let waited = monoio::time::timeout(PATIENCE, writing).await;
+            if let Some(unread) = &self.unread {
+                unread.moves();
+            }
+            let (result, _) = waited.map_err(|_| std::io::Error::from(ErrorKind::TimedOut))?;
+            result?;
+        }
+        Ok(())
     }
 
     /// Writes a response whose body is known.
@@ -56,7 +99,7 @@
             &mut bytes,
         );
         bytes.put_slice(body);
-        self.io.write_all(bytes.freeze()).await.0.map(|_| ())
+        self.write(bytes.freeze()).await
     }
 
     /// Begins a response whose body follows in pieces.
@@ -64,20 +107,20 @@
         let mut bytes = BytesMut::with_capacity(512 + first.len());
         write_head(head, "transfer-encoding: chunked\r\n", false, &mut bytes);
         put_chunk(first, &mut bytes);
-        self.io.write_all(bytes.freeze()).await.0.map(|_| ())
+        self.write(bytes.freeze()).await
     }
 
     /// Writes a piece.
     pub async fn piece(&mut self, data: &Bytes) -> std::io::Result<()> {
         let mut bytes = BytesMut::with_capacity(16 + data.len());
         put_chunk(data, &mut bytes);
-        self.io.write_all(bytes.freeze()).await.0.map(|_| ())
+        self.write(bytes.freeze()).await
     }
 
     /// Ends a response in pieces.
     pub async fn end(&mut self) -> std::io::Result<()> {
         let last = Bytes::from_static(b"0\r\n\r\n");
-        self.io.write_all(last).await.0.map(|_| ())
+        self.write(last).await
     }
 }
 
--- a/crates/runtime/src/server_limits.rs
+++ b/crates/runtime/src/server_limits.rs
@@ -3,10 +3,11 @@
 use monoio::buf::{IoBufMut, IoVecBufMut};
 use monoio::io::AsyncReadRent;
 use monoio::BufResult;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
+use crate::memory_budget::{HeldBytes, MemoryBudget};
 use crate::server_closing::ServerClosing;
 
 /// Bounds on what a caller may send.
@@ -35,6 +36,8 @@
 
 /// What a [`LimitedReader`] says when nothing is left.
 pub(crate) const TOO_LARGE: &str = "request too large";
+/// What it says when this machine holds too much for its callers.
+pub(crate) const NO_ROOM: &str = "no room for more bytes of callers";
 
 /// What the owner of a server may change while it runs.
 #[derive(Clone, Debug, Default)]
@@ -46,6 +49,8 @@
     pub limits: Rc<Cell<ServerLimits>>,
     /// Ends the server.
     pub closing: ServerClosing,
+    /// Bytes that may be held for all callers together.
+    pub budget: MemoryBudget,
 }
 
 /// A reader that fails once its allowance is used up, so that nobody can make
@@ -56,6 +61,8 @@
     pub allowance: Rc<Cell<usize>>,
     /// Bytes that were read.
     pub total: Rc<Cell<u64>>,
+    /// Those of them that belong to requests without an answer.
+    pub held: Rc<RefCell<HeldBytes>>,
 }
 
 impl<R> LimitedReader<R> {
@@ -71,6 +78,9 @@
             let left = self.allowance.get().saturating_sub(*count);
             self.allowance.set(left);
             self.total.set(self.total.get() + *count as u64);
+            if self.held.borrow_mut().grow(*count).is_err() {
+                return (Err(std::io::Error::other(NO_ROOM)), buffer);
+            }
         }
         (result, buffer)
     }
--- a/crates/runtime/tests/http_server.rs
+++ b/crates/runtime/tests/http_server.rs
@@ -36,7 +36,7 @@
                     ResponsePart::End,
                 ];
                 for part in parts {
-                    let _ = incoming.respond.unbounded_send(part);
+                    let _ = incoming.respond.send(part);
                 }
             }
         })
@@ -147,7 +147,7 @@
                     ResponsePart::End,
                 ];
                 for part in parts {
-                    let _ = incoming.respond.unbounded_send(part);
+                    let _ = incoming.respond.send(part);
                 }
                 let pause = monoio::time::sleep(LATE_ANSWER);
                 futures_util::pin_mut!(pause);
--- a/crates/server/src/gateway_process/actions.rs
+++ b/crates/server/src/gateway_process/actions.rs
@@ -45,7 +45,7 @@
                     self.metrics.answers.with_label_values(&[&status]).inc();
                 }
                 if let Some(open) = self.calls.get(&call) {
-                    let _ = open.respond.unbounded_send(part);
+                    let _ = open.respond.send(part);
                 }
                 if last {
                     if let Some(open) = self.calls.remove(&call) {
--- a/crates/server/src/gateway_process/mod.rs
+++ b/crates/server/src/gateway_process/mod.rs
@@ -8,7 +8,9 @@
 use peatgrade_mirror::Subscriber;
 use peatgrade_ports::{Answer, Codec, StoreUpdate};
 use peatgrade_runtime::http_client::Cancel;
-use peatgrade_runtime::{serve_controlled, HttpClient, Incoming, LinkSocket, ServerControl};
+use peatgrade_runtime::{
+    serve_controlled, HttpClient, Incoming, LinkSocket, MemoryBudget, Responder, ServerControl,
+};
 use peatgrade_schema::decode;
 use peatgrade_schema::replication::mod_ReplicaMessage::OneOfbody;
 use peatgrade_schema::replication::ReplicaMessage;
@@ -82,7 +84,7 @@
 
 /// A caller that waits for its answer.
 struct OpenCall {
-    respond: UnboundedSender<ResponsePart>,
+    respond: Responder,
     since: Time,
 }
 
@@ -127,7 +129,12 @@
             step: "install signal handlers",
             source,
         })?;
-        let server = ServerControl::default();
+        let server = ServerControl {
+            budget: settings
+                .caller_bytes()
+                .map_or_else(Default::default, MemoryBudget::new),
+            ..ServerControl::default()
+        };
         let (calls, call_inputs) = unbounded();
         for (what, address) in [
             ("front", &settings.front_address),
@@ -273,7 +280,7 @@
                 ResponsePart::End,
             ];
             for part in parts {
-                let _ = respond.unbounded_send(part);
+                let _ = respond.send(part);
             }
             return;
         }
@@ -358,6 +365,14 @@
         self.gateway.news_age = self.subscriber.age(now);
     }
 
+    /// Bytes held for callers, and what was done to bound them.
+    fn note_caller_bytes(&self) {
+        let figures = self.server.budget.figures();
+        self.metrics.set("caller_bytes_held", figures.held as u64);
+        self.metrics.set("callers_cut_off", figures.cut_off);
+        self.metrics.set("caller_bytes_refused", figures.refused);
+    }
+
     fn set_state(&self, now: Time) {
         let configuration = &self.gateway.configuration;
         let version = configuration.as_ref().map_or(0, |c| c.version);
@@ -375,6 +390,7 @@
         let untold = self.usage.unacknowledged() as u64;
         self.metrics.set("usage_unacknowledged", untold);
         self.metrics.set("ready", u64::from(self.ready()));
+        self.note_caller_bytes();
         for (name, value) in self.gateway.directory.quarantine.figures() {
             self.metrics.set(name, value);
         }
--- a/crates/server/src/metrics.rs
+++ b/crates/server/src/metrics.rs
@@ -168,7 +168,7 @@
                 ResponsePart::Data(body),
                 ResponsePart::End,
             ] {
-                let _ = respond.unbounded_send(part);
+                let _ = respond.send(part);
             }
         }
     });
--- a/crates/server/src/settings.rs
+++ b/crates/server/src/settings.rs
@@ -69,7 +69,7 @@
     /// Room for data, in megabytes; 0 for no limit. Storage only.
     #[serde(default)]
     pub disk_limit_mb: u64,
-    /// Memory of the process, in megabytes; 0 for no limit. Storage only.
+    /// Memory of the process, in megabytes; 0 for no limit.
     #[serde(default)]
     pub memory_limit_mb: u64,
     /// Length of the windows for which the usage of tenants is reported, in milliseconds;
@@ -246,6 +246,12 @@
         limit.map(Duration::from_millis)
     }
 
+    /// Bytes that a gateway may hold for its callers; none if its memory has no limit.
+    pub fn caller_bytes(&self) -> Option<usize> {
+        let limit = Some(self.memory_limit_mb).filter(|limit| *limit > 0);
+        limit.map(|limit| limit as usize * MEGABYTE / CALLER_MEMORY_DIVISOR)
+    }
+
     /// Spans within which news of the store reach all machines.
     pub fn mirror_timing(&self) -> MirrorTiming {
         let bound_ms = self.config_apply_ms.min(self.engine_drain_ms);
@@ -295,6 +301,10 @@
     }
 }
 
+const MEGABYTE: usize = 1024 * 1024;
+/// Part of a gateway's memory for bytes of its callers. A request is there twice, as it
+/// was read and as it goes to an engine, and the process itself needs the last third.
+const CALLER_MEMORY_DIVISOR: usize = 3;
 /// Shortest time in which a watch can be lost and made good.
 const LEAST_CONTACT_MS: u64 = 1_500;
 /// A report needs an election, the lease of an earlier holder and a call in half of it.
--- a/crates/server/tests/unit/settings.rs
+++ b/crates/server/tests/unit/settings.rs
@@ -49,6 +49,16 @@
     assert_eq!(settings.front_address, "10.0.0.1:80");
 }
 
+#[rstest]
+#[case::no_limit("", None)]
+#[case::a_third("memory_limit_mb = 120", Some(40 * 1024 * 1024))]
+fn a_part_of_the_memory_is_for_callers(#[case] line: &str, #[case] expected: Option<usize>) {
+    let path = write("callers", &format!("{GATEWAY}{line}\n"));
+    let settings = ServerSettings::load(&path, ServerRole::Gateway).unwrap();
+    std::fs::remove_file(&path).unwrap();
+    assert_eq!(settings.caller_bytes(), expected);
+}
+
 #[test]
 fn a_broken_file_changes_nothing() {
     let path = write("broken", GATEWAY);
--- a/scripts/planted-breaks.sh
+++ b/scripts/planted-breaks.sh
@@ -293,5 +293,12 @@
     "is_void: false," "is_void: self.is_void," peatgrade-server leader_work
 plant "what was read last is dropped at a stop" crates/server/src/gateway_process/stopping.rs \
     "(in_flight == 0 || stopping >= last_moment)" "true" peatgrade-server stopping
+R=crates/runtime/src
+plant "an unread answer grows without bound" $R/responder.rs "if is_too_much || " "if " \
+    peatgrade-runtime slow_callers
+plant "who reads is cut off" $R/memory_budget.rs ".is_some_and(|span| span >= STALLED_AFTER)" \
+    ".is_none_or(|span| span >= STALLED_AFTER)" peatgrade-runtime memory_budget
+plant "bytes of a body count for nobody" $R/server_limits.rs "self.held.borrow_mut().grow(*count).is_err()" \
+    "false" peatgrade-runtime slow_callers
 
 exit $unnoticed
