Runtime: a refusal in the middle of a body is heard

Cause: a socket closed with unread bytes resets its connection, and the reset may overtake the refusal: a_body_beyond_the_budget_is_refused failed once in three runs, its caller saw a broken connection in place of 503. Ruled out: reading on through the decoder, which keeps what it reads.

--- a/crates/runtime/src/http_server.rs
+++ b/crates/runtime/src/http_server.rs
@@ -10,9 +10,11 @@
 use peatgrade_schema::engine::Problem;
 use peatgrade_types::http::{HttpRequest, ResponseHead, ResponsePart};
 use std::cell::{Cell, RefCell};
+use std::os::fd::AsRawFd;
 use std::rc::Rc;
 use std::time::Duration;
 
+use crate::lingering_close::discard_rest;
 use crate::request_reader::{read_request, ReadEnd};
 use crate::responder::{AnswerQueue, Responder};
 use crate::response_writer::ResponseWriter;
@@ -72,6 +74,7 @@
     control: ServerControl,
     _open: OpenConnection,
 ) {
+    let socket = stream.as_raw_fd();
     let (read_half, write_half) = stream.into_split();
     let allowance = Rc::new(Cell::new(0));
     let total = Rc::new(Cell::new(0));
@@ -105,7 +108,9 @@
                 kind,
                 detail,
             }) => {
-                return refuse(&mut writer, status, kind, detail).await;
+                refuse(&mut writer, status, kind, detail).await;
+                // The decoder holds the reading half, so the socket is open.
+                return discard_rest(socket).await;
             }
         };
         let close = request
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -20,6 +20,7 @@
 mod frames;
 pub mod http_client;
 pub mod http_server;
+mod lingering_close;
 pub mod link_socket;
 pub mod log_writer;
 pub mod logging;
