--- a/crates/fleet/src/coordinator/candidates.rs
+++ b/crates/fleet/src/coordinator/candidates.rs
@@ -1,6 +1,7 @@
 //! Which engines are to load next.
 
 use peatgrade_ports::Instance;
+use peatgrade_types::Time;
 use std::collections::BTreeSet;
 
 use super::VersionCoordinator;
@@ -23,12 +24,16 @@
 
     /// Engines to bring to a version, the most wanted first; an engine stands
     /// there once.
-    pub(super) fn candidates(&self, directory: &EngineDirectory) -> Vec<(Instance, (String, u64))> {
+    pub(super) fn candidates(
+        &self,
+        now: Time,
+        directory: &EngineDirectory,
+    ) -> Vec<(Instance, (String, u64))> {
         let mut ranked = Vec::new();
         for (model, &newest) in &self.named {
             let engines: Vec<&EngineState> = directory
                 .iter()
-                .filter(|state| !state.record.draining)
+                .filter(|state| !state.record.draining && !state.is_absent(now))
                 .filter(|state| state.record.models.contains_key(model))
                 .collect();
             let needed = self.needed(model, &engines);
--- a/crates/fleet/src/coordinator/mod.rs
+++ b/crates/fleet/src/coordinator/mod.rs
@@ -20,6 +20,7 @@
 mod candidates;
 
 use crate::directory::{EngineDirectory, EngineState};
+use crate::incarnation::{Incarnation, ToldLife};
 
 /// Time after which an order or a report without an answer is given up.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(600);
@@ -108,6 +109,8 @@
 
 #[derive(Clone, Debug)]
 struct EngineProgress {
+    /// The life of the engine that all this is of: its count of orders starts anew.
+    life: Incarnation,
     phase: Phase,
     orders: u64,
     target: Option<(String, u64)>,
@@ -186,7 +189,7 @@
         }
         self.polled = now;
         self.engines
-            .retain(|instance, _| directory.get(instance).is_some());
+            .retain(|instance, progress| directory.incarnation(instance) == Some(progress.life));
         self.expire(now);
         let load_time = self.load_time;
         let loads = self
@@ -197,15 +200,14 @@
         let at_once = self.at_once(directory);
         let mut free = at_once.saturating_sub(loading);
         let ahead = self.loading() + 2 * at_once;
-        for (instance, target) in self.candidates(directory).into_iter().take(ahead) {
+        for (instance, target) in self.candidates(now, directory).into_iter().take(ahead) {
+            let Some(life) = directory.incarnation(&instance) else {
+                continue;
+            };
             let progress = self
                 .engines
                 .entry(instance.clone())
-                .or_insert(EngineProgress {
-                    phase: Phase::Unseen,
-                    orders: 0,
-                    target: None,
-                });
+                .or_insert_with(|| EngineProgress::unseen(life));
             match progress.phase {
                 // Its turn is kept until its report is there: one further down
                 // the list may be of use as it is.
@@ -324,12 +326,16 @@
         let Some(progress) = self.engines.get_mut(instance) else {
             return;
         };
-        let Some(report) = report else {
+        let told = report.map(|report| directory.note_report(now, instance, report));
+        let Some(report) = report.filter(|_| told != Some(ToldLife::Earlier)) else {
             progress.phase = Phase::Pause(now + RETRY);
             return;
         };
-        for (model, version) in &report.models {
-            directory.saw_version(instance, model, *version);
+        if let Some(life) = directory.incarnation(instance) {
+            if progress.life != life {
+                *progress = EngineProgress::unseen(life);
+                progress.phase = Phase::Asked(now);
+            }
         }
         if report.orders < progress.orders && !report.busy {
             // The report is older than the last order, or the engine is new.
@@ -376,6 +382,16 @@
 }
 
 impl EngineProgress {
+    /// An engine of whose orders nothing is known.
+    fn unseen(life: Incarnation) -> Self {
+        Self {
+            life,
+            phase: Phase::Unseen,
+            orders: 0,
+            target: None,
+        }
+    }
+
     /// Whether it takes part of what may load at once. Its report comes late, so
     /// that a load counts only for as long as loads usually take, unless it was
     /// seen to take longer: more loads beside it would slow it further.
--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -3,9 +3,12 @@
 use peatgrade_ports::{EngineRecord, Instance, StoreEvent, StoreObject};
 use peatgrade_quarantine::{ComesAgain, Fingerprint, Quarantine};
 use peatgrade_types::{Duration, Time};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+
+mod identity;
 
 use crate::experience::Experience;
+use crate::incarnation::{Absence, Incarnation, ToldLife};
 
 /// Heartbeats without the store after which entries may have lapsed: the store drops
 /// an entry after three, and the last one may have come one before contact was lost.
@@ -26,6 +29,12 @@
     /// Its entry was missing when the store came back: it counts as listed until
     /// then, since an engine that lives writes itself again.
     pub lapsed_until: Option<Time>,
+    /// The life that all this is of.
+    pub incarnation: Incarnation,
+    /// The life before had said that it would leave.
+    pub earlier_left: bool,
+    /// It was not found at its address.
+    pub absence: Option<Absence>,
 }
 
 impl EngineState {
@@ -39,6 +48,11 @@
 #[derive(Clone, Debug, Default)]
 pub struct EngineDirectory {
     engines: BTreeMap<Instance, EngineState>,
+    /// Lives counted so far, and those that are known to be over.
+    lives: u64,
+    lives_ended: u64,
+    /// Services that the configuration names; none before there is one.
+    services: Option<BTreeSet<String>>,
     /// When the first engine that lapsed counts as gone, if one has.
     next_drop: Option<Time>,
     /// When the list was last confirmed.
@@ -52,10 +66,10 @@
     pub fn replace(&mut self, now: Time, records: Vec<EngineRecord>) {
         let mut old = std::mem::take(&mut self.engines);
         for record in records {
-            let state = old.remove(&record.instance);
-            self.engines
-                .insert(record.instance.clone(), state.unwrap_or_default());
-            self.upsert(record);
+            if let Some(state) = old.remove(&record.instance) {
+                self.engines.insert(record.instance.clone(), state);
+            }
+            self.upsert(now, record);
         }
         self.confirmed = now;
     }
@@ -105,29 +119,50 @@
         engines.filter(|state| state.lapsed_until.is_some()).count()
     }
 
-    /// Takes a change of the list; the instance, if it is gone.
-    pub fn apply(&mut self, event: StoreEvent) -> Option<Instance> {
+    /// Takes a change of the list; the instance, if it is gone. An entry that can't be
+    /// read any more names no engine to use, as if it had gone: whoever wrote it, nobody
+    /// says any longer where the engine is and that it may be used.
+    pub fn apply(&mut self, now: Time, event: StoreEvent) -> Option<Instance> {
         match event.object {
             Some(StoreObject::Engine(record)) => {
-                self.upsert(record);
+                self.upsert(now, record);
                 None
             }
-            Some(_) => None,
-            None => {
+            _ => {
                 let instance = Instance(event.name);
                 self.engines.remove(&instance).map(|_| instance)
             }
         }
     }
 
-    fn upsert(&mut self, mut record: EngineRecord) {
-        let state = self.engines.entry(record.instance.clone()).or_default();
+    fn upsert(&mut self, now: Time, mut record: EngineRecord) {
+        let instance = record.instance.clone();
+        let Some(state) = self.engines.get_mut(&instance) else {
+            let incarnation = self.next_incarnation();
+            let state = EngineState {
+                record,
+                incarnation,
+                ..EngineState::default()
+            };
+            self.engines.insert(instance, state);
+            return;
+        };
+        match ToldLife::of(state.record.started, record.started) {
+            ToldLife::Later => return self.end_life(now, &instance, record),
+            // A heartbeat of the life before that came late.
+            ToldLife::Earlier => return,
+            ToldLife::Same => {}
+        }
         // The list lags behind what answers and reports have shown.
         for (model, seen) in &state.record.models {
             let listed = record.models.entry(model.clone()).or_insert(0);
             *listed = (*listed).max(*seen);
         }
         record.draining |= state.record.draining;
+        record.started = record.started.or(state.record.started);
+        if record.address != state.record.address {
+            state.absence = None;
+        }
         state.record = record;
         state.lapsed_until = None;
     }
@@ -156,17 +191,32 @@
         all.filter(move |state| state.record.service == service && !state.record.draining)
     }
 
-    /// A run on an engine broke off: unless it is leaving, it is to be asked whether it
-    /// is still there.
+    /// A run that began in a life of an engine broke off: unless the engine is leaving,
+    /// it is to be asked whether it is still there. If it has started again since, it
+    /// crashed, whoever answers now under its name.
     pub fn run_broke(
         &mut self,
         now: Time,
         engine: &Instance,
+        life: Incarnation,
         request: Fingerprint,
         comes: ComesAgain,
     ) {
-        if self.is_staying(engine) {
-            self.quarantine.run_broke(now, engine, request, comes);
+        let Some(state) = self.engines.get(engine) else {
+            return;
+        };
+        let is_over = state.incarnation != life;
+        let has_left = if is_over {
+            state.earlier_left
+        } else {
+            state.record.draining
+        };
+        if has_left {
+            return;
+        }
+        self.quarantine.run_broke(now, engine, request, comes);
+        if is_over {
+            self.quarantine.engine_gone(now, engine);
         }
     }
 
@@ -192,14 +242,20 @@
     pub fn others_serving(&self, now: Time, service: &str, engine: &Instance) -> usize {
         let others = self.serving(service);
         let others = others.filter(|state| state.record.instance != *engine);
-        others
-            .filter(|state| state.experience.is_sound(now))
-            .count()
+        others.filter(|state| state.is_sound(now)).count()
     }
 
-    /// All engines.
+    /// Takes the names of the services that there are.
+    pub fn set_services<'a>(&mut self, names: impl Iterator<Item = &'a String>) {
+        self.services = Some(names.cloned().collect());
+    }
+
+    /// All engines of services that there are: nothing is ordered of an engine that
+    /// another writer has listed under a name of its own, and its places do not count.
     pub fn iter(&self) -> impl Iterator<Item = &EngineState> {
-        self.engines.values()
+        let named = |service: &String| self.services.as_ref().is_none_or(|s| s.contains(service));
+        let all = self.engines.values();
+        all.filter(move |state| named(&state.record.service))
     }
 
     /// Number of engines.
--- /dev/null
+++ b/crates/fleet/src/directory/identity.rs
@@ -0,0 +1,196 @@
+//! Which engine answers: everything that tells of an engine's life comes through here.
+
+use peatgrade_ports::{AnswerHead, EngineRecord, EngineReport, Instance, StartedAt};
+use peatgrade_types::Time;
+
+use super::{EngineDirectory, EngineState};
+use crate::incarnation::{Absence, Incarnation, Misdirection, ToldLife};
+
+impl EngineState {
+    /// Whether it was not found at its address and nothing goes there now.
+    pub fn is_absent(&self, now: Time) -> bool {
+        self.absence.is_some_and(|absence| absence.holds(now))
+    }
+
+    /// Whether nothing speaks against it now.
+    pub fn is_sound(&self, now: Time) -> bool {
+        self.experience.is_sound(now) && !self.is_absent(now)
+    }
+}
+
+impl EngineDirectory {
+    /// Engines that were found to have started again since this process began. A holder
+    /// of requests looks for those of an ended life when it has risen.
+    pub fn lives_ended(&self) -> u64 {
+        self.lives_ended
+    }
+
+    /// Engines that were not found at their address and to which nothing goes now.
+    pub fn absent(&self, now: Time) -> usize {
+        self.engines.values().filter(|s| s.is_absent(now)).count()
+    }
+
+    /// The present life of an engine.
+    pub fn incarnation(&self, engine: &Instance) -> Option<Incarnation> {
+        self.engines.get(engine).map(|state| state.incarnation)
+    }
+
+    /// Whether a life of an engine is known to be over. An engine whose entry is gone
+    /// serves on for a while.
+    pub fn is_over(&self, engine: &Instance, life: Incarnation) -> bool {
+        self.incarnation(engine).is_some_and(|known| known != life)
+    }
+
+    /// An engine, to take note of something that belongs to a life of it; none if that
+    /// is over.
+    pub fn life_mut(&mut self, engine: &Instance, life: Incarnation) -> Option<&mut EngineState> {
+        let state = self.engines.get_mut(engine);
+        state.filter(|state| state.incarnation == life)
+    }
+
+    /// A request goes to an engine. The life in which it begins; none if the engine is
+    /// not known.
+    pub fn begin_request(&mut self, now: Time, engine: &Instance) -> Option<Incarnation> {
+        let state = self.engines.get_mut(engine)?;
+        state.experience.running += 1;
+        if let Some(absence) = &mut state.absence {
+            absence.tried(now);
+        }
+        Some(state.incarnation)
+    }
+
+    /// A request that was begun in an earlier life goes on in the present one, whose news
+    /// came later. That life; none if the engine is not known.
+    pub fn adopt_request(&mut self, engine: &Instance) -> Option<Incarnation> {
+        let state = self.engines.get_mut(engine)?;
+        state.experience.running += 1;
+        Some(state.incarnation)
+    }
+
+    /// A request is over. One of an earlier life does not count in the present one.
+    pub fn end_request(&mut self, engine: &Instance, life: Incarnation) {
+        if let Some(state) = self.life_mut(engine, life) {
+            state.experience.running = state.experience.running.saturating_sub(1);
+        }
+    }
+
+    /// Takes the head of an answer to a request, a report or an order that named `engine`
+    /// and was sent in `life`. `version` is what weights it demanded, if any.
+    pub fn note_head(
+        &mut self,
+        now: Time,
+        engine: &Instance,
+        life: Incarnation,
+        head: &AnswerHead,
+        version: Option<u64>,
+    ) -> Option<Misdirection> {
+        let names_other = head.instance.as_ref().is_some_and(|told| told != engine);
+        let meaning = match (head.misdirected, names_other, version) {
+            (_, true, _) => Some(Misdirection::NotThere),
+            (true, false, Some(_)) => Some(Misdirection::OtherWeights),
+            (true, false, None) => Some(Misdirection::NotThere),
+            (false, false, _) => None,
+        };
+        let Some(state) = self.life_mut(engine, life) else {
+            return meaning;
+        };
+        if meaning != Some(Misdirection::NotThere) {
+            state.absence = None;
+            state.experience.load = head.load.map(|load| (now, load));
+            return meaning;
+        }
+        if let Some(absence) = &mut state.absence {
+            absence.again(now);
+            return meaning;
+        }
+        log::info!(
+            "belief=engine-not-there engine={engine} address={} told={:?} life={life}",
+            state.record.address,
+            head.instance
+        );
+        state.absence = Some(Absence::begin(now));
+        if names_other {
+            // Another engine has its address: it is gone, with all that it did.
+            let record = state.record.clone();
+            self.end_life(now, engine, record);
+            if let Some(state) = self.engines.get_mut(engine) {
+                state.absence = Some(Absence::begin(now));
+            }
+        }
+        meaning
+    }
+
+    /// Takes an engine's own report. One of a later life is the first news of it; one of
+    /// an earlier life has been overtaken and says nothing.
+    pub fn note_report(&mut self, now: Time, engine: &Instance, report: &EngineReport) -> ToldLife {
+        let told = self.note_start(now, engine, report.started);
+        if told != ToldLife::Earlier {
+            for (model, version) in &report.models {
+                self.saw_version(engine, model, *version);
+            }
+        }
+        told
+    }
+
+    /// Takes when an engine started, as it says itself or another machine has heard.
+    pub fn note_start(
+        &mut self,
+        now: Time,
+        engine: &Instance,
+        started: Option<StartedAt>,
+    ) -> ToldLife {
+        let Some(state) = self.engines.get_mut(engine) else {
+            return ToldLife::Same;
+        };
+        let told = ToldLife::of(state.record.started, started);
+        match told {
+            ToldLife::Earlier => {}
+            ToldLife::Same => state.record.started = state.record.started.or(started),
+            ToldLife::Later => {
+                // Its entry still tells of the life before; whether it may be used at all
+                // (service, address, leaving) is for the entry to say.
+                let record = EngineRecord {
+                    started,
+                    models: state.record.models.keys().map(|m| (m.clone(), 0)).collect(),
+                    ..state.record.clone()
+                };
+                self.end_life(now, engine, record);
+            }
+        }
+        told
+    }
+
+    /// A life of an engine is over: nothing that was believed of it holds for the next,
+    /// of which only `record` is known.
+    pub(super) fn end_life(&mut self, now: Time, engine: &Instance, record: EngineRecord) {
+        let incarnation = self.next_incarnation();
+        let Some(state) = self.engines.get_mut(engine) else {
+            return;
+        };
+        self.lives_ended += 1;
+        log::info!(
+            "belief=engine-restarted engine={engine} started={:?} before={:?} life={incarnation} running={} list_age_ms={}",
+            record.started,
+            state.record.started,
+            state.experience.running,
+            now.since(self.confirmed).as_millis()
+        );
+        let was_leaving = state.record.draining;
+        *state = EngineState {
+            record,
+            incarnation,
+            earlier_left: was_leaving,
+            ..EngineState::default()
+        };
+        if was_leaving {
+            self.quarantine.engine_left(engine);
+        } else {
+            self.quarantine.engine_gone(now, engine);
+        }
+    }
+
+    pub(super) fn next_incarnation(&mut self) -> Incarnation {
+        self.lives += 1;
+        Incarnation(self.lives)
+    }
+}
--- a/crates/fleet/src/outlook.rs
+++ b/crates/fleet/src/outlook.rs
@@ -59,7 +59,7 @@
             .map_or(1.0, |percent| f64::from(percent) / 100.0);
         let answer = Some(experience.latency as u64).filter(|latency| *latency > 0);
         Outlook {
-            is_reachable: !experience.is_unreachable,
+            is_reachable: !experience.is_unreachable && !self.is_absent(now),
             is_avoided: experience.blocked(now),
             occupied: experience.occupied(now),
             slots: self.record.slots.max(1),
--- a/crates/fleet/tests/directory.rs
+++ b/crates/fleet/tests/directory.rs
@@ -61,10 +61,10 @@
         name: name.into(),
         object,
     };
-    directory.apply(change("a", Some(StoreObject::Engine(record("a")))));
+    directory.apply(START, change("a", Some(StoreObject::Engine(record("a")))));
     assert_eq!(directory.lapsed(), 1);
     // What the store says now counts at once.
-    assert!(directory.apply(change("b", None)).is_some());
+    assert!(directory.apply(START, change("b", None)).is_some());
     assert!(directory.drop_lapsed(after(60_000)).is_empty());
     assert_eq!(names(&directory), ["a"]);
 }
--- a/crates/forward/src/answers.rs
+++ b/crates/forward/src/answers.rs
@@ -8,7 +8,7 @@
 use peatgrade_types::{Duration, Time};
 
 use crate::action::{answer_parts, whole_parts, CallId, ForwardAction, HttpId, Part, COME_BACK};
-use crate::forwarder::Forwarder;
+use crate::forwarder::{Attempt, Forwarder};
 use crate::stream::PassedStream;
 use crate::suspects::{broken_stream, note_failure, BrokenRun, COME_BACK_SUSPECT};
 
@@ -52,13 +52,15 @@
         let Some(attempt) = self.attempts.get_mut(&id) else {
             return;
         };
-        if let Some(state) = directory.get_mut(&attempt.instance) {
-            state.experience.load = told.load.map(|load| (now, load));
+        let forward = self.calls.get_mut(&attempt.call);
+        let asked = forward.as_ref().map(|forward| &forward.request.id);
+        let foreign = asked.zip(told.id.as_ref()).is_some_and(|(a, b)| a != b);
+        if !foreign {
+            directory.note_head(now, &attempt.instance, attempt.life, &told, None);
         }
-        let Some(forward) = self.calls.get_mut(&attempt.call) else {
+        let Some(forward) = forward else {
             return;
         };
-        let foreign = told.id.as_ref().is_some_and(|id| *id != forward.request.id);
         let streams =
             forward.kind == RouteKind::Streaming && told.status == 200 && told.is_signed();
         if !told.not_run && !told.misdirected && !foreign {
@@ -179,7 +181,7 @@
         let call = attempt.call;
         let Some(forward) = self.calls.get_mut(&call) else {
             // The answer of an engine that another one has overtaken.
-            if let Some(state) = directory.get_mut(&attempt.instance) {
+            if let Some(state) = directory.life_mut(&attempt.instance, attempt.life) {
                 state.experience.answered(now, now.since(attempt.sent));
             }
             return;
@@ -197,7 +199,7 @@
                 told.status,
                 told.misdirected
             );
-            if let Some(state) = directory.get_mut(&attempt.instance) {
+            if let Some(state) = directory.life_mut(&attempt.instance, attempt.life) {
                 state.experience.refused(now, FULL_WAIT);
             }
             return self.dispatch(now, call, directory, actions);
@@ -206,7 +208,7 @@
         // Once a stream has begun, only more of it may follow.
         let stray = forward.stream.is_some();
         let broken = stray || told.status >= 500 || (told.status < 300 && !told.is_signed());
-        if let Some(state) = directory.get_mut(&attempt.instance) {
+        if let Some(state) = directory.life_mut(&attempt.instance, attempt.life) {
             if broken {
                 state.experience.failed(now);
             } else {
@@ -260,16 +262,30 @@
         let Some(attempt) = self.forget(id, directory) else {
             return;
         };
-        if let Some(state) = directory.get_mut(&attempt.instance) {
+        if let Some(state) = directory.life_mut(&attempt.instance, attempt.life) {
             state.experience.failed(now);
         }
         let broken = BrokenRun {
             engine: &attempt.instance,
+            life: attempt.life,
             request: attempt.fingerprint,
             comes: ComesAgain::ToAny,
             began: attempt.began,
         };
         note_failure(now, &broken, failure, directory);
+        self.after_failure(now, id, &attempt, failure, directory, actions);
+    }
+
+    /// An attempt came to nothing: the request goes elsewhere, or ends.
+    pub(crate) fn after_failure(
+        &mut self,
+        now: Time,
+        id: HttpId,
+        attempt: &Attempt,
+        failure: &HttpFailure,
+        directory: &mut EngineDirectory,
+        actions: &mut Vec<ForwardAction>,
+    ) {
         let call = attempt.call;
         let Some(forward) = self.calls.get_mut(&call) else {
             return;
--- a/crates/forward/src/choice.rs
+++ b/crates/forward/src/choice.rs
@@ -14,7 +14,8 @@
 const FURTHER_BEHIND_FACTOR: f64 = 2.0;
 
 /// The engine with the shortest expected time that the request has not met, old
-/// weights counting as slow; one that is avoided only if there is no other.
+/// weights counting as slow; one that is avoided only if there is no other, and none that
+/// was not found at its address.
 pub(crate) fn choose(
     now: Time,
     directory: &EngineDirectory,
@@ -23,7 +24,8 @@
 ) -> Option<Instance> {
     let fresh = directory
         .serving(&forward.service)
-        .filter(|state| !forward.tried.contains(&state.record.instance));
+        .filter(|state| !forward.tried.contains(&state.record.instance))
+        .filter(|state| !state.is_absent(now));
     let model = forward.request.model.as_str();
     let versions = directory
         .serving(&forward.service)
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -1,7 +1,7 @@
 //! Requests that go to an engine and back.
 
 use bytes::BytesMut;
-use peatgrade_fleet::EngineDirectory;
+use peatgrade_fleet::{EngineDirectory, Incarnation};
 use peatgrade_ports::{AnswerHead, CallerRequest, Codec, EngineCall, Instance, Route, RouteKind};
 use peatgrade_quarantine::{Fingerprint, RequestParts, Verdict};
 use peatgrade_types::http::ResponseHead;
@@ -31,6 +31,8 @@
     pub call: CallId,
     pub fingerprint: Fingerprint,
     pub instance: Instance,
+    /// The life of the engine in which it was sent.
+    pub life: Incarnation,
     pub sent: Time,
     /// When a streamed answer began.
     pub began: Option<Time>,
@@ -110,6 +112,8 @@
     /// Engines that are asked whether they are there.
     pub(crate) checks: HashMap<HttpId, EngineCheck>,
     pub(crate) next_id: u64,
+    /// Engines that had started again when open requests were last looked through.
+    pub(crate) lives_seen: u64,
 }
 
 impl Forwarder {
@@ -123,6 +127,7 @@
             attempts: HashMap::new(),
             checks: HashMap::new(),
             next_id: 1,
+            lives_seen: 0,
         }
     }
 
@@ -235,13 +240,17 @@
         actions: &mut Vec<ForwardAction>,
     ) {
         let list_age = now.since(directory.confirmed);
-        let (Some(forward), Some(state)) = (self.calls.get_mut(&call), directory.get_mut(instance))
-        else {
+        let Some(forward) = self.calls.get_mut(&call) else {
+            return;
+        };
+        let Some(life) = directory.begin_request(now, instance) else {
+            return;
+        };
+        let Some(state) = directory.get(instance) else {
             return;
         };
         let id = HttpId(self.next_id);
         self.next_id += 1;
-        state.experience.running += 1;
         let usual = Duration((state.experience.latency * HEDGE_FACTOR) as u64);
         let latest = Duration(forward.target_latency.0 / 2).max(HEDGE_MIN);
         forward.hedge_at = now + usual.clamp(HEDGE_MIN, latest);
@@ -279,6 +288,7 @@
             call,
             fingerprint: forward.fingerprint,
             instance: instance.clone(),
+            life,
             sent: now,
             began: None,
             head: None,
@@ -301,9 +311,7 @@
         directory: &mut EngineDirectory,
     ) -> Option<Attempt> {
         let attempt = self.attempts.remove(&id)?;
-        if let Some(state) = directory.get_mut(&attempt.instance) {
-            state.experience.running = state.experience.running.saturating_sub(1);
-        }
+        directory.end_request(&attempt.instance, attempt.life);
         if let Some(forward) = self.calls.get_mut(&attempt.call) {
             forward.open.retain(|open| *open != id);
         }
@@ -343,6 +351,7 @@
         actions: &mut Vec<ForwardAction>,
     ) {
         self.check_engines(now, directory, actions);
+        self.leave_ended_lives(now, directory, actions);
         self.end_convicted(now, directory, actions);
         let late: Vec<CallId> = self.due(|forward| now >= forward.deadline);
         for call in late {
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -16,6 +16,7 @@
 mod answers;
 mod choice;
 mod forwarder;
+mod restarts;
 mod stream;
 mod suspects;
 
--- a/crates/forward/src/suspects.rs
+++ b/crates/forward/src/suspects.rs
@@ -1,9 +1,10 @@
 //! Requests under which engines crashed: who may run, and whether an engine is gone.
 
-use peatgrade_fleet::EngineDirectory;
+use bytes::{Bytes, BytesMut};
+use peatgrade_fleet::{EngineDirectory, Incarnation, Misdirection};
 use peatgrade_ports::{Answer, EngineCall, Instance, Refusal};
 use peatgrade_quarantine::{may_be_cause, ComesAgain, Fingerprint, Verdict};
-use peatgrade_types::http::{HttpFailure, HttpStep, ResponsePart};
+use peatgrade_types::http::{HttpFailure, HttpStep, ResponseHead, ResponsePart};
 use peatgrade_types::{Duration, Time};
 
 use crate::action::{answer_parts, CallId, ForwardAction, HttpId, Part};
@@ -12,6 +13,11 @@
 /// Longest wait for an engine that is asked whether it is there: a refused connection
 /// comes back within a round trip, a dark machine never answers.
 const CHECK_PATIENCE: Duration = Duration::from_millis(1_000);
+/// Status of an answer that carries a report.
+const REPORTED: u16 = 200;
+/// Longest report that is read: one names some tens of runs. A longer one still shows
+/// that somebody answers under the engine's name.
+const MAX_REPORT_BYTES: usize = 256 * 1024;
 /// When a caller may come back whose request waits for more engines of its service to be
 /// there: crashed engines are back after some seconds, and callers wait two, mostly.
 pub(crate) const COME_BACK_SUSPECT: Duration = Duration::from_millis(1_000);
@@ -19,7 +25,11 @@
 /// An engine that is asked whether it is there.
 pub(crate) struct EngineCheck {
     instance: Instance,
+    /// The life that it was known in when it was asked.
+    life: Incarnation,
     asked: Time,
+    /// Its report, as far as it has come.
+    report: BytesMut,
 }
 
 /// Whether a request may go to an engine, after crashes under it.
@@ -50,6 +60,8 @@
 pub struct BrokenRun<'a> {
     /// Where it was.
     pub engine: &'a Instance,
+    /// The life of it in which the run began.
+    pub life: Incarnation,
     /// What it asked for.
     pub request: Fingerprint,
     /// Where that may come again.
@@ -67,10 +79,11 @@
 ) {
     match failure.step {
         HttpStep::Connect => {}
+        HttpStep::Refused if directory.is_over(run.engine, run.life) => {}
         HttpStep::Refused => directory.engine_refused(now, run.engine),
         HttpStep::Send | HttpStep::Head | HttpStep::Body => {
             if may_be_cause(now, run.began) {
-                directory.run_broke(now, run.engine, run.request, run.comes);
+                directory.run_broke(now, run.engine, run.life, run.request, run.comes);
             }
         }
     }
@@ -105,8 +118,13 @@
                     .codec
                     .engine_request(&EngineCall::Report(instance.clone())),
             });
-            let asked = now;
-            self.checks.insert(id, EngineCheck { instance, asked });
+            let check = EngineCheck {
+                life: state.incarnation,
+                instance,
+                asked: now,
+                report: BytesMut::new(),
+            };
+            self.checks.insert(id, check);
         }
     }
 
@@ -119,28 +137,82 @@
         directory: &mut EngineDirectory,
         actions: &mut Vec<ForwardAction>,
     ) -> bool {
-        let Some(check) = self.checks.remove(&id) else {
+        if !self.checks.contains_key(&id) {
             return false;
-        };
+        }
         match part {
-            ResponsePart::Head(head) => {
-                // Another instance answers at its address: it is not there any more.
-                if self.codec.answer_head(head).misdirected {
-                    directory.engine_refused(now, &check.instance);
-                } else {
-                    directory.quarantine.engine_answered(&check.instance);
+            ResponsePart::Head(head) => self.on_check_head(now, id, head, directory, actions),
+            ResponsePart::Data(data) => self.on_check_data(id, data, directory, actions),
+            ResponsePart::End => {
+                if let Some(check) = self.checks.remove(&id) {
+                    self.on_report(now, &check, directory);
                 }
-                actions.push(ForwardAction::CancelHttp(id));
             }
-            ResponsePart::Failed(failure) if failure.step == HttpStep::Refused => {
-                directory.engine_refused(now, &check.instance);
+            ResponsePart::Failed(failure) => {
+                // Without a refusal it is asked again, some times.
+                let check = self.checks.remove(&id);
+                let gone = check.filter(|_| failure.step == HttpStep::Refused);
+                if let Some(check) = gone.filter(|c| !directory.is_over(&c.instance, c.life)) {
+                    directory.engine_refused(now, &check.instance);
+                }
             }
-            // It is asked again, some times.
-            _ => {}
         }
         true
     }
 
+    fn on_check_head(
+        &mut self,
+        now: Time,
+        id: HttpId,
+        head: &ResponseHead,
+        directory: &mut EngineDirectory,
+        actions: &mut Vec<ForwardAction>,
+    ) {
+        let Some(check) = self.checks.get(&id) else {
+            return;
+        };
+        let (instance, life) = (check.instance.clone(), check.life);
+        let told = self.codec.answer_head(head);
+        let meaning = directory.note_head(now, &instance, life, &told, None);
+        if meaning == Some(Misdirection::NotThere) {
+            // Nobody of its name is at its address: it is not there any more.
+            directory.engine_refused(now, &instance);
+        } else if told.status == REPORTED {
+            return;
+        } else {
+            directory.quarantine.engine_answered(&instance);
+        }
+        self.checks.remove(&id);
+        actions.push(ForwardAction::CancelHttp(id));
+    }
+
+    fn on_check_data(
+        &mut self,
+        id: HttpId,
+        data: &Bytes,
+        directory: &mut EngineDirectory,
+        actions: &mut Vec<ForwardAction>,
+    ) {
+        let Some(check) = self.checks.get_mut(&id) else {
+            return;
+        };
+        if check.report.len() + data.len() <= MAX_REPORT_BYTES {
+            return check.report.extend_from_slice(data);
+        }
+        directory.quarantine.engine_answered(&check.instance);
+        self.checks.remove(&id);
+        actions.push(ForwardAction::CancelHttp(id));
+    }
+
+    /// An engine answers under its name. One that started again since the run broke did
+    /// crash: who answers is its next life.
+    fn on_report(&self, now: Time, check: &EngineCheck, directory: &mut EngineDirectory) {
+        if let Some(report) = self.codec.report(&check.report) {
+            directory.note_report(now, &check.instance, &report);
+        }
+        directory.quarantine.engine_answered(&check.instance);
+    }
+
     /// Ends the requests under way that turned out to end engines: one may still wait at
     /// an engine for its turn.
     pub(crate) fn end_convicted(
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -101,6 +101,8 @@
         if configuration.version <= held {
             return false;
         }
+        let services = configuration.services.keys();
+        self.directory.set_services(services);
         self.configuration = Some(Rc::new(configuration));
         true
     }
--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -1,5 +1,6 @@
 //! Requests end once, with a true answer, at once when nothing more can be done.
 
+mod restarts;
 mod scene;
 mod suspects;
 mod tenants;
--- a/crates/gateway/tests/scene/mod.rs
+++ b/crates/gateway/tests/scene/mod.rs
@@ -6,7 +6,8 @@
 use peatgrade_ports::{
     Answer, AnswerHead, BadRequest, CallerMessage, CallerRequest, Codec, Configuration, DutyAnswer,
     EngineCall, EngineRecord, EngineReport, EventReader, Instance, OrderAnswer, Refusal, Route,
-    RouteKind, StoreCall, StoreReply, Submission, Target, UsageReport,
+    RouteKind, StartedAt, StoreCall, StoreEvent, StoreObject, StoreReply, Submission, Target,
+    UsageReport,
 };
 use peatgrade_schema::replication::{JobReply, JobStatus};
 use peatgrade_types::http::{HttpFailure, HttpRequest, HttpStep, ResponseHead, ResponsePart};
@@ -98,6 +99,7 @@
             not_run: head.header("not-run").is_some(),
             misdirected: head.status == 421,
             signature: head.header("signed").map(str::to_string),
+            instance: head.header("instance").map(|id| Instance(id.into())),
             ..AnswerHead::default()
         }
     }
@@ -106,8 +108,13 @@
         panic!("a gateway reads no events")
     }
 
-    fn report(&self, _: &[u8]) -> Option<EngineReport> {
-        None
+    /// Reports are the number of the engine's start.
+    fn report(&self, body: &[u8]) -> Option<EngineReport> {
+        let started = std::str::from_utf8(body).ok()?.parse().ok()?;
+        Some(EngineReport {
+            started: Some(StartedAt(started)),
+            ..EngineReport::default()
+        })
     }
 
     fn order_answer(&self, _: u16) -> OrderAnswer {
@@ -324,6 +331,20 @@
         self.part(index, ResponsePart::Failed(failure));
     }
 
+    /// An engine says that it started at a time, in its entry.
+    pub fn list_start(&mut self, engine: &str, started: u64) {
+        let state = self.gateway.directory.get(&Instance(engine.into()));
+        let record = EngineRecord {
+            started: Some(StartedAt(started)),
+            ..state.expect("it is listed").record.clone()
+        };
+        let event = StoreEvent {
+            name: engine.into(),
+            object: Some(StoreObject::Engine(record)),
+        };
+        self.gateway.directory.apply(self.now, event);
+    }
+
     pub fn wait(&mut self, millis: u64) {
         self.now += Duration::from_millis(millis);
         let actions = self.gateway.tick(self.now);
--- a/crates/jobs/src/dispatcher/answers.rs
+++ b/crates/jobs/src/dispatcher/answers.rs
@@ -44,14 +44,16 @@
         let Some(item) = self.items.get(&run.key) else {
             return;
         };
-        if let Some(state) = directory.get_mut(&run.instance) {
-            state.experience.load = head.load.map(|load| (now, load));
+        let foreign = head.id.as_ref().is_some_and(|told| *told != item.item().id);
+        if !foreign {
+            directory.note_head(now, &run.instance, run.life, &head, run.exact);
         }
         if let Some(version) = head.version {
             run.version = version;
-            directory.saw_version(&run.instance, &item.spec.model, version);
+            if !directory.is_over(&run.instance, run.life) {
+                directory.saw_version(&run.instance, &item.spec.model, version);
+            }
         }
-        let foreign = head.id.as_ref().is_some_and(|told| *told != item.item().id);
         run.head = Some(head);
         if foreign {
             self.on_failed(now, id, "answer of another request", directory);
@@ -73,7 +75,9 @@
             Ok(0) => {}
             Ok(count) => {
                 item.empty_ends = 0;
-                if let (Some(last), Some(state)) = (run.last, directory.get_mut(&run.instance)) {
+                if let (Some(last), Some(state)) =
+                    (run.last, directory.life_mut(&run.instance, run.life))
+                {
                     if state.loading.is_empty() {
                         let span = now.since(last);
                         state.experience.events(now, span, count as u32);
@@ -136,7 +140,14 @@
         );
         if refused {
             item.not_before = now + REFUSED_WAIT;
-            if let Some(state) = directory.get_mut(&run.instance) {
+            if directory
+                .get(&run.instance)
+                .is_some_and(|state| state.is_absent(now))
+            {
+                // Nothing more goes there; elsewhere there may be room now.
+                item.not_before = now;
+            }
+            if let Some(state) = directory.life_mut(&run.instance, run.life) {
                 state.experience.refused(now, REFUSED_WAIT);
             }
             return;
@@ -151,7 +162,7 @@
                 }
             }
             _ => {
-                if let Some(state) = directory.get_mut(&run.instance) {
+                if let Some(state) = directory.life_mut(&run.instance, run.life) {
                     state.experience.failed(now);
                 }
             }
@@ -173,7 +184,7 @@
         let Some(run) = self.forget_run(id, directory) else {
             return;
         };
-        if let Some(state) = directory.get_mut(&run.instance) {
+        if let Some(state) = directory.life_mut(&run.instance, run.life) {
             state.experience.answered(now, now.since(run.started));
         }
         let Some(item) = self.items.get_mut(&run.key) else {
@@ -214,7 +225,10 @@
         let Some(run) = self.forget_run(id, directory) else {
             return;
         };
-        if let Some(state) = directory.get_mut(&run.instance).filter(|_| blame) {
+        if let Some(state) = directory
+            .life_mut(&run.instance, run.life)
+            .filter(|_| blame)
+        {
             state.experience.failed(now);
         }
         let Some(item) = self.items.get_mut(&run.key) else {
--- a/crates/jobs/src/dispatcher/mod.rs
+++ b/crates/jobs/src/dispatcher/mod.rs
@@ -13,6 +13,7 @@
 mod answers;
 mod moving;
 mod order;
+mod restarts;
 mod scoring;
 mod starting;
 mod suspects;
@@ -95,6 +96,8 @@
     watched_at: Time,
     /// Until then events may have come late to this machine.
     paces_judged_from: Time,
+    /// Engines that had started again at the last look over all runs.
+    lives_seen: u64,
     /// Next look for runs that would get on better elsewhere.
     chances_at: Time,
     /// Median pace of each service, and when to look again.
@@ -124,6 +127,7 @@
             progress_at: Time(0),
             watched_at: Time(0),
             paces_judged_from: Time(0),
+            lives_seen: 0,
             chances_at: Time(0),
             medians: HashMap::new(),
             medians_at: Time(0),
@@ -221,6 +225,7 @@
         if now.since(self.watched_at) >= WATCH_EVERY {
             self.note_look(now);
             self.kept.forget_old(now);
+            self.adopt_runs(now, directory);
             self.watch_runs(now, directory);
         }
         self.end_convicted_runs(directory);
@@ -288,9 +293,7 @@
 
     fn forget_run(&mut self, id: RunId, directory: &mut EngineDirectory) -> Option<Run> {
         let run = self.runs.remove(&id)?;
-        if let Some(state) = directory.get_mut(&run.instance) {
-            state.experience.running = state.experience.running.saturating_sub(1);
-        }
+        directory.end_request(&run.instance, run.life);
         Some(run)
     }
 
--- a/crates/jobs/src/dispatcher/moving.rs
+++ b/crates/jobs/src/dispatcher/moving.rs
@@ -44,6 +44,8 @@
 enum MoveReason {
     /// The engine is not in the list any more.
     Gone,
+    /// The engine has started again since the run began.
+    Restarted,
     /// The engine leaves.
     Draining,
     /// Nothing comes from it.
@@ -87,7 +89,7 @@
             let Some(run) = self.runs.get(&id) else {
                 continue;
             };
-            let (key, instance) = (run.key.clone(), run.instance.clone());
+            let (key, instance, life) = (run.key.clone(), run.instance.clone(), run.life);
             log::info!(
                 "decision=move item={} job={} engine={instance} reason={reason:?} events={}",
                 self.items[&key].item().id,
@@ -95,12 +97,14 @@
                 run.events
             );
             if reason == MoveReason::Silent {
-                if let Some(state) = directory.get_mut(&instance) {
+                if let Some(state) = directory.life_mut(&instance, life) {
                     state.experience.failed(now);
                 }
             }
             self.break_off(&key, directory);
-            if let Some(item) = self.items.get_mut(&key) {
+            // The engine's new life has done nothing to be avoided for.
+            let item = self.items.get_mut(&key);
+            if let Some(item) = item.filter(|_| reason != MoveReason::Restarted) {
                 item.avoid = Some(instance);
                 item.moves += 1;
             }
@@ -139,6 +143,9 @@
         let Some(state) = directory.get(&run.instance) else {
             return Some(MoveReason::Gone);
         };
+        if state.incarnation != run.life {
+            return Some(MoveReason::Restarted);
+        }
         if state.loading.contains(&item.spec.model) {
             return None;
         }
--- a/crates/jobs/src/dispatcher/scoring.rs
+++ b/crates/jobs/src/dispatcher/scoring.rs
@@ -230,7 +230,7 @@
 fn room_for_calls(now: Time, route: &Route, directory: &EngineDirectory) -> usize {
     let targets = route.targets.iter().filter(|target| target.weight > 0);
     let engines = targets.flat_map(|target| directory.serving(&target.service));
-    let sound = engines.filter(|state| !state.experience.blocked(now));
+    let sound = engines.filter(|state| !state.experience.blocked(now) && !state.is_absent(now));
     let places = sound.map(|state| (state.record.slots / SLOTS_DIVISOR).max(1) as usize);
     // One goes on where all engines are avoided, so that it shows when they are
     // back.
--- a/crates/jobs/src/dispatcher/starting.rs
+++ b/crates/jobs/src/dispatcher/starting.rs
@@ -287,13 +287,17 @@
         priority: u32,
         directory: &mut EngineDirectory,
     ) {
-        let (Some(item), Some(state)) = (self.items.get_mut(key), directory.get_mut(&instance))
-        else {
+        let Some(item) = self.items.get_mut(key) else {
+            return;
+        };
+        let Some(life) = directory.begin_request(now, &instance) else {
+            return;
+        };
+        let Some(state) = directory.get(&instance) else {
             return;
         };
         let run = RunId(self.next_run);
         self.next_run += 1;
-        state.experience.running += 1;
         item.run = Some(run);
         item.runs += 1;
         let spec = item.item();
@@ -329,6 +333,8 @@
         let started = Run {
             key: key.clone(),
             instance,
+            life,
+            exact: item.exact_version(),
             started: now,
             first: None,
             last: None,
--- a/crates/jobs/src/dispatcher/suspects.rs
+++ b/crates/jobs/src/dispatcher/suspects.rs
@@ -1,6 +1,6 @@
 //! Items under which engines crashed: who may run, and what their runs show.
 
-use peatgrade_fleet::EngineDirectory;
+use peatgrade_fleet::{EngineDirectory, Incarnation};
 use peatgrade_ports::Instance;
 use peatgrade_quarantine::{Fingerprint, Verdict};
 use peatgrade_types::Time;
@@ -15,6 +15,8 @@
     pub fingerprint: Fingerprint,
     /// The engine.
     pub engine: Instance,
+    /// The life of it in which the run began.
+    pub life: Incarnation,
     /// It has answered that it does not run it.
     pub is_refused: bool,
     /// When the first event came.
@@ -43,9 +45,7 @@
         Verdict::Convicted { .. } => false,
         Verdict::Suspected { .. } => {
             let serving = directory.serving(service);
-            let sound = serving
-                .filter(|state| state.experience.is_sound(now))
-                .count();
+            let sound = serving.filter(|state| state.is_sound(now)).count();
             sound > 1 || directory.serving(service).count() == 1
         }
     }
@@ -60,6 +60,7 @@
         Some(RunRequest {
             fingerprint: item.fingerprint(),
             engine: run.instance.clone(),
+            life: run.life,
             is_refused: head.is_some_and(|head| head.not_run || head.misdirected),
             began: run.first,
         })
--- a/crates/jobs/src/placement.rs
+++ b/crates/jobs/src/placement.rs
@@ -60,6 +60,7 @@
         let mut fit: Vec<&EngineState> = serving
             .into_iter()
             .filter(|state| fits(state, need) && !state.experience.blocked(now))
+            .filter(|state| !state.is_absent(now))
             .collect();
         if fit.len() > MAX_CANDIDATES {
             let order = |a: &&EngineState, b: &&EngineState| {
@@ -191,6 +192,7 @@
         && !loading
         && !state.record.draining
         && !state.experience.blocked(now)
+        && !state.is_absent(now)
         && need.avoid != Some(&state.record.instance)
         && state.experience.running < state.record.slots.max(1)
 }
--- a/crates/jobs/src/streams.rs
+++ b/crates/jobs/src/streams.rs
@@ -1,5 +1,6 @@
 //! What arrives from an engine that runs an item.
 
+use peatgrade_fleet::Incarnation;
 use peatgrade_ports::{AnswerHead, EventReader, GenerationEvent, Instance};
 use peatgrade_types::Time;
 
@@ -10,6 +11,10 @@
 pub(crate) struct Run {
     pub key: ItemKey,
     pub instance: Instance,
+    /// The life of the engine in which it began.
+    pub life: Incarnation,
+    /// Version of the weights that it demanded, if any.
+    pub exact: Option<u64>,
     pub started: Time,
     /// When the first event came.
     pub first: Option<Time>,
--- a/crates/jobs/tests/dispatch/mod.rs
+++ b/crates/jobs/tests/dispatch/mod.rs
@@ -314,10 +314,13 @@
 
     /// Another engine appears.
     pub fn join(&mut self, record: EngineRecord) {
-        self.directory.apply(StoreEvent {
-            name: record.instance.0.clone(),
-            object: Some(StoreObject::Engine(record)),
-        });
+        self.directory.apply(
+            self.now,
+            StoreEvent {
+                name: record.instance.0.clone(),
+                object: Some(StoreObject::Engine(record)),
+            },
+        );
     }
 
     pub fn set_running(&mut self, engine: &str, count: u32) {
--- a/crates/jobs/tests/dispatcher.rs
+++ b/crates/jobs/tests/dispatcher.rs
@@ -3,6 +3,7 @@
 mod dispatch;
 mod pace;
 mod queue;
+mod restarts;
 mod scale;
 mod scoring;
 mod single_version;
@@ -272,10 +273,13 @@
     let first = scene.last();
     let mut leaving = engine(&first.engine, 5);
     leaving.draining = true;
-    scene.directory.apply(StoreEvent {
-        name: first.engine.clone(),
-        object: Some(StoreObject::Engine(leaving)),
-    });
+    scene.directory.apply(
+        scene.now,
+        StoreEvent {
+            name: first.engine.clone(),
+            object: Some(StoreObject::Engine(leaving)),
+        },
+    );
     scene.wait(25);
     assert!(scene.cancelled.contains(&first.run));
     assert_ne!(scene.last().engine, first.engine);
--- a/crates/mirror/src/publisher.rs
+++ b/crates/mirror/src/publisher.rs
@@ -1,6 +1,6 @@
 //! What a machine that watches the store tells others of it.
 
-use peatgrade_ports::{ObjectKind, StoreUpdate};
+use peatgrade_ports::{ObjectKind, StoreObject, StoreUpdate};
 use peatgrade_schema::encoded_size;
 use peatgrade_schema::replication::{MirrorRequest, MirroredKind, MirroredObject};
 use peatgrade_types::{Duration, Time};
@@ -191,6 +191,10 @@
                     return;
                 };
                 let objects = events.iter().filter_map(|event| match &event.object {
+                    // An entry that can't be read any more names no engine to use.
+                    Some(StoreObject::Unreadable { .. }) if *kind == ObjectKind::Engines => {
+                        Some(gone(&event.name))
+                    }
                     Some(object) => message_of(&event.name, object),
                     None => Some(gone(&event.name)),
                 });
--- a/crates/mirror/tests/publisher.rs
+++ b/crates/mirror/tests/publisher.rs
@@ -473,3 +473,23 @@
         .iter()
         .all(|key| !contains(key.as_bytes())));
 }
+
+/// An engine whose entry another writer has spoilt is not to be used any more.
+#[test]
+fn an_entry_that_can_no_longer_be_read_is_told_as_gone() {
+    let mut publisher = publisher();
+    let unreadable = StoreObject::Unreadable {
+        name: "a".into(),
+        reason: "no service".into(),
+    };
+    publisher.take(&StoreUpdate::Changed {
+        kind: ObjectKind::Engines,
+        at: ms(1_100),
+        revision: 11,
+        events: vec![StoreEvent {
+            name: "a".into(),
+            object: Some(unreadable),
+        }],
+    });
+    assert_eq!(engines(&ask(&mut publisher, request(10, 10))), ["-a"]);
+}
--- a/crates/server/src/gateway_process/beliefs.rs
+++ b/crates/server/src/gateway_process/beliefs.rs
@@ -15,6 +15,9 @@
                 kind, at, objects, ..
             } => match kind {
                 ObjectKind::Engines => {
+                    for (_, object) in &objects {
+                        self.unreadable.note(&self.metrics, kind, object);
+                    }
                     let records = objects.into_iter().filter_map(|(_, object)| match object {
                         StoreObject::Engine(record) => Some(record),
                         _ => None,
@@ -54,13 +57,18 @@
         for event in events {
             if let Some(StoreObject::Engine(record)) = &event.object {
                 log::info!(
-                    "belief=engine instance={} address={} draining={}",
+                    "belief=engine instance={} address={} draining={} started={:?}",
                     record.instance,
                     record.address,
-                    record.draining
+                    record.draining,
+                    record.started
                 );
             }
-            if let Some(instance) = self.gateway.directory.apply(event) {
+            if let Some(object) = &event.object {
+                let kind = ObjectKind::Engines;
+                self.unreadable.note(&self.metrics, kind, object);
+            }
+            if let Some(instance) = self.gateway.directory.apply(steady_now(), event) {
                 log::info!("belief=engine-gone instance={instance}");
             }
         }
@@ -77,8 +85,9 @@
                     log::info!("belief=configuration version={version} routes={routes}");
                 }
             }
-            StoreObject::Unreadable { name, reason } => {
-                log::error!("step=read-configuration object={name} error={reason}");
+            StoreObject::Unreadable { .. } => {
+                let kind = ObjectKind::Configuration;
+                self.unreadable.note(&self.metrics, kind, &object);
             }
             _ => {}
         }
--- a/crates/server/src/gateway_process/mod.rs
+++ b/crates/server/src/gateway_process/mod.rs
@@ -35,6 +35,7 @@
 use crate::settings::{ServerRole, ServerSettings};
 use crate::signals::{process_signals, ProcessSignal};
 use crate::store_client::StoreClient;
+use crate::unreadable_entries::UnreadableEntries;
 use crate::watcher::Wanted;
 use crate::ServerError;
 
@@ -104,6 +105,7 @@
     last_sweep: Time,
     /// News of the store, from others.
     subscriber: Subscriber,
+    unreadable: UnreadableEntries,
     /// The own watch of the store, while it is wanted.
     store_watch: Wanted,
     updates: UnboundedSender<StoreUpdate>,
@@ -166,6 +168,7 @@
                 codec.clone(),
             ),
             subscriber: new_subscriber(&settings),
+            unreadable: UnreadableEntries::default(),
             store_watch: Wanted::default(),
             updates,
             search: MachineSearch::new(steady_now()),
@@ -365,6 +368,11 @@
         self.metrics.set("configuration_version", version);
         self.metrics
             .set("engines", self.gateway.directory.len() as u64);
+        let directory = &self.gateway.directory;
+        self.metrics
+            .set("engine_lives_ended", directory.lives_ended());
+        self.metrics
+            .set("engines_absent", directory.absent(now) as u64);
         self.metrics.set("engine_list_age_ms", list_age.as_millis());
         self.metrics
             .set("store_news_age_ms", self.subscriber.age(now).as_millis());
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -22,6 +22,7 @@
 mod storage;
 mod store_client;
 mod turns;
+mod unreadable_entries;
 mod watcher;
 
 use peatgrade_ports::Codec;
--- a/crates/server/src/listing.rs
+++ b/crates/server/src/listing.rs
@@ -82,7 +82,8 @@
                 other => return Err(format!("list: {other:?}")),
             };
             let (_, at, revision) = *self.begun.get_or_insert((instant, at, page.revision));
-            let more = page.more && !page.objects.is_empty();
+            // Pages go on behind a name.
+            let more = page.more && page.objects.iter().any(|(name, _)| !name.is_empty());
             self.objects.extend(page.objects);
             if !more {
                 let objects = std::mem::take(&mut self.objects);
@@ -100,7 +101,7 @@
     async fn next_page(&mut self, store: &StoreClient) -> Result<StoreReply, String> {
         let call = StoreCall::List {
             kind: self.kind,
-            after: self.objects.last().map(|(name, _)| name.clone()),
+            after: self.last_name(),
         };
         let mut calls = Vec::new();
         while calls.len() < MAX_CALLS {
@@ -124,6 +125,12 @@
         Err(format!("list: no answer to {MAX_CALLS} calls"))
     }
 
+    /// The last name that could be read.
+    fn last_name(&self) -> Option<String> {
+        let mut names = self.objects.iter().rev().map(|(name, _)| name);
+        names.find(|name| !name.is_empty()).cloned()
+    }
+
     fn begin_anew(&mut self) {
         self.begun = None;
         self.objects.clear();
--- a/crates/server/src/storage/engines.rs
+++ b/crates/server/src/storage/engines.rs
@@ -1,7 +1,7 @@
 //! Exchanges of the leader with engines.
 
 use bytes::BytesMut;
-use peatgrade_fleet::{CoordinatorAction, OrderOutcome};
+use peatgrade_fleet::{CoordinatorAction, Incarnation, OrderOutcome};
 use peatgrade_forward::{note_failure, BrokenRun, HttpId};
 use peatgrade_jobs::{DispatchAction, RunId, RunPart};
 use peatgrade_ports::{DutyAnswer, EngineCall, Instance};
@@ -50,8 +50,10 @@
     Score(HttpId),
     /// Whether an engine is still there.
     Check(HttpId),
-    Order(Instance, u16),
-    Report(Instance, u16, BytesMut),
+    /// An order, the life of the engine that it is for, and the status of the answer.
+    Order(Instance, Incarnation, u16),
+    /// The same, and the report as far as it has come.
+    Report(Instance, Incarnation, u16, BytesMut),
     /// Usage of a window, and the status of the answer.
     UsageReport(u64, u16),
 }
@@ -161,14 +163,20 @@
                     fence: order.fence,
                     holder: order.holder.clone(),
                 });
-                self.pending_orders.insert(engine, order);
+                let Some(life) = self.directory.incarnation(&order.instance) else {
+                    return;
+                };
+                self.pending_orders.insert(engine, (life, order));
                 self.propose(steady_now(), note);
             }
             CoordinatorAction::Report(instance) => {
                 let Some(address) = self.address_of(&instance) else {
                     return;
                 };
-                let exchange = EngineExchange::Report(instance.clone(), 0, BytesMut::new());
+                let Some(life) = self.directory.incarnation(&instance) else {
+                    return;
+                };
+                let exchange = EngineExchange::Report(instance.clone(), life, 0, BytesMut::new());
                 self.begin(exchange, &address, &EngineCall::Report(instance));
             }
         }
@@ -183,9 +191,13 @@
     /// may have stood still in between.
     pub(super) fn send_noted_order(&mut self, now: Time, engine: &str, fence: u64) {
         let noted = self.pending_orders.remove(engine);
-        let Some(order) = noted.filter(|order| order.fence == fence) else {
+        let Some((life, order)) = noted.filter(|(_, order)| order.fence == fence) else {
             return;
         };
+        if self.directory.is_over(&order.instance, life) {
+            // It expects the count of orders of a life that is over.
+            return log::info!("decision=drop-order engine={engine} reason=engine-restarted");
+        }
         let Some(address) = self.address_of(&order.instance) else {
             return;
         };
@@ -198,7 +210,7 @@
             order.version,
             order.expected
         );
-        let exchange = EngineExchange::Order(order.instance.clone(), 0);
+        let exchange = EngineExchange::Order(order.instance.clone(), life, 0);
         self.begin(exchange, &address, &EngineCall::Order(order));
     }
 
@@ -218,8 +230,12 @@
                 let score = *score;
                 self.on_score_part(now, score, part);
             }
-            Some(EngineExchange::Order(_, status)) => match part {
-                ResponsePart::Head(head) => *status = head.status,
+            Some(EngineExchange::Order(instance, life, status)) => match part {
+                ResponsePart::Head(head) => {
+                    *status = head.status;
+                    let told = self.codec.answer_head(&head);
+                    self.directory.note_head(now, instance, *life, &told, None);
+                }
                 ResponsePart::Data(_) => {}
                 ResponsePart::End => self.on_order_end(now, id, None),
                 ResponsePart::Failed(failure) => self.on_order_end(now, id, Some(failure)),
@@ -236,8 +252,12 @@
                     self.on_report_answer(now, window, DutyAnswer::Unknown);
                 }
             },
-            Some(EngineExchange::Report(_, status, body)) => match part {
-                ResponsePart::Head(head) => *status = head.status,
+            Some(EngineExchange::Report(instance, life, status, body)) => match part {
+                ResponsePart::Head(head) => {
+                    *status = head.status;
+                    let told = self.codec.answer_head(&head);
+                    self.directory.note_head(now, instance, *life, &told, None);
+                }
                 ResponsePart::Data(data) => body.extend_from_slice(&data),
                 ResponsePart::End => self.on_report_end(now, id, true),
                 ResponsePart::Failed(_) => self.on_report_end(now, id, false),
@@ -271,6 +291,7 @@
             ResponsePart::Failed(failure) => {
                 let broken = BrokenRun {
                     engine: &request.engine,
+                    life: request.life,
                     request: fingerprint,
                     comes: ComesAgain::ToLeader,
                     began: request.began,
@@ -298,7 +319,7 @@
     }
 
     fn on_order_end(&mut self, now: Time, id: ExchangeId, failure: Option<HttpFailure>) {
-        let Some(EngineExchange::Order(instance, status)) = self.exchanges.remove(&id) else {
+        let Some(EngineExchange::Order(instance, life, status)) = self.exchanges.remove(&id) else {
             return;
         };
         let outcome = match failure {
@@ -308,19 +329,26 @@
         };
         self.metrics.count("weight_order");
         log::info!("belief=order engine={instance} status={status} outcome={outcome:?}");
+        if self.directory.is_over(&instance, life) {
+            // It says nothing of the count of the engine's present life.
+            return;
+        }
         if let Some(coordinator) = &mut self.coordinator {
             coordinator.on_order(now, &instance, outcome);
         }
     }
 
     fn on_report_end(&mut self, now: Time, id: ExchangeId, whole: bool) {
-        let Some(EngineExchange::Report(instance, status, body)) = self.exchanges.remove(&id)
+        let Some(EngineExchange::Report(instance, life, status, body)) = self.exchanges.remove(&id)
         else {
             return;
         };
         let report = (whole && status == 200)
             .then(|| self.codec.report(&body))
             .flatten();
+        // Without a start it may be of the life in which it was asked for.
+        let is_over = self.directory.is_over(&instance, life);
+        let report = report.filter(|report| !is_over || report.started.is_some());
         if let Some(coordinator) = &mut self.coordinator {
             coordinator.on_report(now, &instance, report.as_ref(), &mut self.directory);
         }
--- a/crates/server/src/storage/housekeeping.rs
+++ b/crates/server/src/storage/housekeeping.rs
@@ -106,6 +106,8 @@
             ("item_runs", self.dispatcher.running() as u64),
             ("configuration_version", self.configuration.version),
             ("engines", self.directory.len() as u64),
+            ("engine_lives_ended", self.directory.lives_ended()),
+            ("engines_absent", self.directory.absent(now) as u64),
             (
                 "engine_list_age_ms",
                 now.since(self.directory.confirmed).as_millis(),
--- a/crates/server/src/storage/process.rs
+++ b/crates/server/src/storage/process.rs
@@ -2,7 +2,7 @@
 
 use futures_channel::mpsc::{unbounded, UnboundedSender};
 use futures_util::{select_biased, FutureExt, StreamExt};
-use peatgrade_fleet::{EngineDirectory, OrderHistory, VersionCoordinator};
+use peatgrade_fleet::{EngineDirectory, Incarnation, OrderHistory, VersionCoordinator};
 use peatgrade_forward::Forwarder;
 use peatgrade_jobs::{AskedEnds, Dispatcher, JobStore, RunId};
 use peatgrade_mirror::Publisher;
@@ -25,6 +25,7 @@
 use crate::signals::{process_signals, ProcessSignal};
 use crate::store_client::StoreClient;
 use crate::turns::TurnWatch;
+use crate::unreadable_entries::UnreadableEntries;
 use crate::watcher::Wanted;
 use crate::ServerError;
 
@@ -136,8 +137,9 @@
     pub leader_watches: Wanted,
     /// Orders to engines that were noted.
     pub orders: OrderHistory,
+    pub unreadable: UnreadableEntries,
     /// Orders whose note is on its way into the log.
-    pub pending_orders: HashMap<String, VersionOrder>,
+    pub pending_orders: HashMap<String, (Incarnation, VersionOrder)>,
     pub work: LeaderWork,
     /// Machines to be emptied.
     pub retirements: BTreeMap<String, Retirement>,
@@ -259,6 +261,7 @@
             member_watches: Wanted::default(),
             leader_watches: Wanted::default(),
             orders: OrderHistory::default(),
+            unreadable: UnreadableEntries::default(),
             pending_orders: HashMap::new(),
             work: LeaderWork::default(),
             retirements: BTreeMap::new(),
--- a/crates/server/src/storage/updates.rs
+++ b/crates/server/src/storage/updates.rs
@@ -32,6 +32,9 @@
     }
 
     fn on_listed(&mut self, kind: ObjectKind, at: Time, objects: Vec<(String, StoreObject)>) {
+        for (_, object) in &objects {
+            self.unreadable.note(&self.metrics, kind, object);
+        }
         if kind == ObjectKind::Engines {
             let records = objects.into_iter().filter_map(|(_, object)| match object {
                 StoreObject::Engine(record) => Some(record),
@@ -58,8 +61,11 @@
 
     fn on_changed(&mut self, kind: ObjectKind, at: Time, events: Vec<StoreEvent>) {
         for event in events {
+            if let Some(object) = &event.object {
+                self.unreadable.note(&self.metrics, kind, object);
+            }
             if kind == ObjectKind::Engines {
-                if let Some(instance) = self.directory.apply(event) {
+                if let Some(instance) = self.directory.apply(steady_now(), event) {
                     log::info!("belief=engine-gone instance={instance}");
                 }
                 continue;
@@ -97,9 +103,6 @@
                     self.take_registration(member);
                 }
             }
-            StoreObject::Unreadable { name, reason } => {
-                log::error!("step=read-object kind={kind:?} name={name} error={reason}");
-            }
             _ => {}
         }
     }
@@ -111,6 +114,8 @@
                 configuration.version,
                 configuration.routes.len()
             );
+            let services = configuration.services.keys();
+            self.directory.set_services(services);
             self.configuration = configuration;
         }
     }
