--- a/scripts/planted-breaks.sh
+++ b/scripts/planted-breaks.sh
@@ -294,4 +294,51 @@
 plant "what was read last is dropped at a stop" crates/server/src/gateway_process/stopping.rs \
     "(in_flight == 0 || stopping >= last_moment)" "true" peatgrade-server stopping
 
+E=crates/fleet/src
+plant "what was believed goes on in the next life" $E/directory.rs \
+    "ToldLife::Later => return self.end_life(now, &instance, record)," \
+    "ToldLife::Later => {}" peatgrade-fleet ""
+plant "a late heartbeat brings the life before back" $E/directory.rs \
+    "ToldLife::Earlier => return," "ToldLife::Earlier => {}" peatgrade-fleet ""
+plant "a request of an ended life counts in the next" $E/directory/identity.rs \
+    "state.filter(|state| state.incarnation == life)" \
+    "state.filter(|state| state.incarnation == life || true)" peatgrade-fleet ""
+plant "orders go on by the count of an ended life" $E/coordinator/mod.rs \
+    "directory.incarnation(instance) == Some(progress.life)" \
+    "directory.incarnation(instance).is_some() || progress.life == Incarnation::default()" \
+    peatgrade-fleet ""
+plant "a report of an ended life is believed" $E/coordinator/mod.rs \
+    "report.filter(|_| told != Some(ToldLife::Earlier))" "report.filter(|_| told.is_some())" \
+    peatgrade-fleet ""
+plant "an engine that is not there is asked again and again" $E/directory/identity.rs \
+    "self.absence.is_some_and(|absence| absence.holds(now))" \
+    "self.absence.is_some_and(|absence| absence.holds(now)) && false" peatgrade-fleet ""
+plant "the pause of an engine that is not there does not grow" $E/incarnation.rs \
+    "1_u64 << self.times.min(MAX_DOUBLINGS)" "1_u64 << 0" peatgrade-fleet ""
+plant "items go on to an engine that is not there" $J/placement.rs \
+    "        && !state.is_absent(now)
+" "" peatgrade-jobs restarts
+plant "lookups go on to an engine that is not there" crates/forward/src/choice.rs \
+    ".filter(|state| !state.is_absent(now))" "" peatgrade-gateway restarts
+plant "a run waits for an engine whose life is over" $J/dispatcher/moving.rs \
+    "if state.incarnation != run.life {" "if false && state.incarnation != run.life {" \
+    peatgrade-jobs restarts
+plant "a run that goes on is broken off" $J/dispatcher/restarts.rs \
+    "let goes_on = now.since(heard) < HEARD_LATELY;" "let goes_on = now < heard;" \
+    peatgrade-jobs restarts
+plant "a check believes whoever answers under the name" crates/forward/src/suspects.rs \
+    "directory.note_report(now, &check.instance, &report);" "let _ = report;" \
+    peatgrade-gateway restarts
+plant "lookups wait for an engine whose life is over" crates/forward/src/forwarder.rs \
+    "self.leave_ended_lives(now, directory, actions);" "" peatgrade-gateway restarts
+plant "an unknown state counts as ready" platform/src/objects.rs \
+    'other => return Err(format!("unknown state {other:?}")),' "_ => false," \
+    peatgrade-platform foreign
+plant "one bad entry spoils the page" platform/src/objects.rs \
+    "Err(error) => return unreadable(String::new(), error.to_string())," \
+    "Err(error) => panic!(\"{error}\")," peatgrade-platform passed_by
+plant "an engine whose entry was spoilt is still told" crates/mirror/src/publisher.rs \
+    "if *kind == ObjectKind::Engines =>" "if *kind == ObjectKind::Replicas =>" \
+    peatgrade-mirror no_longer
+
 exit $unnoticed
