--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -148,7 +148,7 @@
             return;
         };
         match ToldLife::of(state.record.started, record.started) {
-            ToldLife::Later => return self.end_life(now, &instance, record),
+            ToldLife::Later => return self.end_life(now, &instance, record, "later-start"),
             // A heartbeat of the life before that came late.
             ToldLife::Earlier => return,
             ToldLife::Same => {}
--- a/crates/fleet/src/directory/identity.rs
+++ b/crates/fleet/src/directory/identity.rs
@@ -112,7 +112,7 @@
         if names_other {
             // Another engine has its address: it is gone, with all that it did.
             let record = state.record.clone();
-            self.end_life(now, engine, record);
+            self.end_life(now, engine, record, "another-engine-answers");
             if let Some(state) = self.engines.get_mut(engine) {
                 state.absence = Some(Absence::begin(now));
             }
@@ -154,7 +154,7 @@
                     models: state.record.models.keys().map(|m| (m.clone(), 0)).collect(),
                     ..state.record.clone()
                 };
-                self.end_life(now, engine, record);
+                self.end_life(now, engine, record, "later-start");
             }
         }
         told
@@ -162,14 +162,20 @@
 
     /// A life of an engine is over: nothing that was believed of it holds for the next,
     /// of which only `record` is known.
-    pub(super) fn end_life(&mut self, now: Time, engine: &Instance, record: EngineRecord) {
+    pub(super) fn end_life(
+        &mut self,
+        now: Time,
+        engine: &Instance,
+        record: EngineRecord,
+        reason: &str,
+    ) {
         let incarnation = self.next_incarnation();
         let Some(state) = self.engines.get_mut(engine) else {
             return;
         };
         self.lives_ended += 1;
         log::info!(
-            "belief=engine-restarted engine={engine} started={:?} before={:?} life={incarnation} running={} list_age_ms={}",
+            "belief=engine-life-ended engine={engine} reason={reason} started={:?} before={:?} life={incarnation} running={} list_age_ms={}",
             record.started,
             state.record.started,
             state.experience.running,
--- a/crates/jobs/tests/restarts/mod.rs
+++ b/crates/jobs/tests/restarts/mod.rs
@@ -1,6 +1,6 @@
 //! Items at engines that start again under their name, or are not at their address.
 
-use peatgrade_jobs::RunPart;
+use peatgrade_jobs::{RunId, RunPart};
 use peatgrade_ports::{AnswerHead, EngineRecord, Instance, StartedAt};
 use rstest::rstest;
 
@@ -81,6 +81,10 @@
 
 fn refuse(scene: &mut Scene, told: Option<&str>) {
     let run = scene.last().run;
+    refuse_run(scene, run, told);
+}
+
+fn refuse_run(scene: &mut Scene, run: RunId, told: Option<&str>) {
     let head = AnswerHead {
         status: 421,
         misdirected: true,
@@ -99,8 +103,10 @@
     let mut scene = Scene::new(vec![started("a", 5)]);
     scene.submit("j", 5, &["i", "k", "l"]);
     scene.poll();
-    refuse(&mut scene, told);
     let sent = scene.started.len();
+    for run in scene.started.clone() {
+        refuse_run(&mut scene, run.run, told);
+    }
     scene.wait(450);
     assert_eq!(scene.started.len(), sent);
     // A single item shows whether it is back.
--- a/scripts/planted-breaks.sh
+++ b/scripts/planted-breaks.sh
@@ -296,7 +296,7 @@
 
 E=crates/fleet/src
 plant "what was believed goes on in the next life" $E/directory.rs \
-    "ToldLife::Later => return self.end_life(now, &instance, record)," \
+    "ToldLife::Later => return self.end_life(now, &instance, record, \"later-start\")," \
     "ToldLife::Later => {}" peatgrade-fleet ""
 plant "a late heartbeat brings the life before back" $E/directory.rs \
     "ToldLife::Earlier => return," "ToldLife::Earlier => {}" peatgrade-fleet ""
