Settings test: each case writes a file of its own

Two cases of one test shared a file and ran at once: one removed it before the other had read it (failed once in a run of the whole workspace).

--- a/crates/server/tests/unit/settings.rs
+++ b/crates/server/tests/unit/settings.rs
@@ -53,7 +53,8 @@
 #[case::no_limit("", None)]
 #[case::a_third("memory_limit_mb = 120", Some(40 * 1024 * 1024))]
 fn a_part_of_the_memory_is_for_callers(#[case] line: &str, #[case] expected: Option<usize>) {
-    let path = write("callers", &format!("{GATEWAY}{line}\n"));
+    let name = format!("callers-{}", line.len());
+    let path = write(&name, &format!("{GATEWAY}{line}\n"));
     let settings = ServerSettings::load(&path, ServerRole::Gateway).unwrap();
     std::fs::remove_file(&path).unwrap();
     assert_eq!(settings.caller_bytes(), expected);
