Each life of an engine that ends under a request counts as a crash; an item shuns one life only

Cause: crashes were counted by the engine's name, so that a request that ended the same engine three times under its name counted once and was never kept from it; an item that an engine had failed left out its next life too. Change: a crash is named by name and start of the life that ended, the same on all machines that know the life; `avoid` names the life. The progress of orders and the figures of a gateway have files of their own. Tests: both seen red by planted breaks.

--- a/crates/fleet/src/coordinator/mod.rs
+++ b/crates/fleet/src/coordinator/mod.rs
@@ -18,9 +18,11 @@
 use std::collections::BTreeMap;
 
 mod candidates;
+mod progress;
 
 use crate::directory::{EngineDirectory, EngineState};
-use crate::incarnation::{Incarnation, ToldLife};
+use crate::incarnation::ToldLife;
+use progress::{next_load_time, EngineProgress, Load, Phase, FIRST_LOAD_TIME, REPORT_LAG};
 
 /// Time after which an order or a report without an answer is given up.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(600);
@@ -28,17 +30,6 @@
 /// fleet: a look there takes milliseconds, and starts many loads at once.
 const POLL_EVERY: Duration = Duration::from_millis(10);
 const POLL_PER_ENGINE: Duration = Duration(20);
-/// Part of the time that loads were taken to last after one that was over when
-/// it was looked at.
-const SHORTER_NUMERATOR: u64 = 7;
-const SHORTER_DENOMINATOR: u64 = 8;
-/// Time that a load takes, before any was seen, and at least: more loads at
-/// once than a source can feed are slower for all.
-const FIRST_LOAD_TIME: Duration = Duration::from_millis(900);
-/// How much older than its arrival a report may be.
-const REPORT_LAG: Duration = Duration::from_millis(120);
-/// No report is older than that.
-const LONGEST_REPORT_LAG: Duration = Duration::from_millis(300);
 /// Further looks at an engine that loads.
 const NEXT_LOOK: Duration = Duration::from_millis(80);
 /// Wait before an engine that gave no answer is tried again.
@@ -72,50 +63,6 @@
     Unknown,
 }
 
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-enum Phase {
-    /// Nothing is known of its orders yet.
-    Unseen,
-    /// A report was asked for.
-    Asked(Time),
-    /// Its count of orders is known.
-    Idle,
-    /// An order is on its way.
-    Ordered(Time),
-    /// It loads, as far as known.
-    Loading(Load),
-    /// Nothing is tried before then.
-    Pause(Time),
-}
-
-/// A load under way.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-struct Load {
-    /// Next look at it.
-    look: Time,
-    since: Time,
-    /// When a look last found it under way.
-    seen_busy: Option<Time>,
-}
-
-impl Load {
-    /// Whether it was under way for longer than loads usually take, however old
-    /// the report was.
-    fn outlasts(&self, load_time: Duration) -> bool {
-        let expected = self.since + load_time + LONGEST_REPORT_LAG;
-        self.seen_busy.is_some_and(|seen| seen >= expected)
-    }
-}
-
-#[derive(Clone, Debug)]
-struct EngineProgress {
-    /// The life of the engine that all this is of: its count of orders starts anew.
-    life: Incarnation,
-    phase: Phase,
-    orders: u64,
-    target: Option<(String, u64)>,
-}
-
 /// Brings engines to named versions.
 #[derive(Debug)]
 pub struct VersionCoordinator {
@@ -367,43 +314,3 @@
         self.engines.values().filter(|e| e.is_loading()).count()
     }
 }
-
-/// How long the next load is taken to last, after one that is over. An engine is
-/// first looked at when its load should be over, so that one which took less
-/// looks as if it took just as long: then the next look comes sooner. Otherwise
-/// a single slow load would slow all later ones.
-fn next_load_time(now: Time, expected: Duration, load: &Load) -> Duration {
-    if load.seen_busy.is_some() {
-        let took = now.since(load.since).0.saturating_sub(REPORT_LAG.0);
-        return Duration((expected.0 * 3 + took) / 4);
-    }
-    let shorter = expected.0 * SHORTER_NUMERATOR / SHORTER_DENOMINATOR;
-    Duration(shorter.max(FIRST_LOAD_TIME.0))
-}
-
-impl EngineProgress {
-    /// An engine of whose orders nothing is known.
-    fn unseen(life: Incarnation) -> Self {
-        Self {
-            life,
-            phase: Phase::Unseen,
-            orders: 0,
-            target: None,
-        }
-    }
-
-    /// Whether it takes part of what may load at once. Its report comes late, so
-    /// that a load counts only for as long as loads usually take, unless it was
-    /// seen to take longer: more loads beside it would slow it further.
-    fn holds_place(&self, now: Time, load_time: Duration) -> bool {
-        match self.phase {
-            Phase::Ordered(_) => true,
-            Phase::Loading(load) => load.outlasts(load_time) || now.since(load.since) < load_time,
-            _ => false,
-        }
-    }
-
-    fn is_loading(&self) -> bool {
-        matches!(self.phase, Phase::Ordered(_) | Phase::Loading(_))
-    }
-}
--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -8,7 +8,7 @@
 mod identity;
 
 use crate::experience::Experience;
-use crate::incarnation::{Absence, Incarnation, ToldLife};
+use crate::incarnation::{Absence, EarlierLife, Incarnation, ToldLife};
 
 /// Heartbeats without the store after which entries may have lapsed: the store drops
 /// an entry after three, and the last one may have come one before contact was lost.
@@ -31,8 +31,8 @@
     pub lapsed_until: Option<Time>,
     /// The life that all this is of.
     pub incarnation: Incarnation,
-    /// The life before had said that it would leave.
-    pub earlier_left: bool,
+    /// The life before, if one is known to be over.
+    pub earlier: Option<EarlierLife>,
     /// It was not found at its address.
     pub absence: Option<Absence>,
 }
@@ -205,18 +205,14 @@
         let Some(state) = self.engines.get(engine) else {
             return;
         };
-        let is_over = state.incarnation != life;
-        let has_left = if is_over {
-            state.earlier_left
-        } else {
-            state.record.draining
-        };
+        let ended = state.earlier.filter(|_| state.incarnation != life);
+        let has_left = ended.map_or(state.record.draining, |ended| ended.left);
         if has_left {
             return;
         }
         self.quarantine.run_broke(now, engine, request, comes);
-        if is_over {
-            self.quarantine.engine_gone(now, engine);
+        if let Some(ended) = ended {
+            self.quarantine.engine_gone(now, engine, ended.started);
         }
     }
 
@@ -226,7 +222,9 @@
             state.experience.is_unreachable = true;
         }
         if self.is_staying(engine) {
-            self.quarantine.engine_gone(now, engine);
+            let state = self.engines.get(engine);
+            let started = state.and_then(|state| state.record.started);
+            self.quarantine.engine_gone(now, engine, started);
         } else {
             self.quarantine.engine_left(engine);
         }
--- a/crates/fleet/src/directory/identity.rs
+++ b/crates/fleet/src/directory/identity.rs
@@ -4,7 +4,7 @@
 use peatgrade_types::Time;
 
 use super::{EngineDirectory, EngineState};
-use crate::incarnation::{Absence, Incarnation, Misdirection, ToldLife};
+use crate::incarnation::{Absence, EarlierLife, Incarnation, Misdirection, ToldLife};
 
 impl EngineState {
     /// Whether it was not found at its address and nothing goes there now.
@@ -181,17 +181,20 @@
             state.experience.running,
             now.since(self.confirmed).as_millis()
         );
-        let was_leaving = state.record.draining;
+        let ended = EarlierLife {
+            started: state.record.started,
+            left: state.record.draining,
+        };
         *state = EngineState {
             record,
             incarnation,
-            earlier_left: was_leaving,
+            earlier: Some(ended),
             ..EngineState::default()
         };
-        if was_leaving {
+        if ended.left {
             self.quarantine.engine_left(engine);
         } else {
-            self.quarantine.engine_gone(now, engine);
+            self.quarantine.engine_gone(now, engine, ended.started);
         }
     }
 
--- a/crates/fleet/src/incarnation.rs
+++ b/crates/fleet/src/incarnation.rs
@@ -14,6 +14,15 @@
     }
 }
 
+/// What is kept of a life that is over: whose fault its end was.
+#[derive(Clone, Copy, Debug)]
+pub struct EarlierLife {
+    /// When it began, if that was known.
+    pub started: Option<StartedAt>,
+    /// It had said that it would leave.
+    pub left: bool,
+}
+
 /// How a start that was told compares with the one that is known.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum ToldLife {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -17,6 +17,6 @@
 pub use coordinator::{CoordinatorAction, OrderOutcome, VersionCoordinator};
 pub use directory::{EngineDirectory, EngineState};
 pub use experience::Experience;
-pub use incarnation::{Absence, Incarnation, Misdirection, ToldLife};
+pub use incarnation::{Absence, EarlierLife, Incarnation, Misdirection, ToldLife};
 pub use order_history::{OrderHistory, OrderRules};
 pub use outlook::Outlook;
--- a/crates/fleet/tests/incarnations.rs
+++ b/crates/fleet/tests/incarnations.rs
@@ -337,3 +337,34 @@
     directory.set_services(["s".to_string(), "unheard-of".to_string()].iter());
     assert_eq!(directory.iter().count(), 2, "a configuration named it");
 }
+
+/// A service of one engine, which ends under the request each time that it is back.
+#[test]
+fn each_life_of_an_engine_that_ends_under_a_request_counts() {
+    let mut directory = EngineDirectory::default();
+    directory.replace(NOW, vec![record(Some(5), 1)]);
+    for started in 6..9 {
+        let life = directory.begin_request(NOW, &name()).unwrap();
+        directory.run_broke(NOW, &name(), life, request(), ComesAgain::ToAny);
+        // Nobody listens while it is away, and then it is back.
+        directory.engine_refused(NOW, &name());
+        directory.apply(NOW, changed(record(Some(started), 1)));
+    }
+    assert_eq!(directory.quarantine.crashes(request()), 3);
+}
+
+#[test]
+fn a_life_that_two_machines_saw_end_counts_once() {
+    let mut machines = [EngineDirectory::default(), EngineDirectory::default()];
+    for directory in &mut machines {
+        directory.replace(NOW, vec![record(Some(5), 1)]);
+        let life = directory.begin_request(NOW, &name()).unwrap();
+        directory.run_broke(NOW, &name(), life, request(), ComesAgain::ToAny);
+    }
+    let [first, second] = &mut machines;
+    first.engine_refused(NOW, &name());
+    second.apply(NOW, changed(record(Some(6), 1)));
+    let told = second.quarantine.records(NOW);
+    first.quarantine.merge(NOW, &told, "second");
+    assert_eq!(first.quarantine.crashes(request()), 1);
+}
--- a/crates/gateway/tests/suspects/mod.rs
+++ b/crates/gateway/tests/suspects/mod.rs
@@ -26,7 +26,7 @@
     for number in 0..crashes {
         let engine = Instance(format!("gone-{number}"));
         elsewhere.run_broke(scene.now, &engine, fingerprint(), ComesAgain::ToAny);
-        elsewhere.engine_gone(scene.now, &engine);
+        elsewhere.engine_gone(scene.now, &engine, None);
     }
     let records = elsewhere.records(scene.now);
     let quarantine = &mut scene.gateway.directory.quarantine;
--- a/crates/jobs/src/dispatcher/answers.rs
+++ b/crates/jobs/src/dispatcher/answers.rs
@@ -125,7 +125,7 @@
             return;
         };
         item.run = None;
-        item.avoid = Some(run.instance.clone());
+        item.avoid = Some((run.instance.clone(), run.life));
         let route = configuration.route(&item.spec.host, &item.item().path);
         let max_attempts = route.map_or(1, |route| route.max_attempts);
         let refused = head.not_run || head.misdirected || head.status == 503 || head.status == 429;
@@ -242,7 +242,7 @@
             item.text.events.len()
         );
         item.run = None;
-        item.avoid = Some(run.instance);
+        item.avoid = Some((run.instance, run.life));
         item.not_before = now + FAILED_WAIT;
     }
 }
--- a/crates/jobs/src/dispatcher/moving.rs
+++ b/crates/jobs/src/dispatcher/moving.rs
@@ -102,11 +102,9 @@
                 }
             }
             self.break_off(&key, directory);
-            // The engine's new life has done nothing to be avoided for.
-            let item = self.items.get_mut(&key);
-            if let Some(item) = item.filter(|_| reason != MoveReason::Restarted) {
-                item.avoid = Some(instance);
-                item.moves += 1;
+            if let Some(item) = self.items.get_mut(&key) {
+                item.avoid = Some((instance, life));
+                item.moves += u32::from(reason != MoveReason::Restarted);
             }
         }
     }
--- a/crates/jobs/src/dispatcher/starting.rs
+++ b/crates/jobs/src/dispatcher/starting.rs
@@ -149,7 +149,7 @@
                 ..any
             };
             let need = Need {
-                avoid: item.avoid.as_ref(),
+                avoid: engine_to_avoid(item, directory),
                 ..without
             };
             let limit = if crowded {
@@ -348,6 +348,12 @@
     }
 }
 
+/// The engine that has just failed an item, unless it has started again since.
+fn engine_to_avoid<'a>(item: &'a OpenItem, directory: &EngineDirectory) -> Option<&'a Instance> {
+    let (engine, life) = item.avoid.as_ref()?;
+    (!directory.is_over(engine, *life)).then_some(engine)
+}
+
 /// The service that an item goes to: a stable draw by the route's weights.
 fn target_of<'a>(route: &'a Route, id: &str) -> Option<&'a str> {
     let total: u64 = route.targets.iter().map(|t| u64::from(t.weight)).sum();
--- a/crates/jobs/src/item.rs
+++ b/crates/jobs/src/item.rs
@@ -1,5 +1,6 @@
 //! One open item: what is known of its text and of its runs.
 
+use peatgrade_fleet::Incarnation;
 use peatgrade_ports::Instance;
 use peatgrade_quarantine::{Fingerprint, RequestParts};
 use peatgrade_schema::replication::{AcceptJob, ItemResult, JobItem};
@@ -46,7 +47,7 @@
     /// Not tried before then.
     pub not_before: Time,
     /// Engine that its last run left in bad order.
-    pub avoid: Option<Instance>,
+    pub avoid: Option<(Instance, Incarnation)>,
     /// Runs so far.
     pub runs: u32,
     /// Moves from a slow engine so far.
--- a/crates/jobs/tests/restarts/mod.rs
+++ b/crates/jobs/tests/restarts/mod.rs
@@ -143,3 +143,18 @@
     let state = scene.directory.get(&Instance(second.engine)).unwrap();
     assert!(!state.is_absent(scene.now));
 }
+
+#[test]
+fn an_engine_that_failed_an_item_is_tried_again_in_its_next_life() {
+    let mut scene = Scene::new(vec![started("a", 5), started("b", 5)]);
+    scene.submit("j", 5, &["i"]);
+    scene.poll();
+    let first = scene.last();
+    let other = if first.engine == "a" { "b" } else { "a" };
+    scene.set_running(other, 4);
+    scene.part(first.run, RunPart::Failed("reset".into()));
+    scene.join(started(&first.engine, 6));
+    scene.wait(60);
+    assert_eq!(scene.last().engine, first.engine);
+    assert_eq!(scene.started.len(), 2);
+}
--- a/crates/jobs/tests/suspects/mod.rs
+++ b/crates/jobs/tests/suspects/mod.rs
@@ -27,7 +27,7 @@
         let gone = Instance(format!("gone-{number}"));
         let comes = ComesAgain::ToLeader;
         quarantine.run_broke(scene.now, &gone, fingerprint(item), comes);
-        quarantine.engine_gone(scene.now, &gone);
+        quarantine.engine_gone(scene.now, &gone, None);
     }
 }
 
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -1,6 +1,6 @@
 //! One machine's view: evidence from its own runs, and what others have told it.
 
-use peatgrade_ports::Instance;
+use peatgrade_ports::{Instance, StartedAt};
 use peatgrade_schema::replication::CrashRecord;
 use peatgrade_types::{hash_bytes, Duration, Time};
 use std::collections::{BTreeMap, VecDeque};
@@ -90,14 +90,16 @@
         self.checks.answered(engine);
     }
 
-    /// An engine is not there any more: it crashed under what ran on it.
-    pub fn engine_gone(&mut self, now: Time, engine: &Instance) {
+    /// The life of an engine that began at `started`, if that is known, is over: it
+    /// crashed under what ran on it. An engine that starts again under its name may crash
+    /// under the same request again, and each life counts.
+    pub fn engine_gone(&mut self, now: Time, engine: &Instance, started: Option<StartedAt>) {
         for BrokenRun { request, comes } in self.checks.gone(engine) {
             if self.completed.is_recent(now, request) {
                 continue;
             }
-            let name = hash_bytes(engine.0.as_bytes());
-            if !self.ledger.note_crash(now, request, name, comes) {
+            let life = name_of_life(engine, started);
+            if !self.ledger.note_crash(now, request, life, comes) {
                 continue;
             }
             self.has_news = true;
@@ -184,3 +186,11 @@
         has_new
     }
 }
+
+/// The same on all machines that know of a life, however each learnt that it is over.
+fn name_of_life(engine: &Instance, started: Option<StartedAt>) -> u64 {
+    match started {
+        None => hash_bytes(engine.0.as_bytes()),
+        Some(started) => hash_bytes(format!("{engine} {started}").as_bytes()),
+    }
+}
--- a/crates/quarantine/tests/quarantine.rs
+++ b/crates/quarantine/tests/quarantine.rs
@@ -21,7 +21,7 @@
 fn crash(quarantine: &mut Quarantine, at: Time, name: &str) {
     quarantine.run_broke(at, &engine(name), REQUEST, ComesAgain::ToAny);
     assert_eq!(quarantine.take_checks(at), [engine(name)]);
-    quarantine.engine_gone(at, &engine(name));
+    quarantine.engine_gone(at, &engine(name), None);
 }
 
 #[test]
@@ -33,7 +33,7 @@
         assert_eq!(quarantine.take_checks(START).len(), 1);
         quarantine.engine_answered(&engine(&name));
         // That it ends later has nothing to do with it.
-        quarantine.engine_gone(after(50), &engine(&name));
+        quarantine.engine_gone(after(50), &engine(&name), None);
     }
     assert!(quarantine.is_empty());
     assert!(!quarantine.take_news());
@@ -45,7 +45,7 @@
     quarantine.run_broke(START, &engine("e"), REQUEST, ComesAgain::ToAny);
     let asked = (0..100).map(|tick| quarantine.take_checks(after(tick * 50)).len());
     assert_eq!(asked.sum::<usize>(), 4);
-    quarantine.engine_gone(after(6_000), &engine("e"));
+    quarantine.engine_gone(after(6_000), &engine("e"), None);
     assert!(
         quarantine.is_empty(),
         "it is too late to tell why it is gone"
@@ -128,7 +128,7 @@
         for crash in 0..2 * MAX_CRASHES {
             let engine = engine(&format!("engine-{number}-{crash}"));
             quarantine.run_broke(START, &engine, request, ComesAgain::ToAny);
-            quarantine.engine_gone(START, &engine);
+            quarantine.engine_gone(START, &engine, None);
         }
     }
     let records = quarantine.records(after(1));
--- /dev/null
+++ b/crates/server/src/gateway_process/figures.rs
@@ -0,0 +1,34 @@
+//! Figures of a gateway's present state.
+
+use peatgrade_types::Time;
+
+use super::GatewayProcess;
+
+impl GatewayProcess {
+    pub(super) fn set_state(&self, now: Time) {
+        let configuration = &self.gateway.configuration;
+        let version = configuration.as_ref().map_or(0, |c| c.version);
+        let list_age = now.since(self.gateway.directory.confirmed);
+        self.metrics.set("configuration_version", version);
+        self.metrics
+            .set("engines", self.gateway.directory.len() as u64);
+        let directory = &self.gateway.directory;
+        self.metrics
+            .set("engine_lives_ended", directory.lives_ended());
+        self.metrics
+            .set("engines_absent", directory.absent(now) as u64);
+        self.metrics.set("engine_list_age_ms", list_age.as_millis());
+        self.metrics
+            .set("store_news_age_ms", self.subscriber.age(now).as_millis());
+        self.metrics
+            .set("watches_store", u64::from(self.subscriber.watches_store()));
+        self.metrics
+            .set("requests_in_flight", self.gateway.in_flight() as u64);
+        let untold = self.usage.unacknowledged() as u64;
+        self.metrics.set("usage_unacknowledged", untold);
+        self.metrics.set("ready", u64::from(self.ready()));
+        for (name, value) in self.gateway.directory.quarantine.figures() {
+            self.metrics.set(name, value);
+        }
+    }
+}
--- a/scripts/planted-breaks.sh
+++ b/scripts/planted-breaks.sh
@@ -341,4 +341,11 @@
     "if *kind == ObjectKind::Engines =>" "if *kind == ObjectKind::Replicas =>" \
     peatgrade-mirror no_longer
 
+plant "an engine's lives count as one crash" crates/quarantine/src/quarantine.rs \
+    'format!("{engine} {started}").as_bytes()' 'format!("{engine}{}", started.0 * 0).as_bytes()' \
+    peatgrade-fleet ""
+plant "an item shuns the next life" $J/dispatcher/starting.rs \
+    "(!directory.is_over(engine, *life)).then_some(engine)" \
+    "(directory.len() > 0 || life == life).then_some(engine)" peatgrade-jobs restarts
+
 exit $unnoticed
