--- a/scripts/planted-breaks.sh
+++ b/scripts/planted-breaks.sh
@@ -81,9 +81,9 @@
     peatgrade-replication entries_that
 plant "a vote only for who has all" $R/group.rs "CAUGHT_UP_WITHIN: u64 = 1_024" \
     "CAUGHT_UP_WITHIN: u64 = 0" peatgrade-replication a_replica_that_stays
-plant "loads hold no place beyond what was expected" crates/fleet/src/coordinator/mod.rs \
+plant "loads hold no place beyond what was expected" crates/fleet/src/coordinator/progress.rs \
     "load.outlasts(load_time) || " "" peatgrade-fleet loads_that
-plant "the time of a load only rises" crates/fleet/src/coordinator/mod.rs \
+plant "the time of a load only rises" crates/fleet/src/coordinator/progress.rs \
     "let shorter = expected.0 * SHORTER_NUMERATOR / SHORTER_DENOMINATOR;" \
     "let shorter = expected.0;" peatgrade-fleet one_slow
 plant "slow engines count as any other" $J/placement.rs \
@@ -305,7 +305,7 @@
     "state.filter(|state| state.incarnation == life || true)" peatgrade-fleet ""
 plant "orders go on by the count of an ended life" $E/coordinator/mod.rs \
     "directory.incarnation(instance) == Some(progress.life)" \
-    "directory.incarnation(instance).is_some() || progress.life == Incarnation::default()" \
+    "directory.incarnation(instance).map(|_| progress.life).is_some()" \
     peatgrade-fleet ""
 plant "a report of an ended life is believed" $E/coordinator/mod.rs \
     "report.filter(|_| told != Some(ToldLife::Earlier))" "report.filter(|_| told.is_some())" \
