--- a/crates/jobs/tests/restarts/mod.rs
+++ b/crates/jobs/tests/restarts/mod.rs
@@ -151,7 +151,7 @@
     scene.poll();
     let first = scene.last();
     let other = if first.engine == "a" { "b" } else { "a" };
-    scene.set_running(other, 4);
+    scene.set_running(other, 3);
     scene.part(first.run, RunPart::Failed("reset".into()));
     scene.join(started(&first.engine, 6));
     scene.wait(60);
