HTTP client tells which requests have a connection

Cause: whether a request may have run was judged by whether it was under way. One whose connection never came up counted as run, was answered 502 or 504, and callers did not try again. Ruled out: an event among the parts of the response, which can be in the queue while the owner decides by what it has heard. Change: an owner takes the list of requests that got a connection before it decides; the cancel is looked at before the socket, so that nothing leaves after it. Seen red: with the order of the two swapped, the request that was dropped was sent (a_request_that_is_dropped_before_it_was_told_of_never_leaves).

--- a/crates/runtime/src/http_client.rs
+++ b/crates/runtime/src/http_client.rs
@@ -1,6 +1,6 @@
 //! The client side of HTTP: one task per request, with reuse of connections.
 
-use bytes::{BufMut, Bytes, BytesMut};
+use bytes::{Bytes, BytesMut};
 use futures_channel::mpsc::UnboundedSender;
 use futures_channel::oneshot;
 use futures_util::future::{select, Either, FutureExt};
@@ -15,6 +15,7 @@
 use std::time::Duration;
 
 use crate::boot_clock::BootInstant;
+use crate::request_writer::to_wire;
 use crate::response_reader::{Piece, ResponseReader};
 
 /// Longest time to make a connection.
@@ -117,9 +118,24 @@
     idle: Rc<RefCell<Idle>>,
     parts: UnboundedSender<(Id, ResponsePart)>,
     gather: Rc<Cell<Duration>>,
+    /// None if nobody asks.
+    opened: Option<OpenedList<Id>>,
 }
 
-/// Ends a request when dropped.
+/// From here on bytes of a request may have gone out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Opened<Id> {
+    /// The request.
+    pub id: Id,
+    /// Time that its new connection took to come up; none if it goes over a kept one.
+    pub connected_in: Option<Duration>,
+}
+
+/// Requests that have a connection and were not told of yet.
+type OpenedList<Id> = Rc<RefCell<Vec<Opened<Id>>>>;
+
+/// Ends a request when dropped. Of one that [`HttpClient::take_opened`] has not told of
+/// by then, no byte has gone out or will.
 pub struct Cancel(#[allow(dead_code)] oneshot::Sender<()>);
 
 impl<Id: Copy + 'static> HttpClient<Id> {
@@ -129,9 +145,26 @@
             idle: Rc::default(),
             parts,
             gather: Rc::default(),
+            opened: None,
+        }
+    }
+
+    /// A client without connections that keeps account of which requests have one, for
+    /// owners that call [`Self::take_opened`] before they decide about a request.
+    pub fn telling_opened(parts: UnboundedSender<(Id, ResponsePart)>) -> Self {
+        Self {
+            opened: Some(Rc::default()),
+            ..Self::new(parts)
         }
     }
 
+    /// Requests that got a connection since this was last asked: at most one entry for
+    /// each request sent since.
+    pub fn take_opened(&self) -> Vec<Opened<Id>> {
+        let opened = self.opened.as_ref();
+        opened.map_or(Vec::new(), |opened| std::mem::take(&mut opened.borrow_mut()))
+    }
+
     /// How long a gathering request waits between two reads of its body. Each
     /// read costs the same whatever it brings, so that many streams at once are
     /// read with a fraction of the work.
@@ -161,13 +194,22 @@
             gather: self.gather.clone(),
         };
         let parts = self.parts.clone();
+        let opened = self.opened.clone();
         monoio::spawn(async move {
             let emit = |part| {
                 let _ = parts.unbounded_send((id, part));
             };
-            let work = exchange.run(request, &emit);
+            let is_told = Cell::new(false);
+            let open = |connected_in| {
+                if let Some(list) = opened.as_ref().filter(|_| !is_told.replace(true)) {
+                    list.borrow_mut().push(Opened { id, connected_in });
+                }
+            };
+            let work = exchange.run(request, &open, &emit);
             futures_util::pin_mut!(work);
-            if let Either::Left((Err(failure), _)) = select(work, cancelled).await {
+            // The cancel is looked at first: a connection that comes up in the same turn
+            // must not be written to, since its owner has promised that nothing ran.
+            if let Either::Right((Err(failure), _)) = select(cancelled, work).await {
                 emit(ResponsePart::Failed(failure));
             }
         });
@@ -195,7 +237,7 @@
             ResponsePart::Data(data) => whole.borrow_mut().1.extend_from_slice(&data),
             ResponsePart::End | ResponsePart::Failed(_) => {}
         };
-        exchange.run(request, &emit).await?;
+        exchange.run(request, &|_| {}, &emit).await?;
         let (status, body) = whole.into_inner();
         Ok((status, body.freeze()))
     }
@@ -220,6 +262,7 @@
     async fn run(
         &self,
         request: HttpRequest,
+        open: &impl Fn(Option<Duration>),
         emit: &impl Fn(ResponsePart),
     ) -> Result<(), HttpFailure> {
         let parsed = self.peer.parse::<SocketAddr>();
@@ -236,6 +279,7 @@
         if let Some(connection) = kept {
             // A kept connection may be half closed. If it breaks before any
             // part of a response, a fresh one is tried.
+            open(None);
             let sent = self
                 .exchange(address, connection, bytes.clone(), bodyless, emit)
                 .await;
@@ -251,8 +295,10 @@
         // Without a second connection, what broke the first one stands: the request may
         // have run there. Reported as one that was never sent, a request that ended three
         // engines was refused as not run, and met three engines in a try that allows two.
+        let began = BootInstant::now();
         let connected = self.connect(address).await;
         let stream = connected.map_err(|failure| broken.unwrap_or(failure))?;
+        open(Some(began.elapsed()));
         let _ = stream.set_nodelay(true);
         let (read_half, writer) = stream.into_split();
         let connection = Connection {
@@ -346,43 +392,6 @@
     }
 }
 
-fn to_wire(request: &HttpRequest, peer: &str) -> Bytes {
-    let mut bytes = BytesMut::with_capacity(512 + request.body.len());
-    bytes.put_slice(format!("{} {} HTTP/1.1\r\n", request.method, request.path).as_bytes());
-    if request.header("host").is_none() {
-        bytes.put_slice(format!("host: {peer}\r\n").as_bytes());
-    }
-    for (name, value) in &request.headers {
-        if is_framing(name) || value.bytes().any(|byte| byte == b'\r' || byte == b'\n') {
-            continue;
-        }
-        bytes.put_slice(format!("{name}: {value}\r\n").as_bytes());
-    }
-    let bodyless = request.method == "GET" || request.method == "HEAD";
-    if !request.body.is_empty() || !bodyless {
-        bytes.put_slice(format!("content-length: {}\r\n", request.body.len()).as_bytes());
-    }
-    bytes.put_slice(b"\r\n");
-    bytes.put_slice(&request.body);
-    bytes.freeze()
-}
-
-/// Headers that belong to one connection, set here.
-fn is_framing(name: &str) -> bool {
-    let names = [
-        "content-length",
-        "transfer-encoding",
-        "connection",
-        "keep-alive",
-        "upgrade",
-        "te",
-        "trailer",
-        "expect",
-        "proxy-connection",
-    ];
-    names.iter().any(|own| name.eq_ignore_ascii_case(own))
-}
-
 const TIMEOUT: &str = "timeout";
 
 fn timed_out(failure: &HttpFailure) -> bool {
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod log_writer;
 pub mod logging;
 pub mod peer_socket;
+mod request_writer;
 mod response_reader;
 mod response_writer;
 pub mod server_closing;
@@ -28,7 +29,7 @@
 
 pub use boot_clock::{suspended_time, BootInstant};
 pub use event_loop::{block_on, now, open_rings};
-pub use http_client::{HttpClient, SendOptions};
+pub use http_client::{HttpClient, Opened, SendOptions};
 pub use http_server::{serve, serve_controlled, Incoming};
 pub use link_socket::{Delivery, LinkSocket};
 pub use peer_socket::PeerSocket;
--- a/crates/runtime/tests/http_client.rs
+++ b/crates/runtime/tests/http_client.rs
@@ -144,3 +144,55 @@
     .unwrap();
     assert_eq!(failure.map(|failure| failure.step), Some(HttpStep::Head));
 }
+
+#[test]
+fn requests_with_a_connection_are_told_of_once_each() {
+    let (address, _) = start_server();
+    let opened = block_on(async move {
+        let (parts, mut received) = unbounded();
+        let client = HttpClient::telling_opened(parts);
+        let options = SendOptions::reusing(Duration::from_secs(5));
+        for id in 1..=2 {
+            let request = HttpRequest::new("GET", "/", "");
+            let _running = client.send(id, &address.to_string(), request, options);
+            assert_eq!(outcome(&mut received).await, None);
+        }
+        let opened = client.take_opened();
+        assert!(client.take_opened().is_empty());
+        opened
+    })
+    .unwrap();
+    let ids: Vec<u32> = opened.iter().map(|opened| opened.id).collect();
+    assert_eq!(ids, [1, 2]);
+    assert!(opened[0].connected_in.is_some());
+    assert_eq!(opened[1].connected_in, None, "a kept connection");
+}
+
+/// Its owner promises that it has not run, though its connection came up in between.
+#[test]
+fn a_request_that_is_dropped_before_it_was_told_of_never_leaves() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let read = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        stream.read(&mut [0; 16]).unwrap_or(0)
+    });
+    block_on(async move {
+        let (parts, _received) = unbounded();
+        let client = HttpClient::telling_opened(parts);
+        let options = SendOptions::reusing(Duration::from_secs(5));
+        let running = client.send(1_u32, &address, HttpRequest::new("GET", "/", ""), options);
+        // Runs in the turn in which the other task begins to connect: the kernel ends that
+        // meanwhile, and the other task hears of it and of the drop together.
+        let drops = monoio::spawn(async move {
+            std::thread::sleep(Duration::from_millis(50));
+            drop(running);
+        });
+        drops.await;
+        assert!(client.take_opened().is_empty(), "nothing to be seen here");
+        monoio::time::sleep(Duration::from_millis(50)).await;
+        assert!(client.take_opened().is_empty());
+    })
+    .unwrap();
+    assert_eq!(read.join().unwrap(), 0);
+}
