Lookups are offered to engines that listen or rejected at once; copies are bounded

Cause: an attempt whose connection never came up was waited for up to a second, counted as run, and its caller got 502 or 504; every request to a silent engine was sent once more, without a bound. Change: connections are waited for by what they usually take in the engine's zone; a request is rejected before it is sent if no engine listens or all would be late, with a time to come back that spreads callers; copies are a share of first tries. Engines are chosen by their outlook, drawn among equals. Reward calls heed the time that they are told. Not measured yet.

--- a/crates/fleet/src/experience.rs
+++ b/crates/fleet/src/experience.rs
@@ -39,6 +39,8 @@
     pub heard: Time,
     /// Nobody listened at its address, and nothing came from it since.
     pub is_unreachable: bool,
+    /// The last new connection to it did not come up in time.
+    pub is_dark: bool,
 }
 
 impl Experience {
@@ -47,6 +49,7 @@
         self.failures = 0;
         self.blocked_until = Time(0);
         self.is_unreachable = false;
+        self.is_dark = false;
         self.heard = now;
         self.latency = mean(self.latency, took.0 as f64, LATENCY_WEIGHT);
     }
@@ -55,6 +58,7 @@
     pub fn events(&mut self, now: Time, span: Duration, count: u32) {
         self.failures = 0;
         self.is_unreachable = false;
+        self.is_dark = false;
         self.heard = now;
         self.usual.add(now, span, count, USUAL_FADE);
         self.recent.add(now, span, count, RECENT_FADE);
@@ -92,6 +96,18 @@
         self.blocked_until = now + span;
     }
 
+    /// Takes note of a connection that did not come up in time. Others may reach it.
+    pub fn did_not_connect(&mut self, now: Time) {
+        self.is_dark = true;
+        self.failed(now);
+    }
+
+    /// Takes note of another engine that answered a request first which this one had
+    /// before: it may be slow with this request only, so it does not count as a failure.
+    pub fn overtaken(&mut self, now: Time) {
+        self.refused(now, FIRST_BLOCK);
+    }
+
     /// Takes note of a refusal: it is full, not broken.
     pub fn refused(&mut self, now: Time, span: Duration) {
         self.blocked_until = self.blocked_until.max(now + span);
--- /dev/null
+++ b/crates/forward/src/admission.rs
@@ -0,0 +1,149 @@
+//! Whether a request is offered to an engine or rejected at once, and when a rejected
+//! caller may come back.
+//!
+//! The loads that this answers: engines of a service that are all gone or dark, and
+//! engines so full that the answer would come after the caller has left. Either is known
+//! here before anything is sent, and a caller who hears it at once has time for another
+//! machine, which may know better.
+//!
+//! Only news that cannot have outlived their cause count. A rejection brings no news, so
+//! what it rests on must run out by itself: otherwise one bad belief would reject for
+//! ever.
+
+use peatgrade_fleet::{EngineState, Outlook};
+use peatgrade_types::{Duration, Time};
+
+/// Shortest time to come back: a place comes free in the time of an answer, and these
+/// take some tens of milliseconds.
+const LEAST_WAIT: Duration = Duration::from_millis(50);
+/// The share of its own length by which that time is spread at least: callers who were
+/// rejected together would come back together.
+const LEAST_SPREAD: f64 = 0.5;
+/// Part of the time that a caller has left within which it comes back, as callers do: two
+/// thirds are left for the answer.
+const RETURN_SHARE: u64 = 3;
+/// Time in which rejections count as lately, as a mean life.
+const LATELY: Duration = Duration::from_millis(1_000);
+
+/// An engine that a request may go to, as admission sees it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Prospect {
+    /// Whether a connection there comes up, as far as known.
+    pub is_listening: bool,
+    /// Time until it is worth another try, if it is not.
+    pub tried_again_in: Duration,
+    /// Time until the request would have its answer; none if nothing fresh is known.
+    pub answer_in: Option<Duration>,
+}
+
+impl Prospect {
+    /// An engine as it stands now.
+    pub fn of(state: &EngineState, outlook: &Outlook, now: Time) -> Self {
+        let experience = &state.experience;
+        let is_silent = !outlook.is_reachable || experience.is_dark;
+        // What the engine said of its load lapses within a second, as it must.
+        let fresh = experience.told_load(now);
+        Self {
+            is_listening: !(is_silent && outlook.is_avoided),
+            tried_again_in: experience.blocked_until.since(now),
+            answer_in: fresh.map(|_| outlook.expected_answer()),
+        }
+    }
+
+    /// Time from now until it could serve a request that has so much time left; zero if
+    /// it can now.
+    fn servable_in(&self, left: Duration) -> Duration {
+        if !self.is_listening {
+            return self.tried_again_in.max(LEAST_WAIT);
+        }
+        let late = self.answer_in.map(|answer| answer.0.saturating_sub(left.0));
+        Duration(late.unwrap_or(0))
+    }
+}
+
+/// Why a request is rejected.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Reason {
+    /// No engine of the service is listed, or the request has met them all.
+    NoEngine,
+    /// A connection comes up at none of them.
+    NoneListens,
+    /// All that listen would answer after the caller's deadline.
+    TooLate,
+}
+
+/// What becomes of a request.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Admission {
+    /// It is offered to the best engine.
+    Offer,
+    /// It is not offered to any; one may serve it after `room_in`.
+    Reject {
+        /// Why.
+        reason: Reason,
+        /// Time until an engine may serve it.
+        room_in: Duration,
+    },
+}
+
+/// Decides on a request that has so much time left, from the engines that it may go to.
+pub fn decide(left: Duration, prospects: &[Prospect]) -> Admission {
+    let soonest = prospects.iter().map(|prospect| prospect.servable_in(left));
+    let Some(room_in) = soonest.min() else {
+        return Admission::Reject {
+            reason: Reason::NoEngine,
+            room_in: LEAST_WAIT,
+        };
+    };
+    if room_in == Duration(0) {
+        return Admission::Offer;
+    }
+    let listens = prospects.iter().any(|prospect| prospect.is_listening);
+    let reason = match listens {
+        true => Reason::TooLate,
+        false => Reason::NoneListens,
+    };
+    Admission::Reject { reason, room_in }
+}
+
+/// Rejections of this machine, those of late counting most.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RejectionRate {
+    recent: f64,
+    updated: Time,
+}
+
+impl RejectionRate {
+    /// Takes note of one; how many there were lately, with it.
+    pub fn add(&mut self, now: Time) -> f64 {
+        let age = now.since(self.updated).0 as f64 / LATELY.0 as f64;
+        self.recent = self.recent * (-age).exp() + 1.0;
+        self.updated = now;
+        self.recent
+    }
+}
+
+/// When a rejected caller may come back.
+#[derive(Clone, Copy, Debug)]
+pub struct Return {
+    /// Time until an engine may serve it.
+    pub room_in: Duration,
+    /// Rejections of late, with this one.
+    pub rejected: f64,
+    /// Time that an answer takes, divided by the places that give answers.
+    pub place_time: Duration,
+    /// Time that the caller has left.
+    pub left: Duration,
+}
+
+impl Return {
+    /// The time, by a draw from 0 to 1. Those who were rejected lately are spread over the
+    /// time in which the engines can serve as many.
+    pub fn after(&self, draw: f64) -> Duration {
+        let first = self.room_in.max(LEAST_WAIT).0 as f64;
+        let serving = self.rejected * self.place_time.0 as f64;
+        let spread = serving.max(first * LEAST_SPREAD);
+        let wished = Duration((first + draw * spread) as u64);
+        wished.min(Duration(self.left.0 / RETURN_SHARE))
+    }
+}
--- a/crates/forward/src/answers.rs
+++ b/crates/forward/src/answers.rs
@@ -7,7 +7,8 @@
 use peatgrade_types::http::{HttpFailure, HttpStep, ResponseHead, ResponsePart};
 use peatgrade_types::{Duration, Time};
 
-use crate::action::{answer_parts, whole_parts, CallId, ForwardAction, HttpId, Part, COME_BACK};
+use crate::action::{answer_parts, whole_parts, CallId, ForwardAction, HttpId, Part};
+use crate::copy_budget::Copy;
 use crate::forwarder::Forwarder;
 use crate::stream::PassedStream;
 use crate::suspects::{broken_stream, note_failure, BrokenRun, COME_BACK_SUSPECT};
@@ -148,7 +149,7 @@
         forward.streaming = None;
         forward.may_have_run = true;
         if !forward.resumable {
-            return self.end_without_answer(now, call, actions);
+            return self.end_without_answer(now, call, directory, actions);
         }
         forward.request.last_event = stream.last_event.or(forward.request.last_event);
         log::info!(
@@ -226,13 +227,20 @@
             }
             forward.may_have_run = true;
             let again = forward.is_repeatable() && forward.sends < forward.max_attempts;
-            if again || !forward.open.is_empty() {
+            let is_alone = forward.open.is_empty();
+            if again && self.may_copy(now, call, Copy::Repeat) {
                 return self.dispatch(now, call, directory, actions);
             }
+            if !is_alone {
+                return;
+            }
             if stray || told.status < 500 {
-                return self.end_without_answer(now, call, actions);
+                return self.end_without_answer(now, call, directory, actions);
             }
         }
+        let Some(forward) = self.calls.get_mut(&call) else {
+            return;
+        };
         log::info!(
             "decision=answer request={} engine={} status={} attempts={} engine_us={} total_us={}",
             forward.request.id,
@@ -244,12 +252,38 @@
         );
         let head = self.codec.passed_head(&head, &forward.request);
         actions.extend(whole_parts(call, head, attempt.body.freeze()));
-        // Other attempts run to their end; breaking them off would waste what
-        // the engine has done and cost the connection.
+        let open = std::mem::take(&mut forward.open);
         self.calls.remove(&call);
+        self.leave_others(now, attempt.sent, &open, directory, actions);
     }
 
-    fn on_failed(
+    /// An attempt that was sent at `sent` has answered before these: of the same request,
+    /// they run to their end, since breaking them off would waste what the engine has done
+    /// and cost the connection. What has no connection yet is given up.
+    fn leave_others(
+        &mut self,
+        now: Time,
+        sent: Time,
+        others: &[HttpId],
+        directory: &mut EngineDirectory,
+        actions: &mut Vec<ForwardAction>,
+    ) {
+        for id in others {
+            let Some(other) = self.attempts.get(id) else {
+                continue;
+            };
+            if !other.is_open {
+                actions.push(ForwardAction::CancelHttp(*id));
+                self.forget(*id, directory);
+            } else if other.sent < sent {
+                if let Some(state) = directory.get_mut(&other.instance) {
+                    state.experience.overtaken(now);
+                }
+            }
+        }
+    }
+
+    pub(crate) fn on_failed(
         &mut self,
         now: Time,
         id: HttpId,
@@ -261,7 +295,10 @@
             return;
         };
         if let Some(state) = directory.get_mut(&attempt.instance) {
-            state.experience.failed(now);
+            match failure.step {
+                HttpStep::Connect => state.experience.did_not_connect(now),
+                _ => state.experience.failed(now),
+            }
         }
         let broken = BrokenRun {
             engine: &attempt.instance,
@@ -290,7 +327,8 @@
         }
         if unsent {
             forward.sends -= 1;
-            forward.refusals += 1;
+            forward.unconnected += 1;
+            self.counts.unconnected += 1;
         } else {
             forward.may_have_run = true;
         }
@@ -298,11 +336,14 @@
         // would end a third engine, as it did 28 ms after the second had begun.
         let is_alone = unsent || forward.open.is_empty();
         let repeatable = forward.is_repeatable() || !forward.may_have_run;
-        if repeatable && is_alone {
+        // What never left is no copy: no engine has any work of it.
+        let is_free = unsent || forward.sends >= forward.max_attempts;
+        let is_last = forward.open.is_empty();
+        if repeatable && is_alone && (is_free || self.may_copy(now, call, Copy::Repeat)) {
             return self.dispatch(now, call, directory, actions);
         }
-        if forward.open.is_empty() {
-            self.end_without_answer(now, call, actions);
+        if is_last {
+            self.end_without_answer(now, call, directory, actions);
         }
     }
 
@@ -311,6 +352,7 @@
         &mut self,
         now: Time,
         call: CallId,
+        directory: &EngineDirectory,
         actions: &mut Vec<ForwardAction>,
     ) {
         let Some(forward) = self.calls.remove(&call) else {
@@ -336,7 +378,7 @@
         }
         let come_back = match forward.held_back {
             true => COME_BACK_SUSPECT,
-            false => COME_BACK,
+            false => self.come_back(now, &forward, directory),
         };
         let answer = Answer::Refused {
             refusal,
--- a/crates/forward/src/choice.rs
+++ b/crates/forward/src/choice.rs
@@ -1,9 +1,13 @@
 //! Choice of an engine for a request.
 
-use peatgrade_fleet::{EngineDirectory, EngineState};
+use peatgrade_fleet::{EngineDirectory, EngineState, Outlook};
 use peatgrade_ports::Instance;
-use peatgrade_types::Time;
+use peatgrade_types::{Duration, Time};
+use rand::rngs::SmallRng;
+use rand::Rng;
 
+use crate::admission::Prospect;
+use crate::connect_times::ConnectTimes;
 use crate::forwarder::Forward;
 
 /// How much slower an engine counts whose weights are one version behind the
@@ -12,43 +16,75 @@
 /// The same for each further version. Few engines may have the newest for a
 /// while, and nobody is served by all requests waiting there.
 const FURTHER_BEHIND_FACTOR: f64 = 2.0;
+/// How much slower an engine counts when all its places are taken, beyond the wait for
+/// one. A guess: some engines slow down as they fill. It orders engines with free places,
+/// so that requests spread over them.
+const FILLED_FACTOR: f64 = 1.2;
+/// Round trip to another zone while none was measured. A guess that prefers the own zone
+/// among equals.
+const UNKNOWN_ROUND_TRIP: Duration = Duration::from_millis(1);
+/// Round trips of an exchange: one for the connection, one for request and answer.
+const ROUND_TRIPS: u64 = 2;
 
-/// The engine with the shortest expected time that the request has not met, old
-/// weights counting as slow; one that is avoided only if there is no other.
-pub(crate) fn choose(
-    now: Time,
-    directory: &EngineDirectory,
-    forward: &Forward,
-    zone: &str,
-) -> Option<Instance> {
-    let fresh = directory
-        .serving(&forward.service)
-        .filter(|state| !forward.tried.contains(&state.record.instance));
-    let model = forward.request.model.as_str();
-    let versions = directory
-        .serving(&forward.service)
-        .map(|state| state.version(model));
-    let newest = versions.max().unwrap_or(0);
-    let key = |state: &EngineState| {
-        let behind = newest - state.version(model);
-        let avoided = state.experience.blocked(now);
-        let occupied = f64::from(state.experience.occupied(now) + 1);
-        let slots = f64::from(state.record.slots.max(1));
-        let usual = state.experience.latency.max(1_000.0);
-        let waiting = (occupied / slots).max(1.0);
-        let away = if state.record.zone == zone {
-            0.0
+/// Where a request may go, and what for.
+pub(crate) struct Choice<'a> {
+    pub now: Time,
+    pub directory: &'a EngineDirectory,
+    pub forward: &'a Forward,
+    pub zone: &'a str,
+    pub connect_times: &'a ConnectTimes,
+}
+
+impl Choice<'_> {
+    /// Engines that the request has not met.
+    fn candidates(&self) -> impl Iterator<Item = &EngineState> {
+        let serving = self.directory.serving(&self.forward.service);
+        serving.filter(|state| !self.forward.tried.contains(&state.record.instance))
+    }
+
+    /// The same as admission sees them.
+    pub fn prospects(&self) -> Vec<Prospect> {
+        let candidates = self.candidates();
+        let seen = candidates.map(|state| Prospect::of(state, &state.outlook(self.now), self.now));
+        seen.collect()
+    }
+
+    /// The engine with the shortest expected time, old weights counting as slow, drawn
+    /// among equals; one that is avoided only if there is no other.
+    pub fn best(&self, random: &mut SmallRng) -> Option<Instance> {
+        let model = self.forward.request.model.as_str();
+        let serving = self.directory.serving(&self.forward.service);
+        let newest = serving.map(|state| state.version(model)).max().unwrap_or(0);
+        let mut best: Option<((bool, f64, u32), &EngineState)> = None;
+        for state in self.candidates() {
+            let outlook = state.outlook(self.now);
+            let expected = self.expected(state, &outlook, newest - state.version(model));
+            // Machines that know as little would all choose the first engine of the list.
+            let key = (outlook.is_avoided, expected, random.random::<u32>());
+            let is_better = best.as_ref().is_none_or(|(other, _)| {
+                let order = key.0.cmp(&other.0).then(key.1.total_cmp(&other.1));
+                order.then(key.2.cmp(&other.2)).is_lt()
+            });
+            if is_better {
+                best = Some((key, state));
+            }
+        }
+        best.map(|(_, state)| state.record.instance.clone())
+    }
+
+    /// Microseconds that an answer counts as taking.
+    fn expected(&self, state: &EngineState, outlook: &Outlook, behind: u64) -> f64 {
+        let filled = f64::from(outlook.occupied) / f64::from(outlook.slots);
+        let crowding = 1.0 + (FILLED_FACTOR - 1.0) * filled;
+        let answer = outlook.expected_answer().0 as f64 * crowding;
+        let away = if state.record.zone == self.zone {
+            0
         } else {
-            2_000.0
+            let measured = self.connect_times.usual(&state.record.zone);
+            ROUND_TRIPS * measured.unwrap_or(UNKNOWN_ROUND_TRIP).0
         };
-        let expected = usual * waiting + usual * 0.2 * occupied + away;
-        (avoided, expected * staleness_factor(behind))
-    };
-    let best = fresh.min_by(|a, b| {
-        let (a, b) = (key(a), key(b));
-        a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
-    });
-    best.map(|state| state.record.instance.clone())
+        (answer + away as f64) * staleness_factor(behind)
+    }
 }
 
 /// How much slower an engine counts for weights so many versions behind.
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -3,7 +3,7 @@
 use bytes::BytesMut;
 use peatgrade_fleet::EngineDirectory;
 use peatgrade_ports::{AnswerHead, CallerRequest, Codec, EngineCall, Instance, Route, RouteKind};
-use peatgrade_quarantine::{Fingerprint, RequestParts, Verdict};
+use peatgrade_quarantine::{Fingerprint, RequestParts};
 use peatgrade_types::http::ResponseHead;
 use peatgrade_types::{Duration, Time};
 use rand::rngs::SmallRng;
@@ -12,9 +12,11 @@
 use std::rc::Rc;
 
 use crate::action::{CallId, ForwardAction, HttpId};
-use crate::choice::choose;
+use crate::admission::RejectionRate;
+use crate::connect_times::ConnectTimes;
+use crate::copy_budget::CopyBudgets;
 use crate::stream::PassedStream;
-use crate::suspects::{may_risk, EngineCheck};
+use crate::suspects::EngineCheck;
 
 /// Shortest wait before a second engine is tried while the first is silent.
 const HEDGE_MIN: Duration = Duration::from_millis(60);
@@ -22,8 +24,6 @@
 const HEDGE_FACTOR: f64 = 3.0;
 /// Time kept back from the caller's own, for the way to it.
 const RETURN_MARGIN: Duration = Duration::from_millis(15);
-/// Refusals of engines that one request may meet.
-const MAX_REFUSALS: u32 = 4;
 /// Time that a request without a deadline may take.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
 
@@ -32,6 +32,10 @@
     pub fingerprint: Fingerprint,
     pub instance: Instance,
     pub sent: Time,
+    /// How long its connection may take to come up.
+    pub connect_patience: Duration,
+    /// Bytes of it may have gone out.
+    pub is_open: bool,
     /// When a streamed answer began.
     pub began: Option<Time>,
     pub head: Option<(ResponseHead, AnswerHead)>,
@@ -54,6 +58,10 @@
     /// Engines that were sent to and did not refuse.
     pub sends: u32,
     pub refusals: u32,
+    /// Engines to which no connection came up.
+    pub unconnected: u32,
+    /// Time until an engine may serve it, once it was rejected for that.
+    pub room_in: Option<Duration>,
     pub tried: Vec<Instance>,
     pub open: Vec<HttpId>,
     pub may_have_run: bool,
@@ -100,10 +108,29 @@
     pub configuration: u64,
 }
 
+/// What a forwarder is told at its start.
+#[derive(Clone, Debug)]
+pub struct ForwarderSettings {
+    /// Zone of this machine.
+    pub zone: String,
+    /// Seed of random choices.
+    pub seed: u64,
+    /// Whether a request that no engine can serve in time is rejected before it is sent.
+    pub rejects_unservable: bool,
+    /// Copies, repeats and hedges, for each hundred first tries; 0 for no bound.
+    pub copies_percent: u32,
+}
+
 /// Requests under way to engines.
 pub struct Forwarder {
     pub(crate) codec: Rc<dyn Codec>,
     pub(crate) zone: String,
+    pub(crate) rejects_unservable: bool,
+    pub(crate) copies: CopyBudgets,
+    pub(crate) connect_times: ConnectTimes,
+    pub(crate) rejections: RejectionRate,
+    /// Counts of what happened here.
+    pub(crate) counts: ForwardCounts,
     pub(crate) random: SmallRng,
     pub(crate) calls: BTreeMap<CallId, Forward>,
     pub(crate) attempts: HashMap<HttpId, Attempt>,
@@ -114,11 +141,16 @@
 
 impl Forwarder {
     /// A forwarder without requests.
-    pub fn new(codec: Rc<dyn Codec>, zone: String, seed: u64) -> Self {
+    pub fn new(codec: Rc<dyn Codec>, settings: ForwarderSettings) -> Self {
         Self {
             codec,
-            zone,
-            random: SmallRng::seed_from_u64(seed),
+            zone: settings.zone,
+            rejects_unservable: settings.rejects_unservable,
+            copies: CopyBudgets::new(settings.copies_percent),
+            connect_times: ConnectTimes::default(),
+            rejections: RejectionRate::default(),
+            counts: ForwardCounts::default(),
+            random: SmallRng::seed_from_u64(settings.seed),
             calls: BTreeMap::new(),
             attempts: HashMap::new(),
             checks: HashMap::new(),
@@ -126,6 +158,15 @@
         }
     }
 
+    /// What happened here since the start.
+    pub fn counts(&self) -> ForwardCounts {
+        ForwardCounts {
+            copies: self.copies.sent,
+            copies_denied: self.copies.denied,
+            ..self.counts
+        }
+    }
+
     /// Requests under way.
     pub fn in_flight(&self) -> usize {
         self.calls.len()
@@ -161,6 +202,8 @@
             configuration,
             sends: 0,
             refusals: 0,
+            unconnected: 0,
+            room_in: None,
             tried: Vec::new(),
             open: Vec::new(),
             may_have_run: false,
@@ -171,6 +214,7 @@
             began_told: false,
             request,
         };
+        self.copies.first_try(&forward.service);
         self.calls.insert(call, forward);
         self.dispatch(now, call, directory, actions);
     }
@@ -191,42 +235,7 @@
         String::new()
     }
 
-    /// Sends a request to an engine that it has not met, or ends it.
-    pub(crate) fn dispatch(
-        &mut self,
-        now: Time,
-        call: CallId,
-        directory: &mut EngineDirectory,
-        actions: &mut Vec<ForwardAction>,
-    ) {
-        let Some(forward) = self.calls.get_mut(&call) else {
-            return;
-        };
-        // This machine may have been suspended since: nobody waits for the answer any
-        // more, and the engine would be told that no time is left (reasoned).
-        if now >= forward.deadline && forward.open.is_empty() {
-            return self.end_without_answer(now, call, actions);
-        }
-        let verdict = directory.quarantine.verdict(forward.fingerprint);
-        if matches!(verdict, Verdict::Convicted { .. }) {
-            return self.refuse_convicted(now, call, directory, actions);
-        }
-        let spent = forward.sends >= forward.max_attempts || forward.refusals >= MAX_REFUSALS;
-        let chosen = choose(now, directory, forward, &self.zone).filter(|_| !spent);
-        let allowed = chosen
-            .clone()
-            .filter(|engine| may_risk(now, directory, forward, engine));
-        forward.held_back = chosen.is_some() && allowed.is_none();
-        let Some(instance) = allowed else {
-            if forward.open.is_empty() {
-                self.end_without_answer(now, call, actions);
-            }
-            return;
-        };
-        self.send(now, call, &instance, directory, actions);
-    }
-
-    fn send(
+    pub(crate) fn send(
         &mut self,
         now: Time,
         call: CallId,
@@ -244,6 +253,8 @@
         state.experience.running += 1;
         let usual = Duration((state.experience.latency * HEDGE_FACTOR) as u64);
         let latest = Duration(forward.target_latency.0 / 2).max(HEDGE_MIN);
+        let zone = &state.record.zone;
+        let connect_patience = self.connect_times.patience(zone, forward.target_latency);
         forward.hedge_at = now + usual.clamp(HEDGE_MIN, latest);
         forward.sends += 1;
         forward.tried.push(instance.clone());
@@ -251,13 +262,15 @@
         let left = forward.deadline.since(now);
         log::info!(
             "decision=send request={} fingerprint={} engine={instance} service={} attempt={} \
-             running={} latency_us={:.0} left_ms={} configuration={} list_age_ms={}",
+             running={} latency_us={:.0} connect_patience_ms={} left_ms={} configuration={} \
+             list_age_ms={}",
             forward.request.id,
             forward.fingerprint,
             forward.service,
             forward.sends,
             state.experience.running,
             state.experience.latency,
+            connect_patience.as_millis(),
             left.as_millis(),
             forward.configuration,
             list_age.as_millis()
@@ -280,6 +293,8 @@
             fingerprint: forward.fingerprint,
             instance: instance.clone(),
             sent: now,
+            connect_patience,
+            is_open: false,
             began: None,
             head: None,
             body: BytesMut::new(),
@@ -309,71 +324,31 @@
         }
         Some(attempt)
     }
+}
 
-    /// Nobody waits for the answer any more: engines stop work for it.
-    pub fn abandon(
-        &mut self,
-        call: CallId,
-        directory: &mut EngineDirectory,
-        actions: &mut Vec<ForwardAction>,
-    ) {
-        if let Some(forward) = self.calls.remove(&call) {
-            log::info!("decision=abandon request={}", forward.request.id);
-            self.cancel_all(&forward.open, directory, actions);
-        }
-    }
-
-    pub(crate) fn cancel_all(
-        &mut self,
-        open: &[HttpId],
-        directory: &mut EngineDirectory,
-        actions: &mut Vec<ForwardAction>,
-    ) {
-        for id in open {
-            actions.push(ForwardAction::CancelHttp(*id));
-            self.forget(*id, directory);
-        }
-    }
-
-    /// Ends what is late and tries a second engine where the first is silent.
-    pub fn tick(
-        &mut self,
-        now: Time,
-        directory: &mut EngineDirectory,
-        actions: &mut Vec<ForwardAction>,
-    ) {
-        self.check_engines(now, directory, actions);
-        self.end_convicted(now, directory, actions);
-        let late: Vec<CallId> = self.due(|forward| now >= forward.deadline);
-        for call in late {
-            let Some(forward) = self.calls.get_mut(&call) else {
-                continue;
-            };
-            forward.may_have_run |= !forward.open.is_empty();
-            let open = std::mem::take(&mut forward.open);
-            self.cancel_all(&open, directory, actions);
-            self.end_without_answer(now, call, actions);
-        }
-        let quarantine = &directory.quarantine;
-        let silent: Vec<CallId> = self.due(|forward| {
-            // A second copy of what ended one engine would be under way on another before
-            // the first one shows anything: six of seven tries seen, each of which ended two
-            // or three engines in 0.2 s, had one.
-            let may_hedge = quarantine.crashes(forward.fingerprint) == 0 && !forward.may_have_run;
-            forward.kind == RouteKind::Safe
-                && may_hedge
-                && now >= forward.hedge_at
-                && forward.open.len() == 1
-                && forward.sends < forward.max_attempts
-        });
-        for call in silent {
-            self.dispatch(now, call, directory, actions);
-        }
-    }
+/// Counts of a forwarder, each since its start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ForwardCounts {
+    /// Requests that were rejected before an engine was asked, or after none took them,
+    /// because none could serve them in time.
+    pub rejected: u64,
+    /// Attempts that were given up because no connection came up.
+    pub unconnected: u64,
+    /// Repeats and hedges.
+    pub copies: u64,
+    /// Repeats and hedges that were left out for want of budget.
+    pub copies_denied: u64,
+}
 
-    pub(crate) fn due(&self, test: impl Fn(&Forward) -> bool) -> Vec<CallId> {
-        let due = self.calls.iter().filter(|(_, forward)| test(forward));
-        due.map(|(call, _)| *call).collect()
+impl ForwardCounts {
+    /// The same with their names.
+    pub fn figures(&self) -> [(&'static str, u64); 4] {
+        [
+            ("lookups_rejected", self.rejected),
+            ("lookups_unconnected", self.unconnected),
+            ("lookup_copies", self.copies),
+            ("lookup_copies_denied", self.copies_denied),
+        ]
     }
 }
 
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -13,12 +13,17 @@
 //! [`ForwardAction`] and feeds back what comes of it.
 
 mod action;
+pub mod admission;
 mod answers;
 mod choice;
+pub mod connect_times;
+pub mod copy_budget;
+mod dispatch;
 mod forwarder;
 mod stream;
 mod suspects;
+mod timers;
 
 pub use action::{answer_parts, CallId, ForwardAction, HttpId, Part, COME_BACK};
-pub use forwarder::{AcceptedCall, Forwarder};
+pub use forwarder::{AcceptedCall, ForwardCounts, Forwarder, ForwarderSettings};
 pub use suspects::{note_failure, BrokenRun};
--- /dev/null
+++ b/crates/forward/src/timers.rs
@@ -0,0 +1,161 @@
+//! What time ends: deadlines, connections that do not come up, engines that are silent.
+
+use peatgrade_fleet::EngineDirectory;
+use peatgrade_ports::RouteKind;
+use peatgrade_types::http::{HttpFailure, HttpStep};
+use peatgrade_types::{Duration, Time};
+
+use crate::action::{CallId, ForwardAction, HttpId};
+use crate::copy_budget::Copy;
+use crate::forwarder::{Forward, Forwarder};
+
+impl Forwarder {
+    /// A request got a connection: from here on it may run. `connected_in` is the time
+    /// that took, if it is a new one.
+    pub fn on_opened(
+        &mut self,
+        id: HttpId,
+        connected_in: Option<Duration>,
+        directory: &mut EngineDirectory,
+    ) {
+        let Some(attempt) = self.attempts.get_mut(&id) else {
+            return;
+        };
+        attempt.is_open = true;
+        let state = directory.get_mut(&attempt.instance);
+        if let (Some(state), Some(took)) = (state, connected_in) {
+            state.experience.is_dark = false;
+            self.connect_times.add(&state.record.zone, took);
+        }
+    }
+
+    /// Nobody waits for the answer any more: engines stop work for it.
+    pub fn abandon(
+        &mut self,
+        call: CallId,
+        directory: &mut EngineDirectory,
+        actions: &mut Vec<ForwardAction>,
+    ) {
+        if let Some(forward) = self.calls.remove(&call) {
+            log::info!("decision=abandon request={}", forward.request.id);
+            self.cancel_all(&forward.open, directory, actions);
+        }
+    }
+
+    pub(crate) fn cancel_all(
+        &mut self,
+        open: &[HttpId],
+        directory: &mut EngineDirectory,
+        actions: &mut Vec<ForwardAction>,
+    ) {
+        for id in open {
+            actions.push(ForwardAction::CancelHttp(*id));
+            self.forget(*id, directory);
+        }
+    }
+
+    /// Ends what is late and tries a second engine where the first is silent.
+    pub fn tick(
+        &mut self,
+        now: Time,
+        directory: &mut EngineDirectory,
+        actions: &mut Vec<ForwardAction>,
+    ) {
+        self.check_engines(now, directory, actions);
+        self.end_convicted(now, directory, actions);
+        let late: Vec<CallId> = self.due(|forward| now >= forward.deadline);
+        for call in late {
+            let Some(forward) = self.calls.get_mut(&call) else {
+                continue;
+            };
+            let attempts = &self.attempts;
+            let mut open = forward.open.iter();
+            forward.may_have_run |= open.any(|id| attempts.get(id).is_some_and(|a| a.is_open));
+            let open = std::mem::take(&mut forward.open);
+            self.cancel_all(&open, directory, actions);
+            self.end_without_answer(now, call, directory, actions);
+        }
+        self.leave_unconnected(now, directory, actions);
+        self.hedge(now, directory, actions);
+    }
+
+    /// Leaves engines to which no connection came up in time: nothing was offered there,
+    /// and nothing has run.
+    fn leave_unconnected(
+        &mut self,
+        now: Time,
+        directory: &mut EngineDirectory,
+        actions: &mut Vec<ForwardAction>,
+    ) {
+        let attempts = self.attempts.iter();
+        let late = attempts.filter(|(_, attempt)| {
+            !attempt.is_open && now.since(attempt.sent) >= attempt.connect_patience
+        });
+        let mut late: Vec<HttpId> = late.map(|(id, _)| *id).collect();
+        late.sort_unstable();
+        for id in late {
+            let Some(attempt) = self.attempts.get(&id) else {
+                continue;
+            };
+            let patience = attempt.connect_patience;
+            let failure = HttpFailure {
+                peer: attempt.instance.to_string(),
+                step: HttpStep::Connect,
+                reason: format!("not up after {} ms", patience.as_millis()),
+            };
+            actions.push(ForwardAction::CancelHttp(id));
+            self.on_failed(now, id, &failure, directory, actions);
+        }
+    }
+
+    /// Tries a second engine where the first is silent.
+    fn hedge(
+        &mut self,
+        now: Time,
+        directory: &mut EngineDirectory,
+        actions: &mut Vec<ForwardAction>,
+    ) {
+        let (quarantine, attempts) = (&directory.quarantine, &self.attempts);
+        let silent: Vec<CallId> = self.due(|forward| {
+            // A second copy of what ended one engine would be under way on another before
+            // the first one shows anything: six of seven tries seen, each of which ended two
+            // or three engines in 0.2 s, had one.
+            let may_hedge = quarantine.crashes(forward.fingerprint) == 0 && !forward.may_have_run;
+            forward.kind == RouteKind::Safe
+                && may_hedge
+                && now >= forward.hedge_at
+                && forward.open.len() == 1
+                // One without a connection is not silent: another wait is for that.
+                && forward.open.iter().all(|id| attempts.get(id).is_some_and(|a| a.is_open))
+                && forward.sends < forward.max_attempts
+        });
+        for call in silent {
+            if self.may_copy(now, call, Copy::Hedge) {
+                self.dispatch(now, call, directory, actions);
+            }
+        }
+    }
+
+    /// Whether the budget has a copy for this request. One that gets none as a hedge asks
+    /// again when as much time has passed as it has waited for.
+    pub(crate) fn may_copy(&mut self, now: Time, call: CallId, copy: Copy) -> bool {
+        let Some(forward) = self.calls.get_mut(&call) else {
+            return false;
+        };
+        let may = self.copies.take(now, &forward.service, copy);
+        if !may {
+            forward.hedge_at = now + now.since(forward.received);
+            log::info!(
+                "decision=no-copy request={} service={} copy={copy:?}",
+                forward.request.id,
+                forward.service
+            );
+        }
+        may
+    }
+
+    pub(crate) fn due(&self, test: impl Fn(&Forward) -> bool) -> Vec<CallId> {
+        let due = self.calls.iter().filter(|(_, forward)| test(forward));
+        due.map(|(call, _)| *call).collect()
+    }
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -3,7 +3,8 @@
 use peatgrade_authentication::{Denied, KeyDigest};
 use peatgrade_fleet::EngineDirectory;
 use peatgrade_forward::{
-    answer_parts, AcceptedCall, CallId, ForwardAction, Forwarder, HttpId, Part, COME_BACK,
+    answer_parts, AcceptedCall, CallId, ForwardAction, ForwardCounts, Forwarder, ForwarderSettings,
+    HttpId, Part, COME_BACK,
 };
 use peatgrade_ports::{
     Answer, CallerMessage, CallerRequest, Codec, Configuration, Refusal, RouteKind,
@@ -40,10 +41,8 @@
 /// What a gateway is told at its start.
 #[derive(Clone, Debug)]
 pub struct GatewaySettings {
-    /// Zone of this machine.
-    pub zone: String,
-    /// Seed of random choices.
-    pub seed: u64,
+    /// How single requests go to engines, and from where.
+    pub forwarding: ForwarderSettings,
     /// Number of the first batch-job call, another in each life.
     pub first_call: u64,
     /// Age of the news of the configuration from which on no key is believed; none if
@@ -74,10 +73,10 @@
         Self {
             relay: JobRelay::new(
                 RelaySettings::default(),
-                settings.zone.clone(),
+                settings.forwarding.zone.clone(),
                 settings.first_call,
             ),
-            forwarder: Forwarder::new(codec.clone(), settings.zone, settings.seed),
+            forwarder: Forwarder::new(codec.clone(), settings.forwarding),
             codec,
             unchecked_ends: UncheckedEnds::default(),
             leaving: false,
@@ -121,6 +120,11 @@
         self.forwarder.in_flight() + self.relay.in_flight() + self.unchecked_ends.len()
     }
 
+    /// What became of single requests.
+    pub fn forward_counts(&self) -> ForwardCounts {
+        self.forwarder.counts()
+    }
+
     /// Takes a caller's message.
     pub fn on_call(
         &mut self,
@@ -356,6 +360,12 @@
         forwards.into_iter().map(GatewayAction::Forward).collect()
     }
 
+    /// A request to an engine got a connection, after so long if it is a new one.
+    pub fn on_opened(&mut self, id: HttpId, connected_in: Option<Duration>) {
+        let directory = &mut self.directory;
+        self.forwarder.on_opened(id, connected_in, directory);
+    }
+
     /// A part of an engine's answer has come.
     pub fn on_part(&mut self, now: Time, id: HttpId, part: Part) -> Vec<GatewayAction> {
         let mut forwards = Vec::new();
--- a/crates/jobs/src/dispatcher/scoring.rs
+++ b/crates/jobs/src/dispatcher/scoring.rs
@@ -55,7 +55,10 @@
     /// The signature of a whole answer: the score.
     Scored(String),
     /// No engine ran it.
-    NotRun,
+    NotRun {
+        /// Time until one may, if that was told.
+        come_back: Option<Duration>,
+    },
     /// It ended without a usable answer.
     Failed,
 }
@@ -176,7 +179,11 @@
                 return Some(waited);
             }
             ScoreOutcome::EngineFailed => self.on_engine_failed(&key, configuration),
-            ScoreOutcome::NotRun => self.unscored.call_again(now, id, REFUSED_WAIT),
+            ScoreOutcome::NotRun { come_back } => {
+                let pause = come_back.map_or(REFUSED_WAIT, |told| told.max(REFUSED_WAIT));
+                self.unscored
+                    .call_again(now, id, pause.min(MAX_FAILED_WAIT));
+            }
             ScoreOutcome::Failed => {
                 let factor = 1_u64 << unscored.calls.saturating_sub(1).min(8);
                 let pause = Duration(FAILED_WAIT.0 * factor).min(MAX_FAILED_WAIT);
--- a/crates/runtime/src/http_client.rs
+++ b/crates/runtime/src/http_client.rs
@@ -162,7 +162,9 @@
     /// each request sent since.
     pub fn take_opened(&self) -> Vec<Opened<Id>> {
         let opened = self.opened.as_ref();
-        opened.map_or(Vec::new(), |opened| std::mem::take(&mut opened.borrow_mut()))
+        opened.map_or(Vec::new(), |opened| {
+            std::mem::take(&mut opened.borrow_mut())
+        })
     }
 
     /// How long a gathering request waits between two reads of its body. Each
--- a/crates/server/src/gateway_process/actions.rs
+++ b/crates/server/src/gateway_process/actions.rs
@@ -17,6 +17,15 @@
 const ENGINE_SILENCE: Duration = Duration::from_secs(60);
 
 impl GatewayProcess {
+    /// Tells the core which requests got a connection, before it decides about any: what
+    /// it believes not to have left then has not, and does not once it is cancelled.
+    pub(super) fn hear_opened(&mut self) {
+        for opened in self.client.take_opened() {
+            let connected_in = opened.connected_in.map(in_micros);
+            self.gateway.on_opened(opened.id, connected_in);
+        }
+    }
+
     pub(super) fn carry_out(&mut self, actions: Vec<GatewayAction>) {
         for action in actions {
             match action {
@@ -88,3 +97,8 @@
         }
     }
 }
+
+/// The same span as the cores count it.
+pub(crate) fn in_micros(span: Duration) -> peatgrade_types::Duration {
+    peatgrade_types::Duration(u64::try_from(span.as_micros()).unwrap_or(u64::MAX))
+}
--- a/crates/server/src/gateway_process/mod.rs
+++ b/crates/server/src/gateway_process/mod.rs
@@ -25,6 +25,7 @@
 mod stopping;
 mod usage;
 
+pub(crate) use actions::in_micros;
 use crashes::CrashExchange;
 use news::{new_subscriber, FoundMachines, MachineSearch};
 use usage::GatewayUsage;
@@ -157,8 +158,7 @@
         let process = Self {
             gateway: Gateway::new(
                 GatewaySettings {
-                    zone: settings.zone.clone(),
-                    seed,
+                    forwarding: settings.forwarding(seed),
                     // Leaves room for as many calls above it.
                     first_call: u64::from(rand::random::<u32>()) << 31,
                     keys_believed_for: settings.keys_believed_for(),
@@ -175,7 +175,7 @@
             found_machines,
             settings,
             codec,
-            client: HttpClient::new(parts),
+            client: HttpClient::telling_opened(parts),
             link,
             store,
             calls: BTreeMap::new(),
@@ -293,6 +293,7 @@
         if matches!(part, ResponsePart::End | ResponsePart::Failed(_)) {
             self.requests.remove(&id);
         }
+        self.hear_opened();
         let actions = self.gateway.on_part(steady_now(), id, part);
         self.carry_out(actions);
     }
@@ -344,6 +345,7 @@
         for instance in self.gateway.directory.drop_lapsed(now) {
             log::info!("belief=engine-gone instance={instance} reason=not-back");
         }
+        self.hear_opened();
         let actions = self.gateway.tick(now);
         self.carry_out(actions);
         self.share_crashes(now);
@@ -375,6 +377,10 @@
         let untold = self.usage.unacknowledged() as u64;
         self.metrics.set("usage_unacknowledged", untold);
         self.metrics.set("ready", u64::from(self.ready()));
+        let counts = self.gateway.forward_counts();
+        for (name, value) in counts.figures() {
+            self.metrics.set(name, value);
+        }
         for (name, value) in self.gateway.directory.quarantine.figures() {
             self.metrics.set(name, value);
         }
--- a/crates/server/src/settings.rs
+++ b/crates/server/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of a gateway or storage process.
 
+use peatgrade_forward::ForwarderSettings;
 use peatgrade_mirror::MirrorTiming;
 use peatgrade_types::Duration;
 use serde::Deserialize;
@@ -84,6 +85,14 @@
     /// reported.
     #[serde(default)]
     pub duty_address: String,
+    /// Whether a single request that no engine can serve in time is rejected before it is
+    /// sent to any.
+    #[serde(default = "default_reject_unservable")]
+    pub reject_unservable: bool,
+    /// Copies of single requests, repeats after a failure and hedges, for each hundred
+    /// first tries; 0 for no bound.
+    #[serde(default = "default_copies")]
+    pub copies_percent: u32,
     /// error, warn, info, debug or trace.
     #[serde(default = "default_level")]
     pub log_level: String,
@@ -128,6 +137,16 @@
     10_000
 }
 
+fn default_reject_unservable() -> bool {
+    true
+}
+
+/// Engines that are full get a fifth more at most, and a service of which a tenth fails
+/// has two copies for each request that needs one.
+fn default_copies() -> u32 {
+    20
+}
+
 fn default_level() -> String {
     "info".into()
 }
@@ -227,7 +246,7 @@
         keep!(name, zone, front_address, ready_address, peer_address);
         keep!(metrics_address, data_folder, tolerated_losses);
         keep!(disk_limit_mb, memory_limit_mb, usage_window_ms);
-        keep!(keys_believed_ms);
+        keep!(keys_believed_ms, reject_unservable, copies_percent);
         keep!(
             contact_ms,
             config_apply_ms,
@@ -246,6 +265,16 @@
         limit.map(Duration::from_millis)
     }
 
+    /// How single requests go to engines.
+    pub fn forwarding(&self, seed: u64) -> ForwarderSettings {
+        ForwarderSettings {
+            zone: self.zone.clone(),
+            seed,
+            rejects_unservable: self.reject_unservable,
+            copies_percent: self.copies_percent,
+        }
+    }
+
     /// Spans within which news of the store reach all machines.
     pub fn mirror_timing(&self) -> MirrorTiming {
         let bound_ms = self.config_apply_ms.min(self.engine_drain_ms);
@@ -284,6 +313,13 @@
         at_least("config_apply_ms", self.config_apply_ms, 100)?;
         at_least("engine_heartbeat_ms", self.engine_heartbeat_ms, 10)?;
         at_least("contact_ms", self.contact_ms, LEAST_CONTACT_MS)?;
+        if self.copies_percent > MAX_COPIES_PERCENT {
+            return Err(SettingsError::Field {
+                field: "copies_percent",
+                reason: "must be at most 100",
+                value: self.copies_percent.to_string(),
+            });
+        }
         if self.tolerated_losses > MAX_LOSSES {
             return Err(SettingsError::Field {
                 field: "tolerated_losses",
@@ -299,6 +335,8 @@
 const LEAST_CONTACT_MS: u64 = 1_500;
 /// A report needs an election, the lease of an earlier holder and a call in half of it.
 const LEAST_USAGE_LATE_MS: u64 = 2_000;
+/// Beyond a copy of each request nothing would be bounded.
+const MAX_COPIES_PERCENT: u32 = 100;
 /// Larger groups would cost more than they protect.
 const MAX_LOSSES: usize = 4;
 
--- a/crates/server/src/storage/housekeeping.rs
+++ b/crates/server/src/storage/housekeeping.rs
@@ -112,6 +112,9 @@
             ),
             ("store_age_ms", now.since(self.store_heard).as_millis()),
         ];
+        for (name, value) in self.score_figures() {
+            self.metrics.set(name, value);
+        }
         let quarantine = self.directory.quarantine.figures();
         for (name, value) in figures.into_iter().chain(quarantine) {
             self.metrics.set(name, value);
--- a/crates/server/src/storage/process.rs
+++ b/crates/server/src/storage/process.rs
@@ -222,7 +222,7 @@
             disk_mb: settings.disk_limit_mb,
             memory_mb: settings.memory_limit_mb,
         };
-        let forwarder = Forwarder::new(codec.clone(), settings.zone.clone(), seed);
+        let forwarder = Forwarder::new(codec.clone(), settings.forwarding(seed));
         let group = Group::new(voters_for(settings.tolerated_losses));
         let commands = Rc::new(AppliedCommands(log_file.source()));
         let member_news = MemberNews::new(now, &settings);
@@ -246,7 +246,7 @@
             directory,
             engines_known: false,
             metrics,
-            client: HttpClient::new(parts),
+            client: HttpClient::telling_opened(parts),
             exchanges: HashMap::new(),
             run_exchanges: HashMap::new(),
             scores: ScoreCalls::new(forwarder),
--- a/crates/server/src/storage/scores.rs
+++ b/crates/server/src/storage/scores.rs
@@ -9,6 +9,7 @@
 
 use super::engines::{EngineExchange, ExchangeId};
 use super::process::StorageProcess;
+use crate::gateway_process::in_micros;
 
 /// Reward calls under way.
 pub(super) struct ScoreCalls {
@@ -47,6 +48,24 @@
         self.carry_out_scores(now, actions);
     }
 
+    /// Tells which reward calls got a connection: see the gateway's.
+    fn hear_opened(&mut self) {
+        for opened in self.client.take_opened() {
+            let exchange = self.exchanges.get(&opened.id);
+            if let Some(EngineExchange::Score(id)) = exchange {
+                let connected_in = opened.connected_in.map(in_micros);
+                self.scores
+                    .forwarder
+                    .on_opened(*id, connected_in, &mut self.directory);
+            }
+        }
+    }
+
+    /// What became of reward calls on their way to engines.
+    pub(super) fn score_figures(&self) -> [(&'static str, u64); 4] {
+        self.scores.forwarder.counts().figures()
+    }
+
     pub(super) fn cancel_score(&mut self, score: ScoreId) {
         let mut actions = Vec::new();
         let call = CallId(score.0);
@@ -62,6 +81,7 @@
 
     /// Tries a second engine where the first is silent, and ends what is late.
     pub(super) fn tick_scores(&mut self, now: Time) {
+        self.hear_opened();
         let mut actions = Vec::new();
         self.scores
             .forwarder
@@ -70,6 +90,7 @@
     }
 
     pub(super) fn on_score_part(&mut self, now: Time, id: HttpId, part: ResponsePart) {
+        self.hear_opened();
         let mut actions = Vec::new();
         self.scores
             .forwarder
@@ -135,7 +156,9 @@
         match (told.status, told.signature) {
             (200..300, Some(signature)) => ScoreOutcome::Scored(signature),
             // An answer of the forwarder itself, which says so only if it is true.
-            (503, None) => ScoreOutcome::NotRun,
+            (503, None) => ScoreOutcome::NotRun {
+                come_back: told.retry_after,
+            },
             _ => ScoreOutcome::Failed,
         }
     }
@@ -144,7 +167,7 @@
         let name = match &outcome {
             ScoreOutcome::EngineFailed => "reward_call_engine_failed",
             ScoreOutcome::Scored(_) => "reward_call_scored",
-            ScoreOutcome::NotRun => "reward_call_not_run",
+            ScoreOutcome::NotRun { .. } => "reward_call_not_run",
             ScoreOutcome::Failed => "reward_call_failed",
         };
         self.metrics.count(name);
--- a/crates/server/tests/unit/settings.rs
+++ b/crates/server/tests/unit/settings.rs
@@ -23,6 +23,7 @@
 #[case::no_port("store_address = \"10.0.0.9\"", "store_address")]
 #[case::no_level("log_level = \"loud\"", "log_level")]
 #[case::hasty("contact_ms = 10", "contact_ms")]
+#[case::copies_of_all("copies_percent = 101", "copies_percent")]
 #[case::huge_group("tolerated_losses = 9", "tolerated_losses")]
 fn an_error_names_its_field(#[case] line: &str, #[case] field: &str) {
     let base = GATEWAY.lines().filter(|known| !known.starts_with(field));
@@ -116,3 +117,22 @@
     std::fs::remove_file(&path).unwrap();
     assert_eq!(settings.unwrap().usage_window_ms, 0);
 }
+
+#[rstest]
+#[case::as_shipped("", true, 20)]
+#[case::switched_off("reject_unservable = false\ncopies_percent = 0", false, 0)]
+fn admission_and_the_bound_on_copies_can_be_switched_off(
+    #[case] lines: &str,
+    #[case] rejects: bool,
+    #[case] copies: u32,
+) {
+    let path = write(
+        &format!("copies-{copies}"),
+        &format!("{GATEWAY}\n{lines}\n"),
+    );
+    let settings = ServerSettings::load(&path, ServerRole::Gateway).unwrap();
+    std::fs::remove_file(&path).unwrap();
+    let forwarding = settings.forwarding(1);
+    assert_eq!(forwarding.rejects_unservable, rejects);
+    assert_eq!(forwarding.copies_percent, copies);
+}
