Lookups: proof of life before a second dark engine, longer waits for engines that did not connect

Cause, seen in logs of half of the engines dark: engines that were not tried counted as the fastest, so one request met up to five dark ones; a request spent both attempts on kept connections to dark engines (ten timed out so in 10 s); a zone without a measured connection was waited for 250 ms. Change: an untried engine counts as the mean of the others; a request that has met one dark engine prefers those heard from lately; a second attempt goes over a new connection; waits of unknown zones are capped, and double for an engine that did not connect.

--- a/crates/fleet/src/experience.rs
+++ b/crates/fleet/src/experience.rs
@@ -39,8 +39,8 @@
     pub heard: Time,
     /// Nobody listened at its address, and nothing came from it since.
     pub is_unreachable: bool,
-    /// The last new connection to it did not come up in time.
-    pub is_dark: bool,
+    /// New connections to it in a row that did not come up in time.
+    pub unconnected: u32,
 }
 
 impl Experience {
@@ -49,7 +49,7 @@
         self.failures = 0;
         self.blocked_until = Time(0);
         self.is_unreachable = false;
-        self.is_dark = false;
+        self.unconnected = 0;
         self.heard = now;
         self.latency = mean(self.latency, took.0 as f64, LATENCY_WEIGHT);
     }
@@ -58,7 +58,7 @@
     pub fn events(&mut self, now: Time, span: Duration, count: u32) {
         self.failures = 0;
         self.is_unreachable = false;
-        self.is_dark = false;
+        self.unconnected = 0;
         self.heard = now;
         self.usual.add(now, span, count, USUAL_FADE);
         self.recent.add(now, span, count, RECENT_FADE);
@@ -98,7 +98,7 @@
 
     /// Takes note of a connection that did not come up in time. Others may reach it.
     pub fn did_not_connect(&mut self, now: Time) {
-        self.is_dark = true;
+        self.unconnected += 1;
         self.failed(now);
     }
 
--- a/crates/forward/src/admission.rs
+++ b/crates/forward/src/admission.rs
@@ -40,7 +40,7 @@
     /// An engine as it stands now.
     pub fn of(state: &EngineState, outlook: &Outlook, now: Time) -> Self {
         let experience = &state.experience;
-        let is_silent = !outlook.is_reachable || experience.is_dark;
+        let is_silent = !outlook.is_reachable || experience.unconnected > 0;
         // What the engine said of its load lapses within a second, as it must.
         let fresh = experience.told_load(now);
         Self {
--- a/crates/forward/src/choice.rs
+++ b/crates/forward/src/choice.rs
@@ -23,6 +23,12 @@
 /// Round trip to another zone while none was measured. A guess that prefers the own zone
 /// among equals.
 const UNKNOWN_ROUND_TRIP: Duration = Duration::from_millis(1);
+/// Age up to which a sign of life proves that an engine listens, to a request that has
+/// met one that does not: engines that fall silent do so together, and the signs of life
+/// of the others go on.
+const PROOF_AGE: Duration = Duration::from_millis(3_000);
+/// Usual time of an answer while none of any engine was seen.
+const UNKNOWN_ANSWER: Duration = Duration::from_millis(1);
 /// Round trips of an exchange: one for the connection, one for request and answer.
 const ROUND_TRIPS: u64 = 2;
 
@@ -55,23 +61,47 @@
         let model = self.forward.request.model.as_str();
         let serving = self.directory.serving(&self.forward.service);
         let newest = serving.map(|state| state.version(model)).max().unwrap_or(0);
-        let mut best: Option<((bool, f64, u32), &EngineState)> = None;
+        let untried = self.mean_answer();
+        let mut best: Option<(Rank, &EngineState)> = None;
         for state in self.candidates() {
             let outlook = state.outlook(self.now);
-            let expected = self.expected(state, &outlook, newest - state.version(model));
-            // Machines that know as little would all choose the first engine of the list.
-            let key = (outlook.is_avoided, expected, random.random::<u32>());
-            let is_better = best.as_ref().is_none_or(|(other, _)| {
-                let order = key.0.cmp(&other.0).then(key.1.total_cmp(&other.1));
-                order.then(key.2.cmp(&other.2)).is_lt()
-            });
-            if is_better {
-                best = Some((key, state));
+            let outlook = Outlook {
+                usual_answer: outlook.usual_answer.or(Some(untried)),
+                ..outlook
+            };
+            let rank = Rank {
+                is_avoided: outlook.is_avoided,
+                is_unproven: self.is_unproven(state),
+                expected: self.expected(state, &outlook, newest - state.version(model)),
+                // Machines that know as little would all choose the first of the list.
+                draw: random.random(),
+            };
+            if best.as_ref().is_none_or(|(other, _)| rank.is_before(other)) {
+                best = Some((rank, state));
             }
         }
         best.map(|(_, state)| state.record.instance.clone())
     }
 
+    /// Usual time of an answer of the service's engines: one that was not tried counts as
+    /// one of them. Counted as fast, it is preferred to all that have shown that they
+    /// are there, and a gateway that sees few requests sends most of them to engines that
+    /// it knows nothing of: up to five dark ones for one request.
+    fn mean_answer(&self) -> Duration {
+        let serving = self.directory.serving(&self.forward.service);
+        let answers = serving.filter_map(|state| state.outlook(self.now).usual_answer);
+        let (count, sum) = answers.fold((0, 0), |(count, sum), answer| (count + 1, sum + answer.0));
+        let mean = u64::checked_div(sum, count);
+        mean.map_or(UNKNOWN_ANSWER, Duration)
+    }
+
+    /// Whether a request that has met engines that do not listen may meet one more here.
+    fn is_unproven(&self, state: &EngineState) -> bool {
+        let heard = state.experience.heard;
+        let is_proven = heard > Time(0) && self.now.since(heard) <= PROOF_AGE;
+        self.forward.unconnected > 0 && !is_proven
+    }
+
     /// Microseconds that an answer counts as taking.
     fn expected(&self, state: &EngineState, outlook: &Outlook, behind: u64) -> f64 {
         let filled = f64::from(outlook.occupied) / f64::from(outlook.slots);
@@ -87,6 +117,23 @@
     }
 }
 
+/// Where an engine stands among those that a request may go to.
+struct Rank {
+    is_avoided: bool,
+    is_unproven: bool,
+    expected: f64,
+    draw: u32,
+}
+
+impl Rank {
+    fn is_before(&self, other: &Self) -> bool {
+        let beliefs = (self.is_avoided, self.is_unproven);
+        let order = beliefs.cmp(&(other.is_avoided, other.is_unproven));
+        let order = order.then(self.expected.total_cmp(&other.expected));
+        order.then(self.draw.cmp(&other.draw)).is_lt()
+    }
+}
+
 /// How much slower an engine counts for weights so many versions behind.
 fn staleness_factor(behind: u64) -> f64 {
     match behind {
--- a/crates/forward/src/connect_times.rs
+++ b/crates/forward/src/connect_times.rs
@@ -20,6 +20,13 @@
 /// Share of the target latency that is waited for while no time is known: three engines
 /// that are not there leave a quarter of it for the one that is.
 const UNKNOWN_SHARE: u64 = 4;
+/// Longest such wait: a round trip within a continent. If the engine is farther away, the
+/// next wait for it is longer.
+const LONGEST_UNKNOWN: Duration = Duration::from_millis(60);
+/// Doublings of the wait for an engine to which no connection came up, at most. Without
+/// them, engines whose path has become slow would count as dark for good: none of their
+/// connections would be waited for long enough to be measured.
+const MOST_DOUBLINGS: u32 = 4;
 /// Zones that are told apart, so that the table is bounded; a deployment has a few.
 const MOST_ZONES: usize = 32;
 
@@ -60,12 +67,15 @@
         known.map(|estimate| Duration(estimate.mean as u64))
     }
 
-    /// How long a connection to a zone is waited for, for a request with this target.
-    pub fn patience(&self, zone: &str, target_latency: Duration) -> Duration {
+    /// How long a connection to an engine in a zone is waited for, for a request with this
+    /// target, if the last so many to it did not come up.
+    pub fn patience(&self, zone: &str, unconnected: u32, target_latency: Duration) -> Duration {
         let expected = match self.by_zone.get(zone) {
             Some(known) => Duration((known.mean + DEVIATIONS * known.deviation) as u64),
-            None => Duration(target_latency.0 / UNKNOWN_SHARE),
+            None => Duration(target_latency.0 / UNKNOWN_SHARE).min(LONGEST_UNKNOWN),
         };
-        expected.clamp(LEAST_WAIT, LONGEST_WAIT)
+        let first = expected.max(LEAST_WAIT);
+        let doubled = first.0 << unconnected.min(MOST_DOUBLINGS);
+        Duration(doubled).min(LONGEST_WAIT)
     }
 }
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -22,8 +22,9 @@
 const HEDGE_MIN: Duration = Duration::from_millis(60);
 /// That wait as a multiple of the engine's usual time.
 const HEDGE_FACTOR: f64 = 3.0;
-/// Time kept back from the caller's own, for the way to it.
-const RETURN_MARGIN: Duration = Duration::from_millis(15);
+/// Time kept back from the caller's own, for the way to it and for the turn of this
+/// machine in which it sees that the time is over.
+const RETURN_MARGIN: Duration = Duration::from_millis(30);
 /// Time that a request without a deadline may take.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
 
@@ -253,8 +254,9 @@
         state.experience.running += 1;
         let usual = Duration((state.experience.latency * HEDGE_FACTOR) as u64);
         let latest = Duration(forward.target_latency.0 / 2).max(HEDGE_MIN);
-        let zone = &state.record.zone;
-        let connect_patience = self.connect_times.patience(zone, forward.target_latency);
+        let (zone, unconnected) = (&state.record.zone, state.experience.unconnected);
+        let target = forward.target_latency;
+        let connect_patience = self.connect_times.patience(zone, unconnected, target);
         forward.hedge_at = now + usual.clamp(HEDGE_MIN, latest);
         forward.sends += 1;
         forward.tried.push(instance.clone());
@@ -305,8 +307,10 @@
             address,
             request,
             // A kept connection may just be closing, and then nobody can tell
-            // whether the request ran.
-            fresh: forward.kind != RouteKind::Safe,
+            // whether the request ran. Nor does it show that anybody is there: of the
+            // attempts that a request has, one at least is spent on an engine that
+            // listens (ten requests timed out at two dark ones in 10 s without).
+            fresh: forward.kind != RouteKind::Safe || forward.sends > 1,
         });
     }
 
--- a/crates/forward/src/timers.rs
+++ b/crates/forward/src/timers.rs
@@ -24,7 +24,7 @@
         attempt.is_open = true;
         let state = directory.get_mut(&attempt.instance);
         if let (Some(state), Some(took)) = (state, connected_in) {
-            state.experience.is_dark = false;
+            state.experience.unconnected = 0;
             self.connect_times.add(&state.record.zone, took);
         }
     }
--- a/crates/server/src/storage/engines.rs
+++ b/crates/server/src/storage/engines.rs
@@ -68,14 +68,38 @@
         address: &str,
         request: HttpRequest,
     ) {
-        let id = ExchangeId(self.next_exchange);
-        self.next_exchange += 1;
         let options = match exchange {
             EngineExchange::Run(..) => SendOptions::gathering(RUN_SILENCE),
-            EngineExchange::Score(_) => SendOptions::reusing(SCORE_SILENCE),
             EngineExchange::Check(_) => check_options(),
             _ => SendOptions::reusing(CONTROL_TIMEOUT),
         };
+        self.begin_with(options, exchange, address, request);
+    }
+
+    /// Makes a reward call, over a new connection where the forwarder asks for one.
+    pub(super) fn begin_score(
+        &mut self,
+        score: HttpId,
+        address: &str,
+        request: HttpRequest,
+        fresh: bool,
+    ) {
+        let options = SendOptions {
+            fresh,
+            ..SendOptions::reusing(SCORE_SILENCE)
+        };
+        self.begin_with(options, EngineExchange::Score(score), address, request);
+    }
+
+    fn begin_with(
+        &mut self,
+        options: SendOptions,
+        exchange: EngineExchange,
+        address: &str,
+        request: HttpRequest,
+    ) {
+        let id = ExchangeId(self.next_exchange);
+        self.next_exchange += 1;
         let cancel = self.client.send(id, address, request, options);
         match exchange {
             EngineExchange::Run(run, _) => {
--- a/crates/server/src/storage/scores.rs
+++ b/crates/server/src/storage/scores.rs
@@ -105,8 +105,8 @@
                     id,
                     address,
                     request,
-                    ..
-                } => self.begin_request(EngineExchange::Score(id), &address, request),
+                    fresh,
+                } => self.begin_score(id, &address, request, fresh),
                 ForwardAction::CheckEngine {
                     id,
                     address,
