--- a/crates/forward/src/admission.rs
+++ b/crates/forward/src/admission.rs
@@ -72,28 +72,30 @@
     TooLate,
 }
 
+/// A request is not offered to any engine.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct Rejection {
+    /// Why.
+    pub reason: Reason,
+    /// Time until an engine may serve it.
+    pub room_in: Duration,
+}
+
 /// What becomes of a request.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Admission {
     /// It is offered to the best engine.
     Offer,
-    /// It is not offered to any; one may serve it after `room_in`.
-    Reject {
-        /// Why.
-        reason: Reason,
-        /// Time until an engine may serve it.
-        room_in: Duration,
-    },
+    /// It is not offered to any.
+    Reject(Rejection),
 }
 
 /// Decides on a request that has so much time left, from the engines that it may go to.
 pub fn decide(left: Duration, prospects: &[Prospect]) -> Admission {
     let soonest = prospects.iter().map(|prospect| prospect.servable_in(left));
     let Some(room_in) = soonest.min() else {
-        return Admission::Reject {
-            reason: Reason::NoEngine,
-            room_in: LEAST_WAIT,
-        };
+        let (reason, room_in) = (Reason::NoEngine, LEAST_WAIT);
+        return Admission::Reject(Rejection { reason, room_in });
     };
     if room_in == Duration(0) {
         return Admission::Offer;
@@ -103,7 +105,7 @@
         true => Reason::TooLate,
         false => Reason::NoneListens,
     };
-    Admission::Reject { reason, room_in }
+    Admission::Reject(Rejection { reason, room_in })
 }
 
 /// Rejections of this machine, those of late counting most.
--- a/crates/forward/src/answers.rs
+++ b/crates/forward/src/answers.rs
@@ -1,17 +1,17 @@
-//! What comes back from engines, and how a request ends.
+//! What comes back from engines.
 
 use bytes::Bytes;
 use peatgrade_fleet::EngineDirectory;
-use peatgrade_ports::{Answer, Refusal, RouteKind};
+use peatgrade_ports::RouteKind;
 use peatgrade_quarantine::ComesAgain;
 use peatgrade_types::http::{HttpFailure, HttpStep, ResponseHead, ResponsePart};
 use peatgrade_types::{Duration, Time};
 
-use crate::action::{answer_parts, whole_parts, CallId, ForwardAction, HttpId, Part};
+use crate::action::{whole_parts, CallId, ForwardAction, HttpId, Part};
 use crate::copy_budget::Copy;
 use crate::forwarder::Forwarder;
 use crate::stream::PassedStream;
-use crate::suspects::{broken_stream, note_failure, BrokenRun, COME_BACK_SUSPECT};
+use crate::suspects::{note_failure, BrokenRun};
 
 /// Status of an engine that ran a request and failed.
 const ENGINE_FAILURE: u16 = 500;
@@ -346,48 +346,4 @@
             self.end_without_answer(now, call, directory, actions);
         }
     }
-
-    /// Nothing more can be done: the final answer goes out at once.
-    pub(crate) fn end_without_answer(
-        &mut self,
-        now: Time,
-        call: CallId,
-        directory: &EngineDirectory,
-        actions: &mut Vec<ForwardAction>,
-    ) {
-        let Some(forward) = self.calls.remove(&call) else {
-            return;
-        };
-        let over = now >= forward.deadline;
-        let refusal = match (forward.may_have_run, over) {
-            (false, _) => Refusal::NotRun,
-            (true, true) => Refusal::TimedOut,
-            (true, false) => Refusal::Unknown,
-        };
-        log::info!(
-            "decision=refuse request={} fingerprint={} refusal={refusal:?} attempts={} refusals={} held_back={} held_us={}",
-            forward.request.id,
-            forward.fingerprint,
-            forward.tried.len(),
-            forward.refusals,
-            forward.held_back,
-            now.since(forward.received).0
-        );
-        if forward.stream.is_some() {
-            return actions.push(broken_stream(call, "no engine goes on with the stream"));
-        }
-        let come_back = match forward.held_back {
-            true => COME_BACK_SUSPECT,
-            false => self.come_back(now, &forward, directory),
-        };
-        let answer = Answer::Refused {
-            refusal,
-            detail: format!(
-                "no engine of the route answered, {} tried",
-                forward.tried.len()
-            ),
-            retry_after: (refusal == Refusal::NotRun).then_some(come_back),
-        };
-        actions.extend(answer_parts(self.codec.as_ref(), call, &answer));
-    }
 }
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -12,7 +12,7 @@
 use std::rc::Rc;
 
 use crate::action::{CallId, ForwardAction, HttpId};
-use crate::admission::RejectionRate;
+use crate::admission::{Rejection, RejectionRate};
 use crate::connect_times::ConnectTimes;
 use crate::copy_budget::CopyBudgets;
 use crate::stream::PassedStream;
@@ -61,8 +61,10 @@
     pub refusals: u32,
     /// Engines to which no connection came up.
     pub unconnected: u32,
-    /// Time until an engine may serve it, once it was rejected for that.
-    pub room_in: Option<Duration>,
+    /// Why it was not offered to one more engine.
+    pub rejection: Option<Rejection>,
+    /// The budget had no copy for it.
+    pub is_copy_denied: bool,
     pub tried: Vec<Instance>,
     pub open: Vec<HttpId>,
     pub may_have_run: bool,
@@ -204,7 +206,8 @@
             sends: 0,
             refusals: 0,
             unconnected: 0,
-            room_in: None,
+            rejection: None,
+            is_copy_denied: false,
             tried: Vec::new(),
             open: Vec::new(),
             may_have_run: false,
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -1,9 +1,9 @@
 //! Requests on their way to an engine and back, for callers and for reward calls.
 //!
 //! ```text
-//!  request, route --> Forwarder --choice--> engine
-//!                        ^  retry, hedge      |
-//!                        +--- checked answer -+--> whole answer, or a true refusal
+//!  request, route --> Forwarder --admission, choice--> engine
+//!                        ^  retry, hedge (budget)        |
+//!                        +--- checked answer ------------+--> whole answer, or a true refusal
 //! ```
 //!
 //! A request under which engines crashed runs alone, or not at all: see
@@ -19,6 +19,7 @@
 pub mod connect_times;
 pub mod copy_budget;
 mod dispatch;
+mod ending;
 mod forwarder;
 mod stream;
 mod suspects;
--- a/crates/forward/src/timers.rs
+++ b/crates/forward/src/timers.rs
@@ -145,11 +145,14 @@
         let may = self.copies.take(now, &forward.service, copy);
         if !may {
             forward.hedge_at = now + now.since(forward.received);
-            log::info!(
-                "decision=no-copy request={} service={} copy={copy:?}",
-                forward.request.id,
-                forward.service
-            );
+            if !std::mem::replace(&mut forward.is_copy_denied, true) {
+                log::info!(
+                    "decision=no-copy request={} service={} copy={copy:?} held_us={}",
+                    forward.request.id,
+                    forward.service,
+                    now.since(forward.received).0
+                );
+            }
         }
         may
     }
--- a/crates/forward/tests/admission.rs
+++ b/crates/forward/tests/admission.rs
@@ -1,6 +1,8 @@
 //! Who is offered, who is rejected, and when a rejected caller may come back.
 
-use peatgrade_forward::admission::{decide, Admission, Prospect, Reason, RejectionRate, Return};
+use peatgrade_forward::admission::{
+    decide, Admission, Prospect, Reason, Rejection, RejectionRate, Return,
+};
 use peatgrade_types::{Duration, Time};
 
 const LEFT: Duration = Duration::from_millis(1_000);
@@ -23,7 +25,7 @@
 
 fn rejected(reason: Reason, room_ms: u64) -> Admission {
     let room_in = Duration::from_millis(room_ms);
-    Admission::Reject { reason, room_in }
+    Admission::Reject(Rejection { reason, room_in })
 }
 
 #[test]
--- a/crates/runtime/src/http_client.rs
+++ b/crates/runtime/src/http_client.rs
@@ -158,8 +158,7 @@
         }
     }
 
-    /// Requests that got a connection since this was last asked: at most one entry for
-    /// each request sent since.
+    /// Requests that got a connection since this was last asked, each once.
     pub fn take_opened(&self) -> Vec<Opened<Id>> {
         let opened = self.opened.as_ref();
         opened.map_or(Vec::new(), |opened| {
--- a/crates/server/src/gateway_process/mod.rs
+++ b/crates/server/src/gateway_process/mod.rs
@@ -378,10 +378,8 @@
         self.metrics.set("usage_unacknowledged", untold);
         self.metrics.set("ready", u64::from(self.ready()));
         let counts = self.gateway.forward_counts();
-        for (name, value) in counts.figures() {
-            self.metrics.set(name, value);
-        }
-        for (name, value) in self.gateway.directory.quarantine.figures() {
+        let quarantine = self.gateway.directory.quarantine.figures();
+        for (name, value) in counts.figures().into_iter().chain(quarantine) {
             self.metrics.set(name, value);
         }
     }
