--- a/scripts/planted-breaks.sh
+++ b/scripts/planted-breaks.sh
@@ -293,5 +293,35 @@
     "is_void: false," "is_void: self.is_void," peatgrade-server leader_work
 plant "what was read last is dropped at a stop" crates/server/src/gateway_process/stopping.rs \
     "(in_flight == 0 || stopping >= last_moment)" "true" peatgrade-server stopping
+F=crates/forward/src
+plant "a request without a connection counts as run" $F/timers.rs \
+    "forward.may_have_run |= open.any(|id| attempts.get(id).is_some_and(|a| a.is_open));" \
+    "let _ = attempts; forward.may_have_run |= open.next().is_some();" peatgrade-gateway lookups
+plant "a dark engine holds a request" $F/timers.rs \
+    "now.since(attempt.sent) >= attempt.connect_patience" \
+    "now.since(attempt.sent) >= Duration(1_000_000)" peatgrade-gateway lookups
+plant "a dark engine uses up an attempt" $F/answers.rs "            forward.sends -= 1;
+            forward.unconnected += 1;" "            forward.unconnected += 1;" peatgrade-gateway lookups
+plant "a second attempt proves nothing" $F/forwarder.rs " || forward.sends > 1," "," \
+    peatgrade-gateway lookups
+plant "a rejection outlives its cause" $F/admission.rs "is_silent && outlook.is_avoided" \
+    "is_silent" peatgrade-gateway lookups
+plant "what no engine can serve is sent" $F/dispatch.rs "match self.rejects_unservable {" \
+    "match false && self.rejects_unservable {" peatgrade-gateway lookups
+plant "rejected callers come back together" $F/admission.rs "first + draw * spread" \
+    "first + 0.0 * draw * spread" peatgrade-forward ""
+plant "a caller comes back too late for its answer" $F/admission.rs \
+    "wished.min(Duration(self.left.0 / RETURN_SHARE))" "wished" peatgrade-forward ""
+plant "copies have no bound" $F/copy_budget.rs "let may = self.saved >= 1.0 + kept;" \
+    "let may = self.saved >= -1e9 + kept;" peatgrade-forward ""
+plant "a path that became slow counts as dark for good" $F/connect_times.rs \
+    "first.0 << unconnected.min(MOST_DOUBLINGS)" "first.0 << unconnected.min(0)" \
+    peatgrade-forward ""
+plant "a request that was dropped leaves all the same" crates/runtime/src/http_client.rs \
+    "if let Either::Right((Err(failure), _)) = select(cancelled, work).await" \
+    "if let Either::Left((Err(failure), _)) = select(work, cancelled).await" \
+    peatgrade-runtime ""
+plant "a reward call comes back before it was told to" $J/dispatcher/scoring.rs \
+    "|told| told.max(REFUSED_WAIT)" "|_| REFUSED_WAIT" peatgrade-jobs scoring
 
 exit $unnoticed
