--- a/crates/forward/src/choice.rs
+++ b/crates/forward/src/choice.rs
@@ -42,10 +42,12 @@
 }
 
 impl Choice<'_> {
-    /// Engines that the request has not met.
+    /// Engines that the request has not met, without those that were not found at their
+    /// address.
     fn candidates(&self) -> impl Iterator<Item = &EngineState> {
         let serving = self.directory.serving(&self.forward.service);
-        serving.filter(|state| !self.forward.tried.contains(&state.record.instance))
+        let fresh = serving.filter(|state| !self.forward.tried.contains(&state.record.instance));
+        fresh.filter(|state| !state.is_absent(self.now))
     }
 
     /// The same as admission sees them.
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -1,7 +1,7 @@
 //! Requests that go to an engine and back.
 
 use bytes::BytesMut;
-use peatgrade_fleet::EngineDirectory;
+use peatgrade_fleet::{EngineDirectory, Incarnation};
 use peatgrade_ports::{AnswerHead, CallerRequest, Codec, EngineCall, Instance, Route, RouteKind};
 use peatgrade_quarantine::{Fingerprint, RequestParts};
 use peatgrade_types::http::ResponseHead;
@@ -32,6 +32,8 @@
     pub call: CallId,
     pub fingerprint: Fingerprint,
     pub instance: Instance,
+    /// The life of the engine in which it was sent.
+    pub life: Incarnation,
     pub sent: Time,
     /// How long its connection may take to come up.
     pub connect_patience: Duration,
@@ -140,6 +142,8 @@
     /// Engines that are asked whether they are there.
     pub(crate) checks: HashMap<HttpId, EngineCheck>,
     pub(crate) next_id: u64,
+    /// Engines that had started again when open requests were last looked through.
+    pub(crate) lives_seen: u64,
 }
 
 impl Forwarder {
@@ -158,6 +162,7 @@
             attempts: HashMap::new(),
             checks: HashMap::new(),
             next_id: 1,
+            lives_seen: 0,
         }
     }
 
@@ -248,13 +253,17 @@
         actions: &mut Vec<ForwardAction>,
     ) {
         let list_age = now.since(directory.confirmed);
-        let (Some(forward), Some(state)) = (self.calls.get_mut(&call), directory.get_mut(instance))
-        else {
+        let Some(forward) = self.calls.get_mut(&call) else {
+            return;
+        };
+        let Some(life) = directory.begin_request(now, instance) else {
+            return;
+        };
+        let Some(state) = directory.get(instance) else {
             return;
         };
         let id = HttpId(self.next_id);
         self.next_id += 1;
-        state.experience.running += 1;
         let usual = Duration((state.experience.latency * HEDGE_FACTOR) as u64);
         let latest = Duration(forward.target_latency.0 / 2).max(HEDGE_MIN);
         let (zone, unconnected) = (&state.record.zone, state.experience.unconnected);
@@ -297,6 +306,7 @@
             call,
             fingerprint: forward.fingerprint,
             instance: instance.clone(),
+            life,
             sent: now,
             connect_patience,
             is_open: false,
@@ -312,7 +322,7 @@
             // A kept connection may just be closing, and then nobody can tell
             // whether the request ran. Nor does it show that anybody is there: of the
             // attempts that a request has, one at least is spent on an engine that
-            // listens (ten requests timed out at two dark ones in 10 s without).
+            // listens (nine requests timed out at two dark ones in 10 s without).
             fresh: forward.kind != RouteKind::Safe || forward.sends > 1,
         });
     }
@@ -323,9 +333,7 @@
         directory: &mut EngineDirectory,
     ) -> Option<Attempt> {
         let attempt = self.attempts.remove(&id)?;
-        if let Some(state) = directory.get_mut(&attempt.instance) {
-            state.experience.running = state.experience.running.saturating_sub(1);
-        }
+        directory.end_request(&attempt.instance, attempt.life);
         if let Some(forward) = self.calls.get_mut(&attempt.call) {
             forward.open.retain(|open| *open != id);
         }
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -21,6 +21,7 @@
 mod dispatch;
 mod ending;
 mod forwarder;
+mod restarts;
 mod stream;
 mod suspects;
 mod timers;
--- a/crates/forward/src/timers.rs
+++ b/crates/forward/src/timers.rs
@@ -22,7 +22,7 @@
             return;
         };
         attempt.is_open = true;
-        let state = directory.get_mut(&attempt.instance);
+        let state = directory.life_mut(&attempt.instance, attempt.life);
         if let (Some(state), Some(took)) = (state, connected_in) {
             state.experience.unconnected = 0;
             self.connect_times.add(&state.record.zone, took);
@@ -62,6 +62,7 @@
         actions: &mut Vec<ForwardAction>,
     ) {
         self.check_engines(now, directory, actions);
+        self.leave_ended_lives(now, directory, actions);
         self.end_convicted(now, directory, actions);
         let late: Vec<CallId> = self.due(|forward| now >= forward.deadline);
         for call in late {
--- a/crates/server/src/gateway_process/mod.rs
+++ b/crates/server/src/gateway_process/mod.rs
@@ -8,7 +8,9 @@
 use peatgrade_mirror::Subscriber;
 use peatgrade_ports::{Answer, Codec, StoreUpdate};
 use peatgrade_runtime::http_client::Cancel;
-use peatgrade_runtime::{serve_controlled, HttpClient, Incoming, LinkSocket, ServerControl};
+use peatgrade_runtime::{
+    serve_controlled, HttpClient, Incoming, LinkSocket, MemoryBudget, Responder, ServerControl,
+};
 use peatgrade_schema::decode;
 use peatgrade_schema::replication::mod_ReplicaMessage::OneOfbody;
 use peatgrade_schema::replication::ReplicaMessage;
@@ -21,6 +23,7 @@
 mod actions;
 mod beliefs;
 mod crashes;
+mod figures;
 mod news;
 mod stopping;
 mod usage;
@@ -36,6 +39,7 @@
 use crate::settings::{ServerRole, ServerSettings};
 use crate::signals::{process_signals, ProcessSignal};
 use crate::store_client::StoreClient;
+use crate::unreadable_entries::UnreadableEntries;
 use crate::watcher::Wanted;
 use crate::ServerError;
 
@@ -83,7 +87,7 @@
 
 /// A caller that waits for its answer.
 struct OpenCall {
-    respond: UnboundedSender<ResponsePart>,
+    respond: Responder,
     since: Time,
 }
 
@@ -105,6 +109,7 @@
     last_sweep: Time,
     /// News of the store, from others.
     subscriber: Subscriber,
+    unreadable: UnreadableEntries,
     /// The own watch of the store, while it is wanted.
     store_watch: Wanted,
     updates: UnboundedSender<StoreUpdate>,
@@ -128,7 +133,12 @@
             step: "install signal handlers",
             source,
         })?;
-        let server = ServerControl::default();
+        let server = ServerControl {
+            budget: settings
+                .caller_bytes()
+                .map_or_else(Default::default, MemoryBudget::new),
+            ..ServerControl::default()
+        };
         let (calls, call_inputs) = unbounded();
         for (what, address) in [
             ("front", &settings.front_address),
@@ -166,6 +176,7 @@
                 codec.clone(),
             ),
             subscriber: new_subscriber(&settings),
+            unreadable: UnreadableEntries::default(),
             store_watch: Wanted::default(),
             updates,
             search: MachineSearch::new(steady_now()),
@@ -273,7 +284,7 @@
                 ResponsePart::End,
             ];
             for part in parts {
-                let _ = respond.unbounded_send(part);
+                let _ = respond.send(part);
             }
             return;
         }
@@ -360,28 +371,12 @@
         self.gateway.news_age = self.subscriber.age(now);
     }
 
-    fn set_state(&self, now: Time) {
-        let configuration = &self.gateway.configuration;
-        let version = configuration.as_ref().map_or(0, |c| c.version);
-        let list_age = now.since(self.gateway.directory.confirmed);
-        self.metrics.set("configuration_version", version);
-        self.metrics
-            .set("engines", self.gateway.directory.len() as u64);
-        self.metrics.set("engine_list_age_ms", list_age.as_millis());
-        self.metrics
-            .set("store_news_age_ms", self.subscriber.age(now).as_millis());
-        self.metrics
-            .set("watches_store", u64::from(self.subscriber.watches_store()));
-        self.metrics
-            .set("requests_in_flight", self.gateway.in_flight() as u64);
-        let untold = self.usage.unacknowledged() as u64;
-        self.metrics.set("usage_unacknowledged", untold);
-        self.metrics.set("ready", u64::from(self.ready()));
-        let counts = self.gateway.forward_counts();
-        let quarantine = self.gateway.directory.quarantine.figures();
-        for (name, value) in counts.figures().into_iter().chain(quarantine) {
-            self.metrics.set(name, value);
-        }
+    /// Bytes held for callers, and what was done to bound them.
+    fn note_caller_bytes(&self) {
+        let figures = self.server.budget.figures();
+        self.metrics.set("caller_bytes_held", figures.held as u64);
+        self.metrics.set("callers_cut_off", figures.cut_off);
+        self.metrics.set("caller_bytes_refused", figures.refused);
     }
 }
 
