--- a/crates/forward/src/answers.rs
+++ b/crates/forward/src/answers.rs
@@ -1,16 +1,17 @@
-//! What comes back from engines, and how a request ends.
+//! What comes back from engines.
 
 use bytes::Bytes;
 use peatgrade_fleet::EngineDirectory;
-use peatgrade_ports::{Answer, Refusal, RouteKind};
+use peatgrade_ports::RouteKind;
 use peatgrade_quarantine::ComesAgain;
 use peatgrade_types::http::{HttpFailure, HttpStep, ResponseHead, ResponsePart};
 use peatgrade_types::{Duration, Time};
 
-use crate::action::{answer_parts, whole_parts, CallId, ForwardAction, HttpId, Part, COME_BACK};
+use crate::action::{whole_parts, CallId, ForwardAction, HttpId, Part};
+use crate::copy_budget::Copy;
 use crate::forwarder::{Attempt, Forwarder};
 use crate::stream::PassedStream;
-use crate::suspects::{broken_stream, note_failure, BrokenRun, COME_BACK_SUSPECT};
+use crate::suspects::{note_failure, BrokenRun};
 
 /// Status of an engine that ran a request and failed.
 const ENGINE_FAILURE: u16 = 500;
@@ -150,7 +151,7 @@
         forward.streaming = None;
         forward.may_have_run = true;
         if !forward.resumable {
-            return self.end_without_answer(now, call, actions);
+            return self.end_without_answer(now, call, directory, actions);
         }
         forward.request.last_event = stream.last_event.or(forward.request.last_event);
         log::info!(
@@ -228,13 +229,20 @@
             }
             forward.may_have_run = true;
             let again = forward.is_repeatable() && forward.sends < forward.max_attempts;
-            if again || !forward.open.is_empty() {
+            let is_alone = forward.open.is_empty();
+            if again && self.may_copy(now, call, Copy::Repeat) {
                 return self.dispatch(now, call, directory, actions);
             }
+            if !is_alone {
+                return;
+            }
             if stray || told.status < 500 {
-                return self.end_without_answer(now, call, actions);
+                return self.end_without_answer(now, call, directory, actions);
             }
         }
+        let Some(forward) = self.calls.get_mut(&call) else {
+            return;
+        };
         log::info!(
             "decision=answer request={} engine={} status={} attempts={} engine_us={} total_us={}",
             forward.request.id,
@@ -246,12 +254,38 @@
         );
         let head = self.codec.passed_head(&head, &forward.request);
         actions.extend(whole_parts(call, head, attempt.body.freeze()));
-        // Other attempts run to their end; breaking them off would waste what
-        // the engine has done and cost the connection.
+        let open = std::mem::take(&mut forward.open);
         self.calls.remove(&call);
+        self.leave_others(now, attempt.sent, &open, directory, actions);
+    }
+
+    /// An attempt that was sent at `sent` has answered before these: of the same request,
+    /// they run to their end, since breaking them off would waste what the engine has done
+    /// and cost the connection. What has no connection yet is given up.
+    fn leave_others(
+        &mut self,
+        now: Time,
+        sent: Time,
+        others: &[HttpId],
+        directory: &mut EngineDirectory,
+        actions: &mut Vec<ForwardAction>,
+    ) {
+        for id in others {
+            let Some(other) = self.attempts.get(id) else {
+                continue;
+            };
+            if !other.is_open {
+                actions.push(ForwardAction::CancelHttp(*id));
+                self.forget(*id, directory);
+            } else if other.sent < sent {
+                if let Some(state) = directory.life_mut(&other.instance, other.life) {
+                    state.experience.overtaken(now);
+                }
+            }
+        }
     }
 
-    fn on_failed(
+    pub(crate) fn on_failed(
         &mut self,
         now: Time,
         id: HttpId,
@@ -263,7 +297,10 @@
             return;
         };
         if let Some(state) = directory.life_mut(&attempt.instance, attempt.life) {
-            state.experience.failed(now);
+            match failure.step {
+                HttpStep::Connect => state.experience.did_not_connect(now),
+                _ => state.experience.failed(now),
+            }
         }
         let broken = BrokenRun {
             engine: &attempt.instance,
@@ -306,7 +343,8 @@
         }
         if unsent {
             forward.sends -= 1;
-            forward.refusals += 1;
+            forward.unconnected += 1;
+            self.counts.unconnected += 1;
         } else {
             forward.may_have_run = true;
         }
@@ -314,54 +352,14 @@
         // would end a third engine, as it did 28 ms after the second had begun.
         let is_alone = unsent || forward.open.is_empty();
         let repeatable = forward.is_repeatable() || !forward.may_have_run;
-        if repeatable && is_alone {
+        // What never left is no copy: no engine has any work of it.
+        let is_free = unsent || forward.sends >= forward.max_attempts;
+        let is_last = forward.open.is_empty();
+        if repeatable && is_alone && (is_free || self.may_copy(now, call, Copy::Repeat)) {
             return self.dispatch(now, call, directory, actions);
         }
-        if forward.open.is_empty() {
-            self.end_without_answer(now, call, actions);
-        }
-    }
-
-    /// Nothing more can be done: the final answer goes out at once.
-    pub(crate) fn end_without_answer(
-        &mut self,
-        now: Time,
-        call: CallId,
-        actions: &mut Vec<ForwardAction>,
-    ) {
-        let Some(forward) = self.calls.remove(&call) else {
-            return;
-        };
-        let over = now >= forward.deadline;
-        let refusal = match (forward.may_have_run, over) {
-            (false, _) => Refusal::NotRun,
-            (true, true) => Refusal::TimedOut,
-            (true, false) => Refusal::Unknown,
-        };
-        log::info!(
-            "decision=refuse request={} fingerprint={} refusal={refusal:?} attempts={} refusals={} held_back={} held_us={}",
-            forward.request.id,
-            forward.fingerprint,
-            forward.tried.len(),
-            forward.refusals,
-            forward.held_back,
-            now.since(forward.received).0
-        );
-        if forward.stream.is_some() {
-            return actions.push(broken_stream(call, "no engine goes on with the stream"));
+        if is_last {
+            self.end_without_answer(now, call, directory, actions);
         }
-        let come_back = match forward.held_back {
-            true => COME_BACK_SUSPECT,
-            false => COME_BACK,
-        };
-        let answer = Answer::Refused {
-            refusal,
-            detail: format!(
-                "no engine of the route answered, {} tried",
-                forward.tried.len()
-            ),
-            retry_after: (refusal == Refusal::NotRun).then_some(come_back),
-        };
-        actions.extend(answer_parts(self.codec.as_ref(), call, &answer));
     }
 }
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -1,9 +1,9 @@
 //! Requests on their way to an engine and back, for callers and for reward calls.
 //!
 //! ```text
-//!  request, route --> Forwarder --choice--> engine
-//!                        ^  retry, hedge      |
-//!                        +--- checked answer -+--> whole answer, or a true refusal
+//!  request, route --> Forwarder --admission, choice--> engine
+//!                        ^  retry, hedge (budget)        |
+//!                        +--- checked answer ------------+--> whole answer, or a true refusal
 //! ```
 //!
 //! A request under which engines crashed runs alone, or not at all: see
@@ -13,13 +13,19 @@
 //! [`ForwardAction`] and feeds back what comes of it.
 
 mod action;
+pub mod admission;
 mod answers;
 mod choice;
+pub mod connect_times;
+pub mod copy_budget;
+mod dispatch;
+mod ending;
 mod forwarder;
 mod restarts;
 mod stream;
 mod suspects;
+mod timers;
 
 pub use action::{answer_parts, CallId, ForwardAction, HttpId, Part, COME_BACK};
-pub use forwarder::{AcceptedCall, Forwarder};
+pub use forwarder::{AcceptedCall, ForwardCounts, Forwarder, ForwarderSettings};
 pub use suspects::{note_failure, BrokenRun};
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod memory_budget;
 pub mod peer_socket;
 mod request_reader;
+mod request_writer;
 mod responder;
 mod response_reader;
 mod response_writer;
@@ -35,7 +36,7 @@
 
 pub use boot_clock::{suspended_time, BootInstant};
 pub use event_loop::{block_on, now, open_rings};
-pub use http_client::{HttpClient, SendOptions};
+pub use http_client::{HttpClient, Opened, SendOptions};
 pub use http_server::{serve, serve_controlled, Incoming};
 pub use link_socket::{Delivery, LinkSocket};
 pub use memory_budget::{BudgetFigures, MemoryBudget};
--- a/crates/server/src/gateway_process/figures.rs
+++ b/crates/server/src/gateway_process/figures.rs
@@ -1,10 +1,11 @@
-//! Figures of a gateway's present state.
+//! The present state of a gateway, as its metrics show it.
 
 use peatgrade_types::Time;
 
 use super::GatewayProcess;
 
 impl GatewayProcess {
+    /// Sets all figures of state.
     pub(super) fn set_state(&self, now: Time) {
         let configuration = &self.gateway.configuration;
         let version = configuration.as_ref().map_or(0, |c| c.version);
@@ -28,10 +29,13 @@
         self.metrics.set("usage_unacknowledged", untold);
         self.metrics.set("ready", u64::from(self.ready()));
         self.note_caller_bytes();
-        for (name, value) in self.gateway.directory.quarantine.figures() {
+        let counts = self.gateway.forward_counts();
+        let quarantine = self.gateway.directory.quarantine.figures();
+        for (name, value) in counts.figures().into_iter().chain(quarantine) {
             self.metrics.set(name, value);
         }
     }
+
     /// Bytes held for callers, and what was done to bound them.
     fn note_caller_bytes(&self) {
         let figures = self.server.budget.figures();
--- a/crates/server/src/gateway_process/mod.rs
+++ b/crates/server/src/gateway_process/mod.rs
@@ -28,6 +28,7 @@
 mod stopping;
 mod usage;
 
+pub(crate) use actions::in_micros;
 use crashes::CrashExchange;
 use news::{new_subscriber, FoundMachines, MachineSearch};
 use usage::GatewayUsage;
@@ -167,8 +168,7 @@
         let process = Self {
             gateway: Gateway::new(
                 GatewaySettings {
-                    zone: settings.zone.clone(),
-                    seed,
+                    forwarding: settings.forwarding(seed),
                     // Leaves room for as many calls above it.
                     first_call: u64::from(rand::random::<u32>()) << 31,
                     keys_believed_for: settings.keys_believed_for(),
@@ -186,7 +186,7 @@
             found_machines,
             settings,
             codec,
-            client: HttpClient::new(parts),
+            client: HttpClient::telling_opened(parts),
             link,
             store,
             calls: BTreeMap::new(),
@@ -304,6 +304,7 @@
         if matches!(part, ResponsePart::End | ResponsePart::Failed(_)) {
             self.requests.remove(&id);
         }
+        self.hear_opened();
         let actions = self.gateway.on_part(steady_now(), id, part);
         self.carry_out(actions);
     }
@@ -355,6 +356,7 @@
         for instance in self.gateway.directory.drop_lapsed(now) {
             log::info!("belief=engine-gone instance={instance} reason=not-back");
         }
+        self.hear_opened();
         let actions = self.gateway.tick(now);
         self.carry_out(actions);
         self.share_crashes(now);
