What machines know of engines is told to each other

Cause: 67 gateways share 12 lookups a second, each sees one in five seconds and meets each lost engine itself, while the leader scores about a hundred items a second on the same engines. Nobody told anybody. Change: crate observations (what is worth telling, bounded outbox, publisher's board by marks, join by source and life, whose reports count), carried by requests to and replies of publishers and one message between members; EngineState::outlook joins it; choose_of_two for choices that many machines make with the same news; setting share_observations. A request that was hedged counts as left unanswered: an engine that falls silent fails only after 1 to 2 s otherwise.

--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -1,5 +1,6 @@
 //! Engines by instance, as the discovery list and own experience show them.
 
+use peatgrade_observations::ToldOfEngine;
 use peatgrade_ports::{EngineRecord, Instance, StoreEvent, StoreObject};
 use peatgrade_quarantine::{ComesAgain, Fingerprint, Quarantine};
 use peatgrade_types::{Duration, Time};
@@ -21,6 +22,8 @@
     pub record: EngineRecord,
     /// What was seen.
     pub experience: Experience,
+    /// What others told of its present life.
+    pub told: ToldOfEngine,
     /// Models whose version is being changed; items for them would be refused.
     pub loading: Vec<String>,
     /// Its entry was missing when the store came back: it counts as listed until
@@ -174,6 +177,7 @@
     pub fn engine_refused(&mut self, now: Time, engine: &Instance) {
         if let Some(state) = self.engines.get_mut(engine) {
             state.experience.is_unreachable = true;
+            state.experience.failed_at = now;
         }
         if self.is_staying(engine) {
             self.quarantine.engine_gone(now, engine);
@@ -197,6 +201,11 @@
             .count()
     }
 
+    /// All engines, to take note of something.
+    pub(crate) fn iter_mut(&mut self) -> impl Iterator<Item = &mut EngineState> {
+        self.engines.values_mut()
+    }
+
     /// All engines.
     pub fn iter(&self) -> impl Iterator<Item = &EngineState> {
         self.engines.values()
--- a/crates/fleet/src/experience.rs
+++ b/crates/fleet/src/experience.rs
@@ -17,6 +17,9 @@
 const FIRST_BLOCK: Duration = Duration::from_millis(400);
 /// Longest such time.
 const MAX_BLOCK: Duration = Duration::from_millis(4_000);
+/// Requests left unanswered since the last answer from which on an engine is doubted: one
+/// may just be long.
+const SILENCES_THAT_COUNT: u32 = 2;
 /// How long a load report counts.
 const LOAD_FRESH: Duration = Duration::from_millis(1_000);
 
@@ -31,6 +34,10 @@
     recent: PaceWindow,
     /// Failures in a row.
     pub failures: u32,
+    /// When it last failed or left a request unanswered.
+    pub failed_at: Time,
+    /// Requests left unanswered since the last answer or event.
+    pub silences: u32,
     /// Avoided until then, unless nothing else is there.
     pub blocked_until: Time,
     /// What it last said of its load, and when.
@@ -45,6 +52,7 @@
     /// Takes note of a whole answer.
     pub fn answered(&mut self, now: Time, took: Duration) {
         self.failures = 0;
+        self.silences = 0;
         self.blocked_until = Time(0);
         self.is_unreachable = false;
         self.heard = now;
@@ -54,6 +62,7 @@
     /// Takes note of `count` events of one generation that came in `span`.
     pub fn events(&mut self, now: Time, span: Duration, count: u32) {
         self.failures = 0;
+        self.silences = 0;
         self.is_unreachable = false;
         self.heard = now;
         self.usual.add(now, span, count, USUAL_FADE);
@@ -88,10 +97,23 @@
     pub fn failed(&mut self, now: Time) {
         let factor = 1_u64 << self.failures.min(4);
         self.failures += 1;
+        self.failed_at = now;
         let span = Duration((FIRST_BLOCK.0 * factor).min(MAX_BLOCK.0));
         self.blocked_until = now + span;
     }
 
+    /// Takes note that a request was tried elsewhere because no answer came in time: it
+    /// fails only seconds later, and others would run into the same engine until then.
+    pub fn left_unanswered(&mut self, now: Time) {
+        self.silences += 1;
+        self.failed_at = now;
+    }
+
+    /// Whether so many requests wait for an answer that it is doubted.
+    pub fn is_silent(&self) -> bool {
+        self.silences >= SILENCES_THAT_COUNT
+    }
+
     /// Takes note of a refusal: it is full, not broken.
     pub fn refused(&mut self, now: Time, span: Duration) {
         self.blocked_until = self.blocked_until.max(now + span);
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! - [`EngineDirectory`]: the discovery list with this machine's own
 //!   experience of each engine: requests under way, pace, failures.
-//! - [`Outlook`]: an engine as it stands just now, which every choice goes by.
+//! - [`Outlook`]: an engine as it stands just now, which every choice goes by; what other
+//!   machines told of it is joined in.
 //! - [`VersionCoordinator`]: brings engines to the versions that trainers
 //!   have named, with fenced orders of one holder at a time.
 
@@ -11,9 +12,13 @@
 mod experience;
 mod order_history;
 mod outlook;
+mod told;
+mod two_choices;
 
 pub use coordinator::{CoordinatorAction, OrderOutcome, VersionCoordinator};
 pub use directory::{EngineDirectory, EngineState};
 pub use experience::Experience;
 pub use order_history::{OrderHistory, OrderRules};
 pub use outlook::Outlook;
+pub use told::{StandingChange, TakenObservations};
+pub use two_choices::choose_of_two;
--- a/crates/fleet/src/outlook.rs
+++ b/crates/fleet/src/outlook.rs
@@ -1,6 +1,11 @@
 //! What this machine takes for true of an engine just now. Lookups, reward calls and
 //! items all choose an engine by it, so that they agree on which one is free or slow.
+//!
+//! What was seen here comes first; what others told fills in where nothing was seen here,
+//! or where it is older.
 
+use peatgrade_observations::{OwnEvidence, Standing, ToldBelief};
+use peatgrade_ports::EngineLoad;
 use peatgrade_types::{Duration, Time};
 
 use crate::directory::EngineState;
@@ -8,14 +13,21 @@
 /// Usual time of an answer of an engine that none was seen of: an untried engine counts
 /// as fast, so that it is tried.
 const UNTRIED_ANSWER: Duration = Duration::from_millis(1);
+/// What a request loses at an engine that others doubt: if the doubt is right, which one
+/// report leaves open, it waits 60 to 200 ms until a second engine is tried.
+const DOUBT_COST: Duration = Duration::from_millis(60);
 
 /// An engine as it stands just now, as far as this machine knows.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Outlook {
     /// Whether anybody answers there under its name.
     pub is_reachable: bool,
-    /// Whether it is left alone for a while after a failure or a refusal.
+    /// Whether it is left alone for a while after a failure or a refusal, or because two
+    /// machines saw it fail.
     pub is_avoided: bool,
+    /// Whether one other machine saw it fail, machines differ, or requests of this one
+    /// wait for answers: it is used where the others are much slower.
+    pub is_doubted: bool,
     /// Requests that run or wait there.
     pub occupied: u32,
     /// Requests that it runs at once; at least 1.
@@ -27,6 +39,8 @@
     /// Usual time between two events of a generation, in microseconds; none before a few
     /// were seen.
     pub pace: Option<f64>,
+    /// Age of the newest failure that others told and that counts; none if there is none.
+    pub told_failure_age: Option<Duration>,
 }
 
 impl Outlook {
@@ -45,7 +59,8 @@
     pub fn expected_answer(&self) -> Duration {
         let usual = self.usual_answer.unwrap_or(UNTRIED_ANSWER).0 as f64 * self.slowdown;
         let rounds = f64::from(self.occupied + 1) / f64::from(self.slots);
-        Duration((usual * rounds.max(1.0)) as u64)
+        let doubt = if self.is_doubted { DOUBT_COST.0 } else { 0 };
+        Duration((usual * rounds.max(1.0)) as u64 + doubt)
     }
 }
 
@@ -53,19 +68,46 @@
     /// The engine as it stands now.
     pub fn outlook(&self, now: Time) -> Outlook {
         let experience = &self.experience;
-        let slowdown = experience
-            .told_load(now)
-            .and_then(|load| load.slowdown_percent)
-            .map_or(1.0, |percent| f64::from(percent) / 100.0);
-        let answer = Some(experience.latency as u64).filter(|latency| *latency > 0);
+        let told = self.told_belief(now);
+        let load = self.newest_load(now, &told);
+        let told_occupied = load.map_or(0, |load| load.running + load.waiting);
+        let slowdown = load.and_then(|load| load.slowdown_percent);
+        let seen_answer = Some(experience.latency as u64).filter(|latency| *latency > 0);
+        let is_silent = experience.is_silent();
         Outlook {
             is_reachable: !experience.is_unreachable,
-            is_avoided: experience.blocked(now),
-            occupied: experience.occupied(now),
+            is_avoided: experience.blocked(now) || told.standing == Standing::Failing,
+            is_doubted: told.standing == Standing::Doubtful || is_silent,
+            occupied: experience.running.max(told_occupied),
             slots: self.record.slots.max(1),
-            slowdown,
-            usual_answer: answer.map(Duration),
-            pace: experience.pace(),
+            slowdown: slowdown.map_or(1.0, |percent| f64::from(percent) / 100.0),
+            usual_answer: seen_answer.map(Duration).or(told.usual_answer),
+            pace: experience.pace().or(told.pace),
+            told_failure_age: told.failure_age,
+        }
+    }
+
+    /// What others told of it, beside what was seen here.
+    pub fn told_belief(&self, now: Time) -> ToldBelief {
+        self.told
+            .belief(now, self.record.started, self.own_evidence())
+    }
+
+    pub(crate) fn own_evidence(&self) -> OwnEvidence {
+        let experience = &self.experience;
+        OwnEvidence {
+            heard: experience.heard,
+            failed: (experience.failures > 0).then_some(experience.failed_at),
+        }
+    }
+
+    /// The newer of what the engine told here and what it told others.
+    fn newest_load(&self, now: Time, told: &ToldBelief) -> Option<EngineLoad> {
+        let own = self.experience.load.map(|(at, _)| at);
+        let own_load = self.experience.told_load(now);
+        match told.load {
+            Some((at, load)) if own_load.is_none() || own.is_some_and(|own| at > own) => Some(load),
+            _ => own_load,
         }
     }
 }
--- /dev/null
+++ b/crates/fleet/src/told.rs
@@ -0,0 +1,198 @@
+//! What this machine tells of engines, and what others tell it.
+
+use peatgrade_observations::{
+    discredited, suspects_own_link, Accusation, Observation, Standing, Teller, Urgency,
+    FAILURE_FADE,
+};
+use peatgrade_ports::Instance;
+use peatgrade_types::{Duration, Time};
+
+use crate::directory::{EngineDirectory, EngineState};
+
+/// A change of what is believed of an engine, through what others told.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StandingChange {
+    /// The engine.
+    pub engine: Instance,
+    /// The machine whose report changed it.
+    pub source: String,
+    /// Age of what it saw.
+    pub age: Duration,
+    /// Whether requests go there from now on.
+    pub standing: Standing,
+}
+
+/// What came of observations that were taken in.
+#[derive(Debug, Default, PartialEq)]
+pub struct TakenObservations {
+    /// Observations that are kept, and how urgently they are passed on. What names an
+    /// engine that is not listed or another life of it, or is older than what the same
+    /// machine told, is left out.
+    pub kept: Vec<(Urgency, Observation)>,
+    /// Engines of which something else is believed now.
+    pub changes: Vec<StandingChange>,
+}
+
+impl EngineState {
+    /// What this machine has seen of it; none before anything was seen.
+    ///
+    /// The usual time of an answer is told of engines without weights only: elsewhere an
+    /// answer may be a token or a whole text.
+    pub fn observation(&self, now: Time, source: &str) -> Option<Observation> {
+        let experience = &self.experience;
+        let fails = experience.failures > 0 || experience.is_unreachable;
+        let is_silent = experience.is_silent();
+        let load = experience.told_load(now);
+        let loaded_at = experience.load.filter(|_| load.is_some()).map(|(at, _)| at);
+        let failed_at = (fails || is_silent).then_some(experience.failed_at);
+        let seen = failed_at.unwrap_or(experience.heard.max(loaded_at.unwrap_or(Time(0))));
+        if seen == Time(0) {
+            return None;
+        }
+        let usual = Some(Duration(experience.latency as u64));
+        let answers_alike = self.record.models.is_empty();
+        Some(Observation {
+            engine: self.record.instance.clone(),
+            started: self.record.started,
+            source: source.to_string(),
+            seen,
+            is_unreachable: experience.is_unreachable,
+            failures: experience.failures + if is_silent { experience.silences } else { 0 },
+            usual_answer: usual.filter(|usual| answers_alike && usual.0 > 0),
+            pace: experience.pace(),
+            load,
+        })
+    }
+}
+
+impl EngineState {
+    /// Whether anything was seen of it since then.
+    fn seen_after(&self, since: Time) -> bool {
+        let experience = &self.experience;
+        let loaded_at = experience.load.map_or(Time(0), |(at, _)| at);
+        experience.heard.max(experience.failed_at).max(loaded_at) >= since
+    }
+}
+
+impl EngineDirectory {
+    /// What this machine has to tell now. Failures are left out while it sees nearly all
+    /// engines fail that it tried: then its own link is more likely at fault.
+    pub fn observations_to_tell(
+        &self,
+        now: Time,
+        source: &str,
+        teller: &mut Teller,
+    ) -> Vec<(Urgency, Observation)> {
+        teller.keep(|engine| self.get(engine).is_some());
+        let distrusts_link = self.distrusts_own_link(now);
+        let since = teller.looked_at(now);
+        let mut told = Vec::new();
+        // With 3,000 engines most have shown nothing since the last look. One that another
+        // machine accused meanwhile may have answered here before.
+        let is_due = |state: &&EngineState| state.seen_after(since) || !state.told.is_empty();
+        for state in self.iter().filter(is_due) {
+            let Some(observation) = state.observation(now, source) else {
+                continue;
+            };
+            if observation.speaks_against() && distrusts_link {
+                continue;
+            }
+            let accused = state.told.accused(now, state.record.started);
+            let slots = state.record.slots;
+            if let Some(urgency) = teller.weigh(now, &observation, slots, accused) {
+                told.push((urgency, observation));
+            }
+        }
+        told
+    }
+
+    /// Whether nearly all engines that were tried lately failed.
+    pub fn distrusts_own_link(&self, now: Time) -> bool {
+        let is_recent = |at: Time| at > Time(0) && now.since(at) < FAILURE_FADE;
+        let (mut failing, mut tried) = (0, 0);
+        for state in self.iter() {
+            let experience = &state.experience;
+            let fails = experience.failures > 0 && is_recent(experience.failed_at);
+            failing += usize::from(fails);
+            tried += usize::from(fails || is_recent(experience.heard));
+        }
+        suspects_own_link(failing, tried)
+    }
+
+    /// Takes in what others have seen.
+    pub fn take_observations(
+        &mut self,
+        now: Time,
+        own_name: &str,
+        observations: impl IntoIterator<Item = Observation>,
+    ) -> TakenObservations {
+        let mut outcome = TakenObservations::default();
+        let mut touched = Vec::new();
+        for observation in observations {
+            let Some(state) = self.get_mut(&observation.engine) else {
+                continue;
+            };
+            let is_other_life = observation.started != state.record.started
+                && observation.started.is_some()
+                && state.record.started.is_some();
+            if observation.source == own_name || is_other_life {
+                continue;
+            }
+            let before = state.told_belief(now).standing;
+            let is_accused = state.told.accused(now, state.record.started).is_some();
+            let change = StandingChange {
+                engine: observation.engine.clone(),
+                source: observation.source.clone(),
+                age: now.since(observation.seen),
+                standing: before,
+            };
+            if !state.told.take(observation.clone()) {
+                continue;
+            }
+            // What takes an accusation back is as urgent as it was.
+            let urgency = match observation.speaks_against() || is_accused {
+                true => Urgency::Failure,
+                false => Urgency::Load,
+            };
+            outcome.kept.push((urgency, observation));
+            touched.push(change);
+        }
+        self.judge_sources(now);
+        for change in touched {
+            let standing = self
+                .get(&change.engine)
+                .map(|s| s.told_belief(now).standing);
+            let standing = standing.filter(|standing| *standing != change.standing);
+            let is_first = !outcome.changes.iter().any(|c| c.engine == change.engine);
+            if let Some(standing) = standing.filter(|_| is_first) {
+                outcome.changes.push(StandingChange { standing, ..change });
+            }
+        }
+        outcome
+    }
+
+    /// Finds the machines whose reports of failures others refute.
+    fn judge_sources(&mut self, now: Time) {
+        let accusations = self.iter().flat_map(|state| {
+            let told = &state.told;
+            told.accusations(now, state.record.started, state.own_evidence())
+        });
+        let bad =
+            discredited(accusations.map(|(source, is_refuted)| Accusation { source, is_refuted }));
+        for state in self.iter_mut() {
+            state.told.discredit(&bad);
+        }
+    }
+
+    /// Age of the newest failure told by others that keeps requests from an engine, over
+    /// all engines the oldest; and the number of such engines.
+    pub fn told_failures(&self, now: Time) -> (u64, Duration) {
+        let beliefs = self.iter().map(|state| state.told_belief(now));
+        let ages = beliefs
+            .filter(|belief| belief.standing != Standing::Sound)
+            .filter_map(|belief| belief.failure_age);
+        ages.fold((0, Duration(0)), |(count, oldest), age| {
+            (count + 1, oldest.max(age))
+        })
+    }
+}
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -367,10 +367,23 @@
                 && forward.sends < forward.max_attempts
         });
         for call in silent {
+            self.note_silence(now, call, directory);
             self.dispatch(now, call, directory, actions);
         }
     }
 
+    /// The engine that a request waits for has not answered in time.
+    fn note_silence(&mut self, now: Time, call: CallId, directory: &mut EngineDirectory) {
+        let open = self
+            .calls
+            .get(&call)
+            .and_then(|forward| forward.open.last());
+        let attempt = open.and_then(|id| self.attempts.get(id));
+        if let Some(state) = attempt.and_then(|attempt| directory.get_mut(&attempt.instance)) {
+            state.experience.left_unanswered(now);
+        }
+    }
+
     pub(crate) fn due(&self, test: impl Fn(&Forward) -> bool) -> Vec<CallId> {
         let due = self.calls.iter().filter(|(_, forward)| test(forward));
         due.map(|(call, _)| *call).collect()
--- a/crates/mirror/src/publisher.rs
+++ b/crates/mirror/src/publisher.rs
@@ -22,6 +22,10 @@
 /// Replies with news made in one turn: one with a configuration of 1,400 routes has
 /// some 140 KB. The rest follows in the next turn.
 const NEWS_A_TURN: usize = 4;
+/// Time after which a held request is answered for a failure of an engine that the
+/// subscriber was not told: five replies a second at most, and what a lookup loses at a
+/// silent engine before another is tried.
+const FAILURE_AFTER: Duration = Duration::from_millis(200);
 /// Longest time that a request is held, whatever it says.
 const MAX_HOLD: Duration = Duration::from_millis(1_000);
 
@@ -148,6 +152,8 @@
     pub kinds: Vec<MirroredKind>,
     /// Names the crashes that the subscriber knows.
     pub crash_digest: u64,
+    /// How far the subscriber was told failures of engines, and their loads.
+    pub observation_marks: (u64, u64),
 }
 
 /// What this machine has read of the store, and who waits for news of it.
@@ -156,6 +162,8 @@
     followed: BTreeMap<ObjectKind, Followed>,
     held: VecDeque<Held>,
     has_backlog: bool,
+    /// Number of the newest failure of an engine that there is to tell.
+    newest_failure: u64,
 }
 
 impl Publisher {
@@ -230,6 +238,11 @@
         });
     }
 
+    /// Takes note of the newest failure of an engine that there is to tell.
+    pub fn set_newest_failure(&mut self, number: u64) {
+        self.newest_failure = number;
+    }
+
     /// Whether answers with news wait only for the next turn.
     pub fn has_backlog(&self) -> bool {
         self.has_backlog
@@ -244,7 +257,9 @@
         let mut kept = VecDeque::with_capacity(self.held.len());
         while let Some(held) = self.held.pop_front() {
             let has_news = self.has_news(&held.request);
-            let is_due = has_news || now >= held.until || !self.follows_all();
+            let lacks_failure = held.request.failure_mark < self.newest_failure
+                && now.since(held.since) >= FAILURE_AFTER;
+            let is_due = has_news || lacks_failure || now >= held.until || !self.follows_all();
             let waits_for_turn = has_news && with_news >= NEWS_A_TURN;
             self.has_backlog |= waits_for_turn;
             if !is_due || waits_for_turn {
@@ -291,6 +306,7 @@
             held: now.since(held.since),
             kinds,
             crash_digest: held.request.crash_digest,
+            observation_marks: (held.request.failure_mark, held.request.load_mark),
             address: held.address,
         }
     }
--- a/crates/server/src/gateway_process/mod.rs
+++ b/crates/server/src/gateway_process/mod.rs
@@ -22,11 +22,13 @@
 mod beliefs;
 mod crashes;
 mod news;
+mod observations;
 mod stopping;
 mod usage;
 
 use crashes::CrashExchange;
 use news::{new_subscriber, FoundMachines, MachineSearch};
+use observations::ObservationExchange;
 use usage::GatewayUsage;
 
 use crate::clock::{steady_now, suspended_time};
@@ -111,6 +113,8 @@
     /// Members of the group, as far as known.
     replicas: Vec<String>,
     crashes: CrashExchange,
+    /// What was seen of engines here and elsewhere.
+    observations: ObservationExchange,
     /// What tenants have used.
     usage: GatewayUsage,
     found_machines: UnboundedSender<FoundMachines>,
@@ -171,6 +175,7 @@
             search: MachineSearch::new(steady_now()),
             replicas: Vec::new(),
             crashes: CrashExchange::default(),
+            observations: ObservationExchange::new(&settings),
             usage: GatewayUsage::new(settings.usage_window_ms > 0),
             found_machines,
             settings,
@@ -313,6 +318,7 @@
                 let now = steady_now();
                 self.usage.leader_told(&reply.leader_address);
                 self.exchange_crashes(now, &message.from_address, &reply);
+                self.take_observations(now, &reply);
                 self.on_mirror_reply(now, reply);
             }
             OneOfbody::usage_ack(ack) => self.usage.acknowledged(&ack),
@@ -375,6 +381,7 @@
         let untold = self.usage.unacknowledged() as u64;
         self.metrics.set("usage_unacknowledged", untold);
         self.metrics.set("ready", u64::from(self.ready()));
+        self.set_observation_state(now);
         for (name, value) in self.gateway.directory.quarantine.figures() {
             self.metrics.set(name, value);
         }
--- a/crates/server/src/gateway_process/news.rs
+++ b/crates/server/src/gateway_process/news.rs
@@ -85,6 +85,7 @@
 
     fn ask_publisher(&mut self, address: &str, mut request: MirrorRequest) {
         request.crash_digest = self.crashes.merged;
+        self.add_observations(steady_now(), &mut request);
         let message = ReplicaMessage {
             from: 0,
             to: 0,
--- /dev/null
+++ b/crates/server/src/gateway_process/observations.rs
@@ -0,0 +1,55 @@
+//! What this gateway tells of engines with its requests for news, and takes from replies.
+
+use peatgrade_observations::BoardMarks;
+use peatgrade_schema::replication::{MirrorReply, MirrorRequest};
+use peatgrade_types::Time;
+
+use super::GatewayProcess;
+use crate::observations::ObservationSharing;
+use crate::settings::ServerSettings;
+
+/// Observations that pass between this gateway and publishers.
+pub(super) struct ObservationExchange {
+    sharing: ObservationSharing,
+    /// How far a publisher has told.
+    marks: BoardMarks,
+}
+
+impl ObservationExchange {
+    pub fn new(settings: &ServerSettings) -> Self {
+        Self {
+            sharing: ObservationSharing::new(settings),
+            marks: BoardMarks::default(),
+        }
+    }
+}
+
+impl GatewayProcess {
+    /// Adds what was seen here since the last request.
+    pub(super) fn add_observations(&mut self, now: Time, request: &mut MirrorRequest) {
+        let exchange = &mut self.observations;
+        exchange.sharing.gather(now, &self.gateway.directory);
+        request.observations = exchange.sharing.take_outgoing(now, &self.metrics);
+        request.failure_mark = exchange.marks.failure;
+        request.load_mark = exchange.marks.load;
+    }
+
+    pub(super) fn take_observations(&mut self, now: Time, reply: &MirrorReply) {
+        let exchange = &mut self.observations;
+        exchange.marks = BoardMarks {
+            failure: reply.failure_mark,
+            load: reply.load_mark,
+        };
+        let directory = &mut self.gateway.directory;
+        exchange
+            .sharing
+            .take(now, &reply.observations, directory, &self.metrics);
+    }
+
+    pub(super) fn set_observation_state(&self, now: Time) {
+        let directory = &self.gateway.directory;
+        self.observations
+            .sharing
+            .set_state(now, directory, &self.metrics);
+    }
+}
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -16,6 +16,7 @@
 mod gateway_process;
 mod listing;
 mod metrics;
+mod observations;
 mod pause;
 mod settings;
 mod signals;
--- /dev/null
+++ b/crates/server/src/observations.rs
@@ -0,0 +1,112 @@
+//! What this machine tells others of engines, and takes in from them.
+
+use peatgrade_fleet::{EngineDirectory, TakenObservations};
+use peatgrade_observations::{from_message, Observation, Outbox, Teller, Urgency, MAX_TOLD_BYTES};
+use peatgrade_schema::replication::EngineObservation;
+use peatgrade_types::Time;
+
+use crate::metrics::Metrics;
+use crate::settings::ServerSettings;
+
+/// Observations of one process, on their way to others.
+pub(crate) struct ObservationSharing {
+    is_on: bool,
+    /// Name of this machine.
+    source: String,
+    teller: Teller,
+    outbox: Outbox,
+    distrusts_link: bool,
+}
+
+impl ObservationSharing {
+    pub fn new(settings: &ServerSettings) -> Self {
+        Self {
+            is_on: settings.share_observations,
+            source: settings.name.clone(),
+            teller: Teller::default(),
+            outbox: Outbox::default(),
+            distrusts_link: false,
+        }
+    }
+
+    /// What this machine has seen since the last time and is worth telling; it waits to be
+    /// sent.
+    pub fn gather(
+        &mut self,
+        now: Time,
+        directory: &EngineDirectory,
+    ) -> Vec<(Urgency, Observation)> {
+        if !self.is_on {
+            return Vec::new();
+        }
+        let distrusts_link = directory.distrusts_own_link(now);
+        if distrusts_link != self.distrusts_link {
+            self.distrusts_link = distrusts_link;
+            log::info!("belief=own-link-suspected value={distrusts_link}");
+        }
+        let told = directory.observations_to_tell(now, &self.source, &mut self.teller);
+        for (urgency, observation) in &told {
+            self.outbox.put(*urgency, observation.clone());
+        }
+        told
+    }
+
+    /// Passes on what another machine has seen.
+    pub fn pass_on(&mut self, urgency: Urgency, observation: Observation) {
+        self.outbox.put(urgency, observation);
+    }
+
+    /// What goes with the next message.
+    pub fn take_outgoing(&mut self, now: Time, metrics: &Metrics) -> Vec<EngineObservation> {
+        let told = self.outbox.take(now, MAX_TOLD_BYTES);
+        count(metrics, "observation_sent", told.len() as u64);
+        metrics.set("observations_dropped", self.outbox.dropped());
+        told
+    }
+
+    /// Whether nothing waits to be sent.
+    pub fn has_nothing_to_send(&self) -> bool {
+        self.outbox.is_empty()
+    }
+
+    /// Takes in what others have seen.
+    pub fn take(
+        &mut self,
+        now: Time,
+        messages: &[EngineObservation],
+        directory: &mut EngineDirectory,
+        metrics: &Metrics,
+    ) -> TakenObservations {
+        if !self.is_on || messages.is_empty() {
+            return TakenObservations::default();
+        }
+        let read = messages
+            .iter()
+            .filter_map(|message| from_message(now, message));
+        let taken = directory.take_observations(now, &self.source, read);
+        let kept = taken.kept.len() as u64;
+        count(metrics, "observation_taken", kept);
+        count(metrics, "observation_ignored", messages.len() as u64 - kept);
+        for change in &taken.changes {
+            log::info!(
+                "belief=engine-told instance={} source={} age_ms={} standing={:?}",
+                change.engine,
+                change.source,
+                change.age.as_millis(),
+                change.standing
+            );
+        }
+        taken
+    }
+
+    /// Sets the figures of what others told.
+    pub fn set_state(&self, now: Time, directory: &EngineDirectory, metrics: &Metrics) {
+        let (engines, oldest) = directory.told_failures(now);
+        metrics.set("engines_told_failing", engines);
+        metrics.set("told_failure_age_ms", oldest.as_millis());
+    }
+}
+
+fn count(metrics: &Metrics, event: &str, number: u64) {
+    metrics.events.with_label_values(&[event]).inc_by(number);
+}
--- a/crates/server/src/settings.rs
+++ b/crates/server/src/settings.rs
@@ -84,6 +84,9 @@
     /// reported.
     #[serde(default)]
     pub duty_address: String,
+    /// Whether what is seen of engines is told to others, and what others tell believed.
+    #[serde(default = "default_share_observations")]
+    pub share_observations: bool,
     /// error, warn, info, debug or trace.
     #[serde(default = "default_level")]
     pub log_level: String,
@@ -128,6 +131,11 @@
     10_000
 }
 
+/// On: a deployment whose engines are well tells next to nothing.
+fn default_share_observations() -> bool {
+    true
+}
+
 fn default_level() -> String {
     "info".into()
 }
@@ -227,7 +235,7 @@
         keep!(name, zone, front_address, ready_address, peer_address);
         keep!(metrics_address, data_folder, tolerated_losses);
         keep!(disk_limit_mb, memory_limit_mb, usage_window_ms);
-        keep!(keys_believed_ms);
+        keep!(keys_believed_ms, share_observations);
         keep!(
             contact_ms,
             config_apply_ms,
--- a/crates/server/src/storage/housekeeping.rs
+++ b/crates/server/src/storage/housekeeping.rs
@@ -28,6 +28,7 @@
             self.note_pressure(now);
             self.note_memory();
             self.note_behind(now);
+            self.keep_observations(now);
             self.set_state(now);
         }
         if now.since(self.last_expire) >= EXPIRE_EVERY {
--- a/crates/server/src/storage/mod.rs
+++ b/crates/server/src/storage/mod.rs
@@ -26,6 +26,7 @@
 mod leadership;
 mod member_news;
 mod memory;
+mod observations;
 mod opening;
 mod pressure;
 mod process;
--- /dev/null
+++ b/crates/server/src/storage/observations.rs
@@ -0,0 +1,130 @@
+//! What this member tells others of engines: to other members what it saw itself and what
+//! its subscribers told it, to subscribers all of that and what other members told.
+//!
+//! Nothing that a member told goes to another member, so that each observation crosses the
+//! group once and none comes back.
+
+use peatgrade_observations::{BoardMarks, Observation, ObservationBoard, Urgency, MAX_TOLD_BYTES};
+use peatgrade_schema::replication::mod_ReplicaMessage::OneOfbody;
+use peatgrade_schema::replication::{EngineObservations, MirrorReply, MirrorRequest};
+use peatgrade_types::{Duration, Time};
+
+use super::process::StorageProcess;
+use crate::observations::ObservationSharing;
+use crate::settings::ServerSettings;
+
+/// Least time between two messages to the other members: with 0.25 s until a subscriber's
+/// next reply and 800 bytes a message, a failure is known everywhere within 0.4 s for at
+/// most 8 KB a second to each member.
+const TELL_EVERY: Duration = Duration::from_millis(100);
+
+/// Observations that pass through this member.
+pub(super) struct ObservationRelay {
+    sharing: ObservationSharing,
+    board: ObservationBoard,
+    told_at: Time,
+}
+
+impl ObservationRelay {
+    pub fn new(settings: &ServerSettings) -> Self {
+        // Differs from life to life and leaves room for as many numbers above it.
+        let first = u64::from(rand::random::<u32>()) << 31;
+        Self {
+            sharing: ObservationSharing::new(settings),
+            board: ObservationBoard::new(first),
+            told_at: Time(0),
+        }
+    }
+
+    fn show(&mut self, kept: Vec<(Urgency, Observation)>, told_by: &str) {
+        for (urgency, observation) in kept {
+            self.board.put(urgency, observation, told_by);
+        }
+    }
+}
+
+impl StorageProcess {
+    /// A subscriber tells what it has seen.
+    pub(super) fn on_subscriber_observations(
+        &mut self,
+        now: Time,
+        address: &str,
+        request: &MirrorRequest,
+    ) {
+        let relay = &mut self.observations;
+        let told = &request.observations;
+        let taken = relay
+            .sharing
+            .take(now, told, &mut self.directory, &self.metrics);
+        for (urgency, observation) in &taken.kept {
+            relay.sharing.pass_on(*urgency, observation.clone());
+        }
+        relay.show(taken.kept, address);
+    }
+
+    /// Another member tells what it or its subscribers have seen.
+    pub(super) fn on_member_observations(&mut self, now: Time, told: &EngineObservations) {
+        let relay = &mut self.observations;
+        let told = &told.observations;
+        let taken = relay
+            .sharing
+            .take(now, told, &mut self.directory, &self.metrics);
+        relay.show(taken.kept, "");
+    }
+
+    /// Tells the other members what is new.
+    pub(super) fn share_observations(&mut self, now: Time) {
+        let relay = &mut self.observations;
+        if now.since(relay.told_at) < TELL_EVERY {
+            return;
+        }
+        relay.told_at = now;
+        let seen = relay.sharing.gather(now, &self.directory);
+        relay.show(seen, "");
+        self.publisher
+            .set_newest_failure(relay.board.newest_failure());
+        if relay.sharing.has_nothing_to_send() {
+            return;
+        }
+        let observations = relay.sharing.take_outgoing(now, &self.metrics);
+        self.metrics.count("observations_told_to_members");
+        let own = self.replica.id().0;
+        let others = self.replica.members().into_iter();
+        for member in others.filter(|member| member.replica != own) {
+            let message = EngineObservations {
+                observations: observations.clone(),
+            };
+            let body = OneOfbody::engine_observations(message);
+            self.reply_lightly(&member.address, body);
+        }
+    }
+
+    /// Adds to a reply what the subscriber lacks.
+    pub(super) fn add_observations(
+        &self,
+        now: Time,
+        marks: BoardMarks,
+        subscriber: &str,
+        reply: &mut MirrorReply,
+    ) {
+        let board = &self.observations.board;
+        let (told, reached) = board.news(now, marks, subscriber, MAX_TOLD_BYTES);
+        reply.observations = told;
+        reply.failure_mark = reached.failure;
+        reply.load_mark = reached.load;
+    }
+
+    /// Figures, and room for more.
+    pub(super) fn keep_observations(&mut self, now: Time) {
+        let relay = &mut self.observations;
+        relay.board.forget_old(now);
+        relay.sharing.set_state(now, &self.directory, &self.metrics);
+        let figures = [
+            ("observations_kept", relay.board.len() as u64),
+            ("observations_pushed_out", relay.board.dropped()),
+        ];
+        for (name, value) in figures {
+            self.metrics.set(name, value);
+        }
+    }
+}
--- a/crates/server/src/storage/process.rs
+++ b/crates/server/src/storage/process.rs
@@ -37,6 +37,7 @@
 use super::leader_work::LeaderWork;
 use super::member_news::MemberNews;
 use super::memory::MemoryWatch;
+use super::observations::ObservationRelay;
 use super::opening::{open_crashes, open_ends, open_log, own_member};
 use super::pressure::{Pressure, Room};
 use super::registration::{self, Founding};
@@ -110,6 +111,8 @@
     pub asked_ends: AskedEnds,
     pub ends_file: EndsFile,
     pub crashes: CrashSharing,
+    /// What was seen of engines here and elsewhere.
+    pub observations: ObservationRelay,
     pub dispatcher: Dispatcher,
     pub coordinator: Option<VersionCoordinator>,
     pub group: Group,
@@ -226,6 +229,7 @@
         let group = Group::new(voters_for(settings.tolerated_losses));
         let commands = Rc::new(AppliedCommands(log_file.source()));
         let member_news = MemberNews::new(now, &settings);
+        let observations = ObservationRelay::new(&settings);
         let process = Self {
             dispatcher: Dispatcher::new(Box::new(move || reader_codec.event_reader())),
             settings,
@@ -240,6 +244,7 @@
             asked_ends,
             ends_file,
             crashes: CrashSharing::new(now, crash_file),
+            observations,
             coordinator: None,
             group,
             configuration: Configuration::default(),
@@ -364,6 +369,7 @@
         }
         self.pump()?;
         self.answer_waiting(now);
+        self.share_observations(now);
         self.publish(now);
         self.share_crashes(now);
         self.housekeeping(now)?;
--- a/crates/server/src/storage/publishing.rs
+++ b/crates/server/src/storage/publishing.rs
@@ -1,6 +1,7 @@
 //! Tells other machines what this one has read of the object store.
 
 use peatgrade_mirror::Published;
+use peatgrade_observations::BoardMarks;
 use peatgrade_schema::replication::mod_ReplicaMessage::OneOfbody;
 use peatgrade_schema::replication::{MirrorReply, MirrorRequest};
 use peatgrade_types::Time;
@@ -15,6 +16,7 @@
             self.metrics.count("link_renewed");
         }
         self.follow_versions_for(now, &request);
+        self.on_subscriber_observations(now, address, &request);
         self.publisher.ask(now, address, request);
     }
 
@@ -33,7 +35,7 @@
             true => Vec::new(),
             false => self.directory.quarantine.records(now),
         };
-        let reply = MirrorReply {
+        let mut reply = MirrorReply {
             call: published.call,
             held: published.held.0,
             kinds: published.kinds,
@@ -42,8 +44,11 @@
             leader_address: self.replica.leader_address().unwrap_or("").to_string(),
             crash_digest,
             crashes,
-            observations: Vec::new(),
+            ..MirrorReply::default()
         };
+        let (failure, load) = published.observation_marks;
+        let marks = BoardMarks { failure, load };
+        self.add_observations(now, marks, &published.address, &mut reply);
         self.reply_lightly(&published.address, OneOfbody::mirror_reply(reply));
     }
 }
--- a/crates/server/src/storage/replication.rs
+++ b/crates/server/src/storage/replication.rs
@@ -45,6 +45,7 @@
             OneOfbody::crash_report(report) => {
                 self.on_crash_report(now, &message.from_address, &report);
             }
+            OneOfbody::engine_observations(told) => self.on_member_observations(now, &told),
             OneOfbody::usage_batch(batch) => {
                 self.on_usage_batch(now, &message.from_address, batch);
             }
--- a/crates/server/src/storage/traffic.rs
+++ b/crates/server/src/storage/traffic.rs
@@ -81,6 +81,7 @@
         OneOfbody::job_reply(_) => "job_results",
         OneOfbody::job_call(_) => "job_call",
         OneOfbody::crash_report(_) => "crash_report",
+        OneOfbody::engine_observations(_) => "observations",
         _ => "membership",
     }
 }
