--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -21,4 +21,4 @@
 pub use order_history::{OrderHistory, OrderRules};
 pub use outlook::Outlook;
 pub use told::{StandingChange, TakenObservations};
-pub use two_choices::{choose_of_two, WeighedEngine};
+pub use two_choices::choose_of_two;
--- a/crates/fleet/tests/two_choices.rs
+++ b/crates/fleet/tests/two_choices.rs
@@ -1,6 +1,6 @@
 //! Many machines that know the same of engines do not all go to the same one.
 
-use peatgrade_fleet::{choose_of_two, Outlook, WeighedEngine};
+use peatgrade_fleet::{choose_of_two, Outlook};
 use peatgrade_types::Duration;
 
 const GATEWAYS: usize = 60;
@@ -27,19 +27,10 @@
     [first, second]
 }
 
-fn weighed(engines: &[Outlook]) -> Vec<WeighedEngine> {
-    let weigh = |outlook: &Outlook| {
-        let expected = outlook.expected_answer().0 as f64;
-        WeighedEngine::new(outlook, expected)
-    };
-    engines.iter().map(weigh).collect()
-}
-
 fn chosen(engines: &[Outlook]) -> Vec<usize> {
-    let engines = weighed(engines);
     let mut counts = vec![0; engines.len()];
     for machine in 0..GATEWAYS {
-        let choice = choose_of_two(&engines, draws(machine)).expect("there are engines");
+        let choice = choose_of_two(engines, draws(machine)).expect("there are engines");
         counts[choice] += 1;
     }
     counts
--- a/crates/forward/src/choice.rs
+++ b/crates/forward/src/choice.rs
@@ -1,6 +1,6 @@
 //! Choice of an engine for a request.
 
-use peatgrade_fleet::{choose_of_two, EngineDirectory, EngineState, WeighedEngine};
+use peatgrade_fleet::{EngineDirectory, EngineState};
 use peatgrade_ports::Instance;
 use peatgrade_types::Time;
 
@@ -13,37 +13,42 @@
 /// while, and nobody is served by all requests waiting there.
 const FURTHER_BEHIND_FACTOR: f64 = 2.0;
 
-/// Time that counts for an answer from another zone.
-const AWAY: f64 = 2_000.0;
-
-/// An engine that the request has not met: the better of two that are drawn by expected
-/// time, old weights counting as slow. One that is avoided only if there is no other.
+/// The engine with the shortest expected time that the request has not met, old
+/// weights counting as slow; one that is avoided only if there is no other.
 pub(crate) fn choose(
     now: Time,
     directory: &EngineDirectory,
     forward: &Forward,
     zone: &str,
-    draws: [f64; 2],
 ) -> Option<Instance> {
     let fresh = directory
         .serving(&forward.service)
         .filter(|state| !forward.tried.contains(&state.record.instance));
-    let fresh: Vec<&EngineState> = fresh.collect();
     let model = forward.request.model.as_str();
     let versions = directory
         .serving(&forward.service)
         .map(|state| state.version(model));
     let newest = versions.max().unwrap_or(0);
-    let weigh = |state: &&EngineState| {
-        let outlook = state.outlook(now);
+    let key = |state: &EngineState| {
         let behind = newest - state.version(model);
-        let away = if state.record.zone == zone { 0.0 } else { AWAY };
-        let expected = outlook.expected_answer().0 as f64 + away;
-        WeighedEngine::new(&outlook, expected * staleness_factor(behind))
+        let avoided = state.experience.blocked(now);
+        let occupied = f64::from(state.experience.occupied(now) + 1);
+        let slots = f64::from(state.record.slots.max(1));
+        let usual = state.experience.latency.max(1_000.0);
+        let waiting = (occupied / slots).max(1.0);
+        let away = if state.record.zone == zone {
+            0.0
+        } else {
+            2_000.0
+        };
+        let expected = usual * waiting + usual * 0.2 * occupied + away;
+        (avoided, expected * staleness_factor(behind))
     };
-    let weighed: Vec<WeighedEngine> = fresh.iter().map(weigh).collect();
-    let chosen = choose_of_two(&weighed, draws)?;
-    Some(fresh[chosen].record.instance.clone())
+    let best = fresh.min_by(|a, b| {
+        let (a, b) = (key(a), key(b));
+        a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
+    });
+    best.map(|state| state.record.instance.clone())
 }
 
 /// How much slower an engine counts for weights so many versions behind.
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -212,8 +212,7 @@
             return self.refuse_convicted(now, call, directory, actions);
         }
         let spent = forward.sends >= forward.max_attempts || forward.refusals >= MAX_REFUSALS;
-        let draws = [self.random.random(), self.random.random()];
-        let chosen = choose(now, directory, forward, &self.zone, draws).filter(|_| !spent);
+        let chosen = choose(now, directory, forward, &self.zone).filter(|_| !spent);
         let allowed = chosen
             .clone()
             .filter(|engine| may_risk(now, directory, forward, engine));
