--- a/crates/fleet/src/experience.rs
+++ b/crates/fleet/src/experience.rs
@@ -46,6 +46,8 @@
     pub heard: Time,
     /// Nobody listened at its address, and nothing came from it since.
     pub is_unreachable: bool,
+    /// New connections to it in a row that did not come up in time.
+    pub unconnected: u32,
 }
 
 impl Experience {
@@ -55,6 +57,7 @@
         self.silences = 0;
         self.blocked_until = Time(0);
         self.is_unreachable = false;
+        self.unconnected = 0;
         self.heard = now;
         self.latency = mean(self.latency, took.0 as f64, LATENCY_WEIGHT);
     }
@@ -64,6 +67,7 @@
         self.failures = 0;
         self.silences = 0;
         self.is_unreachable = false;
+        self.unconnected = 0;
         self.heard = now;
         self.usual.add(now, span, count, USUAL_FADE);
         self.recent.add(now, span, count, RECENT_FADE);
@@ -114,6 +118,18 @@
         self.silences >= SILENCES_THAT_COUNT
     }
 
+    /// Takes note of a connection that did not come up in time. Others may reach it.
+    pub fn did_not_connect(&mut self, now: Time) {
+        self.unconnected += 1;
+        self.failed(now);
+    }
+
+    /// Takes note of another engine that answered a request first which this one had
+    /// before: it may be slow with this request only, so it does not count as a failure.
+    pub fn overtaken(&mut self, now: Time) {
+        self.refused(now, FIRST_BLOCK);
+    }
+
     /// Takes note of a refusal: it is full, not broken.
     pub fn refused(&mut self, now: Time, span: Duration) {
         self.blocked_until = self.blocked_until.max(now + span);
--- a/crates/server/src/gateway_process/mod.rs
+++ b/crates/server/src/gateway_process/mod.rs
@@ -26,6 +26,7 @@
 mod stopping;
 mod usage;
 
+pub(crate) use actions::in_micros;
 use crashes::CrashExchange;
 use news::{new_subscriber, FoundMachines, MachineSearch};
 use observations::ObservationExchange;
@@ -161,8 +162,7 @@
         let process = Self {
             gateway: Gateway::new(
                 GatewaySettings {
-                    zone: settings.zone.clone(),
-                    seed,
+                    forwarding: settings.forwarding(seed),
                     // Leaves room for as many calls above it.
                     first_call: u64::from(rand::random::<u32>()) << 31,
                     keys_believed_for: settings.keys_believed_for(),
@@ -180,7 +180,7 @@
             found_machines,
             settings,
             codec,
-            client: HttpClient::new(parts),
+            client: HttpClient::telling_opened(parts),
             link,
             store,
             calls: BTreeMap::new(),
@@ -298,6 +298,7 @@
         if matches!(part, ResponsePart::End | ResponsePart::Failed(_)) {
             self.requests.remove(&id);
         }
+        self.hear_opened();
         let actions = self.gateway.on_part(steady_now(), id, part);
         self.carry_out(actions);
     }
@@ -350,6 +351,7 @@
         for instance in self.gateway.directory.drop_lapsed(now) {
             log::info!("belief=engine-gone instance={instance} reason=not-back");
         }
+        self.hear_opened();
         let actions = self.gateway.tick(now);
         self.carry_out(actions);
         self.share_crashes(now);
@@ -382,6 +384,10 @@
         self.metrics.set("usage_unacknowledged", untold);
         self.metrics.set("ready", u64::from(self.ready()));
         self.set_observation_state(now);
+        let counts = self.gateway.forward_counts();
+        for (name, value) in counts.figures() {
+            self.metrics.set(name, value);
+        }
         for (name, value) in self.gateway.directory.quarantine.figures() {
             self.metrics.set(name, value);
         }
