--- a/scripts/planted-breaks.sh
+++ b/scripts/planted-breaks.sh
@@ -294,4 +294,26 @@
 plant "what was read last is dropped at a stop" crates/server/src/gateway_process/stopping.rs \
     "(in_flight == 0 || stopping >= last_moment)" "true" peatgrade-server stopping
 
+O=crates/observations/src
+plant "one report makes an engine avoided" $O/told.rs "const SURE: usize = 2;" \
+    "const SURE: usize = 1;" peatgrade-observations told
+plant "reports of an earlier life are believed" $O/told.rs \
+    "told.started == life || told.started.is_none() || life.is_none()" "true" \
+    peatgrade-observations earlier_life
+plant "what was seen here does not outweigh reports" $O/told.rs \
+    "believed.filter(|told| told.seen > own.heard)" "believed.filter(|_| true)" \
+    peatgrade-observations outweighs
+plant "refuted sources are believed" $O/credibility.rs \
+    "*refuted >= LEAST_REFUTED && refuted * 2 > *all" "false && refuted > all" \
+    peatgrade-fleet refuted
+plant "a machine with a bad link tells failures" crates/fleet/src/told.rs \
+    "observation.speaks_against() && distrusts_link" "false && distrusts_link" \
+    peatgrade-fleet tells_no_failure
+plant "observations without a byte limit" $O/outbox.rs "if bytes > max_bytes {" "if false {" \
+    peatgrade-observations bounded
+plant "ages do not grow on the way" $O/wire.rs "age: now.since(observation.seen).0," "age: 0," \
+    peatgrade-observations ages_travel
+plant "all go to the best engine" crates/fleet/src/two_choices.rs \
+    "self.expected.recip()" "self.expected.powi(-40)" peatgrade-fleet run_over
+
 exit $unnoticed
