--- a/crates/fleet/src/told.rs
+++ b/crates/fleet/src/told.rs
@@ -6,9 +6,14 @@
 };
 use peatgrade_ports::Instance;
 use peatgrade_types::{Duration, Time};
+use std::collections::BTreeMap;
 
 use crate::directory::{EngineDirectory, EngineState};
 
+/// An engine whose answers or events take this much longer than the median of its service
+/// is slow enough to be told of: with two engines in three much alike, requests go elsewhere.
+const SLOW_FACTOR: f64 = 1.5;
+
 /// A change of what is believed of an engine, through what others told.
 #[derive(Clone, Debug, PartialEq)]
 pub struct StandingChange {
@@ -74,6 +79,58 @@
     }
 }
 
+/// Median times of the engines of each service, as seen here.
+struct UsualTimes {
+    answers: BTreeMap<String, f64>,
+    paces: BTreeMap<String, f64>,
+}
+
+impl UsualTimes {
+    fn of(directory: &EngineDirectory) -> Self {
+        let answer = |state: &EngineState| state.experience.latency;
+        let pace = |state: &EngineState| state.experience.pace().unwrap_or(0.0);
+        Self {
+            answers: medians(directory, answer),
+            paces: medians(directory, pace),
+        }
+    }
+
+    /// Leaves out times that are as on most engines. Told of each engine, they drew all
+    /// gateways to whichever was fastest by a millisecond, away from engines to which they
+    /// had connections: 1,735 new ones on a day, 1,450 with nothing told.
+    fn leave_out(&self, service: &str, observation: &mut Observation) {
+        let is_slow = |time: f64, medians: &BTreeMap<String, f64>| {
+            let median = medians.get(service);
+            median.is_some_and(|median| time >= median * SLOW_FACTOR)
+        };
+        let answer = observation.usual_answer;
+        observation.usual_answer = answer.filter(|answer| is_slow(answer.0 as f64, &self.answers));
+        observation.pace = observation.pace.filter(|pace| is_slow(*pace, &self.paces));
+    }
+}
+
+fn medians(
+    directory: &EngineDirectory,
+    time: impl Fn(&EngineState) -> f64,
+) -> BTreeMap<String, f64> {
+    let mut services: BTreeMap<&str, Vec<f64>> = BTreeMap::new();
+    for state in directory.iter() {
+        let time = time(state);
+        if time > 0.0 {
+            services
+                .entry(&state.record.service)
+                .or_default()
+                .push(time);
+        }
+    }
+    let medians = services.into_iter().map(|(service, mut times)| {
+        let middle = times.len() / 2;
+        let (_, median, _) = times.select_nth_unstable_by(middle, f64::total_cmp);
+        (service.to_string(), *median)
+    });
+    medians.collect()
+}
+
 impl EngineDirectory {
     /// What this machine has to tell now. Failures are left out while it sees nearly all
     /// engines fail that it tried: then its own link is more likely at fault.
@@ -86,14 +143,16 @@
         teller.keep(|engine| self.get(engine).is_some());
         let distrusts_link = self.distrusts_own_link(now);
         let since = teller.looked_at(now);
+        let usual = UsualTimes::of(self);
         let mut told = Vec::new();
         // With 3,000 engines most have shown nothing since the last look. One that another
         // machine accused meanwhile may have answered here before.
         let is_due = |state: &&EngineState| state.seen_after(since) || !state.told.is_empty();
         for state in self.iter().filter(is_due) {
-            let Some(observation) = state.observation(now, source) else {
+            let Some(mut observation) = state.observation(now, source) else {
                 continue;
             };
+            usual.leave_out(&state.record.service, &mut observation);
             if observation.speaks_against() && distrusts_link {
                 continue;
             }
