--- a/crates/mirror/tests/publisher.rs
+++ b/crates/mirror/tests/publisher.rs
@@ -473,3 +473,28 @@
         .iter()
         .all(|key| !contains(key.as_bytes())));
 }
+
+/// News that an engine fails does not wait as long as a request may be held, and costs no
+/// subscriber more than five replies a second.
+#[test]
+fn a_failure_of_an_engine_is_told_early_but_not_at_once() {
+    let mut publisher = publisher();
+    publisher.set_newest_failure(8);
+    let told_up_to = |mark| MirrorRequest {
+        failure_mark: mark,
+        ..request(10, 10)
+    };
+    let (mut now, mut replies) = (1_100, 0);
+    publisher.ask(ms(now), SUBSCRIBER, told_up_to(7));
+    while now < 2_100 {
+        now += 10;
+        if !publisher.due(ms(now)).is_empty() {
+            replies += 1;
+            // It was lost: the subscriber asks again as before.
+            publisher.ask(ms(now), SUBSCRIBER, told_up_to(7));
+        }
+    }
+    assert_eq!(replies, 5);
+    publisher.ask(ms(now), SUBSCRIBER, told_up_to(8));
+    assert!(publisher.due(ms(now + 490)).is_empty(), "it is known there");
+}
--- a/crates/server/src/observations.rs
+++ b/crates/server/src/observations.rs
@@ -110,3 +110,7 @@
 fn count(metrics: &Metrics, event: &str, number: u64) {
     metrics.events.with_label_values(&[event]).inc_by(number);
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/observations.rs"]
+mod tests;
