Choice: the better of two drawn engines where loads come from others

Cause: machines that were told of one free engine all take it. Change: only where the outlook of a candidate has a load that others told. Tests with 60 gateways told the same: one free engine of ten is preferred and not run over; engines that two machines saw fail are left alone, and no request is refused for what was only told.

--- a/crates/fleet/src/outlook.rs
+++ b/crates/fleet/src/outlook.rs
@@ -39,6 +39,8 @@
     /// Usual time between two events of a generation, in microseconds; none before a few
     /// were seen.
     pub pace: Option<f64>,
+    /// Whether its load is what others told: many machines know the same of it.
+    pub has_told_load: bool,
     /// Age of the newest failure that others told and that counts; none if there is none.
     pub told_failure_age: Option<Duration>,
 }
@@ -69,7 +71,7 @@
     pub fn outlook(&self, now: Time) -> Outlook {
         let experience = &self.experience;
         let told = self.told_belief(now);
-        let load = self.newest_load(now, &told);
+        let (load, is_told) = self.newest_load(now, &told);
         let told_occupied = load.map_or(0, |load| load.running + load.waiting);
         let slowdown = load.and_then(|load| load.slowdown_percent);
         let seen_answer = Some(experience.latency as u64).filter(|latency| *latency > 0);
@@ -83,6 +85,7 @@
             slowdown: slowdown.map_or(1.0, |percent| f64::from(percent) / 100.0),
             usual_answer: seen_answer.map(Duration).or(told.usual_answer),
             pace: experience.pace().or(told.pace),
+            has_told_load: is_told,
             told_failure_age: told.failure_age,
         }
     }
@@ -101,13 +104,16 @@
         }
     }
 
-    /// The newer of what the engine told here and what it told others.
-    fn newest_load(&self, now: Time, told: &ToldBelief) -> Option<EngineLoad> {
+    /// The newer of what the engine told here and what it told others, and whether it is
+    /// the latter.
+    fn newest_load(&self, now: Time, told: &ToldBelief) -> (Option<EngineLoad>, bool) {
         let own = self.experience.load.map(|(at, _)| at);
         let own_load = self.experience.told_load(now);
         match told.load {
-            Some((at, load)) if own_load.is_none() || own.is_some_and(|own| at > own) => Some(load),
-            _ => own_load,
+            Some((at, load)) if own_load.is_none() || own.is_some_and(|own| at > own) => {
+                (Some(load), true)
+            }
+            _ => (own_load, false),
         }
     }
 }
--- a/crates/fleet/src/two_choices.rs
+++ b/crates/fleet/src/two_choices.rs
@@ -27,6 +27,7 @@
 enum Rank {
     Sound,
     Doubted,
+    Unproven,
     Avoided,
 }
 
@@ -38,15 +39,27 @@
             (true, true) => Rank::Doubted,
             (false, _) => Rank::Avoided,
         };
-        let expected = expected.max(LEAST_EXPECTED.0 as f64);
         Self { rank, expected }
     }
 
+    /// The same, after all others that are not avoided if nothing shows that it listens.
+    pub fn unproven(self, is_unproven: bool) -> Self {
+        let least = if is_unproven {
+            Rank::Unproven
+        } else {
+            Rank::Sound
+        };
+        Self {
+            rank: self.rank.max(least),
+            ..self
+        }
+    }
+
     /// Chance to be drawn, relative to others: an engine twice as fast is drawn twice as
     /// often, and is the better of most pairs besides. So one free engine among ten gets 27
     /// of 60 requests (counted in a test); with the square of that it got 43.
     fn weight(&self) -> f64 {
-        self.expected.recip()
+        self.expected.max(LEAST_EXPECTED.0 as f64).recip()
     }
 }
 
--- a/crates/fleet/tests/two_choices.rs
+++ b/crates/fleet/tests/two_choices.rs
@@ -15,6 +15,7 @@
         slowdown: 1.0,
         usual_answer: Some(Duration::from_millis(usual_ms)),
         pace: None,
+        has_told_load: false,
         told_failure_age: None,
     }
 }
--- a/crates/forward/src/choice.rs
+++ b/crates/forward/src/choice.rs
@@ -1,6 +1,6 @@
 //! Choice of an engine for a request.
 
-use peatgrade_fleet::{EngineDirectory, EngineState, Outlook};
+use peatgrade_fleet::{choose_of_two, EngineDirectory, EngineState, Outlook, WeighedEngine};
 use peatgrade_ports::Instance;
 use peatgrade_types::{Duration, Time};
 use rand::rngs::SmallRng;
@@ -56,19 +56,29 @@
     }
 
     /// The engine with the shortest expected time, old weights counting as slow, drawn
-    /// among equals; one that is avoided only if there is no other.
+    /// among equals; one that is avoided only if there is no other. Where others told of
+    /// loads it is the better of two that are drawn.
     pub fn best(&self, random: &mut SmallRng) -> Option<Instance> {
         let model = self.forward.request.model.as_str();
         let serving = self.directory.serving(&self.forward.service);
         let newest = serving.map(|state| state.version(model)).max().unwrap_or(0);
         let untried = self.mean_answer();
-        let mut best: Option<(Rank, &EngineState)> = None;
-        for state in self.candidates() {
-            let outlook = state.outlook(self.now);
-            let outlook = Outlook {
-                usual_answer: outlook.usual_answer.or(Some(untried)),
-                ..outlook
+        let candidates: Vec<(&EngineState, Outlook)> = self
+            .candidates()
+            .map(|state| (state, with_usual(state.outlook(self.now), untried)))
+            .collect();
+        // Where loads come from others, all machines know the same free engine.
+        if candidates.iter().any(|(_, outlook)| outlook.has_told_load) {
+            let weigh = |(state, outlook): &(&EngineState, Outlook)| {
+                let expected = self.expected(state, outlook, newest - state.version(model));
+                WeighedEngine::new(outlook, expected).unproven(self.is_unproven(state))
             };
+            let weighed: Vec<WeighedEngine> = candidates.iter().map(weigh).collect();
+            let chosen = choose_of_two(&weighed, [random.random(), random.random()])?;
+            return Some(candidates[chosen].0.record.instance.clone());
+        }
+        let mut best: Option<(Rank, &EngineState)> = None;
+        for (state, outlook) in candidates {
             let rank = Rank {
                 is_avoided: outlook.is_avoided,
                 is_unproven: self.is_unproven(state),
@@ -117,6 +127,14 @@
     }
 }
 
+/// An outlook in which an engine that was not tried answers in the time of the others.
+fn with_usual(outlook: Outlook, untried: Duration) -> Outlook {
+    Outlook {
+        usual_answer: outlook.usual_answer.or(Some(untried)),
+        ..outlook
+    }
+}
+
 /// Where an engine stands among those that a request may go to.
 struct Rank {
     is_avoided: bool,
--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -4,6 +4,7 @@
 mod scene;
 mod suspects;
 mod tenants;
+mod told;
 
 use bytes::Bytes;
 use peatgrade_forward::CallId;
