--- a/crates/forward/src/choice.rs
+++ b/crates/forward/src/choice.rs
@@ -56,8 +56,8 @@
     }
 
     /// The engine with the shortest expected time, old weights counting as slow, drawn
-    /// among equals; one that is avoided only if there is no other. Where others told of
-    /// loads it is the better of two that are drawn.
+    /// among equals; one that is avoided only if there is no other. Where others told that
+    /// most engines are full it is the better of two that are drawn.
     pub fn best(&self, random: &mut SmallRng) -> Option<Instance> {
         let model = self.forward.request.model.as_str();
         let serving = self.directory.serving(&self.forward.service);
@@ -67,8 +67,7 @@
             .candidates()
             .map(|state| (state, with_usual(state.outlook(self.now), untried)))
             .collect();
-        // Where loads come from others, all machines know the same free engine.
-        if candidates.iter().any(|(_, outlook)| outlook.has_told_load) {
+        if few_are_free(&candidates) {
             let weigh = |(state, outlook): &(&EngineState, Outlook)| {
                 let expected = self.expected(state, outlook, newest - state.version(model));
                 WeighedEngine::new(outlook, expected).unproven(self.is_unproven(state))
@@ -127,6 +126,14 @@
     }
 }
 
+/// Whether others told of most engines that they are full: then all machines know the same
+/// few free ones, and would go there together.
+fn few_are_free(candidates: &[(&EngineState, Outlook)]) -> bool {
+    let outlooks = candidates.iter().map(|(_, outlook)| outlook);
+    let told_full = outlooks.filter(|outlook| outlook.has_told_load && outlook.free_places() == 0);
+    told_full.count() * 2 > candidates.len()
+}
+
 /// An outlook in which an engine that was not tried answers in the time of the others.
 fn with_usual(outlook: Outlook, untried: Duration) -> Outlook {
     Outlook {
