--- a/crates/forward/src/choice.rs
+++ b/crates/forward/src/choice.rs
@@ -1,6 +1,6 @@
 //! Choice of an engine for a request.
 
-use peatgrade_fleet::{EngineDirectory, EngineState, Outlook};
+use peatgrade_fleet::{choose_of_two, EngineDirectory, EngineState, Outlook, WeighedEngine};
 use peatgrade_ports::Instance;
 use peatgrade_types::{Duration, Time};
 use rand::rngs::SmallRng;
@@ -58,19 +58,28 @@
     }
 
     /// The engine with the shortest expected time, old weights counting as slow, drawn
-    /// among equals; one that is avoided only if there is no other.
+    /// among equals; one that is avoided only if there is no other. Where others told that
+    /// most engines are full it is the better of two that are drawn.
     pub fn best(&self, random: &mut SmallRng) -> Option<Instance> {
         let model = self.forward.request.model.as_str();
         let serving = self.directory.serving(&self.forward.service);
         let newest = serving.map(|state| state.version(model)).max().unwrap_or(0);
         let untried = self.mean_answer();
-        let mut best: Option<(Rank, &EngineState)> = None;
-        for state in self.candidates() {
-            let outlook = state.outlook(self.now);
-            let outlook = Outlook {
-                usual_answer: outlook.usual_answer.or(Some(untried)),
-                ..outlook
+        let candidates: Vec<(&EngineState, Outlook)> = self
+            .candidates()
+            .map(|state| (state, with_usual(state.outlook(self.now), untried)))
+            .collect();
+        if few_are_free(&candidates) {
+            let weigh = |(state, outlook): &(&EngineState, Outlook)| {
+                let expected = self.expected(state, outlook, newest - state.version(model));
+                WeighedEngine::new(outlook, expected).unproven(self.is_unproven(state))
             };
+            let weighed: Vec<WeighedEngine> = candidates.iter().map(weigh).collect();
+            let chosen = choose_of_two(&weighed, [random.random(), random.random()])?;
+            return Some(candidates[chosen].0.record.instance.clone());
+        }
+        let mut best: Option<(Rank, &EngineState)> = None;
+        for (state, outlook) in candidates {
             let rank = Rank {
                 is_avoided: outlook.is_avoided,
                 is_unproven: self.is_unproven(state),
@@ -119,6 +128,22 @@
     }
 }
 
+/// Whether others told of most engines that they are full: then all machines know the same
+/// few free ones, and would go there together.
+fn few_are_free(candidates: &[(&EngineState, Outlook)]) -> bool {
+    let outlooks = candidates.iter().map(|(_, outlook)| outlook);
+    let told_full = outlooks.filter(|outlook| outlook.has_told_load && outlook.free_places() == 0);
+    told_full.count() * 2 > candidates.len()
+}
+
+/// An outlook in which an engine that was not tried answers in the time of the others.
+fn with_usual(outlook: Outlook, untried: Duration) -> Outlook {
+    Outlook {
+        usual_answer: outlook.usual_answer.or(Some(untried)),
+        ..outlook
+    }
+}
+
 /// Where an engine stands among those that a request may go to.
 struct Rank {
     is_avoided: bool,
--- a/crates/forward/src/timers.rs
+++ b/crates/forward/src/timers.rs
@@ -132,11 +132,24 @@
         });
         for call in silent {
             if self.may_copy(now, call, Copy::Hedge) {
+                self.note_silence(now, call, directory);
                 self.dispatch(now, call, directory, actions);
             }
         }
     }
 
+    /// The engine that a request waits for has not answered in time.
+    fn note_silence(&mut self, now: Time, call: CallId, directory: &mut EngineDirectory) {
+        let open = self
+            .calls
+            .get(&call)
+            .and_then(|forward| forward.open.last());
+        let attempt = open.and_then(|id| self.attempts.get(id));
+        if let Some(state) = attempt.and_then(|attempt| directory.get_mut(&attempt.instance)) {
+            state.experience.left_unanswered(now);
+        }
+    }
+
     /// Whether the budget has a copy for this request. One that gets none as a hedge asks
     /// again when as much time has passed as it has waited for.
     pub(crate) fn may_copy(&mut self, now: Time, call: CallId, copy: Copy) -> bool {
--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -5,6 +5,7 @@
 mod scene;
 mod suspects;
 mod tenants;
+mod told;
 
 use bytes::Bytes;
 use peatgrade_forward::CallId;
--- a/crates/server/src/gateway_process/figures.rs
+++ b/crates/server/src/gateway_process/figures.rs
@@ -29,6 +29,7 @@
         self.metrics.set("usage_unacknowledged", untold);
         self.metrics.set("ready", u64::from(self.ready()));
         self.note_caller_bytes();
+        self.set_observation_state(now);
         let counts = self.gateway.forward_counts();
         let quarantine = self.gateway.directory.quarantine.figures();
         for (name, value) in counts.figures().into_iter().chain(quarantine) {
--- a/crates/server/src/gateway_process/mod.rs
+++ b/crates/server/src/gateway_process/mod.rs
@@ -25,12 +25,14 @@
 mod crashes;
 mod figures;
 mod news;
+mod observations;
 mod stopping;
 mod usage;
 
 pub(crate) use actions::in_micros;
 use crashes::CrashExchange;
 use news::{new_subscriber, FoundMachines, MachineSearch};
+use observations::ObservationExchange;
 use usage::GatewayUsage;
 
 use crate::clock::{steady_now, suspended_time};
@@ -117,6 +119,8 @@
     /// Members of the group, as far as known.
     replicas: Vec<String>,
     crashes: CrashExchange,
+    /// What was seen of engines here and elsewhere.
+    observations: ObservationExchange,
     /// What tenants have used.
     usage: GatewayUsage,
     found_machines: UnboundedSender<FoundMachines>,
@@ -182,6 +186,7 @@
             search: MachineSearch::new(steady_now()),
             replicas: Vec::new(),
             crashes: CrashExchange::default(),
+            observations: ObservationExchange::new(&settings),
             usage: GatewayUsage::new(settings.usage_window_ms > 0),
             found_machines,
             settings,
@@ -325,6 +330,7 @@
                 let now = steady_now();
                 self.usage.leader_told(&reply.leader_address);
                 self.exchange_crashes(now, &message.from_address, &reply);
+                self.take_observations(now, &reply);
                 self.on_mirror_reply(now, reply);
             }
             OneOfbody::usage_ack(ack) => self.usage.acknowledged(&ack),
--- a/crates/server/src/settings.rs
+++ b/crates/server/src/settings.rs
@@ -85,6 +85,9 @@
     /// reported.
     #[serde(default)]
     pub duty_address: String,
+    /// Whether what is seen of engines is told to others, and what others tell believed.
+    #[serde(default = "default_share_observations")]
+    pub share_observations: bool,
     /// Whether a single request that no engine can serve in time is rejected before it is
     /// sent to any.
     #[serde(default = "default_reject_unservable")]
@@ -137,6 +140,11 @@
     10_000
 }
 
+/// On: a deployment whose engines are well tells next to nothing.
+fn default_share_observations() -> bool {
+    true
+}
+
 fn default_reject_unservable() -> bool {
     true
 }
@@ -246,7 +254,12 @@
         keep!(name, zone, front_address, ready_address, peer_address);
         keep!(metrics_address, data_folder, tolerated_losses);
         keep!(disk_limit_mb, memory_limit_mb, usage_window_ms);
-        keep!(keys_believed_ms, reject_unservable, copies_percent);
+        keep!(
+            keys_believed_ms,
+            reject_unservable,
+            copies_percent,
+            share_observations
+        );
         keep!(
             contact_ms,
             config_apply_ms,
--- a/scripts/planted-breaks.sh
+++ b/scripts/planted-breaks.sh
@@ -385,4 +385,26 @@
     "(!directory.is_over(engine, *life)).then_some(engine)" \
     "(directory.len() > 0 || life == life).then_some(engine)" peatgrade-jobs restarts
 
+O=crates/observations/src
+plant "one report makes an engine avoided" $O/told.rs "const SURE: usize = 2;" \
+    "const SURE: usize = 1;" peatgrade-observations told
+plant "reports of an earlier life are believed" $O/told.rs \
+    "told.started == life || told.started.is_none() || life.is_none()" "true" \
+    peatgrade-observations earlier_life
+plant "what was seen here does not outweigh reports" $O/told.rs \
+    "believed.filter(|told| told.seen > own.heard)" "believed.filter(|_| true)" \
+    peatgrade-observations outweighs
+plant "refuted sources are believed" $O/credibility.rs \
+    "*refuted >= LEAST_REFUTED && refuted * 2 > *all" "false && refuted > all" \
+    peatgrade-fleet refuted
+plant "a machine with a bad link tells failures" crates/fleet/src/told.rs \
+    "observation.speaks_against() && distrusts_link" "false && distrusts_link" \
+    peatgrade-fleet tells_no_failure
+plant "observations without a byte limit" $O/outbox.rs "if bytes > max_bytes {" "if false {" \
+    peatgrade-observations bounded
+plant "ages do not grow on the way" $O/wire.rs "age: now.since(observation.seen).0," "age: 0," \
+    peatgrade-observations ages_travel
+plant "all go to the best engine" crates/fleet/src/two_choices.rs \
+    "self.expected.recip()" "self.expected.powi(-40)" peatgrade-fleet run_over
+
 exit $unnoticed
