--- a/crates/gateway/src/relay/answers.rs
+++ b/crates/gateway/src/relay/answers.rs
@@ -9,8 +9,8 @@
 
 use super::pending::Pending;
 
-/// When a caller may come back with a job for which there was no room: jobs are
-/// dropped as they grow old.
+/// When a caller may come back with a job for which there was no room, if the leader cannot
+/// tell: jobs are dropped as they grow old.
 const COME_BACK_NO_ROOM: Duration = Duration::from_millis(1_000);
 
 /// What a caller is told whose call nobody has answered.
@@ -50,7 +50,7 @@
         JobStatus::NO_ROOM => refused(
             Refusal::NotRun,
             "no room for another batch job",
-            Some(COME_BACK_NO_ROOM),
+            Some(room_expected_after(&reply)),
         ),
         // Something may have been written: promise nothing for a submission.
         _ if matches!(body, OneOfbody::submit(_)) => {
@@ -60,6 +60,14 @@
     }
 }
 
+/// When there may be room for a job that was refused.
+fn room_expected_after(reply: &JobReply) -> Duration {
+    match reply.retry_after_ms {
+        0 => COME_BACK_NO_ROOM,
+        millis => Duration::from_millis(millis),
+    }
+}
+
 fn results(reply: JobReply) -> Answer {
     let next = reply.position + reply.results.len() as u64;
     let listed = reply.results.into_iter().map(|result| ListedItem {
--- a/crates/jobs/src/dispatcher/mod.rs
+++ b/crates/jobs/src/dispatcher/mod.rs
@@ -12,6 +12,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 
+mod admission;
 mod answers;
 mod moving;
 mod order;
@@ -170,6 +171,11 @@
         }
     }
 
+    /// Whether groups are planned to be whole in time.
+    fn is_planned(&self) -> bool {
+        self.order == ItemOrder::GroupsInTime
+    }
+
     /// Items without a result.
     pub fn open_items(&self) -> usize {
         self.items.len()
--- a/crates/jobs/src/dispatcher/planning.rs
+++ b/crates/jobs/src/dispatcher/planning.rs
@@ -27,7 +27,7 @@
     }
 
     /// Whether a service's batch work has different ranks.
-    fn is_ranked(&mut self, service: &str, configuration: &Configuration) -> bool {
+    pub fn is_ranked(&mut self, service: &str, configuration: &Configuration) -> bool {
         if self.ranked.0 != configuration.version {
             self.ranked = (configuration.version, ranked_services(configuration));
         }
@@ -136,7 +136,7 @@
     }
 
     /// Expected time to the end of an item's text.
-    fn time_left(&self, item: &OpenItem, service: &str) -> Option<Duration> {
+    pub(super) fn time_left(&self, item: &OpenItem, service: &str) -> Option<Duration> {
         let pace = self.medians.get(service)?;
         let lengths = self.lengths.get(&item.spec.model)?;
         let made = item.text.events.len();
@@ -236,7 +236,7 @@
 }
 
 /// Places of a service's engines that take work.
-fn places_of(now: Time, service: &str, directory: &EngineDirectory) -> u32 {
+pub(super) fn places_of(now: Time, service: &str, directory: &EngineDirectory) -> u32 {
     let engines = directory.serving(service);
     let sound = engines.filter(|state| !state.record.draining && !state.experience.blocked(now));
     sound.map(|state| state.record.slots.max(1)).sum()
--- a/crates/jobs/tests/dispatch/mod.rs
+++ b/crates/jobs/tests/dispatch/mod.rs
@@ -182,6 +182,32 @@
         self.submit_items(job, 1, items);
     }
 
+    /// Submits a step on the routes under `path`: groups of items with an expected length
+    /// each, of which its trainer waits for `desired`.
+    pub fn submit_step(&mut self, job: &str, path: &str, desired: u64, groups: &[Vec<u64>]) {
+        let mut items = Vec::new();
+        for (group, lengths) in groups.iter().enumerate() {
+            items.extend(lengths.iter().enumerate().map(|(index, length)| JobItem {
+                path: format!("{path}x"),
+                group: format!("{job}-{group}"),
+                length_hint: *length,
+                ..item(&format!("{job}-{group}-{index}"))
+            }));
+        }
+        self.apply(OneOfbody::accept(AcceptJob {
+            job: job.into(),
+            host: "h".into(),
+            path: path.into(),
+            model: "m".into(),
+            min_version: 1,
+            desired,
+            items,
+            ..AcceptJob::default()
+        }));
+        self.dispatcher
+            .open_job(self.now, job, &self.store, &self.configuration);
+    }
+
     fn submit_items(&mut self, job: &str, min_version: u64, items: Vec<JobItem>) {
         self.apply(OneOfbody::accept(AcceptJob {
             job: job.into(),
--- a/crates/jobs/tests/dispatcher.rs
+++ b/crates/jobs/tests/dispatcher.rs
@@ -4,6 +4,7 @@
 mod pace;
 mod queue;
 mod scale;
+mod scarcity;
 mod scoring;
 mod single_version;
 mod suspects;
--- a/crates/scheduling/src/lib.rs
+++ b/crates/scheduling/src/lib.rs
@@ -18,6 +18,6 @@
 
 pub use admission::{admit, Admission, Submission};
 pub use estimates::LengthEstimate;
-pub use order::{arrange, ItemOrder, WaitingItem};
+pub use order::{arrange, floor_of, ItemOrder, WaitingItem};
 pub use plan::{plan, Group, Room, Standing, Step};
 pub use shares::max_min_shares;
--- a/crates/scheduling/src/order.rs
+++ b/crates/scheduling/src/order.rs
@@ -71,10 +71,12 @@
         let item = &items[*index];
         let group = &groups[item.group];
         let step = &steps[group.step];
+        let standing = standings[item.group];
+        let sets_the_pace = item.is_long && standing <= Standing::Late;
         (
             !item.is_begun,
-            standings[item.group],
-            !item.is_long,
+            !sets_the_pace,
+            standing,
             step.rank,
             over_share[step.sharer],
             step.due,
@@ -106,6 +108,11 @@
         .collect()
 }
 
+/// Places that each of `sharers` with waiting items has in any case.
+pub fn floor_of(places: u32, sharers: usize) -> u32 {
+    (places * FLOOR_PERCENT / 100 / sharers.max(1) as u32).max(1)
+}
+
 /// Puts the first items of each sharer that has less than its floor before all others.
 fn lift_floors(
     places: u32,
@@ -120,7 +127,7 @@
     for index in &order {
         lacking.entry(sharer_of(index)).or_insert(0);
     }
-    let floor = (places * FLOOR_PERCENT / 100 / lacking.len().max(1) as u32).max(1);
+    let floor = floor_of(places, lacking.len());
     for (sharer, lacks) in &mut lacking {
         *lacks = floor.saturating_sub(running[*sharer]);
     }
--- a/crates/scheduling/tests/scheduling.rs
+++ b/crates/scheduling/tests/scheduling.rs
@@ -182,7 +182,9 @@
 #[rstest]
 #[case::fits(20_000, 10_000, 0.0, true)]
 #[case::fits_with_luck(20_000, 4_000, 0.5, true)]
+#[case::fits_in_the_places_of_its_floor(20_000, 8_000, 0.0, true)]
 #[case::cannot_fit(20_000, 2_000, 0.0, false)]
+#[case::cannot_fit_with_luck(20_000, 2_000, 0.5, false)]
 fn only_what_cannot_be_made_is_refused(
     #[case] work_ahead_ms: u64,
     #[case] until_last_ms: u64,
@@ -192,7 +194,9 @@
     let submission = Submission {
         places: 4,
         work_ahead: ms(work_ahead_ms),
-        shortest_group: ms(1_000),
+        floor: 1,
+        group_work: ms(7_000),
+        longest: ms(1_000),
         until_last: ms(until_last_ms),
         error,
     };
@@ -211,6 +215,21 @@
     assert_eq!(admit(&none_known), Admission::Accepted);
 }
 
+#[test]
+fn who_is_refused_does_not_come_back_at_once() {
+    let submission = Submission {
+        places: 4,
+        work_ahead: ms(4_010),
+        floor: 1,
+        group_work: ms(9_000),
+        longest: ms(1_000),
+        until_last: ms(2_000),
+        error: 0.0,
+    };
+    let retry_after = ms(200);
+    assert_eq!(admit(&submission), Admission::Refused { retry_after });
+}
+
 #[test]
 fn orders_have_names() {
     for order in [ItemOrder::Arrival, ItemOrder::GroupsInTime] {
--- a/crates/server/src/storage/calls.rs
+++ b/crates/server/src/storage/calls.rs
@@ -2,6 +2,7 @@
 
 use peatgrade_jobs::{EndRequest, Job};
 use peatgrade_replication::ReplicaId;
+use peatgrade_scheduling::Admission;
 use peatgrade_schema::encode;
 use peatgrade_schema::replication::mod_JobCall::OneOfbody as CallBody;
 use peatgrade_schema::replication::mod_JobCommand::OneOfbody as CommandBody;
@@ -178,6 +179,11 @@
                 self.metrics.count("job_refused");
                 return self.reply_status(&caller, JobStatus::NO_ROOM);
             }
+            let admission = self.admission_of(now, &submit);
+            if let Admission::Refused { retry_after } = admission {
+                self.metrics.count("job_refused_no_time");
+                return self.refuse_job(&caller, retry_after);
+            }
             log::info!(
                 "decision=accept job={job} tenant={} items={} step={} model={} min_version={} desired={}",
                 submit.tenant,
@@ -197,6 +203,26 @@
         self.calls.submits.entry(job).or_default().push(caller);
     }
 
+    /// Whether a job that is handed in can be of any use.
+    fn admission_of(&mut self, now: Time, submit: &AcceptJob) -> Admission {
+        let (configuration, directory) = (&self.configuration, &self.directory);
+        self.dispatcher
+            .admission_of(now, submit, configuration, directory)
+    }
+
+    /// Refuses a job until there may be room.
+    fn refuse_job(&mut self, caller: &Caller, retry_after: Duration) {
+        let reply = JobReply {
+            call: caller.call,
+            status: JobStatus::NO_ROOM,
+            retry_after_ms: retry_after.as_millis(),
+            leader_address: self.replica.leader_address().unwrap_or("").to_string(),
+            near_address: self.near_replica(&caller.address),
+            ..JobReply::default()
+        };
+        self.reply(&caller.address, OneOfbody::job_reply(reply));
+    }
+
     fn on_read(&mut self, now: Time, caller: Caller, read: ReadJob) {
         let Some(job) = self.job_of(&read.job, &caller.tenant) else {
             return self.reply_status(&caller, JobStatus::UNKNOWN_JOB);
