--- a/crates/gateway/tests/relay.rs
+++ b/crates/gateway/tests/relay.rs
@@ -43,6 +43,21 @@
     (relay, call)
 }
 
+#[test]
+fn a_refused_job_may_come_back_when_the_leader_expects_room() {
+    let mut actions = Vec::new();
+    let (mut relay, call) = started(&mut actions);
+    let reply = JobReply {
+        retry_after_ms: 4_300,
+        ..no_room(call)
+    };
+    let answer = relay.on_reply(Time(1_000), LEADER, reply, &mut actions);
+    let Some((_, Answer::Refused { retry_after, .. })) = answer else {
+        panic!("{answer:?}");
+    };
+    assert_eq!(retry_after, Some(Duration::from_millis(4_300)));
+}
+
 #[test]
 fn a_job_without_room_has_not_run_and_may_come_back() {
     let mut actions = Vec::new();
--- a/crates/jobs/src/dispatcher/admission.rs
+++ b/crates/jobs/src/dispatcher/admission.rs
@@ -59,7 +59,7 @@
         let tenants = &configuration.tenants;
         let rank = tenants.priority_of(&job.tenant, route.priority);
         let pace = *self.medians.get(service)?;
-        let lengths = self.lengths.get(&job.model)?;
+        let lengths = self.lengths.of(&job.model)?;
         let mut groups: HashMap<&str, (f64, f64)> = HashMap::new();
         for item in &job.items {
             let time = lengths.expected_events(item.length_hint)? * pace;
--- a/crates/jobs/src/dispatcher/answers.rs
+++ b/crates/jobs/src/dispatcher/answers.rs
@@ -182,8 +182,8 @@
         };
         item.run = None;
         item.text.whole = true;
-        let lengths = self.lengths.entry(item.spec.model.clone()).or_default();
-        lengths.finished(item.item().length_hint, item.text.events.len());
+        let (hint, events) = (item.item().length_hint, item.text.events.len());
+        self.lengths.finished(&item.spec.model, hint, events);
         log::info!(
             "decision=complete item={} job={} engine={} events={} versions={:?} runs={} hint={} age_ms={} run_ms={} run_events={}",
             item.item().id,
--- a/crates/jobs/src/dispatcher/mod.rs
+++ b/crates/jobs/src/dispatcher/mod.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use peatgrade_fleet::EngineDirectory;
 use peatgrade_ports::{AnswerHead, Configuration, EngineCall, EventReader, Instance};
-use peatgrade_scheduling::{ItemOrder, LengthEstimate};
+use peatgrade_scheduling::{ItemOrder, Lengths};
 use peatgrade_schema::replication::{
     ItemProgress, ItemResult, KeepProgress, ListResults, ProgressEvent,
 };
@@ -23,6 +23,7 @@
 mod suspects;
 mod takeover;
 
+pub use planning::PlannedGroups;
 pub use scoring::{ScoreCall, ScoreOutcome};
 pub use suspects::RunRequest;
 
@@ -125,7 +126,7 @@
     /// Engines that run items of each group.
     companions: HashMap<GroupKey, Vec<Instance>>,
     /// Lengths of texts by model.
-    lengths: HashMap<String, LengthEstimate>,
+    lengths: Lengths,
     plans: planning::Plans,
     reader: Box<dyn Fn() -> Box<dyn EventReader>>,
     actions: Vec<DispatchAction>,
@@ -156,7 +157,7 @@
             queue: WaitingQueue::default(),
             returned: Vec::new(),
             companions: HashMap::new(),
-            lengths: HashMap::new(),
+            lengths: Lengths::default(),
             plans: planning::Plans::default(),
             reader,
             actions: Vec::new(),
@@ -197,6 +198,16 @@
         self.has_backlog
     }
 
+    /// Groups of the last plan that can be whole in time, and those that cannot.
+    pub fn planned_groups(&self) -> PlannedGroups {
+        self.plans.groups()
+    }
+
+    /// How far lengths of texts are from what was expected, as a share of it.
+    pub fn length_error(&self) -> f64 {
+        self.lengths.error()
+    }
+
     /// Items whose text is whole and has no score.
     pub fn unscored_items(&self) -> usize {
         self.unscored.len()
@@ -255,6 +266,9 @@
         self.items.clear();
         self.listings.clear();
         self.queue.clear();
+        self.long_from.clear();
+        self.group_counts.clear();
+        self.plans = planning::Plans::default();
         self.returned.clear();
         self.has_backlog = false;
     }
--- a/crates/jobs/src/dispatcher/planning.rs
+++ b/crates/jobs/src/dispatcher/planning.rs
@@ -17,11 +17,25 @@
 pub(super) struct Plans {
     /// Services whose batch routes or tenants have different ranks, as of a configuration.
     ranked: (u64, BTreeSet<String>),
+    groups: PlannedGroups,
     /// Whether all groups that a job's trainer waits for could be whole in time.
     fits: HashMap<Rc<str>, bool>,
 }
 
+/// Groups of a plan that trainers wait for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PlannedGroups {
+    /// Those that can be whole in time.
+    pub in_time: usize,
+    /// Those that will come late, or may be given up before.
+    pub late: usize,
+}
+
 impl Plans {
+    pub fn groups(&self) -> PlannedGroups {
+        self.groups
+    }
+
     pub fn forget(&mut self, job: &Rc<str>) {
         self.fits.remove(job);
     }
@@ -112,6 +126,7 @@
             inputs.add(key, item, step, left, self.is_expected_long(key, item));
         }
         let mut order = Vec::new();
+        plans.groups = PlannedGroups::default();
         for (service, mut inputs) in services {
             inputs.set_wanted(&self.group_counts);
             let places = places_of(now, service, directory);
@@ -138,7 +153,7 @@
     /// Expected time to the end of an item's text.
     pub(super) fn time_left(&self, item: &OpenItem, service: &str) -> Option<Duration> {
         let pace = self.medians.get(service)?;
-        let lengths = self.lengths.get(&item.spec.model)?;
+        let lengths = self.lengths.of(&item.spec.model)?;
         let made = item.text.events.len();
         let events = lengths.events_left(item.item().length_hint, made)?;
         Some(Duration((events * pace) as u64))
@@ -269,7 +284,10 @@
             *counts.entry(*standing).or_insert(0) += 1;
         }
         let count = |standing| counts.get(&standing).copied().unwrap_or(0);
-        let (late, hopeless) = (count(Standing::Late), count(Standing::Hopeless));
+        let late = count(Standing::CatchUp) + count(Standing::Late);
+        let hopeless = count(Standing::Hopeless);
+        plans.groups.in_time += count(Standing::InTime);
+        plans.groups.late += late + hopeless;
         let fits = late + hopeless == 0;
         let job = &inputs.step_jobs[position];
         let before = plans.fits.insert(job.clone(), fits);
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -31,7 +31,7 @@
 
 pub use asked_ends::{AskedEnds, EndRequest};
 pub use dispatcher::{
-    DispatchAction, Dispatcher, RunId, RunPart, RunRequest, ScoreCall, ScoreOutcome,
+    DispatchAction, Dispatcher, PlannedGroups, RunId, RunPart, RunRequest, ScoreCall, ScoreOutcome,
 };
 pub use item::ItemKey;
 pub use job::{Earlier, Failures, Job, StoredResult};
--- a/crates/scheduling/src/estimates.rs
+++ b/crates/scheduling/src/estimates.rs
@@ -1,5 +1,7 @@
 //! Expected lengths of texts, from those that were finished.
 
+use std::collections::HashMap;
+
 /// Weight of what was seen before when another text is finished: about the last 100 count.
 const FADE: f64 = 0.99;
 /// Events per unit of a hint are known from so many texts on: before that one long text
@@ -9,6 +11,9 @@
 /// lengths of texts have a heavy tail, so the longer one is, the more is still to come.
 const OUTGROWN_SHARE: f64 = 0.25;
 
+/// Models whose lengths are kept: more than any service has.
+const MAX_MODELS: usize = 256;
+
 /// How many events a text has for each unit of the length that its caller expects, and how
 /// far off single texts are.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -53,3 +58,34 @@
         }
     }
 }
+
+/// Lengths of texts by model.
+#[derive(Clone, Debug, Default)]
+pub struct Lengths(HashMap<String, LengthEstimate>);
+
+impl Lengths {
+    /// Takes note of a finished text. Beyond as many models as are kept, one more stays
+    /// unknown.
+    pub fn finished(&mut self, model: &str, hint: u64, events: usize) {
+        if let Some(estimate) = self.0.get_mut(model) {
+            return estimate.finished(hint, events);
+        }
+        if self.0.len() < MAX_MODELS {
+            let mut estimate = LengthEstimate::default();
+            estimate.finished(hint, events);
+            self.0.insert(model.to_string(), estimate);
+        }
+    }
+
+    /// What is known of a model's texts.
+    pub fn of(&self, model: &str) -> Option<&LengthEstimate> {
+        self.0.get(model)
+    }
+
+    /// How far single texts are from what was expected, as a share of it: the largest of
+    /// all models.
+    pub fn error(&self) -> f64 {
+        let errors = self.0.values().map(LengthEstimate::error);
+        errors.fold(0.0, f64::max)
+    }
+}
--- a/crates/scheduling/src/lib.rs
+++ b/crates/scheduling/src/lib.rs
@@ -17,7 +17,7 @@
 mod shares;
 
 pub use admission::{admit, Admission, Submission};
-pub use estimates::LengthEstimate;
+pub use estimates::{LengthEstimate, Lengths};
 pub use order::{arrange, floor_of, ItemOrder, WaitingItem};
 pub use plan::{plan, Group, Room, Standing, Step};
 pub use shares::max_min_shares;
--- a/crates/scheduling/src/order.rs
+++ b/crates/scheduling/src/order.rs
@@ -76,8 +76,9 @@
         (
             !item.is_begun,
             !sets_the_pace,
-            standing,
+            standing.max(Standing::InTime),
             step.rank,
+            standing,
             over_share[step.sharer],
             step.due,
             group.missing,
--- a/crates/scheduling/src/plan.rs
+++ b/crates/scheduling/src/plan.rs
@@ -55,6 +55,9 @@
 /// What a group can still be of use for.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
 pub enum Standing {
+    /// It is wanted and will come late, and can be made first at nobody's cost: until its
+    /// step is whole its trainer stands still.
+    CatchUp,
     /// It is wanted and can be whole in time.
     InTime,
     /// It is wanted and will come late.
@@ -79,7 +82,7 @@
         (step.rank, step.due, groups[*index].waiting_work)
     });
     let mut planned = Planned::new(now, room);
-    for index in wanted {
+    for index in wanted.iter().copied() {
         let group = &groups[index];
         let step = &steps[group.step];
         let end = now + group.longest;
@@ -92,6 +95,14 @@
     for index in planned.indices() {
         standings[index] = Standing::InTime;
     }
+    // The step that stands still the longest first, and of it what takes the least.
+    wanted.retain(|index| standings[*index] == Standing::Late);
+    wanted.sort_by_key(|index| (steps[groups[*index].step].due, groups[*index].waiting_work));
+    for index in wanted {
+        if planned.add_first(groups[index].waiting_work) {
+            standings[index] = Standing::CatchUp;
+        }
+    }
     standings
 }
 
@@ -179,6 +190,17 @@
         None
     }
 
+    /// Puts work before all groups, if that makes none of them late.
+    fn add_first(&mut self, work: Duration) -> bool {
+        let busy = self.busy;
+        self.busy += work.0;
+        let fits = self.first_late(0).is_none();
+        if !fits {
+            self.busy = busy;
+        }
+        fits
+    }
+
     fn indices(&self) -> impl Iterator<Item = usize> + '_ {
         self.groups.iter().map(|group| group.index)
     }
--- a/crates/server/src/storage/housekeeping.rs
+++ b/crates/server/src/storage/housekeeping.rs
@@ -102,6 +102,16 @@
             ("link_sent_bytes", self.link.sent_bytes().0),
             ("link_sent_wire_bytes", self.link.sent_bytes().1),
             ("link_messages_dropped", self.link.dropped()),
+            ("items_visited", self.dispatcher.items_visited()),
+            (
+                "groups_in_time",
+                self.dispatcher.planned_groups().in_time as u64,
+            ),
+            ("groups_late", self.dispatcher.planned_groups().late as u64),
+            (
+                "length_error_percent",
+                (self.dispatcher.length_error() * 100.0) as u64,
+            ),
             ("engines_weighed", self.dispatcher.engines_weighed()),
             ("item_runs", self.dispatcher.running() as u64),
             ("configuration_version", self.configuration.version),
--- a/crates/server/src/storage/leadership.rs
+++ b/crates/server/src/storage/leadership.rs
@@ -166,6 +166,9 @@
             self.dispatcher.set_order(self.settings.item_order());
             self.dispatcher
                 .poll(now, &self.configuration, &mut self.directory);
+            if self.dispatcher.has_backlog() {
+                self.metrics.count("look_cut_short");
+            }
             let actions = self.dispatcher.take_actions();
             self.carry_out_dispatch(actions);
             self.tick_scores(now);
--- a/crates/server/tests/unit/settings.rs
+++ b/crates/server/tests/unit/settings.rs
@@ -116,3 +116,18 @@
     std::fs::remove_file(&path).unwrap();
     assert_eq!(settings.unwrap().usage_window_ms, 0);
 }
+
+#[rstest]
+#[case::none_named("", Some(ItemOrder::GroupsInTime))]
+#[case::named("item_order = \"arrival\"", Some(ItemOrder::Arrival))]
+#[case::unknown("item_order = \"random\"", None)]
+fn the_order_of_items_can_be_set(#[case] line: &str, #[case] expected: Option<ItemOrder>) {
+    let text = format!("{GATEWAY}\ndata_folder = \"/tmp\"\n{line}\n");
+    let path = write(&format!("order-{}", line.len()), &text);
+    let settings = ServerSettings::load(&path, ServerRole::Storage);
+    std::fs::remove_file(&path).unwrap();
+    match expected {
+        Some(order) => assert_eq!(settings.unwrap().item_order(), order),
+        None => assert!(settings.unwrap_err().to_string().contains("item_order")),
+    }
+}
