--- a/crates/jobs/src/dispatcher/planning.rs
+++ b/crates/jobs/src/dispatcher/planning.rs
@@ -12,14 +12,18 @@
 use super::Dispatcher;
 use crate::item::{ItemKey, OpenItem};
 
+/// Least time between two lines about the plan of one job.
+const TELL_EVERY: Duration = Duration::from_secs(1);
+
 /// What is known of plans beyond one order.
 #[derive(Debug, Default)]
 pub(super) struct Plans {
     /// Services whose batch routes or tenants have different ranks, as of a configuration.
     ranked: (u64, BTreeSet<String>),
     groups: PlannedGroups,
-    /// Whether all groups that a job's trainer waits for could be whole in time.
-    fits: HashMap<Rc<str>, bool>,
+    /// Whether all groups that a job's trainer waits for could be whole in time, as told
+    /// last, and when that was.
+    told: HashMap<Rc<str>, (bool, Time)>,
 }
 
 /// Groups of a plan that trainers wait for.
@@ -37,7 +41,19 @@
     }
 
     pub fn forget(&mut self, job: &Rc<str>) {
-        self.fits.remove(job);
+        self.told.remove(job);
+    }
+
+    /// Whether it is to be told that all groups of a job fit or do not: once a change, and
+    /// not more often than a reader follows.
+    fn is_news(&mut self, now: Time, job: &Rc<str>, fits: bool) -> bool {
+        let told = self.told.get(job).copied();
+        let (before, at) = told.unwrap_or((true, Time(0)));
+        let is_news = before != fits && (told.is_none() || now.since(at) >= TELL_EVERY);
+        if is_news {
+            self.told.insert(job.clone(), (fits, now));
+        }
+        is_news
     }
 
     /// Whether a service's batch work has different ranks.
@@ -291,8 +307,7 @@
         plans.groups.late += late + hopeless;
         let fits = late + hopeless == 0;
         let job = &inputs.step_jobs[position];
-        let before = plans.fits.insert(job.clone(), fits);
-        if before.unwrap_or(true) != fits {
+        if plans.is_news(now, job, fits) {
             log::info!(
                 "decision=order job={job} rank={} due_in_ms={} in_time={} late={late} surplus={} hopeless={hopeless} places={} busy_ms={}",
                 step.rank,
@@ -305,3 +320,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/planning.rs"]
+mod tests;
--- /dev/null
+++ b/crates/jobs/tests/unit/planning.rs
@@ -0,0 +1,15 @@
+//! What is told of plans.
+
+use super::*;
+
+#[test]
+fn a_plan_that_changes_all_the_time_is_told_once_a_second() {
+    let mut plans = Plans::default();
+    let job: Rc<str> = Rc::from("j");
+    let at = |millis| Time(1_000_000) + Duration::from_millis(millis);
+    assert!(!plans.is_news(at(0), &job, true), "what fits is no news");
+    let told = (0..30).filter(|tick| plans.is_news(at(tick * 100), &job, tick % 2 == 1));
+    assert_eq!(told.count(), 3);
+    plans.forget(&job);
+    assert!(plans.told.is_empty());
+}
