--- a/crates/jobs/src/dispatcher/answers.rs
+++ b/crates/jobs/src/dispatcher/answers.rs
@@ -126,6 +126,7 @@
         };
         item.run = None;
         item.avoid = Some((run.instance.clone(), run.life));
+        self.returned.push(key.clone());
         let route = configuration.route(&item.spec.host, &item.item().path);
         let max_attempts = route.map_or(1, |route| route.max_attempts);
         let refused = head.not_run || head.misdirected || head.status == 503 || head.status == 429;
@@ -192,6 +193,8 @@
         };
         item.run = None;
         item.text.whole = true;
+        let (hint, events) = (item.item().length_hint, item.text.events.len());
+        self.lengths.finished(&item.spec.model, hint, events);
         log::info!(
             "decision=complete item={} job={} engine={} events={} versions={:?} runs={} hint={} age_ms={} run_ms={} run_events={}",
             item.item().id,
@@ -244,5 +247,6 @@
         item.run = None;
         item.avoid = Some((run.instance, run.life));
         item.not_before = now + FAILED_WAIT;
+        self.returned.push(run.key);
     }
 }
--- a/crates/jobs/src/dispatcher/mod.rs
+++ b/crates/jobs/src/dispatcher/mod.rs
@@ -2,32 +2,39 @@
 
 use bytes::Bytes;
 use peatgrade_fleet::EngineDirectory;
-use peatgrade_ports::{AnswerHead, Configuration, EngineCall, EventReader};
+use peatgrade_ports::{AnswerHead, Configuration, EngineCall, EventReader, Instance};
+use peatgrade_scheduling::{ItemOrder, Lengths};
 use peatgrade_schema::replication::{
     ItemProgress, ItemResult, KeepProgress, ListResults, ProgressEvent,
 };
 use peatgrade_types::{Duration, Time};
+use std::cell::Cell;
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 
+mod admission;
 mod answers;
 mod moving;
 mod order;
+mod planning;
+mod queue;
 mod restarts;
 mod scoring;
 mod starting;
 mod suspects;
 mod takeover;
 
+pub use planning::PlannedGroups;
 pub use scoring::{ScoreCall, ScoreOutcome};
 pub use suspects::RunRequest;
 
-use crate::item::{ItemKey, OpenItem};
+use crate::item::{GroupKey, ItemKey, OpenItem};
 use crate::kept_texts::KeptTexts;
 use crate::listing::{Finished, JobListing};
 use crate::scores::{ScoreId, ScoreQueue};
 use crate::store::JobStore;
 use crate::streams::Run;
+use queue::WaitingQueue;
 
 /// Names a run of an item.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
@@ -109,8 +116,21 @@
     has_backlog: bool,
     /// Engines weighed for items since the start.
     weighed: u64,
+    /// Items and runs visited by looks since the start.
+    visited: Cell<u64>,
     /// Expected length from which on an item of a job counts as long.
     long_from: HashMap<Rc<str>, u64>,
+    /// Groups of each open job.
+    group_counts: HashMap<Rc<str>, usize>,
+    order: ItemOrder,
+    queue: WaitingQueue,
+    /// Items that wait for an engine again since the last look.
+    returned: Vec<ItemKey>,
+    /// Engines that run items of each group.
+    companions: HashMap<GroupKey, Vec<Instance>>,
+    /// Lengths of texts by model.
+    lengths: Lengths,
+    plans: planning::Plans,
     reader: Box<dyn Fn() -> Box<dyn EventReader>>,
     actions: Vec<DispatchAction>,
 }
@@ -134,12 +154,33 @@
             full_look_at: Time(0),
             has_backlog: false,
             weighed: 0,
+            visited: Cell::new(0),
             long_from: HashMap::new(),
+            group_counts: HashMap::new(),
+            order: ItemOrder::default(),
+            queue: WaitingQueue::default(),
+            returned: Vec::new(),
+            companions: HashMap::new(),
+            lengths: Lengths::default(),
+            plans: planning::Plans::default(),
             reader,
             actions: Vec::new(),
         }
     }
 
+    /// Orders waiting items in this way from now on.
+    pub fn set_order(&mut self, order: ItemOrder) {
+        if self.order != order {
+            self.order = order;
+            self.queue.outdate();
+        }
+    }
+
+    /// Whether groups are planned to be whole in time.
+    fn is_planned(&self) -> bool {
+        self.order == ItemOrder::GroupsInTime
+    }
+
     /// Items without a result.
     pub fn open_items(&self) -> usize {
         self.items.len()
@@ -161,6 +202,16 @@
         self.has_backlog
     }
 
+    /// Groups of the last plan that can be whole in time, and those that cannot.
+    pub fn planned_groups(&self) -> PlannedGroups {
+        self.plans.groups()
+    }
+
+    /// How far lengths of texts are from what was expected, as a share of it.
+    pub fn length_error(&self) -> f64 {
+        self.lengths.error()
+    }
+
     /// Items whose text is whole and has no score.
     pub fn unscored_items(&self) -> usize {
         self.unscored.len()
@@ -176,6 +227,15 @@
         self.weighed
     }
 
+    /// Items and runs visited by looks since the start: what looks cost beside choices.
+    pub fn items_visited(&self) -> u64 {
+        self.visited.get()
+    }
+
+    pub(super) fn visit(&self, count: usize) {
+        self.visited.set(self.visited.get() + count as u64);
+    }
+
     /// Stops all work for a job that is ended.
     pub fn end_job(&mut self, now: Time, id: &str, directory: &mut EngineDirectory) {
         let name: Rc<str> = Rc::from(id);
@@ -186,6 +246,8 @@
             .collect();
         self.listings.remove(&name);
         self.long_from.remove(&name);
+        self.group_counts.remove(&name);
+        self.plans.forget(&name);
         for key in keys {
             self.break_off(&key, directory);
             self.drop_score(&key);
@@ -207,6 +269,11 @@
         }
         self.items.clear();
         self.listings.clear();
+        self.queue.clear();
+        self.long_from.clear();
+        self.group_counts.clear();
+        self.plans = planning::Plans::default();
+        self.returned.clear();
         self.has_backlog = false;
     }
 
@@ -243,6 +310,7 @@
     /// leader goes on from there.
     fn keep_progress(&mut self) {
         let mut jobs: BTreeMap<Rc<str>, Vec<ItemProgress>> = BTreeMap::new();
+        self.visit(self.items.len());
         for (key, item) in &mut self.items {
             if !item.is_record_due(PROGRESS_EVENTS) {
                 continue;
@@ -287,16 +355,33 @@
         };
         if let Some(id) = item.run.take() {
             self.actions.push(DispatchAction::Cancel(id));
+            self.returned.push(key.clone());
             self.forget_run(id, directory);
         }
     }
 
     fn forget_run(&mut self, id: RunId, directory: &mut EngineDirectory) -> Option<Run> {
         let run = self.runs.remove(&id)?;
+        self.forget_companion(&run);
         directory.end_request(&run.instance, run.life);
         Some(run)
     }
 
+    fn forget_companion(&mut self, run: &Run) {
+        let Some(group) = &run.group else {
+            return;
+        };
+        let Some(engines) = self.companions.get_mut(group) else {
+            return;
+        };
+        if let Some(position) = engines.iter().position(|engine| *engine == run.instance) {
+            engines.swap_remove(position);
+        }
+        if engines.is_empty() {
+            self.companions.remove(group);
+        }
+    }
+
     fn give_up(&mut self, key: &ItemKey, reason: &str) {
         let Some(item) = self.items.get_mut(key) else {
             return;
--- a/crates/jobs/src/streams.rs
+++ b/crates/jobs/src/streams.rs
@@ -4,12 +4,15 @@
 use peatgrade_ports::{AnswerHead, EventReader, GenerationEvent, Instance};
 use peatgrade_types::Time;
 
-use crate::item::{ItemKey, OpenItem};
+use crate::item::{GroupKey, ItemKey, OpenItem};
 use crate::text::TextEvent;
 
 /// A run under way.
 pub(crate) struct Run {
     pub key: ItemKey,
+    /// Its group, if it has one.
+    pub group: Option<GroupKey>,
+    /// The engine.
     pub instance: Instance,
     /// The life of the engine in which it began.
     pub life: Incarnation,
--- a/crates/jobs/tests/dispatcher.rs
+++ b/crates/jobs/tests/dispatcher.rs
@@ -5,6 +5,7 @@
 mod queue;
 mod restarts;
 mod scale;
+mod scarcity;
 mod scoring;
 mod single_version;
 mod suspects;
--- a/crates/server/src/settings.rs
+++ b/crates/server/src/settings.rs
@@ -2,6 +2,7 @@
 
 use peatgrade_forward::ForwarderSettings;
 use peatgrade_mirror::MirrorTiming;
+use peatgrade_scheduling::ItemOrder;
 use peatgrade_types::Duration;
 use serde::Deserialize;
 use std::path::{Path, PathBuf};
@@ -96,6 +97,11 @@
     /// first tries; 0 for no bound.
     #[serde(default = "default_copies")]
     pub copies_percent: u32,
+    /// Order in which waiting items go to engines: `groups-in-time` (by rank, and groups
+    /// that can be whole in time before others, where ranks differ) or `arrival`. Storage
+    /// only.
+    #[serde(default = "default_item_order")]
+    pub item_order: String,
     /// error, warn, info, debug or trace.
     #[serde(default = "default_level")]
     pub log_level: String,
@@ -155,6 +161,10 @@
     20
 }
 
+fn default_item_order() -> String {
+    ItemOrder::default().name().into()
+}
+
 fn default_level() -> String {
     "info".into()
 }
@@ -249,7 +259,7 @@
             )*};
         }
         take!(store_address, grace_ms, order_lease_ms, job_keep_ms);
-        take!(engines_check_fences);
+        take!(engines_check_fences, item_order);
         take!(loads_at_once, log_level, duty_address, usage_late_ms);
         keep!(name, zone, front_address, ready_address, peer_address);
         keep!(metrics_address, data_folder, tolerated_losses);
@@ -294,6 +304,11 @@
         limit.map(|limit| limit as usize * MEGABYTE / CALLER_MEMORY_DIVISOR)
     }
 
+    /// How waiting items are ordered.
+    pub fn item_order(&self) -> ItemOrder {
+        ItemOrder::from_name(&self.item_order).unwrap_or_default()
+    }
+
     /// Spans within which news of the store reach all machines.
     pub fn mirror_timing(&self) -> MirrorTiming {
         let bound_ms = self.config_apply_ms.min(self.engine_drain_ms);
@@ -315,6 +330,13 @@
             }
             ServerRole::Storage => {
                 not_empty("data_folder", &self.data_folder)?;
+                if ItemOrder::from_name(&self.item_order).is_none() {
+                    return Err(SettingsError::Field {
+                        field: "item_order",
+                        reason: "must be groups-in-time or arrival",
+                        value: self.item_order.clone(),
+                    });
+                }
                 if self.usage_window_ms > 0 {
                     is_address("duty_address", &self.duty_address)?;
                     at_least("usage_late_ms", self.usage_late_ms, LEAST_USAGE_LATE_MS)?;
--- a/crates/server/tests/unit/settings.rs
+++ b/crates/server/tests/unit/settings.rs
@@ -147,3 +147,18 @@
     assert_eq!(forwarding.rejects_unservable, rejects);
     assert_eq!(forwarding.copies_percent, copies);
 }
+
+#[rstest]
+#[case::none_named("", Some(ItemOrder::GroupsInTime))]
+#[case::named("item_order = \"arrival\"", Some(ItemOrder::Arrival))]
+#[case::unknown("item_order = \"random\"", None)]
+fn the_order_of_items_can_be_set(#[case] line: &str, #[case] expected: Option<ItemOrder>) {
+    let text = format!("{GATEWAY}\ndata_folder = \"/tmp\"\n{line}\n");
+    let path = write(&format!("order-{}", line.len()), &text);
+    let settings = ServerSettings::load(&path, ServerRole::Storage);
+    std::fs::remove_file(&path).unwrap();
+    match expected {
+        Some(order) => assert_eq!(settings.unwrap().item_order(), order),
+        None => assert!(settings.unwrap_err().to_string().contains("item_order")),
+    }
+}
