A connection is given up at the second look only; a hedge for nobody takes no budget

Cause: a process that was held up judged a connection before it had heard of it. One of 12 runs of the process test of silent connections answered 504: the second engine, which listened, was given up. Each look at a silent engine with nobody else left took one copy out of the budget. Change: see the subject. Both tests are listed as planted breaks.

--- a/crates/forward/src/dispatch.rs
+++ b/crates/forward/src/dispatch.rs
@@ -56,7 +56,12 @@
 
     /// The engine that a request is offered to, unless it has met as many as it may or
     /// none can serve it in time.
-    fn admit(&mut self, now: Time, call: CallId, directory: &EngineDirectory) -> Option<Instance> {
+    pub(crate) fn admit(
+        &mut self,
+        now: Time,
+        call: CallId,
+        directory: &EngineDirectory,
+    ) -> Option<Instance> {
         let forward = self.calls.get(&call)?;
         let is_spent = forward.sends >= forward.max_attempts
             || forward.refusals >= MAX_REFUSALS
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -37,6 +37,8 @@
     pub sent: Time,
     /// How long its connection may take to come up.
     pub connect_patience: Duration,
+    /// That time was over at the last look.
+    pub is_overdue: bool,
     /// Bytes of it may have gone out.
     pub is_open: bool,
     /// When a streamed answer began.
@@ -309,6 +311,7 @@
             life,
             sent: now,
             connect_patience,
+            is_overdue: false,
             is_open: false,
             began: None,
             head: None,
--- a/crates/forward/src/timers.rs
+++ b/crates/forward/src/timers.rs
@@ -88,11 +88,16 @@
         directory: &mut EngineDirectory,
         actions: &mut Vec<ForwardAction>,
     ) {
-        let attempts = self.attempts.iter();
-        let late = attempts.filter(|(_, attempt)| {
-            !attempt.is_open && now.since(attempt.sent) >= attempt.connect_patience
-        });
-        let mut late: Vec<HttpId> = late.map(|(id, _)| *id).collect();
+        let mut late = Vec::new();
+        for (id, attempt) in &mut self.attempts {
+            let is_over = now.since(attempt.sent) >= attempt.connect_patience;
+            // Only at the second look: a process that was held up hears in its next turn
+            // of the connections that came up meanwhile. Without, one of 12 lookups that
+            // met a silent connection gave up the good one too (real processes).
+            if !attempt.is_open && std::mem::replace(&mut attempt.is_overdue, is_over) && is_over {
+                late.push(*id);
+            }
+        }
         late.sort_unstable();
         for id in late {
             let Some(attempt) = self.attempts.get(&id) else {
@@ -131,7 +136,9 @@
                 && forward.sends < forward.max_attempts
         });
         for call in silent {
-            if self.may_copy(now, call, Copy::Hedge) {
+            // Nothing is taken out of the budget where nobody is left to be asked.
+            let has_engine = self.admit(now, call, directory).is_some();
+            if has_engine && self.may_copy(now, call, Copy::Hedge) {
                 self.dispatch(now, call, directory, actions);
             }
         }
--- a/crates/gateway/tests/scene/mod.rs
+++ b/crates/gateway/tests/scene/mod.rs
@@ -400,6 +400,12 @@
         self.carry_out(actions);
     }
 
+    /// Until a connection has not come up in time: its end is seen at the second look.
+    pub fn wait_for_connection(&mut self) {
+        self.wait(45);
+        self.wait(0);
+    }
+
     pub fn status(&self) -> Option<u16> {
         assert!(self.heads.len() <= 1, "two answers");
         self.heads.first().map(|head| head.status)
--- a/scripts/planted-breaks.sh
+++ b/scripts/planted-breaks.sh
@@ -300,6 +300,11 @@
 plant "a dark engine holds a request" $F/timers.rs \
     "now.since(attempt.sent) >= attempt.connect_patience" \
     "now.since(attempt.sent) >= Duration(1_000_000)" peatgrade-gateway lookups
+plant "a gateway that was held up gives up good connections" $F/timers.rs \
+    "std::mem::replace(&mut attempt.is_overdue, is_over) && is_over" "is_over" \
+    peatgrade-gateway lookups
+plant "a hedge takes from the budget for nobody" $F/timers.rs "if has_engine && self.may_copy" \
+    "if self.may_copy" peatgrade-gateway lookups
 plant "a dark engine uses up an attempt" $F/answers.rs "            forward.sends -= 1;
             forward.unconnected += 1;" "            forward.unconnected += 1;" peatgrade-gateway lookups
 plant "a second attempt proves nothing" $F/forwarder.rs " || forward.sends > 1," "," \
