--- a/scripts/planted-breaks.sh
+++ b/scripts/planted-breaks.sh
@@ -296,7 +296,7 @@
 
 O=crates/observations/src
 plant "one report makes an engine avoided" $O/told.rs "const SURE: usize = 2;" \
-    "const SURE: usize = 1;" peatgrade-observations told
+    "const SURE: usize = 1;" peatgrade-observations one_machine_alone
 plant "reports of an earlier life are believed" $O/told.rs \
     "told.started == life || told.started.is_none() || life.is_none()" "true" \
     peatgrade-observations earlier_life
@@ -314,6 +314,6 @@
 plant "ages do not grow on the way" $O/wire.rs "age: now.since(observation.seen).0," "age: 0," \
     peatgrade-observations ages_travel
 plant "all go to the best engine" crates/fleet/src/two_choices.rs \
-    "self.expected.recip()" "self.expected.powi(-40)" peatgrade-fleet run_over
+    "as f64).recip()" "as f64).powi(-40)" peatgrade-fleet run_over
 
 exit $unnoticed
