What others told does not make an own failure last longer

Cause: an engine counts as not listening while a connection did not come up lately and it is avoided; two machines' reports avoid it for 5 s where the own wait is 0.4 s. Change: admission goes by the own wait, and by loads and doubts of its own only. Test seen red: no engine was asked.

--- a/crates/forward/src/admission.rs
+++ b/crates/forward/src/admission.rs
@@ -42,9 +42,12 @@
         let experience = &state.experience;
         let is_silent = !outlook.is_reachable || experience.unconnected > 0;
         // What the engine said of its load lapses within a second, as it must.
-        let fresh = experience.told_load(now);
+        let is_own = !outlook.has_told_load && !outlook.is_doubted;
+        let fresh = experience.told_load(now).filter(|_| is_own);
         Self {
-            is_listening: !(is_silent && outlook.is_avoided),
+            // Nor does what others told make an own wait longer: where three engines are all
+            // that a service has, requests were rejected that an engine would have served.
+            is_listening: !(is_silent && experience.blocked(now)),
             tried_again_in: experience.blocked_until.since(now),
             answer_in: fresh.map(|_| outlook.expected_answer()),
         }
--- a/crates/gateway/tests/told/mod.rs
+++ b/crates/gateway/tests/told/mod.rs
@@ -99,3 +99,26 @@
         "{doubted:?}"
     );
 }
+
+/// No connection came up to any engine a while ago, and others still tell that all fail:
+/// the own wait is over, so the request is offered, not rejected.
+#[test]
+fn what_others_told_does_not_make_an_own_failure_last_longer() {
+    let mut scene = Scene::seeded(RouteKind::Safe, ENGINES, 1);
+    let failed_at = scene.now;
+    scene.wait(2_000);
+    for number in 0..ENGINES {
+        let engine = format!("e{number}");
+        let directory = &mut scene.gateway.directory;
+        let state = directory.get_mut(&Instance(engine.clone()));
+        let state = state.expect("listed");
+        state.experience.did_not_connect(failed_at);
+        let told = ["leader", "gateway-2"].map(|source| Observation {
+            failures: 1,
+            ..observation(&engine, source)
+        });
+        directory.take_observations(scene.now, "gateway", told);
+    }
+    scene.call();
+    assert_eq!(scene.sent.len(), 1);
+}
--- a/scripts/planted-breaks.sh
+++ b/scripts/planted-breaks.sh
@@ -313,6 +313,9 @@
     peatgrade-observations bounded
 plant "ages do not grow on the way" $O/wire.rs "age: now.since(observation.seen).0," "age: 0," \
     peatgrade-observations ages_travel
+plant "what others told rejects requests" crates/forward/src/admission.rs \
+    "is_silent && experience.blocked(now)" "is_silent && outlook.is_avoided" \
+    peatgrade-gateway own_failure_last_longer
 plant "all go to the best engine" crates/fleet/src/two_choices.rs \
     "as f64).recip()" "as f64).powi(-40)" peatgrade-fleet run_over
 
