--- a/crates/forward/src/admission.rs
+++ b/crates/forward/src/admission.rs
@@ -45,8 +45,8 @@
         let is_own = !outlook.has_told_load && !outlook.is_doubted;
         let fresh = experience.told_load(now).filter(|_| is_own);
         Self {
-            // Nor does what others told make an own wait longer: where three engines are all
-            // that a service has, requests were rejected that an engine would have served.
+            // What others told lasts for 5 s and may be false: it does not make an own wait
+            // longer, and rejects no request that an engine would serve (reasoned).
             is_listening: !(is_silent && experience.blocked(now)),
             tried_again_in: experience.blocked_until.since(now),
             answer_in: fresh.map(|_| outlook.expected_answer()),
