--- a/crates/fleet/src/outlook.rs
+++ b/crates/fleet/src/outlook.rs
@@ -77,7 +77,7 @@
         let seen_answer = Some(experience.latency as u64).filter(|latency| *latency > 0);
         let is_silent = experience.is_silent();
         Outlook {
-            is_reachable: !experience.is_unreachable,
+            is_reachable: !experience.is_unreachable && !self.is_absent(now),
             is_avoided: experience.blocked(now) || told.standing == Standing::Failing,
             is_doubted: told.standing == Standing::Doubtful || is_silent,
             occupied: experience.running.max(told_occupied),
--- a/crates/forward/src/answers.rs
+++ b/crates/forward/src/answers.rs
@@ -1,17 +1,17 @@
-//! What comes back from engines, and how a request ends.
+//! What comes back from engines.
 
 use bytes::Bytes;
 use peatgrade_fleet::EngineDirectory;
-use peatgrade_ports::{Answer, Refusal, RouteKind};
+use peatgrade_ports::RouteKind;
 use peatgrade_quarantine::ComesAgain;
 use peatgrade_types::http::{HttpFailure, HttpStep, ResponseHead, ResponsePart};
 use peatgrade_types::{Duration, Time};
 
-use crate::action::{answer_parts, whole_parts, CallId, ForwardAction, HttpId, Part};
+use crate::action::{whole_parts, CallId, ForwardAction, HttpId, Part};
 use crate::copy_budget::Copy;
-use crate::forwarder::Forwarder;
+use crate::forwarder::{Attempt, Forwarder};
 use crate::stream::PassedStream;
-use crate::suspects::{broken_stream, note_failure, BrokenRun, COME_BACK_SUSPECT};
+use crate::suspects::{note_failure, BrokenRun};
 
 /// Status of an engine that ran a request and failed.
 const ENGINE_FAILURE: u16 = 500;
@@ -53,13 +53,15 @@
         let Some(attempt) = self.attempts.get_mut(&id) else {
             return;
         };
-        if let Some(state) = directory.get_mut(&attempt.instance) {
-            state.experience.load = told.load.map(|load| (now, load));
+        let forward = self.calls.get_mut(&attempt.call);
+        let asked = forward.as_ref().map(|forward| &forward.request.id);
+        let foreign = asked.zip(told.id.as_ref()).is_some_and(|(a, b)| a != b);
+        if !foreign {
+            directory.note_head(now, &attempt.instance, attempt.life, &told, None);
         }
-        let Some(forward) = self.calls.get_mut(&attempt.call) else {
+        let Some(forward) = forward else {
             return;
         };
-        let foreign = told.id.as_ref().is_some_and(|id| *id != forward.request.id);
         let streams =
             forward.kind == RouteKind::Streaming && told.status == 200 && told.is_signed();
         if !told.not_run && !told.misdirected && !foreign {
@@ -180,7 +182,7 @@
         let call = attempt.call;
         let Some(forward) = self.calls.get_mut(&call) else {
             // The answer of an engine that another one has overtaken.
-            if let Some(state) = directory.get_mut(&attempt.instance) {
+            if let Some(state) = directory.life_mut(&attempt.instance, attempt.life) {
                 state.experience.answered(now, now.since(attempt.sent));
             }
             return;
@@ -198,7 +200,7 @@
                 told.status,
                 told.misdirected
             );
-            if let Some(state) = directory.get_mut(&attempt.instance) {
+            if let Some(state) = directory.life_mut(&attempt.instance, attempt.life) {
                 state.experience.refused(now, FULL_WAIT);
             }
             return self.dispatch(now, call, directory, actions);
@@ -207,7 +209,7 @@
         // Once a stream has begun, only more of it may follow.
         let stray = forward.stream.is_some();
         let broken = stray || told.status >= 500 || (told.status < 300 && !told.is_signed());
-        if let Some(state) = directory.get_mut(&attempt.instance) {
+        if let Some(state) = directory.life_mut(&attempt.instance, attempt.life) {
             if broken {
                 state.experience.failed(now);
             } else {
@@ -276,7 +278,7 @@
                 actions.push(ForwardAction::CancelHttp(*id));
                 self.forget(*id, directory);
             } else if other.sent < sent {
-                if let Some(state) = directory.get_mut(&other.instance) {
+                if let Some(state) = directory.life_mut(&other.instance, other.life) {
                     state.experience.overtaken(now);
                 }
             }
@@ -294,7 +296,7 @@
         let Some(attempt) = self.forget(id, directory) else {
             return;
         };
-        if let Some(state) = directory.get_mut(&attempt.instance) {
+        if let Some(state) = directory.life_mut(&attempt.instance, attempt.life) {
             match failure.step {
                 HttpStep::Connect => state.experience.did_not_connect(now),
                 _ => state.experience.failed(now),
@@ -302,11 +304,25 @@
         }
         let broken = BrokenRun {
             engine: &attempt.instance,
+            life: attempt.life,
             request: attempt.fingerprint,
             comes: ComesAgain::ToAny,
             began: attempt.began,
         };
         note_failure(now, &broken, failure, directory);
+        self.after_failure(now, id, &attempt, failure, directory, actions);
+    }
+
+    /// An attempt came to nothing: the request goes elsewhere, or ends.
+    pub(crate) fn after_failure(
+        &mut self,
+        now: Time,
+        id: HttpId,
+        attempt: &Attempt,
+        failure: &HttpFailure,
+        directory: &mut EngineDirectory,
+        actions: &mut Vec<ForwardAction>,
+    ) {
         let call = attempt.call;
         let Some(forward) = self.calls.get_mut(&call) else {
             return;
@@ -346,48 +362,4 @@
             self.end_without_answer(now, call, directory, actions);
         }
     }
-
-    /// Nothing more can be done: the final answer goes out at once.
-    pub(crate) fn end_without_answer(
-        &mut self,
-        now: Time,
-        call: CallId,
-        directory: &EngineDirectory,
-        actions: &mut Vec<ForwardAction>,
-    ) {
-        let Some(forward) = self.calls.remove(&call) else {
-            return;
-        };
-        let over = now >= forward.deadline;
-        let refusal = match (forward.may_have_run, over) {
-            (false, _) => Refusal::NotRun,
-            (true, true) => Refusal::TimedOut,
-            (true, false) => Refusal::Unknown,
-        };
-        log::info!(
-            "decision=refuse request={} fingerprint={} refusal={refusal:?} attempts={} refusals={} held_back={} held_us={}",
-            forward.request.id,
-            forward.fingerprint,
-            forward.tried.len(),
-            forward.refusals,
-            forward.held_back,
-            now.since(forward.received).0
-        );
-        if forward.stream.is_some() {
-            return actions.push(broken_stream(call, "no engine goes on with the stream"));
-        }
-        let come_back = match forward.held_back {
-            true => COME_BACK_SUSPECT,
-            false => self.come_back(now, &forward, directory),
-        };
-        let answer = Answer::Refused {
-            refusal,
-            detail: format!(
-                "no engine of the route answered, {} tried",
-                forward.tried.len()
-            ),
-            retry_after: (refusal == Refusal::NotRun).then_some(come_back),
-        };
-        actions.extend(answer_parts(self.codec.as_ref(), call, &answer));
-    }
 }
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -1,7 +1,7 @@
 //! Requests that go to an engine and back.
 
 use bytes::BytesMut;
-use peatgrade_fleet::EngineDirectory;
+use peatgrade_fleet::{EngineDirectory, Incarnation};
 use peatgrade_ports::{AnswerHead, CallerRequest, Codec, EngineCall, Instance, Route, RouteKind};
 use peatgrade_quarantine::{Fingerprint, RequestParts};
 use peatgrade_types::http::ResponseHead;
@@ -12,7 +12,7 @@
 use std::rc::Rc;
 
 use crate::action::{CallId, ForwardAction, HttpId};
-use crate::admission::RejectionRate;
+use crate::admission::{Rejection, RejectionRate};
 use crate::connect_times::ConnectTimes;
 use crate::copy_budget::CopyBudgets;
 use crate::stream::PassedStream;
@@ -32,9 +32,13 @@
     pub call: CallId,
     pub fingerprint: Fingerprint,
     pub instance: Instance,
+    /// The life of the engine in which it was sent.
+    pub life: Incarnation,
     pub sent: Time,
     /// How long its connection may take to come up.
     pub connect_patience: Duration,
+    /// That time was over at the last look.
+    pub is_overdue: bool,
     /// Bytes of it may have gone out.
     pub is_open: bool,
     /// When a streamed answer began.
@@ -61,8 +65,10 @@
     pub refusals: u32,
     /// Engines to which no connection came up.
     pub unconnected: u32,
-    /// Time until an engine may serve it, once it was rejected for that.
-    pub room_in: Option<Duration>,
+    /// Why it was not offered to one more engine.
+    pub rejection: Option<Rejection>,
+    /// The budget had no copy for it.
+    pub is_copy_denied: bool,
     pub tried: Vec<Instance>,
     pub open: Vec<HttpId>,
     pub may_have_run: bool,
@@ -138,6 +144,8 @@
     /// Engines that are asked whether they are there.
     pub(crate) checks: HashMap<HttpId, EngineCheck>,
     pub(crate) next_id: u64,
+    /// Engines that had started again when open requests were last looked through.
+    pub(crate) lives_seen: u64,
 }
 
 impl Forwarder {
@@ -156,6 +164,7 @@
             attempts: HashMap::new(),
             checks: HashMap::new(),
             next_id: 1,
+            lives_seen: 0,
         }
     }
 
@@ -204,7 +213,8 @@
             sends: 0,
             refusals: 0,
             unconnected: 0,
-            room_in: None,
+            rejection: None,
+            is_copy_denied: false,
             tried: Vec::new(),
             open: Vec::new(),
             may_have_run: false,
@@ -245,13 +255,17 @@
         actions: &mut Vec<ForwardAction>,
     ) {
         let list_age = now.since(directory.confirmed);
-        let (Some(forward), Some(state)) = (self.calls.get_mut(&call), directory.get_mut(instance))
-        else {
+        let Some(forward) = self.calls.get_mut(&call) else {
+            return;
+        };
+        let Some(life) = directory.begin_request(now, instance) else {
+            return;
+        };
+        let Some(state) = directory.get(instance) else {
             return;
         };
         let id = HttpId(self.next_id);
         self.next_id += 1;
-        state.experience.running += 1;
         let usual = Duration((state.experience.latency * HEDGE_FACTOR) as u64);
         let latest = Duration(forward.target_latency.0 / 2).max(HEDGE_MIN);
         let (zone, unconnected) = (&state.record.zone, state.experience.unconnected);
@@ -294,8 +308,10 @@
             call,
             fingerprint: forward.fingerprint,
             instance: instance.clone(),
+            life,
             sent: now,
             connect_patience,
+            is_overdue: false,
             is_open: false,
             began: None,
             head: None,
@@ -309,7 +325,7 @@
             // A kept connection may just be closing, and then nobody can tell
             // whether the request ran. Nor does it show that anybody is there: of the
             // attempts that a request has, one at least is spent on an engine that
-            // listens (ten requests timed out at two dark ones in 10 s without).
+            // listens (nine requests timed out at two dark ones in 10 s without).
             fresh: forward.kind != RouteKind::Safe || forward.sends > 1,
         });
     }
@@ -320,9 +336,7 @@
         directory: &mut EngineDirectory,
     ) -> Option<Attempt> {
         let attempt = self.attempts.remove(&id)?;
-        if let Some(state) = directory.get_mut(&attempt.instance) {
-            state.experience.running = state.experience.running.saturating_sub(1);
-        }
+        directory.end_request(&attempt.instance, attempt.life);
         if let Some(forward) = self.calls.get_mut(&attempt.call) {
             forward.open.retain(|open| *open != id);
         }
--- a/crates/forward/src/timers.rs
+++ b/crates/forward/src/timers.rs
@@ -22,7 +22,7 @@
             return;
         };
         attempt.is_open = true;
-        let state = directory.get_mut(&attempt.instance);
+        let state = directory.life_mut(&attempt.instance, attempt.life);
         if let (Some(state), Some(took)) = (state, connected_in) {
             state.experience.unconnected = 0;
             self.connect_times.add(&state.record.zone, took);
@@ -62,6 +62,7 @@
         actions: &mut Vec<ForwardAction>,
     ) {
         self.check_engines(now, directory, actions);
+        self.leave_ended_lives(now, directory, actions);
         self.end_convicted(now, directory, actions);
         let late: Vec<CallId> = self.due(|forward| now >= forward.deadline);
         for call in late {
@@ -87,11 +88,16 @@
         directory: &mut EngineDirectory,
         actions: &mut Vec<ForwardAction>,
     ) {
-        let attempts = self.attempts.iter();
-        let late = attempts.filter(|(_, attempt)| {
-            !attempt.is_open && now.since(attempt.sent) >= attempt.connect_patience
-        });
-        let mut late: Vec<HttpId> = late.map(|(id, _)| *id).collect();
+        let mut late = Vec::new();
+        for (id, attempt) in &mut self.attempts {
+            let is_over = now.since(attempt.sent) >= attempt.connect_patience;
+            // Only at the second look: a process that was held up hears in its next turn
+            // of the connections that came up meanwhile. Without, one of 12 lookups that
+            // met a silent connection gave up the good one too (real processes).
+            if !attempt.is_open && std::mem::replace(&mut attempt.is_overdue, is_over) && is_over {
+                late.push(*id);
+            }
+        }
         late.sort_unstable();
         for id in late {
             let Some(attempt) = self.attempts.get(&id) else {
@@ -130,7 +136,9 @@
                 && forward.sends < forward.max_attempts
         });
         for call in silent {
-            if self.may_copy(now, call, Copy::Hedge) {
+            // Nothing is taken out of the budget where nobody is left to be asked.
+            let has_engine = self.admit(now, call, directory).is_some();
+            if has_engine && self.may_copy(now, call, Copy::Hedge) {
                 self.note_silence(now, call, directory);
                 self.dispatch(now, call, directory, actions);
             }
@@ -158,11 +166,14 @@
         let may = self.copies.take(now, &forward.service, copy);
         if !may {
             forward.hedge_at = now + now.since(forward.received);
-            log::info!(
-                "decision=no-copy request={} service={} copy={copy:?}",
-                forward.request.id,
-                forward.service
-            );
+            if !std::mem::replace(&mut forward.is_copy_denied, true) {
+                log::info!(
+                    "decision=no-copy request={} service={} copy={copy:?} held_us={}",
+                    forward.request.id,
+                    forward.service,
+                    now.since(forward.received).0
+                );
+            }
         }
         may
     }
--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -1,6 +1,7 @@
 //! Requests end once, with a true answer, at once when nothing more can be done.
 
 mod lookups;
+mod restarts;
 mod scene;
 mod suspects;
 mod tenants;
--- a/crates/mirror/tests/publisher.rs
+++ b/crates/mirror/tests/publisher.rs
@@ -498,3 +498,23 @@
     publisher.ask(ms(now), SUBSCRIBER, told_up_to(8));
     assert!(publisher.due(ms(now + 490)).is_empty(), "it is known there");
 }
+
+/// An engine whose entry another writer has spoilt is not to be used any more.
+#[test]
+fn an_entry_that_can_no_longer_be_read_is_told_as_gone() {
+    let mut publisher = publisher();
+    let unreadable = StoreObject::Unreadable {
+        name: "a".into(),
+        reason: "no service".into(),
+    };
+    publisher.take(&StoreUpdate::Changed {
+        kind: ObjectKind::Engines,
+        at: ms(1_100),
+        revision: 11,
+        events: vec![StoreEvent {
+            name: "a".into(),
+            object: Some(unreadable),
+        }],
+    });
+    assert_eq!(engines(&ask(&mut publisher, request(10, 10))), ["-a"]);
+}
--- a/scripts/planted-breaks.sh
+++ b/scripts/planted-breaks.sh
@@ -293,6 +293,95 @@
     "is_void: false," "is_void: self.is_void," peatgrade-server leader_work
 plant "what was read last is dropped at a stop" crates/server/src/gateway_process/stopping.rs \
     "(in_flight == 0 || stopping >= last_moment)" "true" peatgrade-server stopping
+F=crates/forward/src
+plant "a request without a connection counts as run" $F/timers.rs \
+    "forward.may_have_run |= open.any(|id| attempts.get(id).is_some_and(|a| a.is_open));" \
+    "let _ = attempts; forward.may_have_run |= open.next().is_some();" peatgrade-gateway lookups
+plant "a dark engine holds a request" $F/timers.rs \
+    "now.since(attempt.sent) >= attempt.connect_patience" \
+    "now.since(attempt.sent) >= Duration(1_000_000)" peatgrade-gateway lookups
+plant "a gateway that was held up gives up good connections" $F/timers.rs \
+    "std::mem::replace(&mut attempt.is_overdue, is_over) && is_over" "is_over" \
+    peatgrade-gateway lookups
+plant "a hedge takes from the budget for nobody" $F/timers.rs "if has_engine && self.may_copy" \
+    "if self.may_copy" peatgrade-gateway lookups
+plant "a dark engine uses up an attempt" $F/answers.rs "            forward.sends -= 1;
+            forward.unconnected += 1;" "            forward.unconnected += 1;" peatgrade-gateway lookups
+plant "a second attempt proves nothing" $F/forwarder.rs " || forward.sends > 1," "," \
+    peatgrade-gateway lookups
+plant "a rejection outlives its cause" $F/admission.rs "is_silent && outlook.is_avoided" \
+    "is_silent" peatgrade-gateway lookups
+plant "what no engine can serve is sent" $F/dispatch.rs "match self.rejects_unservable {" \
+    "match false && self.rejects_unservable {" peatgrade-gateway lookups
+plant "rejected callers come back together" $F/admission.rs "first + draw * spread" \
+    "first + 0.0 * draw * spread" peatgrade-forward ""
+plant "a caller comes back too late for its answer" $F/admission.rs \
+    "wished.min(Duration(self.left.0 / RETURN_SHARE))" "wished" peatgrade-forward ""
+plant "copies have no bound" $F/copy_budget.rs "let may = self.saved >= 1.0 + kept;" \
+    "let may = self.saved >= -1e9 + kept;" peatgrade-forward ""
+plant "a path that became slow counts as dark for good" $F/connect_times.rs \
+    "first.0 << unconnected.min(MOST_DOUBLINGS)" "first.0 << unconnected.min(0)" \
+    peatgrade-forward ""
+plant "a request that was dropped leaves all the same" crates/runtime/src/http_client.rs \
+    "if let Either::Right((Err(failure), _)) = select(cancelled, work).await" \
+    "if let Either::Left((Err(failure), _)) = select(work, cancelled).await" \
+    peatgrade-runtime ""
+plant "a reward call comes back before it was told to" $J/dispatcher/scoring.rs \
+    "|told| told.max(REFUSED_WAIT)" "|_| REFUSED_WAIT" peatgrade-jobs scoring
+R=crates/runtime/src
+plant "an unread answer grows without bound" $R/responder.rs "if is_too_much || " "if " \
+    peatgrade-runtime an_answer_that_nobody
+plant "who reads is cut off" $R/memory_budget.rs ".is_some_and(|span| span >= STALLED_AFTER)" \
+    ".is_none_or(|span| span >= STALLED_AFTER)" peatgrade-runtime the_largest
+plant "bytes of a body count for nobody" $R/server_limits.rs "self.held.borrow_mut().grow(*count).is_err()" \
+    "false" peatgrade-runtime a_body_beyond
+
+E=crates/fleet/src
+plant "what was believed goes on in the next life" $E/directory.rs \
+    "ToldLife::Later => return self.end_life(now, &instance, record, \"later-start\")," \
+    "ToldLife::Later => {}" peatgrade-fleet ""
+plant "a late heartbeat brings the life before back" $E/directory.rs \
+    "ToldLife::Earlier => return," "ToldLife::Earlier => {}" peatgrade-fleet ""
+plant "a request of an ended life counts in the next" $E/directory/identity.rs \
+    "state.filter(|state| state.incarnation == life)" \
+    "state.filter(|state| state.incarnation == life || true)" peatgrade-fleet ""
+plant "orders go on by the count of an ended life" $E/coordinator/mod.rs \
+    "directory.incarnation(instance) == Some(progress.life)" \
+    "directory.incarnation(instance).is_some() || progress.life == Incarnation::default()" \
+    peatgrade-fleet ""
+plant "a report of an ended life is believed" $E/coordinator/mod.rs \
+    "report.filter(|_| told != Some(ToldLife::Earlier))" "report.filter(|_| told.is_some())" \
+    peatgrade-fleet ""
+plant "an engine that is not there is asked again and again" $E/directory/identity.rs \
+    "self.absence.is_some_and(|absence| absence.holds(now))" \
+    "self.absence.is_some_and(|absence| absence.holds(now)) && false" peatgrade-fleet ""
+plant "the pause of an engine that is not there does not grow" $E/incarnation.rs \
+    "1_u64 << self.times.min(MAX_DOUBLINGS)" "1_u64 << 0" peatgrade-fleet ""
+plant "items go on to an engine that is not there" $J/placement.rs \
+    "        && !state.is_absent(now)
+" "" peatgrade-jobs restarts
+plant "lookups go on to an engine that is not there" crates/forward/src/choice.rs \
+    ".filter(|state| !state.is_absent(now))" "" peatgrade-gateway restarts
+plant "a run waits for an engine whose life is over" $J/dispatcher/moving.rs \
+    "if state.incarnation != run.life {" "if false && state.incarnation != run.life {" \
+    peatgrade-jobs restarts
+plant "a run that goes on is broken off" $J/dispatcher/restarts.rs \
+    "let goes_on = now.since(heard) < HEARD_LATELY;" "let goes_on = now < heard;" \
+    peatgrade-jobs restarts
+plant "a check believes whoever answers under the name" crates/forward/src/suspects.rs \
+    "directory.note_report(now, &check.instance, &report);" "let _ = report;" \
+    peatgrade-gateway restarts
+plant "lookups wait for an engine whose life is over" crates/forward/src/forwarder.rs \
+    "self.leave_ended_lives(now, directory, actions);" "" peatgrade-gateway restarts
+plant "an unknown state counts as ready" platform/src/objects.rs \
+    'other => return Err(format!("unknown state {other:?}")),' "_ => false," \
+    peatgrade-platform foreign
+plant "one bad entry spoils the page" platform/src/objects.rs \
+    "Err(error) => return unreadable(String::new(), error.to_string())," \
+    "Err(error) => panic!(\"{error}\")," peatgrade-platform passed_by
+plant "an engine whose entry was spoilt is still told" crates/mirror/src/publisher.rs \
+    "if *kind == ObjectKind::Engines =>" "if *kind == ObjectKind::Replicas =>" \
+    peatgrade-mirror no_longer
 
 O=crates/observations/src
 plant "one report makes an engine avoided" $O/told.rs "const SURE: usize = 2;" \
