Items placed by expected end, moves that must pay: as a setting, off

Change: placement is a folder. length: events still to come as a histogram of events to guess, learnt from whole texts by model, bounded, and what has come; expected_end: pace beside one run more, and whether a move pays; kept_prompts: engines that read a group's prompt not long ago; choice: three ways, by the setting item_placement. A move says what it rests on; moves are counted by reason.

--- a/crates/jobs/src/dispatcher/answers.rs
+++ b/crates/jobs/src/dispatcher/answers.rs
@@ -51,6 +51,10 @@
             run.version = version;
             directory.saw_version(&run.instance, &item.spec.model, version);
         }
+        if head.status == 200 {
+            self.placing
+                .prompt_read(now, item, &run.instance, run.version);
+        }
         let foreign = head.id.as_ref().is_some_and(|told| *told != item.item().id);
         run.head = Some(head);
         if foreign {
@@ -181,8 +185,11 @@
         };
         item.run = None;
         item.text.whole = true;
+        self.placing.text_whole(item);
+        self.placing
+            .prompt_read(now, item, &run.instance, run.version);
         log::info!(
-            "decision=complete item={} job={} engine={} events={} versions={:?} runs={} hint={} age_ms={} run_ms={} run_events={}",
+            "decision=complete item={} job={} engine={} events={} versions={:?} runs={} hint={} age_ms={} run_ms={} run_events={} told_slowdown={:?}",
             item.item().id,
             run.key.0,
             run.instance,
@@ -192,7 +199,8 @@
             item.item().length_hint,
             now.since(item.known_since).as_millis(),
             now.since(run.started).as_millis(),
-            run.events
+            run.events,
+            run.head.as_ref().and_then(|head| head.load?.slowdown_percent)
         );
         self.on_whole(now, &run.key);
     }
--- a/crates/jobs/src/dispatcher/mod.rs
+++ b/crates/jobs/src/dispatcher/mod.rs
@@ -13,20 +13,24 @@
 mod answers;
 mod moving;
 mod order;
+mod placing;
 mod scoring;
 mod starting;
 mod suspects;
 mod takeover;
 
+pub use placing::PlacementFigures;
 pub use scoring::{ScoreCall, ScoreOutcome};
 pub use suspects::RunRequest;
 
 use crate::item::{ItemKey, OpenItem};
 use crate::kept_texts::KeptTexts;
 use crate::listing::{Finished, JobListing};
+use crate::placement::ServicePaces;
 use crate::scores::{ScoreId, ScoreQueue};
 use crate::store::JobStore;
 use crate::streams::Run;
+use placing::Placing;
 
 /// Names a run of an item.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
@@ -97,9 +101,9 @@
     paces_judged_from: Time,
     /// Next look for runs that would get on better elsewhere.
     chances_at: Time,
-    /// Median pace of each service, and when to look again.
-    medians: HashMap<String, f64>,
-    medians_at: Time,
+    /// Paces of each service, and when to look again.
+    paces: HashMap<String, ServicePaces>,
+    paces_at: Time,
     /// Next look at what waits while no engine has a place.
     full_look_at: Time,
     /// The last look ended before all that could start had started.
@@ -108,6 +112,8 @@
     weighed: u64,
     /// Expected length from which on an item of a job counts as long.
     long_from: HashMap<Rc<str>, u64>,
+    /// What choices of engines rest on.
+    placing: Placing,
     reader: Box<dyn Fn() -> Box<dyn EventReader>>,
     actions: Vec<DispatchAction>,
 }
@@ -125,12 +131,13 @@
             watched_at: Time(0),
             paces_judged_from: Time(0),
             chances_at: Time(0),
-            medians: HashMap::new(),
-            medians_at: Time(0),
+            paces: HashMap::new(),
+            paces_at: Time(0),
             full_look_at: Time(0),
             has_backlog: false,
             weighed: 0,
             long_from: HashMap::new(),
+            placing: Placing::default(),
             reader,
             actions: Vec::new(),
         }
@@ -182,6 +189,7 @@
             .collect();
         self.listings.remove(&name);
         self.long_from.remove(&name);
+        self.placing.end_job(&name);
         for key in keys {
             self.break_off(&key, directory);
             self.drop_score(&key);
--- a/crates/jobs/src/dispatcher/moving.rs
+++ b/crates/jobs/src/dispatcher/moving.rs
@@ -5,9 +5,9 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 
-use super::Dispatcher;
+use super::{Dispatcher, RunId};
 use crate::item::{ItemKey, OpenItem};
-use crate::placement::{self, Candidates, Need, SlowEngines};
+use crate::placement::{self, Candidates, Expected, MoveWeighed, Need, Pace, SlowEngines};
 use crate::streams::Run;
 
 /// Silence before the first event after which a run is moved.
@@ -31,7 +31,7 @@
 const LATE_LOOK_REST: Duration = Duration::from_millis(400);
 /// Time between two looks at the pace of all engines: it must follow a pause of this
 /// machine within the time of an event.
-const MEDIANS_EVERY: Duration = Duration::from_millis(50);
+const PACES_EVERY: Duration = Duration::from_millis(50);
 /// Events after which a text is likely to go on for long.
 const LONG_EVENTS: usize = 20;
 /// Events after which one that was expected to be long is worth a move.
@@ -41,7 +41,7 @@
 
 /// Why a run is moved to another engine.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
-enum MoveReason {
+pub(super) enum MoveReason {
     /// The engine is not in the list any more.
     Gone,
     /// The engine leaves.
@@ -54,6 +54,52 @@
     FasterFree,
 }
 
+/// A move that would be of use, and what it rests on.
+#[derive(Clone, Copy, Debug)]
+struct Chance {
+    reason: MoveReason,
+    /// What was weighed, if it was.
+    weighed: Option<Weighed>,
+}
+
+/// What was known when a move was weighed.
+#[derive(Clone, Copy, Debug)]
+struct Weighed {
+    /// Events still to come.
+    remaining: f64,
+    here: Pace,
+    there: Pace,
+    outcome: MoveWeighed,
+}
+
+impl std::fmt::Display for Weighed {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(
+            formatter,
+            " remaining={:.0} pace_here_us={:.0} pace_there_us={:.0} gain_ms={:.0} price_ms={:.0}",
+            self.remaining,
+            self.here.per_event,
+            self.there.with_one_more(),
+            self.outcome.gain / 1_000.0,
+            self.outcome.price / 1_000.0
+        )
+    }
+}
+
+impl Chance {
+    fn unweighed(reason: MoveReason) -> Self {
+        Self {
+            reason,
+            weighed: None,
+        }
+    }
+
+    /// How much is gained, as far as that was weighed.
+    fn gain(&self) -> f64 {
+        self.weighed.map_or(0.0, |weighed| weighed.outcome.gain)
+    }
+}
+
 impl Dispatcher {
     /// Moves runs away from engines that are silent, slow, gone or leaving.
     pub(super) fn watch_runs(&mut self, now: Time, directory: &mut EngineDirectory) {
@@ -61,49 +107,63 @@
         let mut chances = Vec::new();
         let mut looks: HashMap<Rc<str>, Candidates> = HashMap::new();
         let mut weighed = 0;
-        self.refresh_medians(now, directory);
+        self.refresh_paces(now, directory);
         let seek_chances = now >= self.chances_at;
         if seek_chances {
             self.chances_at = now + Duration(CHANCES_PER_RUN.0 * self.runs.len() as u64);
         }
         for (id, run) in &self.runs {
             if let Some(reason) = self.urgent_reason(now, run, directory) {
-                moves.push((*id, reason));
+                moves.push((*id, Chance::unweighed(reason)));
             } else if seek_chances {
-                let reason = self.chance_to_move(now, run, directory, &mut looks);
+                let chance = self.chance_to_move(now, run, directory, &mut looks);
                 weighed += looks.values().map(Candidates::len).max().unwrap_or(0);
-                chances.extend(reason.map(|reason| (run.events, *id, reason)));
+                chances.extend(chance.map(|chance| (run.events, *id, chance)));
             }
         }
         self.weighed += weighed as u64;
-        // A few at a time, since each takes a place that the others saw free; the
-        // longest texts first.
-        chances.sort_by_key(|(events, id, _)| std::cmp::Reverse((*events, *id)));
+        // A few at a time, since each takes a place that the others saw free; those that
+        // gain most first, else the longest texts.
+        chances.sort_by(|(events, id, chance), (other_events, other_id, other)| {
+            let gain = other.gain().total_cmp(&chance.gain());
+            gain.then((other_events, other_id).cmp(&(events, id)))
+        });
         let most = 1 + self.runs.len() / RUNS_PER_CHANCE;
         let chosen = chances.into_iter().take(most);
-        moves.extend(chosen.map(|(_, id, reason)| (id, reason)));
+        moves.extend(chosen.map(|(_, id, chance)| (id, chance)));
         moves.sort_by_key(|(id, _)| *id);
-        for (id, reason) in moves {
-            let Some(run) = self.runs.get(&id) else {
-                continue;
-            };
-            let (key, instance) = (run.key.clone(), run.instance.clone());
-            log::info!(
-                "decision=move item={} job={} engine={instance} reason={reason:?} events={}",
-                self.items[&key].item().id,
-                key.0,
-                run.events
-            );
-            if reason == MoveReason::Silent {
-                if let Some(state) = directory.get_mut(&instance) {
-                    state.experience.failed(now);
-                }
+        for (id, chance) in moves {
+            self.move_run(now, id, &chance, directory);
+        }
+    }
+
+    /// Breaks a run off, to go on elsewhere.
+    fn move_run(&mut self, now: Time, id: RunId, chance: &Chance, directory: &mut EngineDirectory) {
+        let Some(run) = self.runs.get(&id) else {
+            return;
+        };
+        let (key, instance) = (run.key.clone(), run.instance.clone());
+        let reason = chance.reason;
+        log::info!(
+            "decision=move item={} job={} engine={instance} reason={reason:?} events={}{}",
+            self.items[&key].item().id,
+            key.0,
+            run.events,
+            chance.weighed.map_or(String::new(), |w| w.to_string())
+        );
+        if reason == MoveReason::Silent {
+            if let Some(state) = directory.get_mut(&instance) {
+                state.experience.failed(now);
             }
-            self.break_off(&key, directory);
-            if let Some(item) = self.items.get_mut(&key) {
-                item.avoid = Some(instance);
-                item.moves += 1;
+        }
+        self.break_off(&key, directory);
+        self.placing.note_move(reason);
+        if let Some(item) = self.items.get_mut(&key) {
+            if chance.weighed.is_some() {
+                item.left.push(instance.clone());
             }
+            item.avoid = Some(instance);
+            item.moves += 1;
         }
     }
 
@@ -115,17 +175,18 @@
         self.watched_at = now;
     }
 
-    /// Looks again at the pace of each service, now and then: a fleet is large.
-    fn refresh_medians(&mut self, now: Time, directory: &EngineDirectory) {
-        if now < self.medians_at {
+    /// Looks again at the paces of each service, now and then: a fleet is large.
+    fn refresh_paces(&mut self, now: Time, directory: &EngineDirectory) {
+        if now < self.paces_at {
             return;
         }
-        self.medians_at = now + MEDIANS_EVERY;
-        self.medians = placement::median_paces(now, directory);
+        self.paces_at = now + PACES_EVERY;
+        self.paces = placement::service_paces(now, directory);
     }
 
     fn median_at(&self, state: &EngineState) -> Option<f64> {
-        self.medians.get(&state.record.service).copied()
+        let paces = self.paces.get(&state.record.service);
+        paces.map(|paces| paces.median)
     }
 
     /// Why a run gets nowhere where it is.
@@ -158,17 +219,28 @@
         run: &Run,
         directory: &EngineDirectory,
         looks: &mut HashMap<Rc<str>, Candidates>,
-    ) -> Option<MoveReason> {
+    ) -> Option<Chance> {
         let item = self.items.get(&run.key)?;
         let state = directory.get(&run.instance)?;
         let may_move = item.moves < MAX_MOVES
             && !state.loading.contains(&item.spec.model)
             && now >= self.paces_judged_from;
         let slow = may_move && placement::is_slow(now, state, self.median_at(state));
-        let long = may_move && run.events >= LEAST_RUN_EVENTS && self.is_long(&run.key, item);
-        if !(state.record.draining || slow || long) {
+        let is_priced = self.placing.way.prices_moves();
+        let may_pay = may_move && (slow || run.events >= LEAST_RUN_EVENTS);
+        let pays = is_priced && may_pay && self.could_pay(now, item, state);
+        let long = !is_priced && may_pay && self.is_long(&run.key, item);
+        let unpriced = !is_priced && (slow || long);
+        if !(state.record.draining || pays || unpriced) {
             return None;
         }
+        // What is moved has lost time: it goes where it ends first.
+        let rest = self.placing.rest(item);
+        let expected = Expected {
+            events: rest.events,
+            most_events: rest.most_events,
+            until_end: 0.0,
+        };
         let need = Need {
             service: state.record.service.as_str(),
             model: &item.spec.model,
@@ -176,11 +248,15 @@
             exact: item.exact_version(),
             companions: &[],
             avoid: Some(&run.instance),
+            left: &item.left,
+            expected: Some(expected).filter(|_| self.placing.way.is_by_expected_end()),
         };
         let find = || {
             let anywhere = Need {
                 exact: None,
                 avoid: None,
+                left: &[],
+                expected: None,
                 ..need
             };
             Candidates::find(now, directory, &anywhere)
@@ -193,13 +269,49 @@
         };
         let chosen = look.choose(now, directory, &need, u32::MAX, others)?;
         if state.record.draining {
-            return Some(MoveReason::Draining);
+            return Some(Chance::unweighed(MoveReason::Draining));
+        }
+        let other = directory.get(&chosen)?;
+        if is_priced {
+            let reason = if slow {
+                MoveReason::Slow
+            } else {
+                MoveReason::FasterFree
+            };
+            let median = self.median_at(state);
+            let here = placement::believed_pace(now, state, median);
+            let there = placement::believed_pace(now, other, median);
+            let outcome = MoveWeighed::of(rest.events, here, there);
+            let weighed = Some(Weighed {
+                remaining: rest.events,
+                here,
+                there,
+                outcome,
+            });
+            return outcome.pays().then_some(Chance { reason, weighed });
         }
         if slow {
-            return Some(MoveReason::Slow);
+            return Some(Chance::unweighed(MoveReason::Slow));
         }
-        let other = directory.get(&chosen)?;
-        placement::is_faster(other, state).then_some(MoveReason::FasterFree)
+        placement::is_faster(other, state).then_some(Chance::unweighed(MoveReason::FasterFree))
+    }
+
+    /// Whether a text may end after the others of its job, and a move could pay if the
+    /// fastest engine that has room were empty. Spares weighing all engines for most runs.
+    fn could_pay(&self, now: Time, item: &OpenItem, state: &EngineState) -> bool {
+        let Some(paces) = self.paces.get(&state.record.service) else {
+            return false;
+        };
+        let here = placement::believed_pace(now, state, Some(paces.median));
+        let there = Pace {
+            per_event: paces.fastest_free,
+            running: 0,
+            slots: u32::MAX,
+        };
+        let expected = self.placing.expected(now, item, Some(*paces));
+        expected.is_some_and(|expected| {
+            expected.may_be_last(here) && MoveWeighed::of(expected.events, here, there).pays()
+        })
     }
 
     /// Whether a text has shown that it is long, or begins to as it was
--- /dev/null
+++ b/crates/jobs/src/dispatcher/placing.rs
@@ -0,0 +1,164 @@
+//! What choices of engines for items rest on, and figures of them.
+
+use peatgrade_fleet::EngineDirectory;
+use peatgrade_ports::Instance;
+use peatgrade_schema::replication::AcceptJob;
+use peatgrade_types::Time;
+use std::borrow::Cow;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use super::moving::MoveReason;
+use super::Dispatcher;
+use crate::item::OpenItem;
+use crate::placement::{
+    Expected, GroupName, ItemPlacement, KeptPrompts, ModelLengths, Rest, ServicePaces,
+};
+
+/// Counts of choices since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PlacementFigures {
+    /// Runs moved from engines that left the list or are about to.
+    pub moves_leaving: u64,
+    /// Runs moved from engines of which nothing came.
+    pub moves_silent: u64,
+    /// Runs moved from engines far slower than others.
+    pub moves_slow: u64,
+    /// Runs moved since a faster engine had room.
+    pub moves_faster: u64,
+    /// Runs sent where the prompt of their group was kept.
+    pub prompts_kept: u64,
+    /// Runs sent elsewhere.
+    pub prompts_read: u64,
+}
+
+/// What is learnt of texts and prompts, for choices of engines.
+#[derive(Debug, Default)]
+pub(super) struct Placing {
+    pub way: ItemPlacement,
+    lengths: ModelLengths,
+    prompts: KeptPrompts,
+    /// Greatest guessed length of each job's items.
+    longest: HashMap<Rc<str>, u64>,
+    figures: PlacementFigures,
+}
+
+impl Placing {
+    pub fn open_job(&mut self, job: &Rc<str>, spec: &AcceptJob) {
+        let longest = spec.items.iter().map(|item| item.length_hint).max();
+        self.longest.insert(job.clone(), longest.unwrap_or(0));
+    }
+
+    pub fn end_job(&mut self, job: &Rc<str>) {
+        self.longest.remove(job);
+    }
+
+    /// A text is whole.
+    pub fn text_whole(&mut self, item: &OpenItem) {
+        let (guess, events) = (item.item().length_hint, item.text.events.len());
+        self.lengths.learn(&item.spec.model, guess, events);
+    }
+
+    /// An engine has read an item's prompt.
+    pub fn prompt_read(&mut self, now: Time, item: &OpenItem, engine: &Instance, version: u64) {
+        if let Some(group) = group_of(item) {
+            self.prompts.used(now, group, engine, version);
+        }
+    }
+
+    /// Events that are still to come of an item's text.
+    pub fn rest(&self, item: &OpenItem) -> Rest {
+        let (guess, made) = (item.item().length_hint, item.text.events.len());
+        self.lengths.rest(&item.spec.model, guess, made)
+    }
+
+    /// How long an item will run; none if engines are chosen by relative pace.
+    pub fn expected(
+        &self,
+        now: Time,
+        item: &OpenItem,
+        paces: Option<ServicePaces>,
+    ) -> Option<Expected> {
+        if !self.way.is_by_expected_end() {
+            return None;
+        }
+        let rest = self.rest(item);
+        Some(Expected {
+            events: rest.events,
+            most_events: rest.most_events,
+            until_end: paces.map_or(0.0, |paces| self.until_end(now, item, paces)),
+        })
+    }
+
+    /// Microseconds until an item's job is expected to end in any case: its longest text
+    /// on the fastest engine, from when the job was known.
+    fn until_end(&self, now: Time, item: &OpenItem, paces: ServicePaces) -> f64 {
+        let longest = self.longest.get(item.spec.job.as_str()).copied();
+        let model = &item.spec.model;
+        let longest = self.lengths.rest(model, longest.unwrap_or(0), 0);
+        let age = now.since(item.known_since).0 as f64;
+        (longest.events * paces.fastest - age).max(0.0)
+    }
+
+    /// Engines that keep the prompt of an item's group: those that run its items now, and,
+    /// where engines are chosen by expected end, those that did not long ago.
+    pub fn keepers<'a>(
+        &self,
+        now: Time,
+        item: &OpenItem,
+        directory: &EngineDirectory,
+        running: &'a [Instance],
+    ) -> Cow<'a, [Instance]> {
+        let group = group_of(item).filter(|_| self.way.is_by_expected_end());
+        let Some(group) = group else {
+            return Cow::Borrowed(running);
+        };
+        let mut keepers = running.to_vec();
+        for (engine, version) in self.prompts.keepers(now, group) {
+            let state = directory.get(engine);
+            let same = state.is_some_and(|state| state.version(&item.spec.model) == version);
+            if same && !keepers.contains(engine) {
+                keepers.push(engine.clone());
+            }
+        }
+        Cow::Owned(keepers)
+    }
+
+    /// Takes note of whether a chosen engine keeps the prompt of the item's group.
+    pub fn note_choice(&mut self, keeps_prompt: bool) {
+        match keeps_prompt {
+            true => self.figures.prompts_kept += 1,
+            false => self.figures.prompts_read += 1,
+        }
+    }
+
+    pub fn note_move(&mut self, reason: MoveReason) {
+        let figures = &mut self.figures;
+        let count = match reason {
+            MoveReason::Gone | MoveReason::Draining => &mut figures.moves_leaving,
+            MoveReason::Silent => &mut figures.moves_silent,
+            MoveReason::Slow => &mut figures.moves_slow,
+            MoveReason::FasterFree => &mut figures.moves_faster,
+        };
+        *count += 1;
+    }
+}
+
+fn group_of(item: &OpenItem) -> Option<GroupName> {
+    let group = &item.item().group;
+    let named = !group.is_empty();
+    named.then(|| GroupName::of(&item.spec.tenant, &item.spec.model, group))
+}
+
+impl Dispatcher {
+    /// The same, with another way to choose engines.
+    pub fn with_placement(mut self, way: ItemPlacement) -> Self {
+        self.placing.way = way;
+        self
+    }
+
+    /// Counts of choices since the start.
+    pub fn placement_figures(&self) -> PlacementFigures {
+        self.placing.figures
+    }
+}
--- a/crates/jobs/src/dispatcher/starting.rs
+++ b/crates/jobs/src/dispatcher/starting.rs
@@ -138,18 +138,24 @@
                 model: &item.spec.model,
                 min_version: item.spec.min_version,
                 exact: None,
-                companions: beside,
+                companions: &[],
                 avoid: None,
+                left: &[],
+                expected: None,
             };
             let Some(look) = rooms.look(now, &key.0, directory, &any) else {
                 continue;
             };
+            let keepers = self.placing.keepers(now, item, directory, beside);
             let without = Need {
                 exact: item.exact_version(),
+                companions: &keepers,
+                expected: self.placing.expected(now, item, look.paces()),
                 ..any
             };
             let need = Need {
                 avoid: item.avoid.as_ref(),
+                left: &item.left,
                 ..without
             };
             let limit = if crowded {
@@ -174,6 +180,7 @@
                 }
                 continue;
             };
+            self.placing.note_choice(keepers.contains(&instance));
             if !item.item().group.is_empty() {
                 beside.push(instance.clone());
             }
--- a/crates/jobs/src/dispatcher/takeover.rs
+++ b/crates/jobs/src/dispatcher/takeover.rs
@@ -32,6 +32,7 @@
         let name: Rc<str> = Rc::from(id);
         self.long_from
             .insert(name.clone(), starting::long_from(&job.spec));
+        self.placing.open_job(&name, &job.spec);
         let listing = new_listing(now, job, configuration);
         self.listings.insert(name.clone(), listing);
         let mut texts = store.text_reader();
--- a/crates/jobs/src/item.rs
+++ b/crates/jobs/src/item.rs
@@ -47,6 +47,8 @@
     pub not_before: Time,
     /// Engine that its last run left in bad order.
     pub avoid: Option<Instance>,
+    /// Engines that it was moved away from since others were faster.
+    pub left: Vec<Instance>,
     /// Runs so far.
     pub runs: u32,
     /// Moves from a slow engine so far.
@@ -77,6 +79,7 @@
             run: None,
             not_before: Time(0),
             avoid: None,
+            left: Vec::new(),
             runs: 0,
             moves: 0,
             single_version: false,
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -31,11 +31,13 @@
 
 pub use asked_ends::{AskedEnds, EndRequest};
 pub use dispatcher::{
-    DispatchAction, Dispatcher, RunId, RunPart, RunRequest, ScoreCall, ScoreOutcome,
+    DispatchAction, Dispatcher, PlacementFigures, RunId, RunPart, RunRequest, ScoreCall,
+    ScoreOutcome,
 };
 pub use item::ItemKey;
 pub use job::{Earlier, Failures, Job, StoredResult};
 pub use listed_text::{CommandLog, ListedText, TextReader};
+pub use placement::ItemPlacement;
 pub use scores::ScoreId;
 pub use store::{Applied, JobMemory, JobStore, UsageCommand};
 pub use text::{PartialText, TextEvent};
--- /dev/null
+++ b/crates/jobs/src/placement/choice.rs
@@ -0,0 +1,107 @@
+//! Which of the engines that are free an item goes to, by when it would end there.
+//!
+//! The load that this answers: a step's texts come at once, on engines of which the
+//! fastest makes nearly three times as many events a second as the slowest. The step is
+//! whole with its longest texts. So a text that is sure to end before them, wherever it
+//! runs, leaves the fast places to those that set the end.
+
+use super::expected_end::Pace;
+
+/// Engines whose expected ends differ by less than this share are alike for a text that
+/// sets the end of its job: paces are not known any better, and the prompt that one of
+/// them keeps decides.
+const ALIKE: f64 = 0.08;
+/// The same for a text that ends in time anyway: more than a full batch costs, so that its
+/// group shares few engines.
+const ALIKE_IN_TIME: f64 = 0.15;
+/// An engine is fast if its pace is less than this share of the median.
+const FAST_SHARE: f64 = 0.8;
+
+/// How engines are chosen for items, and when runs are moved.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
+pub enum ItemPlacement {
+    /// The fastest free engine, a fuller one later; runs move wherever it is faster.
+    #[default]
+    RelativePace,
+    /// By expected end, with fast places kept for texts that set the end of their job.
+    ExpectedEnd,
+    /// The same, and a run moves only where that pays.
+    PricedMoves,
+}
+
+impl ItemPlacement {
+    /// Names of all ways, as settings give them.
+    pub const NAMES: [&'static str; 3] = ["relative-pace", "expected-end", "priced-moves"];
+
+    /// The way of that name.
+    pub fn named(name: &str) -> Option<Self> {
+        match name {
+            "relative-pace" => Some(Self::RelativePace),
+            "expected-end" => Some(Self::ExpectedEnd),
+            "priced-moves" => Some(Self::PricedMoves),
+            _ => None,
+        }
+    }
+
+    /// Whether engines are chosen by the expected end of a text.
+    pub fn is_by_expected_end(self) -> bool {
+        self != Self::RelativePace
+    }
+
+    /// Whether a move must pay.
+    pub fn prices_moves(self) -> bool {
+        self == Self::PricedMoves
+    }
+}
+
+/// How long a text will run.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub struct Expected {
+    /// Events still to come on average.
+    pub events: f64,
+    /// Events still to come at most, for nearly all such texts.
+    pub most_events: f64,
+    /// Time until its job is expected to end in any case, in microseconds; 0 if it is among
+    /// the texts that set that end.
+    pub until_end: f64,
+}
+
+/// How well an engine suits an item: the least is the best.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub struct Rank {
+    /// The text is in time there without taking a fast place.
+    spares_fast_place: bool,
+    cost: f64,
+}
+
+impl Rank {
+    /// Order of two ranks.
+    pub fn total_cmp(&self, other: &Self) -> std::cmp::Ordering {
+        let sparing = other.spares_fast_place.cmp(&self.spares_fast_place);
+        sparing.then(self.cost.total_cmp(&other.cost))
+    }
+}
+
+impl Expected {
+    /// How well an engine of this pace suits a text of this length, where engines have
+    /// that median pace.
+    pub fn rank(&self, pace: Pace, median: f64, keeps_prompt: bool) -> Rank {
+        let is_fast = pace.per_event < median * FAST_SHARE;
+        let is_in_time = pace.until_made(self.most_events, keeps_prompt) <= self.until_end;
+        let spares_fast_place = is_in_time && !is_fast;
+        let alike = match (keeps_prompt, spares_fast_place) {
+            (false, _) => 0.0,
+            (true, false) => ALIKE,
+            (true, true) => ALIKE_IN_TIME,
+        };
+        Rank {
+            spares_fast_place,
+            cost: pace.until_made(self.events, keeps_prompt) * (1.0 - alike),
+        }
+    }
+
+    /// Whether a text may end after the others of its job where it runs now.
+    pub fn may_be_last(&self, pace: Pace) -> bool {
+        self.most_events * pace.per_event > self.until_end
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/placement/length.rs
@@ -0,0 +1,155 @@
+//! How much of a text is still to come: a distribution learnt from whole texts.
+//!
+//! Callers guess the length of a text. The guess is right in the median and often far
+//! off, and its unit need not be that of events. So what is learnt is the ratio of events
+//! made to length guessed, for each model, as a histogram. What has come of a text rules
+//! out the shorter lengths.
+
+use std::collections::BTreeMap;
+
+/// Steps of the histogram: from 2^-10 to 2^6 events for each unit of a guess.
+const STEPS: usize = 48;
+/// Steps for each doubling of the ratio: 26 % from one to the next, finer than guesses are.
+const STEPS_PER_DOUBLING: f64 = 3.0;
+/// Doublings from the least ratio to 1.
+const DOUBLINGS_BELOW_ONE: f64 = 10.0;
+/// Texts that a histogram rests on at most: then all count half, so that it follows
+/// callers whose texts change.
+const MAX_TEXTS: f64 = 1_024.0;
+/// Whole texts from which on the histogram is believed. Short ones end first, so the
+/// first few say too little.
+const LEAST_TEXTS: f64 = 24.0;
+/// Events that a text is expected to have while nothing is known of its like: a leader that
+/// is new learns enough within some seconds.
+const UNKNOWN_EVENTS: f64 = 12.0;
+/// Share of texts that are to be no longer than the most that is expected: what is longer
+/// is moved to a faster engine once it shows.
+const MOST_SHARE: f64 = 0.9;
+/// Models that are told apart; texts of further ones are not learnt from.
+const MAX_MODELS: usize = 64;
+/// What remains of a text that is longer than nearly all before it, as a share of what has
+/// come: lengths have a long tail.
+const TAIL_SHARE: f64 = 0.5;
+/// Texts, of those learnt from, that must be as long for the histogram to say anything of
+/// the rest.
+const LEAST_LONGER: f64 = 1.0;
+
+/// Events still to come of a text.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Rest {
+    /// On average.
+    pub events: f64,
+    /// At most, for nearly all such texts.
+    pub most_events: f64,
+}
+
+/// What is known of the lengths of one model's texts.
+#[derive(Clone, Debug)]
+pub struct Lengths {
+    texts: [f64; STEPS],
+    total: f64,
+}
+
+impl Default for Lengths {
+    fn default() -> Self {
+        Self {
+            texts: [0.0; STEPS],
+            total: 0.0,
+        }
+    }
+}
+
+impl Lengths {
+    /// Takes note of a whole text.
+    pub fn learn(&mut self, guess: u64, events: usize) {
+        if guess == 0 || events == 0 {
+            return;
+        }
+        let ratio = events as f64 / guess as f64;
+        let step = (ratio.log2() + DOUBLINGS_BELOW_ONE) * STEPS_PER_DOUBLING;
+        let step = step.clamp(0.0, (STEPS - 1) as f64) as usize;
+        self.texts[step] += 1.0;
+        self.total += 1.0;
+        if self.total >= MAX_TEXTS {
+            self.texts.iter_mut().for_each(|texts| *texts /= 2.0);
+            self.total /= 2.0;
+        }
+    }
+
+    /// Events still to come on average of a text of which `made` have come; none before
+    /// enough texts were seen.
+    pub fn remaining(&self, guess: u64, made: usize) -> Option<f64> {
+        if guess == 0 || self.total < LEAST_TEXTS {
+            return None;
+        }
+        let longer = self.longer(guess, made);
+        let texts: f64 = longer.iter().map(|(_, texts)| texts).sum();
+        if texts < LEAST_LONGER {
+            return Some((made as f64 * TAIL_SHARE).max(1.0));
+        }
+        let events: f64 = longer.iter().map(|(rest, texts)| rest * texts).sum();
+        Some(events / texts)
+    }
+
+    /// Events still to come that a `share` of such texts do not exceed.
+    pub fn remaining_at_most(&self, guess: u64, made: usize, share: f64) -> Option<f64> {
+        let mean = self.remaining(guess, made)?;
+        let longer = self.longer(guess, made);
+        let texts: f64 = longer.iter().map(|(_, texts)| texts).sum();
+        let mut left = texts * share;
+        let found = longer.iter().find(|(_, texts)| {
+            left -= texts;
+            left <= 0.0
+        });
+        Some(found.map_or(mean, |(rest, _)| *rest))
+    }
+
+    /// Lengths longer than `made`: events beyond it, and texts of that length.
+    fn longer(&self, guess: u64, made: usize) -> Vec<(f64, f64)> {
+        let steps = self.texts.iter().enumerate();
+        let rests = steps.map(|(step, texts)| {
+            let middle = (step as f64 + 0.5) / STEPS_PER_DOUBLING - DOUBLINGS_BELOW_ONE;
+            (guess as f64 * middle.exp2() - made as f64, *texts)
+        });
+        rests
+            .filter(|(rest, texts)| *rest > 0.0 && *texts > 0.0)
+            .collect()
+    }
+}
+
+/// The same for each model.
+#[derive(Clone, Debug, Default)]
+pub struct ModelLengths {
+    models: BTreeMap<String, Lengths>,
+}
+
+impl ModelLengths {
+    /// Takes note of a whole text of a model.
+    pub fn learn(&mut self, model: &str, guess: u64, events: usize) {
+        if let Some(lengths) = self.models.get_mut(model) {
+            return lengths.learn(guess, events);
+        }
+        if self.models.len() < MAX_MODELS {
+            let lengths = self.models.entry(model.to_string()).or_default();
+            lengths.learn(guess, events);
+        }
+    }
+
+    /// What is expected to come of a model's text of which `made` events have come.
+    pub fn rest(&self, model: &str, guess: u64, made: usize) -> Rest {
+        let lengths = self.models.get(model);
+        let known = lengths.and_then(|lengths| {
+            Some(Rest {
+                events: lengths.remaining(guess, made)?,
+                most_events: lengths.remaining_at_most(guess, made, MOST_SHARE)?,
+            })
+        });
+        known.unwrap_or_else(|| {
+            let events = (UNKNOWN_EVENTS - made as f64).max(made as f64 * TAIL_SHARE);
+            Rest {
+                events,
+                most_events: 2.0 * events,
+            }
+        })
+    }
+}
--- a/crates/jobs/src/placement.rs
+++ b/crates/jobs/src/placement/mod.rs
@@ -1,4 +1,21 @@
 //! Choice of an engine for an item.
+//!
+//! ```text
+//!  length:        events still to come, from the guess and what has come
+//!  expected_end:  events x pace there, beside one run more; whether a move pays
+//!  kept_prompts:  engines that have read a group's prompt
+//!  choice:        which of the free engines, by these
+//! ```
+
+mod choice;
+mod expected_end;
+mod kept_prompts;
+mod length;
+
+pub use choice::{Expected, ItemPlacement, Rank};
+pub use expected_end::{MoveWeighed, Pace};
+pub use kept_prompts::{GroupName, KeptPrompts};
+pub use length::{ModelLengths, Rest};
 
 use peatgrade_fleet::{EngineDirectory, EngineState};
 use peatgrade_ports::Instance;
@@ -15,6 +32,10 @@
 /// An engine this much slower than the median counts as slow.
 const SLOW_FACTOR: f64 = 1.7;
 
+/// Pace of engines before any was seen, in microseconds an event: the usual one of models
+/// that write for people.
+const UNSEEN_PACE: f64 = 50_000.0;
+
 /// What an item needs.
 #[derive(Clone, Copy, Debug)]
 pub struct Need<'a> {
@@ -26,10 +47,14 @@
     pub min_version: u64,
     /// The only version allowed, where one must make the whole text.
     pub exact: Option<u64>,
-    /// Engines that run items of the same group.
+    /// Engines that keep the prompt of its group.
     pub companions: &'a [Instance],
     /// Engine to leave out.
     pub avoid: Option<&'a Instance>,
+    /// Engines that it was moved away from.
+    pub left: &'a [Instance],
+    /// How long it will run; none if the engine is chosen by relative pace.
+    pub expected: Option<Expected>,
 }
 
 /// Whether a choice may fall on an engine that is far slower than others.
@@ -48,15 +73,16 @@
 #[derive(Clone, Debug, Default)]
 pub struct Candidates {
     engines: Vec<Instance>,
-    /// Median pace of the service's engines, in microseconds an event.
-    median: Option<f64>,
+    /// Paces of the service's engines; none before any was seen.
+    paces: Option<ServicePaces>,
 }
 
 impl Candidates {
     /// Looks over all engines once.
     pub fn find(now: Time, directory: &EngineDirectory, need: &Need<'_>) -> Self {
         let serving: Vec<&EngineState> = directory.serving(need.service).collect();
-        let median = median_pace(now, &serving);
+        let paces = ServicePaces::of(now, &serving);
+        let median = paces.map(|paces| paces.median);
         let mut fit: Vec<&EngineState> = serving
             .into_iter()
             .filter(|state| fits(state, need) && !state.experience.blocked(now))
@@ -71,7 +97,7 @@
         let engines = fit.iter().map(|state| state.record.instance.clone());
         Self {
             engines: engines.collect(),
-            median,
+            paces,
         }
     }
 
@@ -87,18 +113,40 @@
     ) -> Option<Instance> {
         let states = self.engines.iter().filter_map(|name| directory.get(name));
         let fast_enough = |state: &&EngineState| {
-            slow == SlowEngines::Allowed || !is_slow(now, state, self.median)
+            slow == SlowEngines::Allowed || !is_slow(now, state, self.median())
         };
         let free = states
             .filter(|state| usable(now, state, need) && state.experience.running < limit)
             .filter(fast_enough);
-        let best = free.min_by(|a, b| {
-            let cost = |state: &EngineState| cost(now, state, need, self.median);
-            cost(a).total_cmp(&cost(b))
-        });
+        let best = match need.expected {
+            None => free.min_by(|a, b| {
+                let cost = |state: &EngineState| cost(now, state, need, self.median());
+                cost(a).total_cmp(&cost(b))
+            }),
+            Some(expected) => free
+                .map(|state| (self.rank(now, state, need, &expected), state))
+                .min_by(|(a, _), (b, _)| a.total_cmp(b))
+                .map(|(_, state)| state),
+        };
         best.map(|state| state.record.instance.clone())
     }
 
+    /// Paces of the service's engines; none before any was seen.
+    pub fn paces(&self) -> Option<ServicePaces> {
+        self.paces
+    }
+
+    fn median(&self) -> Option<f64> {
+        self.paces.map(|paces| paces.median)
+    }
+
+    fn rank(&self, now: Time, state: &EngineState, need: &Need<'_>, expected: &Expected) -> Rank {
+        let keeps_prompt = need.companions.contains(&state.record.instance);
+        let median = self.median();
+        let pace = believed_pace(now, state, median);
+        expected.rank(pace, median.unwrap_or(UNSEEN_PACE), keeps_prompt)
+    }
+
     /// Number of engines weighed for each item.
     pub fn len(&self) -> usize {
         self.engines.len()
@@ -117,6 +165,17 @@
     }
 }
 
+/// The pace of an engine as it is believed now. One that nothing was seen of counts as
+/// usual.
+pub fn believed_pace(now: Time, state: &EngineState, median: Option<f64>) -> Pace {
+    let usual = median.unwrap_or(UNSEEN_PACE);
+    Pace {
+        per_event: relative_pace(now, state, median) * usual,
+        running: state.experience.running,
+        slots: state.record.slots.max(1),
+    }
+}
+
 /// Whether one engine runs a request faster than another, by more than a move
 /// costs.
 pub fn is_faster(one: &EngineState, other: &EngineState) -> bool {
@@ -124,20 +183,49 @@
     paces.is_some_and(|(pace, own)| own >= pace * FASTER_FACTOR)
 }
 
-/// Median pace of each service's engines that take new requests, in microseconds an
-/// event: their usual pace or their pace just now, whichever is slower. When this machine
-/// was busy, events of all engines come late together, and none of them is slow.
-pub fn median_paces(now: Time, directory: &EngineDirectory) -> HashMap<String, f64> {
+/// Paces of a service's engines, in microseconds an event.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ServicePaces {
+    /// The median.
+    pub median: f64,
+    /// The fastest.
+    pub fastest: f64,
+    /// The fastest of those that have a free place; the median if none has.
+    pub fastest_free: f64,
+}
+
+/// Median pace of each service's engines that take new requests: their usual pace or
+/// their pace just now, whichever is slower. When this machine was busy, events of all
+/// engines come late together, and none of them is slow.
+pub fn service_paces(now: Time, directory: &EngineDirectory) -> HashMap<String, ServicePaces> {
     let mut services: HashMap<&str, Vec<&EngineState>> = HashMap::new();
     for state in directory.iter().filter(|state| !state.record.draining) {
         let engines = services.entry(&state.record.service).or_default();
         engines.push(state);
     }
-    let medians = services.into_iter().filter_map(|(service, engines)| {
-        let median = median_pace(now, &engines)?;
-        Some((service.to_string(), median))
+    let paces = services.into_iter().filter_map(|(service, engines)| {
+        let paces = ServicePaces::of(now, &engines)?;
+        Some((service.to_string(), paces))
     });
-    medians.collect()
+    paces.collect()
+}
+
+impl ServicePaces {
+    fn of(now: Time, engines: &[&EngineState]) -> Option<Self> {
+        let median = median_pace(now, engines)?;
+        let fastest = |engines: &mut dyn Iterator<Item = &&EngineState>| {
+            let paces = engines.filter_map(|state| state.experience.pace());
+            paces.min_by(f64::total_cmp)
+        };
+        let mut free = engines.iter().filter(|state| {
+            state.experience.running < state.record.slots.max(1) && !state.experience.blocked(now)
+        });
+        Some(Self {
+            median,
+            fastest: fastest(&mut engines.iter()).unwrap_or(median),
+            fastest_free: fastest(&mut free).unwrap_or(median),
+        })
+    }
 }
 
 fn median_pace(now: Time, engines: &[&EngineState]) -> Option<f64> {
@@ -192,6 +280,7 @@
         && !state.record.draining
         && !state.experience.blocked(now)
         && need.avoid != Some(&state.record.instance)
+        && !need.left.contains(&state.record.instance)
         && state.experience.running < state.record.slots.max(1)
 }
 
--- a/crates/server/src/settings.rs
+++ b/crates/server/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of a gateway or storage process.
 
+use peatgrade_jobs::ItemPlacement;
 use peatgrade_mirror::MirrorTiming;
 use peatgrade_types::Duration;
 use serde::Deserialize;
@@ -80,6 +81,10 @@
     /// storage only.
     #[serde(default = "default_usage_late")]
     pub usage_late_ms: u64,
+    /// How engines are chosen for items, and when runs move: `relative-pace`,
+    /// `expected-end` or `priced-moves`. Storage only.
+    #[serde(default = "default_item_placement")]
+    pub item_placement: String,
     /// IP:port that takes the calls of duties; storage only, needed where usage is
     /// reported.
     #[serde(default)]
@@ -128,6 +133,10 @@
     10_000
 }
 
+fn default_item_placement() -> String {
+    "relative-pace".into()
+}
+
 fn default_level() -> String {
     "info".into()
 }
@@ -227,7 +236,7 @@
         keep!(name, zone, front_address, ready_address, peer_address);
         keep!(metrics_address, data_folder, tolerated_losses);
         keep!(disk_limit_mb, memory_limit_mb, usage_window_ms);
-        keep!(keys_believed_ms);
+        keep!(keys_believed_ms, item_placement);
         keep!(
             contact_ms,
             config_apply_ms,
@@ -246,6 +255,11 @@
         limit.map(Duration::from_millis)
     }
 
+    /// How engines are chosen for items; the usual way if the name is none.
+    pub fn item_placement(&self) -> ItemPlacement {
+        ItemPlacement::named(&self.item_placement).unwrap_or_default()
+    }
+
     /// Spans within which news of the store reach all machines.
     pub fn mirror_timing(&self) -> MirrorTiming {
         let bound_ms = self.config_apply_ms.min(self.engine_drain_ms);
@@ -280,6 +294,13 @@
                 value: self.log_level.clone(),
             });
         }
+        if ItemPlacement::named(&self.item_placement).is_none() {
+            return Err(SettingsError::Field {
+                field: "item_placement",
+                reason: "must be relative-pace, expected-end or priced-moves",
+                value: self.item_placement.clone(),
+            });
+        }
         at_least("engine_drain_ms", self.engine_drain_ms, 100)?;
         at_least("config_apply_ms", self.config_apply_ms, 100)?;
         at_least("engine_heartbeat_ms", self.engine_heartbeat_ms, 10)?;
--- a/crates/server/src/storage/housekeeping.rs
+++ b/crates/server/src/storage/housekeeping.rs
@@ -112,8 +112,17 @@
             ),
             ("store_age_ms", now.since(self.store_heard).as_millis()),
         ];
+        let placement = self.dispatcher.placement_figures();
+        let placement = [
+            ("item_moves_leaving", placement.moves_leaving),
+            ("item_moves_silent", placement.moves_silent),
+            ("item_moves_slow", placement.moves_slow),
+            ("item_moves_faster", placement.moves_faster),
+            ("item_prompts_kept", placement.prompts_kept),
+            ("item_prompts_read", placement.prompts_read),
+        ];
         let quarantine = self.directory.quarantine.figures();
-        for (name, value) in figures.into_iter().chain(quarantine) {
+        for (name, value) in figures.into_iter().chain(placement).chain(quarantine) {
             self.metrics.set(name, value);
         }
         let loads = self.coordinator.as_ref().map_or(0, |c| c.loading());
--- a/crates/server/src/storage/process.rs
+++ b/crates/server/src/storage/process.rs
@@ -227,7 +227,8 @@
         let commands = Rc::new(AppliedCommands(log_file.source()));
         let member_news = MemberNews::new(now, &settings);
         let process = Self {
-            dispatcher: Dispatcher::new(Box::new(move || reader_codec.event_reader())),
+            dispatcher: Dispatcher::new(Box::new(move || reader_codec.event_reader()))
+                .with_placement(settings.item_placement()),
             settings,
             codec,
             replica,
