--- a/crates/jobs/src/dispatcher/moving.rs
+++ b/crates/jobs/src/dispatcher/moving.rs
@@ -78,7 +78,7 @@
             formatter,
             " remaining={:.0} pace_here_us={:.0} pace_there_us={:.0} gain_ms={:.0} price_ms={:.0}",
             self.remaining,
-            self.here.per_event,
+            self.here.now(),
             self.there.with_one_more(),
             self.outcome.gain / 1_000.0,
             self.outcome.price / 1_000.0
--- a/crates/jobs/src/dispatcher/placing.rs
+++ b/crates/jobs/src/dispatcher/placing.rs
@@ -15,6 +15,10 @@
     Expected, GroupName, ItemPlacement, KeptPrompts, ModelLengths, Rest, ServicePaces,
 };
 
+/// Share of the expected time of a job's longest text that others may take without care:
+/// the guess for that one is as uncertain as the others.
+const END_SHARE: f64 = 0.85;
+
 /// Counts of choices since the start.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct PlacementFigures {
@@ -47,6 +51,8 @@
     pub fn open_job(&mut self, job: &Rc<str>, spec: &AcceptJob) {
         let longest = spec.items.iter().map(|item| item.length_hint).max();
         self.longest.insert(job.clone(), longest.unwrap_or(0));
+        let guesses = spec.items.iter().map(|item| item.length_hint);
+        self.lengths.note_guesses(&spec.model, guesses);
     }
 
     pub fn end_job(&mut self, job: &Rc<str>) {
@@ -90,14 +96,14 @@
         })
     }
 
-    /// Microseconds until an item's job is expected to end in any case: its longest text
-    /// on the fastest engine, from when the job was known.
+    /// Microseconds until an item's job is expected to end in any case: when its longest
+    /// text on the fastest engine is nearly done, from when the job was known.
     fn until_end(&self, now: Time, item: &OpenItem, paces: ServicePaces) -> f64 {
         let longest = self.longest.get(item.spec.job.as_str()).copied();
         let model = &item.spec.model;
         let longest = self.lengths.rest(model, longest.unwrap_or(0), 0);
         let age = now.since(item.known_since).0 as f64;
-        (longest.events * paces.fastest - age).max(0.0)
+        (longest.events * paces.fastest * END_SHARE - age).max(0.0)
     }
 
     /// Engines that keep the prompt of an item's group: those that run its items now, and,
--- a/crates/jobs/src/dispatcher/starting.rs
+++ b/crates/jobs/src/dispatcher/starting.rs
@@ -138,7 +138,7 @@
                 model: &item.spec.model,
                 min_version: item.spec.min_version,
                 exact: None,
-                companions: &[],
+                companions: beside,
                 avoid: None,
                 left: &[],
                 expected: None,
--- a/crates/jobs/src/placement/choice.rs
+++ b/crates/jobs/src/placement/choice.rs
@@ -11,12 +11,16 @@
 /// sets the end of its job: paces are not known any better, and the prompt that one of
 /// them keeps decides.
 const ALIKE: f64 = 0.08;
-/// The same for a text that ends in time anyway: more than a full batch costs, so that its
-/// group shares few engines.
-const ALIKE_IN_TIME: f64 = 0.15;
+/// The same for a text that ends in time anyway: less than from one speed of engines to
+/// the next, more than a full batch costs, so that its group shares few engines.
+const ALIKE_IN_TIME: f64 = 0.3;
 /// An engine is fast if its pace is less than this share of the median.
 const FAST_SHARE: f64 = 0.8;
 
+/// Fast places are kept for long texts once less than this share of them is free. While
+/// more are, none of them would stand empty for a long text that comes.
+const SCARCE_SHARE: f64 = 0.5;
+
 /// How engines are chosen for items, and when runs are moved.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
 pub enum ItemPlacement {
@@ -66,6 +70,16 @@
     pub until_end: f64,
 }
 
+/// Whether an engine counts as fast among engines of that median pace.
+pub fn is_fast(pace: f64, median: f64) -> bool {
+    pace < median * FAST_SHARE
+}
+
+/// Whether so few places of fast engines are left that they are kept for long texts.
+pub fn is_scarce(free: u32, all: u32) -> bool {
+    f64::from(free) < f64::from(all) * SCARCE_SHARE
+}
+
 /// How well an engine suits an item: the least is the best.
 #[derive(Clone, Copy, PartialEq, Debug)]
 pub struct Rank {
@@ -83,13 +97,11 @@
 }
 
 impl Expected {
-    /// How well an engine of this pace suits a text of this length, where engines have
-    /// that median pace.
-    pub fn rank(&self, pace: Pace, median: f64, keeps_prompt: bool) -> Rank {
-        let is_fast = pace.per_event < median * FAST_SHARE;
+    /// How well an engine of this pace suits a text of this length.
+    pub fn rank(&self, pace: Pace, is_scarce: bool, keeps_prompt: bool) -> Rank {
         let is_in_time = pace.until_made(self.most_events, keeps_prompt) <= self.until_end;
-        let spares_fast_place = is_in_time && !is_fast;
-        let alike = match (keeps_prompt, spares_fast_place) {
+        let spares_fast_place = is_in_time && !is_scarce;
+        let alike = match (keeps_prompt, is_in_time) {
             (false, _) => 0.0,
             (true, false) => ALIKE,
             (true, true) => ALIKE_IN_TIME,
@@ -102,6 +114,10 @@
 
     /// Whether a text may end after the others of its job where it runs now.
     pub fn may_be_last(&self, pace: Pace) -> bool {
-        self.most_events * pace.per_event > self.until_end
+        self.most_events * pace.now() > self.until_end
     }
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/placement/choice.rs"]
+mod tests;
--- a/crates/jobs/src/placement/kept_prompts.rs
+++ b/crates/jobs/src/placement/kept_prompts.rs
@@ -78,3 +78,7 @@
         self.groups.retain(|_, keepers| last(keepers) > median);
     }
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/placement/kept_prompts.rs"]
+mod tests;
--- a/crates/jobs/src/placement/length.rs
+++ b/crates/jobs/src/placement/length.rs
@@ -19,9 +19,19 @@
 /// Whole texts from which on the histogram is believed. Short ones end first, so the
 /// first few say too little.
 const LEAST_TEXTS: f64 = 24.0;
-/// Events that a text is expected to have while nothing is known of its like: a leader that
+/// Events of a text of usual length while nothing is known of a model's texts: a leader that
 /// is new learns enough within some seconds.
-const UNKNOWN_EVENTS: f64 = 12.0;
+const USUAL_EVENTS: f64 = 20.0;
+/// Lengths of texts of which that is the usual one, as a multiple of it, and the share of
+/// texts that have them: guesses are right in the median, half of the texts within a
+/// factor of 1.4 of it, and one in twelve is several times longer.
+const USUAL_SPREAD: [(f64, f64); 5] = [
+    (0.5, 0.2),
+    (0.75, 0.25),
+    (1.0, 0.25),
+    (1.6, 0.22),
+    (4.0, 0.08),
+];
 /// Share of texts that are to be no longer than the most that is expected: what is longer
 /// is moved to a faster engine once it shows.
 const MOST_SHARE: f64 = 0.9;
@@ -48,6 +58,9 @@
 pub struct Lengths {
     texts: [f64; STEPS],
     total: f64,
+    /// Mean of the logarithms of guesses for texts that were handed in, and their number.
+    mean_guess: f64,
+    guesses: f64,
 }
 
 impl Default for Lengths {
@@ -55,11 +68,21 @@
         Self {
             texts: [0.0; STEPS],
             total: 0.0,
+            mean_guess: 0.0,
+            guesses: 0.0,
         }
     }
 }
 
 impl Lengths {
+    /// Takes note of the guess for a text that was handed in.
+    pub fn note_guess(&mut self, guess: u64) {
+        if guess > 0 {
+            self.guesses = (self.guesses + 1.0).min(MAX_TEXTS);
+            self.mean_guess += ((guess as f64).log2() - self.mean_guess) / self.guesses;
+        }
+    }
+
     /// Takes note of a whole text.
     pub fn learn(&mut self, guess: u64, events: usize) {
         if guess == 0 || events == 0 {
@@ -76,24 +99,20 @@
         }
     }
 
-    /// Events still to come on average of a text of which `made` have come; none before
-    /// enough texts were seen.
-    pub fn remaining(&self, guess: u64, made: usize) -> Option<f64> {
-        if guess == 0 || self.total < LEAST_TEXTS {
-            return None;
-        }
+    /// Events still to come on average of a text of which `made` have come.
+    pub fn remaining(&self, guess: u64, made: usize) -> f64 {
         let longer = self.longer(guess, made);
         let texts: f64 = longer.iter().map(|(_, texts)| texts).sum();
         if texts < LEAST_LONGER {
-            return Some((made as f64 * TAIL_SHARE).max(1.0));
+            return (made as f64 * TAIL_SHARE).max(1.0);
         }
         let events: f64 = longer.iter().map(|(rest, texts)| rest * texts).sum();
-        Some(events / texts)
+        events / texts
     }
 
     /// Events still to come that a `share` of such texts do not exceed.
-    pub fn remaining_at_most(&self, guess: u64, made: usize, share: f64) -> Option<f64> {
-        let mean = self.remaining(guess, made)?;
+    pub fn remaining_at_most(&self, guess: u64, made: usize, share: f64) -> f64 {
+        let mean = self.remaining(guess, made);
         let longer = self.longer(guess, made);
         let texts: f64 = longer.iter().map(|(_, texts)| texts).sum();
         let mut left = texts * share;
@@ -101,16 +120,28 @@
             left -= texts;
             left <= 0.0
         });
-        Some(found.map_or(mean, |(rest, _)| *rest))
+        found.map_or(mean, |(rest, _)| *rest)
     }
 
     /// Lengths longer than `made`: events beyond it, and texts of that length.
     fn longer(&self, guess: u64, made: usize) -> Vec<(f64, f64)> {
-        let steps = self.texts.iter().enumerate();
-        let rests = steps.map(|(step, texts)| {
-            let middle = (step as f64 + 0.5) / STEPS_PER_DOUBLING - DOUBLINGS_BELOW_ONE;
-            (guess as f64 * middle.exp2() - made as f64, *texts)
-        });
+        let guess = (guess as f64).max(1.0);
+        let lengths: Vec<(f64, f64)> = if self.total < LEAST_TEXTS {
+            let usual = USUAL_EVENTS * guess / self.mean_guess.exp2();
+            let spread = USUAL_SPREAD.iter();
+            spread
+                .map(|(length, share)| (length * usual, share * LEAST_TEXTS))
+                .collect()
+        } else {
+            let steps = self.texts.iter().enumerate();
+            let middle = |step| (step as f64 + 0.5) / STEPS_PER_DOUBLING - DOUBLINGS_BELOW_ONE;
+            steps
+                .map(|(step, texts)| (guess * f64::exp2(middle(step)), *texts))
+                .collect()
+        };
+        let rests = lengths
+            .iter()
+            .map(|(length, texts)| (length - made as f64, *texts));
         rests
             .filter(|(rest, texts)| *rest > 0.0 && *texts > 0.0)
             .collect()
@@ -121,35 +152,45 @@
 #[derive(Clone, Debug, Default)]
 pub struct ModelLengths {
     models: BTreeMap<String, Lengths>,
+    /// What is known of texts of any other model: nothing.
+    unknown: Lengths,
 }
 
 impl ModelLengths {
+    /// Takes note of the guesses for texts of a model that were handed in.
+    pub fn note_guesses(&mut self, model: &str, guesses: impl Iterator<Item = u64>) {
+        if let Some(lengths) = self.entry(model) {
+            guesses.for_each(|guess| lengths.note_guess(guess));
+        }
+    }
+
     /// Takes note of a whole text of a model.
     pub fn learn(&mut self, model: &str, guess: u64, events: usize) {
-        if let Some(lengths) = self.models.get_mut(model) {
-            return lengths.learn(guess, events);
-        }
-        if self.models.len() < MAX_MODELS {
-            let lengths = self.models.entry(model.to_string()).or_default();
+        if let Some(lengths) = self.entry(model) {
             lengths.learn(guess, events);
         }
     }
 
     /// What is expected to come of a model's text of which `made` events have come.
     pub fn rest(&self, model: &str, guess: u64, made: usize) -> Rest {
-        let lengths = self.models.get(model);
-        let known = lengths.and_then(|lengths| {
-            Some(Rest {
-                events: lengths.remaining(guess, made)?,
-                most_events: lengths.remaining_at_most(guess, made, MOST_SHARE)?,
-            })
-        });
-        known.unwrap_or_else(|| {
-            let events = (UNKNOWN_EVENTS - made as f64).max(made as f64 * TAIL_SHARE);
-            Rest {
-                events,
-                most_events: 2.0 * events,
+        let lengths = self.models.get(model).unwrap_or(&self.unknown);
+        Rest {
+            events: lengths.remaining(guess, made),
+            most_events: lengths.remaining_at_most(guess, made, MOST_SHARE),
+        }
+    }
+
+    fn entry(&mut self, model: &str) -> Option<&mut Lengths> {
+        if !self.models.contains_key(model) {
+            if self.models.len() >= MAX_MODELS {
+                return None;
             }
-        })
+            self.models.insert(model.to_string(), Lengths::default());
+        }
+        self.models.get_mut(model)
     }
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/placement/length.rs"]
+mod tests;
--- a/crates/jobs/src/placement/mod.rs
+++ b/crates/jobs/src/placement/mod.rs
@@ -115,6 +115,7 @@
         let fast_enough = |state: &&EngineState| {
             slow == SlowEngines::Allowed || !is_slow(now, state, self.median())
         };
+        let scarce = need.expected.is_some() && self.is_fast_scarce(directory);
         let free = states
             .filter(|state| usable(now, state, need) && state.experience.running < limit)
             .filter(fast_enough);
@@ -124,7 +125,7 @@
                 cost(a).total_cmp(&cost(b))
             }),
             Some(expected) => free
-                .map(|state| (self.rank(now, state, need, &expected), state))
+                .map(|state| (self.rank(now, state, need, &expected, scarce), state))
                 .min_by(|(a, _), (b, _)| a.total_cmp(b))
                 .map(|(_, state)| state),
         };
@@ -140,11 +141,36 @@
         self.paces.map(|paces| paces.median)
     }
 
-    fn rank(&self, now: Time, state: &EngineState, need: &Need<'_>, expected: &Expected) -> Rank {
+    /// Whether few places of fast engines are left.
+    fn is_fast_scarce(&self, directory: &EngineDirectory) -> bool {
+        let Some(paces) = self.paces else {
+            return false;
+        };
+        let states = self.engines.iter().filter_map(|name| directory.get(name));
+        let fast = states.filter(|state| {
+            let pace = state.experience.pace();
+            pace.is_some_and(|pace| choice::is_fast(pace, paces.median))
+        });
+        let places = fast.map(|state| (state.record.slots, state.experience.running));
+        let (all, taken) = places.fold((0, 0), |(all, taken), (slots, running)| {
+            (all + slots, taken + running.min(slots))
+        });
+        choice::is_scarce(all - taken, all)
+    }
+
+    fn rank(
+        &self,
+        now: Time,
+        state: &EngineState,
+        need: &Need<'_>,
+        expected: &Expected,
+        is_fast_scarce: bool,
+    ) -> Rank {
         let keeps_prompt = need.companions.contains(&state.record.instance);
-        let median = self.median();
-        let pace = believed_pace(now, state, median);
-        expected.rank(pace, median.unwrap_or(UNSEEN_PACE), keeps_prompt)
+        let pace = believed_pace(now, state, self.median());
+        let median = self.median().unwrap_or(UNSEEN_PACE);
+        let keeps_away = is_fast_scarce && choice::is_fast(pace.per_event, median);
+        expected.rank(pace, keeps_away, keeps_prompt)
     }
 
     /// Number of engines weighed for each item.
--- a/crates/jobs/tests/dispatch/mod.rs
+++ b/crates/jobs/tests/dispatch/mod.rs
@@ -3,7 +3,8 @@
 use bytes::Bytes;
 use peatgrade_fleet::{EngineDirectory, EngineState};
 use peatgrade_jobs::{
-    DispatchAction, Dispatcher, JobStore, RunId, RunPart, ScoreCall, ScoreId, ScoreOutcome,
+    DispatchAction, Dispatcher, ItemPlacement, JobStore, RunId, RunPart, ScoreCall, ScoreId,
+    ScoreOutcome,
 };
 use peatgrade_ports::{
     AnswerHead, Configuration, EngineCall, EngineRecord, EventReader, GenerationEvent, Instance,
@@ -139,6 +140,11 @@
         }
     }
 
+    /// Chooses engines in another way.
+    pub fn place_by(&mut self, way: ItemPlacement) {
+        self.dispatcher = new_dispatcher().with_placement(way);
+    }
+
     /// Changes the routes, as a newer configuration does.
     pub fn change_routes(&mut self, change: impl FnOnce(&mut Vec<Route>)) {
         let mut routes: Vec<Route> = self.configuration.routes.iter().cloned().collect();
@@ -182,7 +188,7 @@
         self.submit_items(job, 1, items);
     }
 
-    fn submit_items(&mut self, job: &str, min_version: u64, items: Vec<JobItem>) {
+    pub fn submit_items(&mut self, job: &str, min_version: u64, items: Vec<JobItem>) {
         self.apply(OneOfbody::accept(AcceptJob {
             job: job.into(),
             tenant: self.tenant.clone(),
--- a/crates/jobs/tests/dispatcher.rs
+++ b/crates/jobs/tests/dispatcher.rs
@@ -8,6 +8,7 @@
 mod single_version;
 mod suspects;
 mod tenants;
+mod uneven;
 
 use dispatch::{engine, Scene};
 use peatgrade_jobs::RunPart;
--- a/crates/server/tests/unit/settings.rs
+++ b/crates/server/tests/unit/settings.rs
@@ -24,6 +24,7 @@
 #[case::no_level("log_level = \"loud\"", "log_level")]
 #[case::hasty("contact_ms = 10", "contact_ms")]
 #[case::huge_group("tolerated_losses = 9", "tolerated_losses")]
+#[case::no_such_way("item_placement = \"fastest\"", "item_placement")]
 fn an_error_names_its_field(#[case] line: &str, #[case] field: &str) {
     let base = GATEWAY.lines().filter(|known| !known.starts_with(field));
     let text = format!("{}\n{line}\n", base.collect::<Vec<_>>().join("\n"));
--- a/scripts/planted-breaks.sh
+++ b/scripts/planted-breaks.sh
@@ -86,9 +86,24 @@
 plant "the time of a load only rises" crates/fleet/src/coordinator/mod.rs \
     "let shorter = expected.0 * SHORTER_NUMERATOR / SHORTER_DENOMINATOR;" \
     "let shorter = expected.0;" peatgrade-fleet one_slow
-plant "slow engines count as any other" $J/placement.rs \
-    "slow == SlowEngines::Allowed || !is_slow(now, state, self.median)" \
+plant "slow engines count as any other" $J/placement/mod.rs \
+    "slow == SlowEngines::Allowed || !is_slow(now, state, self.median())" \
     "slow == SlowEngines::Allowed || state.record.slots > 0" peatgrade-jobs items_go
+plant "a move need not pay" $J/placement/expected_end.rs "self.gain >= self.price * MARGIN" \
+    "self.gain >= 0.0" peatgrade-jobs uneven
+plant "a run moves back" $J/dispatcher/moving.rs "item.left.push(instance.clone());" "" \
+    peatgrade-jobs does_not_move_back
+plant "what has come of a text is left out" $J/placement/length.rs \
+    "(length - made as f64, *texts)" "(*length, *texts)" peatgrade-jobs what_has_come
+plant "prompts outlive their weights" $J/dispatcher/placing.rs \
+    "if same && !keepers.contains(engine)" "if !keepers.contains(engine) || !same" \
+    peatgrade-jobs a_group_that_comes_back
+plant "lengths of models are not bounded" $J/placement/length.rs \
+    "if self.models.len() >= MAX_MODELS" "if self.models.len() >= 1_000_000" \
+    peatgrade-jobs models_are_bounded
+plant "short texts take fast places" $J/placement/choice.rs \
+    "spares_fast_place = is_in_time && !is_scarce" "spares_fast_place = is_in_time" \
+    peatgrade-jobs fast_places
 plant "each leader counts failures anew" $J/dispatcher/takeover.rs \
     "open.failures = job.failures.get(&index).copied().unwrap_or_default();" "" peatgrade-jobs failures_of
 plant "a connection for one request is kept" crates/runtime/src/http_client.rs \
