--- a/crates/jobs/src/dispatcher/moving.rs
+++ b/crates/jobs/src/dispatcher/moving.rs
@@ -226,7 +226,9 @@
             && !state.loading.contains(&item.spec.model)
             && now >= self.paces_judged_from;
         let slow = may_move && placement::is_slow(now, state, self.median_at(state));
-        let is_priced = self.placing.way.prices_moves();
+        let paces = self.paces.get(&state.record.service).copied();
+        let way = self.placing.way_for(paces);
+        let is_priced = way.prices_moves();
         let may_pay = may_move && (slow || run.events >= LEAST_RUN_EVENTS);
         let pays = is_priced && may_pay && self.could_pay(now, item, state);
         let long = !is_priced && may_pay && self.is_long(&run.key, item);
@@ -249,7 +251,7 @@
             companions: &[],
             avoid: Some(&run.instance),
             left: &item.left,
-            expected: Some(expected).filter(|_| self.placing.way.is_by_expected_end()),
+            expected: Some(expected).filter(|_| way.is_by_expected_end()),
         };
         let find = || {
             let anywhere = Need {
--- a/crates/jobs/src/dispatcher/placing.rs
+++ b/crates/jobs/src/dispatcher/placing.rs
@@ -59,6 +59,12 @@
         self.longest.remove(job);
     }
 
+    /// The way that fits a service whose engines have these paces.
+    pub fn way_for(&self, paces: Option<ServicePaces>) -> ItemPlacement {
+        let has_fast = paces.is_some_and(|paces| paces.has_fast_engines);
+        self.way.for_service(has_fast)
+    }
+
     /// A text is whole.
     pub fn text_whole(&mut self, item: &OpenItem) {
         let (guess, events) = (item.item().length_hint, item.text.events.len());
@@ -85,7 +91,7 @@
         item: &OpenItem,
         paces: Option<ServicePaces>,
     ) -> Option<Expected> {
-        if !self.way.is_by_expected_end() {
+        if !self.way_for(paces).is_by_expected_end() {
             return None;
         }
         let rest = self.rest(item);
@@ -114,8 +120,9 @@
         item: &OpenItem,
         directory: &EngineDirectory,
         running: &'a [Instance],
+        paces: Option<ServicePaces>,
     ) -> Cow<'a, [Instance]> {
-        let group = group_of(item).filter(|_| self.way.is_by_expected_end());
+        let group = group_of(item).filter(|_| self.way_for(paces).is_by_expected_end());
         let Some(group) = group else {
             return Cow::Borrowed(running);
         };
--- a/crates/jobs/src/dispatcher/starting.rs
+++ b/crates/jobs/src/dispatcher/starting.rs
@@ -146,11 +146,12 @@
             let Some(look) = rooms.look(now, &key.0, directory, &any) else {
                 continue;
             };
-            let keepers = self.placing.keepers(now, item, directory, beside);
+            let paces = look.paces();
+            let keepers = self.placing.keepers(now, item, directory, beside, paces);
             let without = Need {
                 exact: item.exact_version(),
                 companions: &keepers,
-                expected: self.placing.expected(now, item, look.paces()),
+                expected: self.placing.expected(now, item, paces),
                 ..any
             };
             let need = Need {
--- a/crates/jobs/src/placement/choice.rs
+++ b/crates/jobs/src/placement/choice.rs
@@ -31,11 +31,15 @@
     ExpectedEnd,
     /// The same, and a run moves only where that pays.
     PricedMoves,
+    /// As `PricedMoves` while some engines of the service are far faster than the median,
+    /// as `RelativePace` while none are.
+    ByPaces,
 }
 
 impl ItemPlacement {
     /// Names of all ways, as settings give them.
-    pub const NAMES: [&'static str; 3] = ["relative-pace", "expected-end", "priced-moves"];
+    pub const NAMES: [&'static str; 4] =
+        ["relative-pace", "expected-end", "priced-moves", "by-paces"];
 
     /// The way of that name.
     pub fn named(name: &str) -> Option<Self> {
@@ -43,13 +47,24 @@
             "relative-pace" => Some(Self::RelativePace),
             "expected-end" => Some(Self::ExpectedEnd),
             "priced-moves" => Some(Self::PricedMoves),
+            "by-paces" => Some(Self::ByPaces),
             _ => None,
         }
     }
 
+    /// The way that fits a service of which some engines are far faster than the median,
+    /// or none.
+    pub fn for_service(self, has_fast_engines: bool) -> Self {
+        match (self, has_fast_engines) {
+            (Self::ByPaces, true) => Self::PricedMoves,
+            (Self::ByPaces, false) => Self::RelativePace,
+            _ => self,
+        }
+    }
+
     /// Whether engines are chosen by the expected end of a text.
     pub fn is_by_expected_end(self) -> bool {
-        self != Self::RelativePace
+        matches!(self, Self::ExpectedEnd | Self::PricedMoves)
     }
 
     /// Whether a move must pay.
--- a/crates/jobs/src/placement/mod.rs
+++ b/crates/jobs/src/placement/mod.rs
@@ -36,6 +36,10 @@
 /// that write for people.
 const UNSEEN_PACE: f64 = 50_000.0;
 
+/// One engine in so many must be fast for a service to count as uneven: then their places
+/// hold the long texts of a step.
+const FAST_PART: usize = 5;
+
 /// What an item needs.
 #[derive(Clone, Copy, Debug)]
 pub struct Need<'a> {
@@ -218,6 +222,8 @@
     pub fastest: f64,
     /// The fastest of those that have a free place; the median if none has.
     pub fastest_free: f64,
+    /// Whether a fifth of the engines or more are far faster than the median.
+    pub has_fast_engines: bool,
 }
 
 /// Median pace of each service's engines that take new requests: their usual pace or
@@ -246,8 +252,16 @@
         let mut free = engines.iter().filter(|state| {
             state.experience.running < state.record.slots.max(1) && !state.experience.blocked(now)
         });
+        let mut usual: Vec<f64> = engines.iter().filter_map(|s| s.experience.pace()).collect();
+        usual.sort_by(f64::total_cmp);
+        let fifth = usual.get(usual.len() / FAST_PART).copied();
+        let middle = usual.get(usual.len().saturating_sub(1) / 2).copied();
+        let has_fast_engines = fifth
+            .zip(middle)
+            .is_some_and(|(fifth, middle)| choice::is_fast(fifth, middle));
         Some(Self {
             median,
+            has_fast_engines,
             fastest: fastest(&mut engines.iter()).unwrap_or(median),
             fastest_free: fastest(&mut free).unwrap_or(median),
         })
--- a/crates/jobs/tests/uneven/mod.rs
+++ b/crates/jobs/tests/uneven/mod.rs
@@ -179,6 +179,16 @@
     assert!(100 * after.step_ms <= 101 * before.step_ms, "{figures:?}");
 }
 
+/// By paces, uneven engines are placed as with priced moves, but for the first step, in
+/// which no pace is known.
+#[test]
+fn uneven_engines_are_noticed() {
+    let before = play(ItemPlacement::RelativePace);
+    let by_paces = play(ItemPlacement::ByPaces);
+    let figures = (before.moves, by_paces.moves);
+    assert!(2 * by_paces.moves <= before.moves, "{figures:?}");
+}
+
 #[test]
 fn every_run_is_counted_as_kept_or_read() {
     let outcome = play(ItemPlacement::ExpectedEnd);
@@ -217,6 +227,7 @@
 #[case::it_keeps_the_prompt(ItemPlacement::PricedMoves, 5, 41, "a")]
 #[case::its_weights_have_changed(ItemPlacement::PricedMoves, 6, 41, "b")]
 #[case::it_is_slower(ItemPlacement::PricedMoves, 5, 60, "b")]
+#[case::engines_alike(ItemPlacement::ByPaces, 5, 41, "b")]
 #[case::by_pace_alone(ItemPlacement::RelativePace, 5, 41, "b")]
 fn a_group_that_comes_back_goes_where_its_prompt_is_kept(
     #[case] way: ItemPlacement,
--- a/crates/jobs/tests/unit/placement/choice.rs
+++ b/crates/jobs/tests/unit/placement/choice.rs
@@ -61,6 +61,6 @@
 #[test]
 fn ways_have_names() {
     let ways = ItemPlacement::NAMES.map(|name| ItemPlacement::named(name).is_some());
-    assert_eq!(ways, [true; 3]);
+    assert_eq!(ways, [true; 4]);
     assert_eq!(ItemPlacement::named("fastest"), None);
 }
--- a/crates/server/src/settings.rs
+++ b/crates/server/src/settings.rs
@@ -82,7 +82,7 @@
     #[serde(default = "default_usage_late")]
     pub usage_late_ms: u64,
     /// How engines are chosen for items, and when runs move: `relative-pace`,
-    /// `expected-end` or `priced-moves`. Storage only.
+    /// `expected-end`, `priced-moves` or `by-paces`. Storage only.
     #[serde(default = "default_item_placement")]
     pub item_placement: String,
     /// IP:port that takes the calls of duties; storage only, needed where usage is
@@ -297,7 +297,7 @@
         if ItemPlacement::named(&self.item_placement).is_none() {
             return Err(SettingsError::Field {
                 field: "item_placement",
-                reason: "must be relative-pace, expected-end or priced-moves",
+                reason: "must be relative-pace, expected-end, priced-moves or by-paces",
                 value: self.item_placement.clone(),
             });
         }
