--- a/crates/jobs/src/placement/choice.rs
+++ b/crates/jobs/src/placement/choice.rs
@@ -17,6 +17,11 @@
 /// An engine is fast if its pace is less than this share of the median.
 const FAST_SHARE: f64 = 0.8;
 
+/// A service is uneven if a fifth of its engines have less than this share of the median
+/// pace. Where engines are alike but for a slow third, the median may be a slow one for a
+/// while: 39 of 50 ms an event, 0.78. Where they are uneven it was 0.63.
+const UNEVEN_SHARE: f64 = 0.7;
+
 /// Fast places are kept for long texts once less than this share of them is free. While
 /// more are, none of them would stand empty for a long text that comes.
 const SCARCE_SHARE: f64 = 0.5;
@@ -90,6 +95,12 @@
     pace < median * FAST_SHARE
 }
 
+/// Whether a service of which a fifth of the engines have at most one pace, and the median
+/// the other, counts as uneven.
+pub fn is_uneven(fifth: f64, median: f64) -> bool {
+    fifth < median * UNEVEN_SHARE
+}
+
 /// Whether so few places of fast engines are left that they are kept for long texts.
 pub fn is_scarce(free: u32, all: u32) -> bool {
     f64::from(free) < f64::from(all) * SCARCE_SHARE
--- a/crates/jobs/src/placement/mod.rs
+++ b/crates/jobs/src/placement/mod.rs
@@ -258,7 +258,7 @@
         let middle = usual.get(usual.len().saturating_sub(1) / 2).copied();
         let has_fast_engines = fifth
             .zip(middle)
-            .is_some_and(|(fifth, middle)| choice::is_fast(fifth, middle));
+            .is_some_and(|(fifth, middle)| choice::is_uneven(fifth, middle));
         Some(Self {
             median,
             has_fast_engines,
--- a/crates/jobs/tests/unit/placement/choice.rs
+++ b/crates/jobs/tests/unit/placement/choice.rs
@@ -64,3 +64,15 @@
     assert_eq!(ways, [true; 4]);
     assert_eq!(ItemPlacement::named("fastest"), None);
 }
+
+#[rstest]
+#[case::engines_of_three_speeds(FAST, USUAL, true)]
+#[case::median_among_a_slow_third(39_000.0, 50_000.0, false)]
+#[case::engines_alike(43_000.0, 44_000.0, false)]
+fn a_service_is_uneven_if_some_engines_are_far_faster(
+    #[case] fifth: f64,
+    #[case] median: f64,
+    #[case] uneven: bool,
+) {
+    assert_eq!(is_uneven(fifth, median), uneven);
+}
--- a/scripts/planted-breaks.sh
+++ b/scripts/planted-breaks.sh
@@ -90,7 +90,7 @@
     "slow == SlowEngines::Allowed || !is_slow(now, state, self.median())" \
     "slow == SlowEngines::Allowed || state.record.slots > 0" peatgrade-jobs items_go
 plant "a move need not pay" $J/placement/expected_end.rs "self.gain >= self.price * MARGIN" \
-    "self.gain >= 0.0" peatgrade-jobs uneven
+    "self.gain >= 0.0" peatgrade-jobs a_move_must
 plant "a run moves back" $J/dispatcher/moving.rs "item.left.push(instance.clone());" "" \
     peatgrade-jobs does_not_move_back
 plant "what has come of a text is left out" $J/placement/length.rs \
