--- a/crates/jobs/src/dispatcher/admission.rs
+++ b/crates/jobs/src/dispatcher/admission.rs
@@ -58,7 +58,7 @@
         }
         let tenants = &configuration.tenants;
         let rank = tenants.priority_of(&job.tenant, route.priority);
-        let pace = *self.medians.get(service)?;
+        let pace = self.paces.get(service)?.median;
         let lengths = self.lengths.of(&job.model)?;
         let mut groups: HashMap<&str, (f64, f64)> = HashMap::new();
         for item in &job.items {
--- a/crates/jobs/src/dispatcher/answers.rs
+++ b/crates/jobs/src/dispatcher/answers.rs
@@ -54,6 +54,10 @@
                 directory.saw_version(&run.instance, &item.spec.model, version);
             }
         }
+        if head.status == 200 {
+            self.placing
+                .prompt_read(now, item, &run.instance, run.version);
+        }
         run.head = Some(head);
         if foreign {
             self.on_failed(now, id, "answer of another request", directory);
@@ -195,8 +199,11 @@
         item.text.whole = true;
         let (hint, events) = (item.item().length_hint, item.text.events.len());
         self.lengths.finished(&item.spec.model, hint, events);
+        self.placing.text_whole(item);
+        self.placing
+            .prompt_read(now, item, &run.instance, run.version);
         log::info!(
-            "decision=complete item={} job={} engine={} events={} versions={:?} runs={} hint={} age_ms={} run_ms={} run_events={}",
+            "decision=complete item={} job={} engine={} events={} versions={:?} runs={} hint={} age_ms={} run_ms={} run_events={} told_slowdown={:?}",
             item.item().id,
             run.key.0,
             run.instance,
@@ -206,7 +213,8 @@
             item.item().length_hint,
             now.since(item.known_since).as_millis(),
             now.since(run.started).as_millis(),
-            run.events
+            run.events,
+            run.head.as_ref().and_then(|head| head.load?.slowdown_percent)
         );
         self.on_whole(now, &run.key);
     }
--- a/crates/jobs/src/dispatcher/mod.rs
+++ b/crates/jobs/src/dispatcher/mod.rs
@@ -16,6 +16,7 @@
 mod answers;
 mod moving;
 mod order;
+mod placing;
 mod planning;
 mod queue;
 mod restarts;
@@ -24,6 +25,7 @@
 mod suspects;
 mod takeover;
 
+pub use placing::PlacementFigures;
 pub use planning::PlannedGroups;
 pub use scoring::{ScoreCall, ScoreOutcome};
 pub use suspects::RunRequest;
@@ -31,9 +33,11 @@
 use crate::item::{GroupKey, ItemKey, OpenItem};
 use crate::kept_texts::KeptTexts;
 use crate::listing::{Finished, JobListing};
+use crate::placement::ServicePaces;
 use crate::scores::{ScoreId, ScoreQueue};
 use crate::store::JobStore;
 use crate::streams::Run;
+use placing::Placing;
 use queue::WaitingQueue;
 
 /// Names a run of an item.
@@ -107,9 +111,9 @@
     lives_seen: u64,
     /// Next look for runs that would get on better elsewhere.
     chances_at: Time,
-    /// Median pace of each service, and when to look again.
-    medians: HashMap<String, f64>,
-    medians_at: Time,
+    /// Paces of each service, and when to look again.
+    paces: HashMap<String, ServicePaces>,
+    paces_at: Time,
     /// Next look at what waits while no engine has a place.
     full_look_at: Time,
     /// The last look ended before all that could start had started.
@@ -131,6 +135,8 @@
     /// Lengths of texts by model.
     lengths: Lengths,
     plans: planning::Plans,
+    /// What choices of engines rest on.
+    placing: Placing,
     reader: Box<dyn Fn() -> Box<dyn EventReader>>,
     actions: Vec<DispatchAction>,
 }
@@ -149,8 +155,8 @@
             paces_judged_from: Time(0),
             lives_seen: 0,
             chances_at: Time(0),
-            medians: HashMap::new(),
-            medians_at: Time(0),
+            paces: HashMap::new(),
+            paces_at: Time(0),
             full_look_at: Time(0),
             has_backlog: false,
             weighed: 0,
@@ -163,6 +169,7 @@
             companions: HashMap::new(),
             lengths: Lengths::default(),
             plans: planning::Plans::default(),
+            placing: Placing::default(),
             reader,
             actions: Vec::new(),
         }
@@ -248,6 +255,7 @@
         self.long_from.remove(&name);
         self.group_counts.remove(&name);
         self.plans.forget(&name);
+        self.placing.end_job(&name);
         for key in keys {
             self.break_off(&key, directory);
             self.drop_score(&key);
--- a/crates/jobs/src/dispatcher/planning.rs
+++ b/crates/jobs/src/dispatcher/planning.rs
@@ -168,7 +168,7 @@
 
     /// Expected time to the end of an item's text.
     pub(super) fn time_left(&self, item: &OpenItem, service: &str) -> Option<Duration> {
-        let pace = self.medians.get(service)?;
+        let pace = self.paces.get(service)?.median;
         let lengths = self.lengths.of(&item.spec.model)?;
         let made = item.text.events.len();
         let events = lengths.events_left(item.item().length_hint, made)?;
--- a/crates/jobs/src/dispatcher/starting.rs
+++ b/crates/jobs/src/dispatcher/starting.rs
@@ -257,16 +257,23 @@
             exact: None,
             companions: beside,
             avoid: None,
+            left: &[],
+            expected: None,
         };
         let Some(look) = rooms.look(now, queued.class, directory, &any) else {
             return Attempt::Waits;
         };
+        let paces = look.paces();
+        let keepers = self.placing.keepers(now, item, directory, beside, paces);
         let without = Need {
             exact: item.exact_version(),
+            companions: &keepers,
+            expected: self.placing.expected(now, item, paces),
             ..any
         };
         let need = Need {
             avoid: engine_to_avoid(item, directory),
+            left: &item.left,
             ..without
         };
         let limit = if crowded {
@@ -291,9 +298,11 @@
             }
             return Attempt::Waits;
         };
+        let keeps_prompt = keepers.contains(&instance);
         let left = (item.known_since + route.max_queue).since(now);
         let tenants = &configuration.tenants;
         let priority = tenants.priority_of(&item.spec.tenant, route.priority);
+        self.placing.note_choice(keeps_prompt);
         self.start(now, key, instance, left, priority, directory);
         Attempt::Started
     }
--- a/crates/server/src/settings.rs
+++ b/crates/server/src/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of a gateway or storage process.
 
 use peatgrade_forward::ForwarderSettings;
+use peatgrade_jobs::ItemPlacement;
 use peatgrade_mirror::MirrorTiming;
 use peatgrade_scheduling::ItemOrder;
 use peatgrade_types::Duration;
@@ -82,6 +83,10 @@
     /// storage only.
     #[serde(default = "default_usage_late")]
     pub usage_late_ms: u64,
+    /// How engines are chosen for items, and when runs move: `relative-pace`,
+    /// `expected-end`, `priced-moves` or `by-paces`. Storage only.
+    #[serde(default = "default_item_placement")]
+    pub item_placement: String,
     /// IP:port that takes the calls of duties; storage only, needed where usage is
     /// reported.
     #[serde(default)]
@@ -165,6 +170,10 @@
     ItemOrder::default().name().into()
 }
 
+fn default_item_placement() -> String {
+    "relative-pace".into()
+}
+
 fn default_level() -> String {
     "info".into()
 }
@@ -270,6 +279,7 @@
             copies_percent,
             share_observations
         );
+        keep!(item_placement);
         keep!(
             contact_ms,
             config_apply_ms,
@@ -309,6 +319,11 @@
         ItemOrder::from_name(&self.item_order).unwrap_or_default()
     }
 
+    /// How engines are chosen for items; the usual way if the name is none.
+    pub fn item_placement(&self) -> ItemPlacement {
+        ItemPlacement::named(&self.item_placement).unwrap_or_default()
+    }
+
     /// Spans within which news of the store reach all machines.
     pub fn mirror_timing(&self) -> MirrorTiming {
         let bound_ms = self.config_apply_ms.min(self.engine_drain_ms);
@@ -350,6 +365,13 @@
                 value: self.log_level.clone(),
             });
         }
+        if ItemPlacement::named(&self.item_placement).is_none() {
+            return Err(SettingsError::Field {
+                field: "item_placement",
+                reason: "must be relative-pace, expected-end, priced-moves or by-paces",
+                value: self.item_placement.clone(),
+            });
+        }
         at_least("engine_drain_ms", self.engine_drain_ms, 100)?;
         at_least("config_apply_ms", self.config_apply_ms, 100)?;
         at_least("engine_heartbeat_ms", self.engine_heartbeat_ms, 10)?;
