--- a/crates/jobs/src/dispatcher/admission.rs
+++ b/crates/jobs/src/dispatcher/admission.rs
@@ -7,8 +7,8 @@
 use peatgrade_types::{Duration, Time};
 use std::collections::{BTreeSet, HashMap};
 
+use super::eligibility::{batch_route, target_of};
 use super::planning::places_of;
-use super::starting::{batch_route, target_of};
 use super::Dispatcher;
 
 impl Dispatcher {
--- /dev/null
+++ b/crates/jobs/src/dispatcher/eligibility.rs
@@ -0,0 +1,64 @@
+//! Whether and where a configuration allows an item to run.
+
+use peatgrade_fleet::EngineDirectory;
+use peatgrade_ports::{Configuration, Route, RouteKind};
+use peatgrade_quarantine::Verdict;
+use peatgrade_schema::replication::AcceptJob;
+use peatgrade_types::{hash_bytes, Time};
+
+use super::suspects::verdict_of;
+use crate::item::OpenItem;
+
+/// An item counts as long if its expected length is this multiple of its job's
+/// median: the few that set the pace of a step.
+const LONG_FACTOR: u64 = 5;
+const LONG_DIVISOR: u64 = 2;
+
+/// The route that allows an item to run.
+pub(super) fn batch_route<'a>(
+    item: &OpenItem,
+    configuration: &'a Configuration,
+) -> Option<&'a Route> {
+    let route = configuration.route(&item.spec.host, &item.item().path);
+    route.filter(|route| route.kind == RouteKind::Batch)
+}
+
+/// Why nothing allows a waiting item to run any more, if so.
+pub(super) fn reason_to_give_up(
+    now: Time,
+    item: &OpenItem,
+    configuration: &Configuration,
+    directory: &EngineDirectory,
+) -> Option<&'static str> {
+    let Some(route) = batch_route(item, configuration) else {
+        return Some("route-gone");
+    };
+    if now.since(item.known_since) < route.max_queue {
+        return None;
+    }
+    Some(match verdict_of(item, directory) {
+        Verdict::Convicted { .. } => "engines-crash-under-it",
+        _ => "queue-limit",
+    })
+}
+
+/// The service that an item goes to: a stable draw by the route's weights.
+pub(super) fn target_of<'a>(route: &'a Route, id: &str) -> Option<&'a str> {
+    let total: u64 = route.targets.iter().map(|t| u64::from(t.weight)).sum();
+    let mut draw = hash_bytes(id.as_bytes()) % total.max(1);
+    for target in &route.targets {
+        if draw < u64::from(target.weight) {
+            return Some(&target.service);
+        }
+        draw -= u64::from(target.weight);
+    }
+    route.targets.first().map(|target| target.service.as_str())
+}
+
+/// Expected length from which on an item counts as long.
+pub(super) fn long_from(spec: &AcceptJob) -> u64 {
+    let mut hints: Vec<u64> = spec.items.iter().map(|item| item.length_hint).collect();
+    hints.sort_unstable();
+    let median = hints.get(hints.len() / 2).copied().unwrap_or(0);
+    median * LONG_FACTOR / LONG_DIVISOR
+}
--- a/crates/jobs/src/dispatcher/planning.rs
+++ b/crates/jobs/src/dispatcher/planning.rs
@@ -8,7 +8,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::rc::Rc;
 
-use super::starting::{batch_route, target_of};
+use super::eligibility::{batch_route, target_of};
 use super::Dispatcher;
 use crate::item::{ItemKey, OpenItem};
 
--- a/crates/jobs/src/dispatcher/starting.rs
+++ b/crates/jobs/src/dispatcher/starting.rs
@@ -1,23 +1,19 @@
-//! Waiting items: their order, and the engine for each.
+//! Starts of waiting items, and the engine for each.
 
 use peatgrade_fleet::EngineDirectory;
-use peatgrade_ports::{Configuration, EngineCall, Instance, Route, RouteKind};
-use peatgrade_quarantine::Verdict;
-use peatgrade_schema::replication::AcceptJob;
+use peatgrade_ports::{Configuration, EngineCall, Instance};
 use peatgrade_types::http::HttpRequest;
-use peatgrade_types::{hash_bytes, Duration, Time};
+use peatgrade_types::{Duration, Time};
 
-use super::queue::{NeedClass, QueuedItem};
-use super::suspects::{may_start, verdict_of};
+use super::eligibility::{batch_route, reason_to_give_up, target_of};
+use super::queue::QueuedItem;
+use super::rooms::Rooms;
+use super::suspects::may_start;
 use super::{DispatchAction, Dispatcher, RunId};
 use crate::item::{ItemKey, OpenItem, ITEM_METHOD};
-use crate::placement::{Candidates, Need, SlowEngines};
+use crate::placement::{Need, SlowEngines};
 use crate::streams::Run;
 
-/// An item counts as long if its expected length is this multiple of its job's
-/// median: the few that set the pace of a step.
-const LONG_FACTOR: u64 = 5;
-const LONG_DIVISOR: u64 = 2;
 /// Short items leave half of an engine's places to long ones for this long.
 const YIELD_FOR: Duration = Duration::from_millis(1_200);
 
@@ -30,64 +26,6 @@
 /// lost after 220 ms without one.
 const STARTS_PER_LOOK: usize = 8;
 
-/// Engines that could run items of each class, looked up once in a look.
-struct Rooms {
-    looks: Vec<Option<Option<Candidates>>>,
-    full: usize,
-}
-
-impl Rooms {
-    fn new(classes: usize) -> Self {
-        Self {
-            looks: (0..classes).map(|_| None).collect(),
-            full: 0,
-        }
-    }
-
-    /// Whether no item of any class finds a place.
-    fn are_full(&self) -> bool {
-        self.full == self.looks.len()
-    }
-
-    /// Whether it is known that no item of this class finds a place.
-    fn is_full(&self, class: usize) -> bool {
-        matches!(self.looks.get(class), Some(Some(None)))
-    }
-
-    /// The engines weighed for a class; none if no place is free.
-    fn look(
-        &mut self,
-        now: Time,
-        class: usize,
-        directory: &EngineDirectory,
-        need: &Need<'_>,
-    ) -> Option<&Candidates> {
-        if class >= self.looks.len() {
-            self.looks.resize_with(class + 1, || None);
-        }
-        if self.looks[class].is_none() {
-            let look = Candidates::find(now, directory, need);
-            let look = look.has_room(now, directory, need).then_some(look);
-            self.full += usize::from(look.is_none());
-            self.looks[class] = Some(look);
-        }
-        self.looks[class].as_ref()?.as_ref()
-    }
-
-    /// Takes note that an item found no place: maybe none is left for its class.
-    fn note_full(&mut self, now: Time, class: usize, directory: &EngineDirectory, need: &Need<'_>) {
-        if let Some(Some(look)) = self.looks.get_mut(class) {
-            if look
-                .as_ref()
-                .is_some_and(|look| !look.has_room(now, directory, need))
-            {
-                *look = None;
-                self.full += 1;
-            }
-        }
-    }
-}
-
 /// What became of a waiting item in a look.
 enum Attempt {
     /// It runs.
@@ -141,76 +79,6 @@
         self.queue.put_back(passed_over);
     }
 
-    /// Makes the order of waiting items anew. What must be given up is given up here, so
-    /// that it costs nothing in looks between.
-    fn renew_queue(
-        &mut self,
-        now: Time,
-        configuration: &Configuration,
-        directory: &EngineDirectory,
-    ) {
-        self.give_up_hopeless(now, configuration, directory);
-        let order = self.waiting_in_order(now, configuration, directory);
-        self.returned.clear();
-        let mut classes = Classes::default();
-        let mut queued = Vec::with_capacity(order.len());
-        for key in order {
-            queued.extend(self.queued_item(key, configuration, &mut classes));
-        }
-        self.queue
-            .renew(now, configuration.version, queued, classes.0);
-    }
-
-    /// Puts items that came back since the last look before all others.
-    fn queue_returned(&mut self, configuration: &Configuration) {
-        if self.returned.is_empty() {
-            return;
-        }
-        let returned = std::mem::take(&mut self.returned);
-        let mut classes = Classes(std::mem::take(&mut self.queue.classes));
-        for key in returned.into_iter().rev() {
-            if let Some(queued) = self.queued_item(key, configuration, &mut classes) {
-                self.queue.put_first(queued);
-            }
-        }
-        self.queue.classes = classes.0;
-    }
-
-    fn queued_item(
-        &self,
-        key: ItemKey,
-        configuration: &Configuration,
-        classes: &mut Classes,
-    ) -> Option<QueuedItem> {
-        let item = self.items.get(&key)?;
-        let route = batch_route(item, configuration)?;
-        let service = target_of(route, &item.item().id)?;
-        let class = classes.position(service, &item.spec.model, item.spec.min_version);
-        Some(QueuedItem { key, class })
-    }
-
-    /// Gives up waiting items that nothing allows to run any more.
-    fn give_up_hopeless(
-        &mut self,
-        now: Time,
-        configuration: &Configuration,
-        directory: &EngineDirectory,
-    ) {
-        let waiting = self
-            .items
-            .iter()
-            .filter(|(_, item)| item.waits_for_engine());
-        let hopeless = waiting.filter_map(|(key, item)| {
-            let reason = reason_to_give_up(now, item, configuration, directory)?;
-            Some((key.clone(), reason))
-        });
-        let hopeless: Vec<(ItemKey, &str)> = hopeless.collect();
-        self.visit(self.items.len());
-        for (key, reason) in hopeless {
-            self.give_up(&key, reason);
-        }
-    }
-
     /// Brings an item to an engine, if one has a place for it.
     fn try_start(
         &mut self,
@@ -465,73 +333,3 @@
     let (engine, life) = item.avoid.as_ref()?;
     (!directory.is_over(engine, *life)).then_some(engine)
 }
-
-/// Kinds of need that were met so far.
-#[derive(Default)]
-struct Classes(Vec<NeedClass>);
-
-impl Classes {
-    /// The position of a class; jobs are few, so there are few.
-    fn position(&mut self, service: &str, model: &str, min_version: u64) -> usize {
-        let known = self.0.iter().position(|class| {
-            &*class.service == service && &*class.model == model && class.min_version == min_version
-        });
-        known.unwrap_or_else(|| {
-            self.0.push(NeedClass {
-                service: service.into(),
-                model: model.into(),
-                min_version,
-            });
-            self.0.len() - 1
-        })
-    }
-}
-
-/// The route that allows an item to run.
-pub(super) fn batch_route<'a>(
-    item: &OpenItem,
-    configuration: &'a Configuration,
-) -> Option<&'a Route> {
-    let route = configuration.route(&item.spec.host, &item.item().path);
-    route.filter(|route| route.kind == RouteKind::Batch)
-}
-
-/// Why nothing allows a waiting item to run any more, if so.
-fn reason_to_give_up(
-    now: Time,
-    item: &OpenItem,
-    configuration: &Configuration,
-    directory: &EngineDirectory,
-) -> Option<&'static str> {
-    let Some(route) = batch_route(item, configuration) else {
-        return Some("route-gone");
-    };
-    if now.since(item.known_since) < route.max_queue {
-        return None;
-    }
-    Some(match verdict_of(item, directory) {
-        Verdict::Convicted { .. } => "engines-crash-under-it",
-        _ => "queue-limit",
-    })
-}
-
-/// The service that an item goes to: a stable draw by the route's weights.
-pub(super) fn target_of<'a>(route: &'a Route, id: &str) -> Option<&'a str> {
-    let total: u64 = route.targets.iter().map(|t| u64::from(t.weight)).sum();
-    let mut draw = hash_bytes(id.as_bytes()) % total.max(1);
-    for target in &route.targets {
-        if draw < u64::from(target.weight) {
-            return Some(&target.service);
-        }
-        draw -= u64::from(target.weight);
-    }
-    route.targets.first().map(|target| target.service.as_str())
-}
-
-/// Expected length from which on an item counts as long.
-pub(super) fn long_from(spec: &AcceptJob) -> u64 {
-    let mut hints: Vec<u64> = spec.items.iter().map(|item| item.length_hint).collect();
-    hints.sort_unstable();
-    let median = hints.get(hints.len() / 2).copied().unwrap_or(0);
-    median * LONG_FACTOR / LONG_DIVISOR
-}
--- a/crates/jobs/src/dispatcher/takeover.rs
+++ b/crates/jobs/src/dispatcher/takeover.rs
@@ -5,7 +5,7 @@
 use peatgrade_types::{Duration, Time};
 use std::rc::Rc;
 
-use super::{planning, starting, Dispatcher};
+use super::{eligibility, planning, Dispatcher};
 use crate::item::OpenItem;
 use crate::job::{Earlier, Job, StoredResult};
 use crate::listed_text::TextReader;
@@ -31,7 +31,7 @@
         };
         let name: Rc<str> = Rc::from(id);
         self.long_from
-            .insert(name.clone(), starting::long_from(&job.spec));
+            .insert(name.clone(), eligibility::long_from(&job.spec));
         self.group_counts
             .insert(name.clone(), planning::group_count(&job.spec));
         self.queue.outdate();
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -19,6 +19,7 @@
 mod observations;
 mod pause;
 mod settings;
+mod settings_checks;
 mod signals;
 mod storage;
 mod store_client;
@@ -30,7 +31,8 @@
 use std::rc::Rc;
 
 pub use gateway_process::run_gateway;
-pub use settings::{ServerRole, ServerSettings, SettingsError};
+pub use settings::{ServerRole, ServerSettings};
+pub use settings_checks::SettingsError;
 pub use signals::ProcessSignal;
 pub use storage::run_storage;
 
--- a/crates/server/src/settings.rs
+++ b/crates/server/src/settings.rs
@@ -8,6 +8,8 @@
 use serde::Deserialize;
 use std::path::{Path, PathBuf};
 
+use crate::settings_checks::{at_least, is_address, not_empty, SettingsError};
+
 /// Settings, as a TOML file holds them. Unknown fields are passed over.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 pub struct ServerSettings {
@@ -178,37 +180,6 @@
     "info".into()
 }
 
-/// Why settings cannot be used; names the field.
-#[derive(Debug, thiserror::Error)]
-pub enum SettingsError {
-    /// The file cannot be read.
-    #[error("read settings {path}: {source}")]
-    Read {
-        /// The file.
-        path: PathBuf,
-        /// What the system said.
-        source: std::io::Error,
-    },
-    /// The file is no such TOML.
-    #[error("parse settings {path}: {source}")]
-    Parse {
-        /// The file.
-        path: PathBuf,
-        /// What is wrong, and where.
-        source: Box<toml::de::Error>,
-    },
-    /// A field has no usable value.
-    #[error("setting `{field}` {reason}: `{value}`")]
-    Field {
-        /// The field.
-        field: &'static str,
-        /// What is wrong.
-        reason: &'static str,
-        /// Its value.
-        value: String,
-    },
-}
-
 /// The work that a process is to do.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum ServerRole {
@@ -407,39 +378,6 @@
 /// Larger groups would cost more than they protect.
 const MAX_LOSSES: usize = 4;
 
-fn at_least(field: &'static str, value: u64, least: u64) -> Result<(), SettingsError> {
-    if value >= least {
-        return Ok(());
-    }
-    Err(SettingsError::Field {
-        field,
-        reason: "is too short",
-        value: value.to_string(),
-    })
-}
-
-fn not_empty(field: &'static str, value: &str) -> Result<(), SettingsError> {
-    if value.is_empty() {
-        return Err(SettingsError::Field {
-            field,
-            reason: "must not be empty",
-            value: String::new(),
-        });
-    }
-    Ok(())
-}
-
-fn is_address(field: &'static str, value: &str) -> Result<(), SettingsError> {
-    match value.parse::<std::net::SocketAddr>() {
-        Ok(_) => Ok(()),
-        Err(_) => Err(SettingsError::Field {
-            field,
-            reason: "must be IP:port",
-            value: value.to_string(),
-        }),
-    }
-}
-
 #[cfg(test)]
 #[path = "../tests/unit/settings.rs"]
 mod tests;
--- a/scripts/planted-breaks.sh
+++ b/scripts/planted-breaks.sh
@@ -2,11 +2,17 @@
 # Plants one break after another into a scratch copy and runs the tests that
 # should notice it. Prints a line for each; ends with 1 if one goes unnoticed.
 # ONLY=PATTERN plants those whose name matches.
+# Planted libraries stay in the target folder, and cargo takes them for those of this
+# checkout: the sources are touched at the end, so that it builds them again.
 set -euo pipefail
 top=$(cd "$(dirname "$0")/.." && pwd)
 copy=${1:-$(mktemp -d)}
 git -C "$top" worktree add --detach --force "$copy" HEAD >/dev/null
-trap 'git -C "$top" worktree remove --force "$copy"' EXIT
+finish() {
+    git -C "$top" worktree remove --force "$copy"
+    find "$top/crates" "$top/platform" -name '*.rs' -exec touch {} +
+}
+trap finish EXIT
 export CARGO_TARGET_DIR="${CARGO_TARGET_DIR:-$top/target}"
 unnoticed=0
 
