--- a/crates/fleet/src/directory/identity.rs
+++ b/crates/fleet/src/directory/identity.rs
@@ -96,7 +96,10 @@
         };
         if meaning != Some(Misdirection::NotThere) {
             state.absence = None;
-            state.experience.load = head.load.map(|load| (now, load));
+            // Answers to orders and reports tell no load, and take back none.
+            if let Some(load) = head.load {
+                state.experience.load = Some((now, load));
+            }
             return meaning;
         }
         if let Some(absence) = &mut state.absence {
--- a/crates/forward/src/dispatch.rs
+++ b/crates/forward/src/dispatch.rs
@@ -81,11 +81,12 @@
             true => decide(left, &choice.prospects()),
             false => Admission::Offer,
         };
-        let Admission::Reject(rejection) = admission else {
-            return choice.best(&mut self.random);
+        let (chosen, rejection) = match admission {
+            Admission::Offer => (choice.best(&mut self.random), None),
+            Admission::Reject(rejection) => (None, Some(rejection)),
         };
-        let forward = self.calls.get_mut(&call)?;
-        forward.rejection = Some(rejection);
-        None
+        // What an earlier look found does not hold any more.
+        self.calls.get_mut(&call)?.rejection = rejection;
+        chosen
     }
 }
--- a/crates/forward/src/restarts.rs
+++ b/crates/forward/src/restarts.rs
@@ -11,6 +11,7 @@
 use peatgrade_types::Time;
 
 use crate::action::{CallId, ForwardAction, HttpId};
+use crate::copy_budget::Copy;
 use crate::forwarder::Forwarder;
 
 impl Forwarder {
@@ -68,8 +69,9 @@
             return;
         }
         // The same holds as for any second copy.
+        let is_alone = forward.open.len() == 1;
         let may_hedge = directory.quarantine.crashes(forward.fingerprint) == 0;
-        if may_hedge && forward.open.len() == 1 {
+        if may_hedge && is_alone && self.may_copy(now, call, Copy::Hedge) {
             self.dispatch(now, call, directory, actions);
         }
     }
--- a/crates/forward/src/timers.rs
+++ b/crates/forward/src/timers.rs
@@ -152,7 +152,9 @@
             .get(&call)
             .and_then(|forward| forward.open.last());
         let attempt = open.and_then(|id| self.attempts.get(id));
-        if let Some(state) = attempt.and_then(|attempt| directory.get_mut(&attempt.instance)) {
+        if let Some(state) =
+            attempt.and_then(|attempt| directory.life_mut(&attempt.instance, attempt.life))
+        {
             state.experience.left_unanswered(now);
         }
     }
--- a/crates/jobs/src/dispatcher/admission.rs
+++ b/crates/jobs/src/dispatcher/admission.rs
@@ -60,20 +60,23 @@
         let rank = tenants.priority_of(&job.tenant, route.priority);
         let pace = self.paces.get(service)?.median;
         let lengths = self.lengths.of(&job.model)?;
-        let mut groups: HashMap<&str, (f64, f64)> = HashMap::new();
-        for item in &job.items {
+        let mut groups: HashMap<(&str, usize), (f64, f64)> = HashMap::new();
+        for (index, item) in job.items.iter().enumerate() {
             let time = lengths.expected_events(item.length_hint)? * pace;
-            let (work, longest) = groups.entry(&item.group).or_default();
+            // Items without a group stand alone.
+            let alone = if item.group.is_empty() { index } else { 0 };
+            let (work, longest) = groups.entry((&item.group, alone)).or_default();
             *work += time;
             *longest = longest.max(time);
         }
         let (work, longest) = groups.into_values().min_by(|a, b| a.0.total_cmp(&b.0))?;
-        let ahead = self.ahead_of(rank, service, configuration)?;
+        let own = (&job.tenant, &job.model, rank);
+        let ahead = self.ahead_of(own, service, configuration)?;
         let places = places_of(now, service, directory);
         Some(Submission {
             places,
             work_ahead: ahead.work,
-            floor: floor_of(places, ahead.sharers + 1),
+            floor: floor_of(places, ahead.sharers),
             group_work: Duration(work as u64),
             longest: Duration(longest as u64),
             until_last: route.max_queue,
@@ -81,10 +84,16 @@
         })
     }
 
-    /// What would go before a job of a rank at a service.
-    fn ahead_of(&self, rank: u32, service: &str, configuration: &Configuration) -> Option<Ahead> {
+    /// What would go before a job of this tenant, trainer and rank at a service.
+    fn ahead_of(
+        &self,
+        job: (&String, &String, u32),
+        service: &str,
+        configuration: &Configuration,
+    ) -> Option<Ahead> {
+        let (_, _, rank) = job;
         let mut work = Duration(0);
-        let mut sharers = BTreeSet::new();
+        let mut sharers = BTreeSet::from([job]);
         self.visit(self.items.len());
         for item in self.items.values() {
             if item.text.whole || item.proposed {
@@ -111,6 +120,6 @@
 /// What would go before a job.
 struct Ahead {
     work: Duration,
-    /// Tenants, trainers and ranks that share the service already.
+    /// Tenants, trainers and ranks that share the service, with the job's own.
     sharers: usize,
 }
--- a/crates/jobs/src/dispatcher/planning.rs
+++ b/crates/jobs/src/dispatcher/planning.rs
@@ -122,6 +122,7 @@
         plans: &mut Plans,
     ) -> Option<Vec<ItemKey>> {
         self.visit(self.items.len());
+        plans.groups = PlannedGroups::default();
         let mut services: BTreeMap<&str, Inputs<'_>> = BTreeMap::new();
         for (key, item) in &self.items {
             if item.text.whole || item.proposed {
@@ -142,7 +143,6 @@
             inputs.add(key, item, step, left, self.is_expected_long(key, item));
         }
         let mut order = Vec::new();
-        plans.groups = PlannedGroups::default();
         for (service, mut inputs) in services {
             inputs.set_wanted(&self.group_counts);
             let places = places_of(now, service, directory);
--- a/crates/observations/src/outbox.rs
+++ b/crates/observations/src/outbox.rs
@@ -3,6 +3,7 @@
 use peatgrade_ports::Instance;
 use peatgrade_schema::replication::EngineObservation;
 use peatgrade_types::Time;
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
 use crate::observation::{Observation, Urgency};
@@ -27,12 +28,27 @@
         let earlier = self.pending.get(&key).map(|(urgency, _)| *urgency);
         if earlier.is_none() && self.pending.len() >= MAX_PENDING {
             self.dropped += 1;
-            return;
+            if !self.drop_less_urgent(urgency) {
+                return;
+            }
         }
         let urgency = earlier.map_or(urgency, |earlier| earlier.min(urgency));
         self.pending.insert(key, (urgency, observation));
     }
 
+    /// Makes room for an observation by dropping the oldest of the least urgent; whether
+    /// there was one that is less urgent.
+    fn drop_less_urgent(&mut self, urgency: Urgency) -> bool {
+        let waiting = self.pending.iter();
+        let last = waiting.max_by_key(|(_, (urgency, seen))| (*urgency, Reverse(seen.seen)));
+        let last = last.filter(|(_, (other, _))| *other > urgency);
+        let Some(key) = last.map(|(key, _)| key.clone()) else {
+            return false;
+        };
+        self.pending.remove(&key);
+        true
+    }
+
     /// Whether nothing waits.
     pub fn is_empty(&self) -> bool {
         self.pending.is_empty()
--- a/crates/observations/src/wire.rs
+++ b/crates/observations/src/wire.rs
@@ -27,6 +27,7 @@
         failures: u64::from(observation.failures),
         latency: observation.usual_answer.map_or(0, |usual| usual.0),
         pace: observation.pace.map_or(0, |pace| pace as u64),
+        has_load: observation.load.is_some(),
         running: u64::from(load.running),
         waiting: u64::from(load.waiting),
         slowdown_percent: u64::from(load.slowdown_percent.unwrap_or(0)),
@@ -41,7 +42,6 @@
     }
     let count = |value: u64| u32::try_from(value).unwrap_or(u32::MAX);
     let slowdown = Some(count(message.slowdown_percent)).filter(|percent| *percent > 0);
-    let has_load = message.running > 0 || message.waiting > 0 || slowdown.is_some();
     Some(Observation {
         engine: Instance(message.engine.clone()),
         started: Some(message.started)
@@ -53,7 +53,7 @@
         failures: count(message.failures),
         usual_answer: Some(Duration(message.latency)).filter(|usual| usual.0 > 0),
         pace: Some(message.pace as f64).filter(|pace| *pace > 0.0),
-        load: has_load.then(|| EngineLoad {
+        load: message.has_load.then(|| EngineLoad {
             running: count(message.running),
             waiting: count(message.waiting),
             slots: 0,
--- a/crates/observations/tests/telling.rs
+++ b/crates/observations/tests/telling.rs
@@ -7,6 +7,7 @@
     from_message, to_message, BoardMarks, Observation, ObservationBoard, Outbox, Teller, Urgency,
     AGAIN_AFTER, MAX_AGE, MAX_ENTRIES, MAX_PENDING, MAX_TOLD_BYTES,
 };
+use peatgrade_ports::EngineLoad;
 use peatgrade_schema::encode;
 use peatgrade_schema::replication::MirrorReply;
 use peatgrade_types::{Duration, Time};
@@ -137,6 +138,31 @@
     assert_eq!(outbox.dropped(), 10 + MAX_PENDING as u64);
 }
 
+/// A machine tells a failure once: one that is dropped is never told again.
+#[test]
+fn a_failure_finds_room_among_loads_that_wait() {
+    let mut outbox = Outbox::default();
+    for index in 0..MAX_PENDING {
+        outbox.put(Urgency::Load, answered(&format!("e{index}"), "me", NOW));
+    }
+    outbox.put(Urgency::Failure, failed("lost", "me", NOW));
+    assert_eq!(outbox.dropped(), 1);
+    let told = outbox.take(NOW, MAX_TOLD_BYTES);
+    assert_eq!(told[0].engine, "lost");
+}
+
+/// Otherwise an older load of another source would make an engine count as full.
+#[test]
+fn an_engine_that_is_free_again_is_told_as_such() {
+    let mut free = loaded("e", "me", NOW, 0, 0);
+    free.load = free.load.map(|load| EngineLoad {
+        slowdown_percent: None,
+        ..load
+    });
+    let told = from_message(NOW, &to_message(NOW, &free)).unwrap();
+    assert_eq!(told.load, free.load);
+}
+
 #[test]
 fn a_subscriber_is_told_each_thing_once_and_again_if_it_was_lost() {
     let mut board = ObservationBoard::new(FIRST);
--- a/crates/runtime/src/lingering_close.rs
+++ b/crates/runtime/src/lingering_close.rs
@@ -14,7 +14,7 @@
 const LINGER: Duration = Duration::from_millis(500);
 /// Pause between two looks for more bytes.
 const LOOK_EVERY: Duration = Duration::from_millis(5);
-/// Bytes thrown away by one look.
+/// Bytes thrown away by one look: 3 MB a second at most.
 const LOOK_BYTES: usize = 16 * 1024;
 
 /// Throws away what still arrives at a socket, until the peer closes or its time is over.
@@ -23,8 +23,8 @@
     let began = BootInstant::now();
     while began.elapsed() < LINGER {
         match discard_some(socket) {
-            Discarded::Some => {}
-            Discarded::Nothing => monoio::time::sleep(LOOK_EVERY).await,
+            // A peer that sends without a pause must not hold the thread.
+            Discarded::Some | Discarded::Nothing => monoio::time::sleep(LOOK_EVERY).await,
             Discarded::Closed => return,
         }
     }
--- a/crates/runtime/src/memory_budget.rs
+++ b/crates/runtime/src/memory_budget.rs
@@ -1,9 +1,10 @@
 //! Bytes held on behalf of callers, bounded for the whole process.
 //!
 //! A caller who sends a long body, or does not read its answer, makes this machine hold
-//! bytes. They count against one budget. When it is used up, whoever has kept an answer
-//! unread for longest and holds most is cut off; if nobody has, a new body is refused
-//! before it is read. So a caller who stops reading costs nobody else anything.
+//! bytes. They count against one budget. When it is used up, of the callers who have taken
+//! nothing for half a second the one for whom most is held is cut off; if there is none, a
+//! new body is refused while it is read. So a caller who stops reading costs nobody else
+//! anything.
 
 use std::cell::{Cell, RefCell};
 use std::rc::{Rc, Weak};
--- a/crates/runtime/src/response_writer.rs
+++ b/crates/runtime/src/response_writer.rs
@@ -5,8 +5,8 @@
 //! holds small pieces of a streamed body back until 8 KiB are together, which
 //! would delay server-sent events.
 
-use bytes::{BufMut, Bytes, BytesMut};
-use monoio::io::{AsyncWriteRent, AsyncWriteRentExt};
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use monoio::io::AsyncWriteRent;
 use peatgrade_types::http::ResponseHead;
 use std::io::ErrorKind;
 use std::rc::Rc;
@@ -40,8 +40,6 @@
 /// A caller that takes nothing of its answer for this long has left, or will never read:
 /// callers give up a stream that pauses for some seconds.
 const PATIENCE: Duration = Duration::from_secs(5);
-/// Bytes of one write: the caller's progress is seen between two of them.
-const WRITE_BYTES: usize = 16 * 1024;
 
 /// Writes one response at a time to its connection.
 pub(crate) struct ResponseWriter<W> {
@@ -63,12 +61,11 @@
     /// Writes all, as long as the caller goes on reading.
     async fn write(&mut self, mut bytes: Bytes) -> std::io::Result<()> {
         while !bytes.is_empty() {
-            let piece = bytes.split_to(bytes.len().min(WRITE_BYTES));
-            let writing = self.io.write_all(piece);
+            let writing = self.io.write(bytes.clone());
             futures_util::pin_mut!(writing);
             // Most writes are taken at once and need no timer.
             if let Poll::Ready((result, _)) = futures_util::poll!(&mut writing) {
-                result?;
+                bytes.advance(result?);
                 continue;
             }
             if let Some(unread) = &self.unread {
@@ -79,7 +76,7 @@
                 unread.moves();
             }
             let (result, _) = waited.map_err(|_| std::io::Error::from(ErrorKind::TimedOut))?;
-            result?;
+            bytes.advance(result?);
         }
         Ok(())
     }
--- a/crates/scheduling/src/order.rs
+++ b/crates/scheduling/src/order.rs
@@ -8,7 +8,7 @@
 use crate::shares::max_min_shares;
 
 /// Percent of all places that are kept for those that would get none otherwise: each
-/// tenant and rank with waiting items has an equal part of it, one place at least. So a
+/// tenant, trainer and rank with waiting items has an equal part of it, one place at least. So a
 /// run of low rank begins within the time of one text, and urgent ones lose a tenth.
 pub(crate) const FLOOR_PERCENT: u64 = 10;
 
@@ -52,10 +52,11 @@
     pub left: Duration,
 }
 
-/// Positions of items in the order in which they go to engines: texts that are begun, as
-/// far as of use; what the floor keeps; then long texts, the standing of their group, due
-/// date, later by rank, those who have less than their max-min share, groups that need
-/// fewest items, and the longest text of a group first. `running` holds for each sharer the places
+/// Positions of items in the order in which they go to engines: the first items of sharers
+/// that have less than their floor; texts that are begun; long texts of wanted groups; then
+/// by the standing of the group, its due date with the delay of its rank, those who have
+/// less than their max-min share, groups that need fewest items, and the longest text of a
+/// group first. `running` holds for each sharer the places
 /// that it has.
 pub fn arrange(
     places: u32,
--- a/crates/scheduling/src/plan.rs
+++ b/crates/scheduling/src/plan.rs
@@ -30,7 +30,7 @@
 /// A step that a trainer waits for.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Step {
-    /// Its tenant and its trainer.
+    /// Its tenant, trainer and rank, by a number.
     pub sharer: usize,
     /// Its rank; 0 is the most urgent.
     pub rank: u32,
@@ -167,7 +167,7 @@
         Self {
             now,
             // What the floor gives away is not planned with.
-            places: u64::from(room.places) * (100 - FLOOR_PERCENT) / 100,
+            places: (u64::from(room.places) * (100 - FLOOR_PERCENT)).div_ceil(100),
             busy: room.busy.0,
             groups: Vec::new(),
         }
--- a/crates/scheduling/tests/scheduling.rs
+++ b/crates/scheduling/tests/scheduling.rs
@@ -55,6 +55,13 @@
     assert_eq!(count(&standings, Standing::Late), 4);
 }
 
+#[test]
+fn a_single_place_is_planned_with() {
+    let steps = [step(0, 0, 2_000, None)];
+    let standings = plan(NOW, &room(1), &steps, &[group(0, 1, 500)]);
+    assert_eq!(standings, [Standing::InTime]);
+}
+
 #[test]
 fn a_group_with_much_work_gives_way_to_two_with_little() {
     let steps = [step(0, 0, 2_000, None), step(1, 0, 2_100, None)];
--- a/crates/server/src/listing.rs
+++ b/crates/server/src/listing.rs
@@ -82,8 +82,13 @@
                 other => return Err(format!("list: {other:?}")),
             };
             let (_, at, revision) = *self.begun.get_or_insert((instant, at, page.revision));
-            // Pages go on behind a name.
-            let more = page.more && page.objects.iter().any(|(name, _)| !name.is_empty());
+            // Pages go on behind a name. Without one the rest can't be asked for, and must
+            // not count as gone.
+            let more = page.more;
+            if more && page.objects.iter().all(|(name, _)| name.is_empty()) {
+                self.begin_anew();
+                return Err("list: a page without any name".into());
+            }
             self.objects.extend(page.objects);
             if !more {
                 let objects = std::mem::take(&mut self.objects);
--- a/scripts/planted-breaks.sh
+++ b/scripts/planted-breaks.sh
@@ -76,7 +76,7 @@
     peatgrade-fleet ""
 plant "a configuration taken backwards" crates/gateway/src/gateway.rs \
     "if configuration.version <= held {" "if configuration.version == held {" peatgrade-gateway ""
-plant "a promise while another copy may arrive" crates/gateway/src/relay.rs \
+plant "a promise while another copy may arrive" crates/gateway/src/relay/mod.rs \
     "let last = pending.copies <= 1;" "let last = true;" peatgrade-gateway copy
 plant "a lost watch goes on from where it was" crates/server/src/watcher.rs \
     "                revision = None;
@@ -132,7 +132,7 @@
 plant "a score of another reward call is kept" $J/dispatcher/takeover.rs \
     "reward_call.is_none() || reward_call == scored_by" \
     "reward_call.is_none() || scored_by.is_some()" peatgrade-jobs scoring
-plant "a whole text is not in the log" $J/dispatcher/mod.rs \
+plant "a whole text is not in the log" $J/dispatcher/records.rs \
     "whole: item.text.whole && !item.restarted," "whole: false," peatgrade-jobs scoring
 plant "a reward call that fails is tried for ever" $J/dispatcher/scoring.rs \
     "item.failures.reward_calls >= route.max_attempts" \
@@ -181,7 +181,7 @@
 plant "end: a slow leader is asked more often" $G/mod.rs \
     "if known && !has_it && !self.replicas.contains(leader)" \
     "if known && (has_it || !has_it)" peatgrade-gateway slow
-plant "end: what was heard is not on disk" $S/storage/ends.rs "self.ends_file.add(job)" \
+plant "end: what was heard is not on disk" $S/storage/ends.rs "self.ends_file.add(end)" \
     "std::io::Result::Ok(())" peatgrade-platform only_heard
 plant "stop: a gateway ends while it reads" $S/gateway_process/mod.rs \
     "if ends && process.is_closed()" "if ends" \
@@ -330,7 +330,7 @@
             forward.unconnected += 1;" "            forward.unconnected += 1;" peatgrade-gateway lookups
 plant "a second attempt proves nothing" $F/forwarder.rs " || forward.sends > 1," "," \
     peatgrade-gateway lookups
-plant "a rejection outlives its cause" $F/admission.rs "is_silent && outlook.is_avoided" \
+plant "a rejection outlives its cause" $F/admission.rs "is_silent && experience.blocked(now)" \
     "is_silent" peatgrade-gateway lookups
 plant "what no engine can serve is sent" $F/dispatch.rs "match self.rejects_unservable {" \
     "match false && self.rejects_unservable {" peatgrade-gateway lookups
@@ -378,11 +378,11 @@
     "self.absence.is_some_and(|absence| absence.holds(now)) && false" peatgrade-fleet ""
 plant "the pause of an engine that is not there does not grow" $E/incarnation.rs \
     "1_u64 << self.times.min(MAX_DOUBLINGS)" "1_u64 << 0" peatgrade-fleet ""
-plant "items go on to an engine that is not there" $J/placement.rs \
+plant "items go on to an engine that is not there" $J/placement/mod.rs \
     "        && !state.is_absent(now)
 " "" peatgrade-jobs restarts
 plant "lookups go on to an engine that is not there" crates/forward/src/choice.rs \
-    ".filter(|state| !state.is_absent(now))" "" peatgrade-gateway restarts
+    "fresh.filter(|state| !state.is_absent(self.now))" "fresh" peatgrade-gateway restarts
 plant "a run waits for an engine whose life is over" $J/dispatcher/moving.rs \
     "if state.incarnation != run.life {" "if false && state.incarnation != run.life {" \
     peatgrade-jobs restarts
@@ -392,7 +392,7 @@
 plant "a check believes whoever answers under the name" crates/forward/src/suspects.rs \
     "directory.note_report(now, &check.instance, &report);" "let _ = report;" \
     peatgrade-gateway restarts
-plant "lookups wait for an engine whose life is over" crates/forward/src/forwarder.rs \
+plant "lookups wait for an engine whose life is over" crates/forward/src/timers.rs \
     "self.leave_ended_lives(now, directory, actions);" "" peatgrade-gateway restarts
 plant "an unknown state counts as ready" platform/src/objects.rs \
     'other => return Err(format!("unknown state {other:?}")),' "_ => false," \
