Batch work of a model keeps to a working set of engines; engines found by service

Cause: with 9,998 engines each look of the coordinator went over and sorted all of them for each of six models, each look for waiting items went over all for each kind of need, paces and observations were gathered from all.

Change: the directory keeps engines and places by service and the engines of which more is known than the list says; decisions go over those. A model with many more engines than its steps need gets a working set (fleet/src/directory/working_sets.rs), filled from the whole list only when it lacks engines; candidates, orders and reports go over the set.

--- a/crates/fleet/src/coordinator/candidates.rs
+++ b/crates/fleet/src/coordinator/candidates.rs
@@ -11,37 +11,44 @@
 const SLOW_FACTOR: f64 = 1.15;
 
 impl VersionCoordinator {
-    /// Engines that should have the newest version of a model.
-    fn needed(&self, model: &str, engines: &[&EngineState]) -> usize {
+    /// Engines that should have the newest version of a model: half of a step's places, or
+    /// all of them where the service has engines to spare. Then no step waits for those of
+    /// the step before.
+    fn needed(&self, model: &str, engines: &[&EngineState], is_abundant: bool) -> usize {
         let half = (engines.len() / 2).max(1);
         let Some(items) = self.demand.get(model) else {
             return half;
         };
         let slots = engines.iter().map(|state| state.record.slots).max();
         let slots = slots.unwrap_or(1).max(1) as usize;
-        half.min(items.div_ceil(2 * slots).max(1))
+        let parts = if is_abundant { 1 } else { 2 };
+        half.min(items.div_ceil(parts * slots).max(1))
+    }
+
+    /// Models that trainers have named or work with.
+    pub(super) fn models(&self) -> BTreeSet<&String> {
+        self.named.keys().chain(self.demand.keys()).collect()
     }
 
     /// Engines to bring to a version, the most wanted first; an engine stands
     /// there once.
     pub(super) fn candidates(
-        &self,
+        &mut self,
         now: Time,
         directory: &EngineDirectory,
     ) -> Vec<(Instance, (String, u64))> {
         let mut ranked = Vec::new();
+        let mut visited = 0;
         for (model, &newest) in &self.named {
-            let engines: Vec<&EngineState> = directory
-                .iter()
-                .filter(|state| !state.record.draining && !state.is_absent(now))
-                .filter(|state| state.record.models.contains_key(model))
-                .collect();
-            let needed = self.needed(model, &engines);
+            let engines = directory.working_on(now, model);
+            visited += engines.len();
+            let is_abundant = directory.has_working_set(model);
+            let needed = self.needed(model, &engines, is_abundant);
             let (has, mut lack): (Vec<&EngineState>, Vec<&EngineState>) = engines
                 .into_iter()
                 .partition(|state| state.version(model) >= newest);
             let median = median_pace(&lack);
-            lack.sort_by_key(|state| {
+            lack.sort_by_cached_key(|state| {
                 let loads = self.loads(&state.record.instance, model);
                 let useful = state.version(model) + 1 >= newest;
                 let pace = state.experience.pace().unwrap_or(0.0);
@@ -63,6 +70,8 @@
                 ranked.push((surplus, share, state.record.instance.clone(), target));
             }
         }
+        self.looked_over = visited;
+        self.visited += visited as u64;
         ranked.sort();
         let mut seen = BTreeSet::new();
         let once = ranked
--- a/crates/fleet/src/coordinator/mod.rs
+++ b/crates/fleet/src/coordinator/mod.rs
@@ -20,14 +20,14 @@
 mod candidates;
 mod progress;
 
-use crate::directory::{EngineDirectory, EngineState};
+use crate::directory::EngineDirectory;
 use crate::incarnation::ToldLife;
 use progress::{next_load_time, EngineProgress, Load, Phase, FIRST_LOAD_TIME, REPORT_LAG};
 
 /// Time after which an order or a report without an answer is given up.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(600);
-/// Least time between two looks over all engines, and for each engine of a large
-/// fleet: a look there takes milliseconds, and starts many loads at once.
+/// Least time between two looks over engines, and for each engine that the last one went
+/// over: a look at hundreds takes milliseconds, and starts many loads at once.
 const POLL_EVERY: Duration = Duration::from_millis(10);
 const POLL_PER_ENGINE: Duration = Duration(20);
 /// Further looks at an engine that loads.
@@ -77,6 +77,11 @@
     /// Items of the largest open batch job of each model.
     demand: BTreeMap<String, usize>,
     polled: Time,
+    /// Engines that the last look went over, and all looks so far.
+    looked_over: usize,
+    visited: u64,
+    /// Zone of the holder.
+    zone: String,
     at_once: usize,
     /// Told of a higher token: this holder is one of the past.
     fenced: bool,
@@ -101,11 +106,25 @@
             engines: BTreeMap::new(),
             demand: BTreeMap::new(),
             polled: Time(0),
+            looked_over: 0,
+            visited: 0,
+            zone: String::new(),
             at_once,
             fenced: false,
         }
     }
 
+    /// Prefers engines of the holder's zone where there are many more than needed.
+    pub fn in_zone(mut self, zone: &str) -> Self {
+        self.zone = zone.to_string();
+        self
+    }
+
+    /// Engines that looks went over since the start: what the coordination costs.
+    pub fn engines_visited(&self) -> u64 {
+        self.visited
+    }
+
     /// Takes note of the newest version of a model.
     pub fn named(&mut self, model: &str, version: u64) {
         let known = self.named.entry(model.to_string()).or_insert(0);
@@ -130,13 +149,17 @@
     /// What to do now.
     pub fn poll(&mut self, now: Time, directory: &mut EngineDirectory) -> Vec<CoordinatorAction> {
         let mut actions = Vec::new();
-        let rest = POLL_EVERY.max(Duration(POLL_PER_ENGINE.0 * directory.len() as u64));
+        let rest = POLL_EVERY.max(Duration(POLL_PER_ENGINE.0 * self.looked_over as u64));
         if self.fenced || now.since(self.polled) < rest {
             return actions;
         }
         self.polled = now;
         self.engines
             .retain(|instance, progress| directory.incarnation(instance) == Some(progress.life));
+        for model in self.models() {
+            let items = self.demand.get(model).copied().unwrap_or(0);
+            directory.renew_working_sets(now, model, items, &self.zone);
+        }
         self.expire(now);
         let load_time = self.load_time;
         let loads = self
@@ -192,8 +215,7 @@
         if self.at_once > 0 {
             return self.at_once;
         }
-        let holds = |state: &&EngineState| !state.record.models.is_empty();
-        let engines = directory.iter().filter(holds).count();
+        let (engines, _) = directory.model_engines();
         (engines / LOAD_SHARE).max(LEAST_AT_ONCE)
     }
 
@@ -227,9 +249,14 @@
 
     fn mark_loading(&self, directory: &mut EngineDirectory) {
         for (instance, progress) in &self.engines {
+            let target = progress.target.iter().filter(|_| progress.is_loading());
+            let loading: Vec<String> = target.map(|(model, _)| model.clone()).collect();
+            let known = directory.get(instance);
+            if known.is_none_or(|known| known.loading == loading) {
+                continue;
+            }
             if let Some(state) = directory.get_mut(instance) {
-                let target = progress.target.iter().filter(|_| progress.is_loading());
-                state.loading = target.map(|(model, _)| model.clone()).collect();
+                state.loading = loading;
             }
         }
     }
--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -7,9 +7,14 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 mod identity;
+mod services;
+mod working_sets;
 
 use crate::experience::Experience;
 use crate::incarnation::{Absence, EarlierLife, Incarnation, ToldLife};
+use services::ServiceIndex;
+pub use working_sets::WorkingSetSize;
+use working_sets::WorkingSets;
 
 /// Heartbeats without the store after which entries may have lapsed: the store drops
 /// an entry after three, and the last one may have come one before contact was lost.
@@ -51,6 +56,11 @@
 #[derive(Clone, Debug, Default)]
 pub struct EngineDirectory {
     engines: BTreeMap<Instance, EngineState>,
+    index: ServiceIndex,
+    /// Engines of which more is known than the list says: whoever used one, or heard of it
+    /// from others, is found here without a look over the whole list.
+    active: BTreeSet<Instance>,
+    working_sets: WorkingSets,
     /// Lives counted so far, and those that are known to be over.
     lives: u64,
     lives_ended: u64,
@@ -67,14 +77,8 @@
 impl EngineDirectory {
     /// Replaces the list; experience of engines that stay is kept.
     pub fn replace(&mut self, now: Time, records: Vec<EngineRecord>) {
-        let mut old = std::mem::take(&mut self.engines);
-        for record in records {
-            if let Some(state) = old.remove(&record.instance) {
-                self.engines.insert(record.instance.clone(), state);
-            }
-            self.upsert(now, record);
-        }
-        self.confirmed = now;
+        self.exchange(now, records);
+        self.forget_gone();
     }
 
     /// Takes a list that was asked for at `at`. Where the store was away for longer
@@ -82,20 +86,65 @@
     pub fn relist(&mut self, now: Time, at: Time, records: Vec<EngineRecord>, heartbeat: Duration) {
         let away = at.since(self.confirmed);
         let lapsed = away >= Duration(heartbeat.0 * LAPSE_HEARTBEATS);
-        let mut before = self.engines.clone();
-        self.replace(at, records);
-        before.retain(|instance, _| !self.engines.contains_key(instance));
-        for (instance, mut state) in before {
+        for (instance, mut state) in self.exchange(at, records) {
             let fresh = lapsed.then(|| now + RETURN_GRACE);
             let until = state.lapsed_until.or(fresh);
             if until.is_some_and(|until| now < until) {
                 state.lapsed_until = until;
+                self.index.put(&state.record, None);
                 self.engines.insert(instance, state);
             }
         }
+        self.forget_gone();
         self.note_next_drop();
     }
 
+    /// Puts a list in the place of the last one; engines that are not in it.
+    fn exchange(
+        &mut self,
+        now: Time,
+        records: Vec<EngineRecord>,
+    ) -> BTreeMap<Instance, EngineState> {
+        let mut old = std::mem::take(&mut self.engines);
+        self.index = ServiceIndex::default();
+        for record in records {
+            if let Some(state) = old.remove(&record.instance) {
+                self.engines.insert(record.instance.clone(), state);
+            }
+            self.upsert(now, record);
+        }
+        self.confirmed = now;
+        old
+    }
+
+    /// Forgets what was noted of engines that are not listed.
+    fn forget_gone(&mut self) {
+        let engines = &self.engines;
+        self.active
+            .retain(|instance| engines.contains_key(instance));
+    }
+
+    /// Forgets the engines of services that are not needed here.
+    pub fn keep_services(&mut self, is_needed: impl Fn(&str) -> bool) {
+        let others = self.index.names().filter(|service| !is_needed(service));
+        let others: Vec<Instance> = others
+            .flat_map(|service| self.index.engines(service))
+            .cloned()
+            .collect();
+        for instance in others {
+            self.remove(&instance);
+        }
+    }
+
+    fn remove(&mut self, instance: &Instance) -> bool {
+        let Some(state) = self.engines.remove(instance) else {
+            return false;
+        };
+        self.index.remove(&state.record.service, instance);
+        self.active.remove(instance);
+        true
+    }
+
     fn note_next_drop(&mut self) {
         let lapsed = self.engines.values().filter_map(|state| state.lapsed_until);
         self.next_drop = lapsed.min();
@@ -110,7 +159,7 @@
         let over = engines.filter(|(_, state)| state.lapsed_until.is_some_and(|at| now >= at));
         let over: Vec<Instance> = over.map(|(instance, _)| instance.clone()).collect();
         for instance in &over {
-            self.engines.remove(instance);
+            self.remove(instance);
         }
         self.note_next_drop();
         over
@@ -133,7 +182,7 @@
             }
             _ => {
                 let instance = Instance(event.name);
-                self.engines.remove(&instance).map(|_| instance)
+                self.remove(&instance).then_some(instance)
             }
         }
     }
@@ -147,6 +196,7 @@
                 incarnation,
                 ..EngineState::default()
             };
+            self.index.put(&state.record, None);
             self.engines.insert(instance, state);
             return;
         };
@@ -166,16 +216,22 @@
         if record.address != state.record.address {
             state.absence = None;
         }
+        self.index.put(&record, Some(&state.record.service));
         state.record = record;
         state.lapsed_until = None;
     }
 
     /// Takes note of a version that an engine has shown.
     pub fn saw_version(&mut self, instance: &Instance, model: &str, version: u64) {
-        if let Some(state) = self.engines.get_mut(instance) {
-            let known = state.record.models.entry(model.to_string()).or_insert(0);
+        let Some(state) = self.engines.get_mut(instance) else {
+            return;
+        };
+        if let Some(known) = state.record.models.get_mut(model) {
             *known = (*known).max(version);
+            return;
         }
+        state.record.models.insert(model.to_string(), version);
+        self.index.put(&state.record, Some(&state.record.service));
     }
 
     /// An engine.
@@ -183,15 +239,62 @@
         self.engines.get(instance)
     }
 
-    /// An engine, to take note of something.
+    /// An engine, to take note of something. What the list says of it comes through
+    /// [`EngineDirectory::apply`] and lists.
     pub fn get_mut(&mut self, instance: &Instance) -> Option<&mut EngineState> {
-        self.engines.get_mut(instance)
+        let state = self.engines.get_mut(instance)?;
+        if !self.active.contains(instance) {
+            self.active.insert(instance.clone());
+        }
+        Some(state)
     }
 
     /// Engines of a service that take new requests.
     pub fn serving<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a EngineState> {
-        let all = self.engines.values();
-        all.filter(move |state| state.record.service == service && !state.record.draining)
+        let names = self.index.engines(service);
+        let states = names.filter_map(|name| self.engines.get(name));
+        states.filter(|state| !state.record.draining)
+    }
+
+    /// Engines of services that there are of which more is known than the list says.
+    pub fn active(&self) -> impl Iterator<Item = &EngineState> {
+        let states = self.active.iter().filter_map(|name| self.engines.get(name));
+        states.filter(|state| self.is_named(&state.record.service))
+    }
+
+    /// Sum over the engines of a service that take new requests, of what each has by its
+    /// number of slots.
+    pub fn sum_of_slots(&self, service: &str, has: impl Fn(u32) -> u32) -> u32 {
+        let engines = self.index.by_slots(service);
+        let sums = engines.map(|(slots, _, count)| has(slots).saturating_mul(count as u32));
+        sums.fold(0, u32::saturating_add)
+    }
+
+    /// Engines that take new requests and hold a model, and their slots in sum.
+    pub fn model_engines(&self) -> (usize, usize) {
+        let services = self.index.names().filter(|service| self.is_named(service));
+        let engines = services.flat_map(|service| self.index.by_slots(service));
+        let holding = engines.filter(|(_, has_models, _)| *has_models);
+        holding.fold((0, 0), |(engines, places), (slots, _, count)| {
+            (engines + count, places + slots as usize * count)
+        })
+    }
+
+    /// Whether any engine that takes new requests has a place, by what runs there from here.
+    pub fn has_free_place(&self) -> bool {
+        let services = self.index.names().filter(|service| self.is_named(service));
+        let engines = services.flat_map(|service| self.index.by_slots(service));
+        let serving: usize = engines.map(|(_, _, count)| count).sum();
+        let full = self.active().filter(|state| {
+            let slots = state.record.slots.max(1);
+            !state.record.draining && state.experience.running >= slots
+        });
+        full.count() < serving
+    }
+
+    fn is_named(&self, service: &str) -> bool {
+        let named = self.services.as_ref();
+        named.is_none_or(|named| named.contains(service))
     }
 
     /// A run that began in a life of an engine broke off: unless the engine is leaving,
@@ -252,17 +355,26 @@
         self.services = Some(names.cloned().collect());
     }
 
-    /// All engines, to take note of something.
-    pub(crate) fn iter_mut(&mut self) -> impl Iterator<Item = &mut EngineState> {
-        self.engines.values_mut()
+    /// Those of one service that take new requests.
+    pub fn active_serving<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a EngineState> {
+        let active = self.active();
+        active.filter(move |state| state.record.service == service && !state.record.draining)
+    }
+
+    /// Takes note of something of all that [`EngineDirectory::active`] names.
+    pub(crate) fn for_each_active(&mut self, mut take: impl FnMut(&mut EngineState)) {
+        for instance in &self.active {
+            if let Some(state) = self.engines.get_mut(instance) {
+                take(state);
+            }
+        }
     }
 
     /// All engines of services that there are: nothing is ordered of an engine that
     /// another writer has listed under a name of its own, and its places do not count.
     pub fn iter(&self) -> impl Iterator<Item = &EngineState> {
-        let named = |service: &String| self.services.as_ref().is_none_or(|s| s.contains(service));
         let all = self.engines.values();
-        all.filter(move |state| named(&state.record.service))
+        all.filter(|state| self.is_named(&state.record.service))
     }
 
     /// Number of engines.
--- a/crates/fleet/src/directory/identity.rs
+++ b/crates/fleet/src/directory/identity.rs
@@ -27,7 +27,7 @@
 
     /// Engines that were not found at their address and to which nothing goes now.
     pub fn absent(&self, now: Time) -> usize {
-        self.engines.values().filter(|s| s.is_absent(now)).count()
+        self.active().filter(|s| s.is_absent(now)).count()
     }
 
     /// The present life of an engine.
@@ -44,14 +44,14 @@
     /// An engine, to take note of something that belongs to a life of it; none if that
     /// is over.
     pub fn life_mut(&mut self, engine: &Instance, life: Incarnation) -> Option<&mut EngineState> {
-        let state = self.engines.get_mut(engine);
+        let state = self.get_mut(engine);
         state.filter(|state| state.incarnation == life)
     }
 
     /// A request goes to an engine. The life in which it begins; none if the engine is
     /// not known.
     pub fn begin_request(&mut self, now: Time, engine: &Instance) -> Option<Incarnation> {
-        let state = self.engines.get_mut(engine)?;
+        let state = self.get_mut(engine)?;
         state.experience.running += 1;
         if let Some(absence) = &mut state.absence {
             absence.tried(now);
@@ -62,7 +62,7 @@
     /// A request that was begun in an earlier life goes on in the present one, whose news
     /// came later. That life; none if the engine is not known.
     pub fn adopt_request(&mut self, engine: &Instance) -> Option<Incarnation> {
-        let state = self.engines.get_mut(engine)?;
+        let state = self.get_mut(engine)?;
         state.experience.running += 1;
         Some(state.incarnation)
     }
@@ -188,6 +188,7 @@
             started: state.record.started,
             left: state.record.draining,
         };
+        self.index.put(&record, Some(&state.record.service));
         *state = EngineState {
             record,
             incarnation,
--- /dev/null
+++ b/crates/fleet/src/directory/working_sets.rs
@@ -0,0 +1,237 @@
+//! Which engines make a model's batch work, where a service has many more than it needs.
+//!
+//! The load: six trainers with steps of some 200 items before 9,500 engines. Each engine
+//! that is used costs a connection, a load of each version and a prompt read again, and
+//! each that is looked over costs the leader time that it needs for what arrives. So the
+//! work of a model stays on a set that is as large as its steps ask for; engines outside it
+//! are neither ordered, asked nor weighed.
+//!
+//! A set is filled from the whole list only when it has lost engines or must grow, and
+//! with some more than it needs. It is made anew from the list alone, which says which
+//! versions engines hold: a new leader finds the engines that the one before it used.
+
+use peatgrade_ports::Instance;
+use peatgrade_types::Time;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::{EngineDirectory, EngineState};
+
+/// Engines that a set has at least: choices weigh about as many at most, so that fewer
+/// would not be cheaper.
+const LEAST_ENGINES: usize = 96;
+/// Steps for which a set has places: one is being made, the next begins, and the engines
+/// of a third load the newest version.
+const STEPS: usize = 3;
+/// A service needs a set only if it has so many times the engines of one.
+const ABUNDANCE: usize = 2;
+/// One more engine is chosen for so many that are needed, so that not each loss of one is a
+/// look over the whole list.
+const SPARE_DIVISOR: usize = 4;
+
+/// A service and a model that its engines hold.
+type SetName = (String, String);
+
+/// How many engines the work of a model asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WorkingSetSize {
+    /// Engines that must be usable.
+    pub least: usize,
+    /// Engines up to which the set is filled.
+    pub filled: usize,
+}
+
+impl WorkingSetSize {
+    /// For steps of so many items on engines with so many slots.
+    pub fn of(items: usize, slots: u32) -> Self {
+        let for_step = items.div_ceil(slots.max(1) as usize);
+        let least = (STEPS * for_step).max(LEAST_ENGINES);
+        Self {
+            least,
+            filled: least + least / SPARE_DIVISOR,
+        }
+    }
+
+    /// Whether a service with so many engines has one to spare for each in the set.
+    fn leaves_others(self, engines: usize) -> bool {
+        engines >= ABUNDANCE * self.filled
+    }
+}
+
+/// The engines of each service that make the work of each model.
+#[derive(Clone, Debug, Default)]
+pub(super) struct WorkingSets {
+    sets: BTreeMap<SetName, BTreeSet<Instance>>,
+    /// Sets in which an engine is.
+    memberships: BTreeMap<Instance, usize>,
+    /// Engines looked over to fill sets.
+    visited: u64,
+}
+
+impl WorkingSets {
+    fn set(&self, service: &str, model: &str) -> Option<&BTreeSet<Instance>> {
+        // A tuple of borrowed names can't be looked up in a map of owned ones.
+        let name = (service.to_string(), model.to_string());
+        self.sets.get(&name)
+    }
+
+    fn add(&mut self, name: &SetName, engine: Instance) {
+        let set = self.sets.entry(name.clone()).or_default();
+        if set.insert(engine.clone()) {
+            *self.memberships.entry(engine).or_insert(0) += 1;
+        }
+    }
+
+    fn remove(&mut self, name: &SetName, engine: &Instance) {
+        let Some(set) = self.sets.get_mut(name) else {
+            return;
+        };
+        if !set.remove(engine) {
+            return;
+        }
+        if let Some(count) = self.memberships.get_mut(engine) {
+            *count -= 1;
+            if *count == 0 {
+                self.memberships.remove(engine);
+            }
+        }
+    }
+
+    fn clear(&mut self, name: &SetName) {
+        for engine in self.sets.get(name).cloned().unwrap_or_default() {
+            self.remove(name, &engine);
+        }
+        self.sets.remove(name);
+    }
+}
+
+/// Whether an engine can make batch work.
+fn is_usable(now: Time, state: &EngineState) -> bool {
+    let is_reachable = !state.experience.is_unreachable && !state.is_absent(now);
+    !state.record.draining && is_reachable
+}
+
+impl EngineDirectory {
+    /// Brings the sets of a model up to what its steps of so many items ask for. Engines of
+    /// `zone` are preferred among equals: what they make crosses no zone.
+    pub fn renew_working_sets(&mut self, now: Time, model: &str, items: usize, zone: &str) {
+        let services: Vec<String> = self.index.names().map(str::to_string).collect();
+        for service in services {
+            if self.is_named(&service) {
+                self.renew_working_set(now, service, model, items, zone);
+            }
+        }
+    }
+
+    fn renew_working_set(
+        &mut self,
+        now: Time,
+        service: String,
+        model: &str,
+        items: usize,
+        zone: &str,
+    ) {
+        let engines = self.index.holding(&service, model);
+        let slots = self.index.by_slots(&service).map(|(slots, ..)| slots).max();
+        let size = WorkingSetSize::of(items, slots.unwrap_or(1));
+        let name = (service, model.to_string());
+        if !size.leaves_others(engines) {
+            return self.working_sets.clear(&name);
+        }
+        let usable = self.drop_unusable(now, &name);
+        if usable < size.least {
+            self.fill(now, &name, size.filled - usable, zone);
+        }
+    }
+
+    /// Takes engines out of a set that are gone, leave or can't be reached; how many stay.
+    fn drop_unusable(&mut self, now: Time, name: &SetName) -> usize {
+        let Some(set) = self.working_sets.sets.get(name) else {
+            return 0;
+        };
+        let is_lost = |engine: &&Instance| {
+            let state = self.engines.get(*engine);
+            !state.is_some_and(|state| is_usable(now, state))
+        };
+        let lost: Vec<Instance> = set.iter().filter(is_lost).cloned().collect();
+        let usable = set.len() - lost.len();
+        for engine in lost {
+            self.working_sets.remove(name, &engine);
+        }
+        usable
+    }
+
+    /// Adds engines to a set: those that hold the newest versions, those that make no other
+    /// model's work, and those of the own zone first.
+    fn fill(&mut self, now: Time, name: &SetName, lacking: usize, zone: &str) {
+        let (service, model) = name;
+        let memberships = &self.working_sets.memberships;
+        let known = self.working_sets.set(service, model);
+        let is_new = |state: &&EngineState| {
+            let engine = &state.record.instance;
+            is_usable(now, state)
+                && state.record.models.contains_key(model)
+                && !known.is_some_and(|known| known.contains(engine))
+        };
+        let mut chosen: Vec<&EngineState> = self.serving(service).filter(is_new).collect();
+        let visited = chosen.len();
+        let rank = |state: &&EngineState| {
+            let others = memberships.get(&state.record.instance);
+            (
+                Reverse(state.version(model)),
+                others.copied().unwrap_or(0),
+                state.record.zone != zone,
+            )
+        };
+        if chosen.len() > lacking && lacking > 0 {
+            chosen.select_nth_unstable_by_key(lacking - 1, rank);
+        }
+        chosen.truncate(lacking);
+        let chosen: Vec<Instance> = chosen.iter().map(|s| s.record.instance.clone()).collect();
+        log::info!(
+            "decision=fill-working-set service={service} model={model} added={} had={} visited={visited}",
+            chosen.len(),
+            known.map_or(0, BTreeSet::len),
+        );
+        self.working_sets.visited += visited as u64;
+        for engine in chosen {
+            self.working_sets.add(name, engine);
+        }
+    }
+
+    /// Engines that make the work of a model and take new requests: those of its set, or all
+    /// of the service where it has none.
+    pub fn working<'a>(
+        &'a self,
+        service: &'a str,
+        model: &str,
+    ) -> Box<dyn Iterator<Item = &'a EngineState> + 'a> {
+        let Some(set) = self.working_sets.set(service, model) else {
+            return Box::new(self.serving(service));
+        };
+        let states = set.iter().filter_map(|engine| self.engines.get(engine));
+        Box::new(states.filter(|state| !state.record.draining))
+    }
+
+    /// The same of all services that there are, without engines that were not found at their
+    /// address.
+    pub(crate) fn working_on(&self, now: Time, model: &str) -> Vec<&EngineState> {
+        let services = self.index.names().filter(|service| self.is_named(service));
+        let engines = services.flat_map(|service| self.working(service, model));
+        let present = engines.filter(|state| !state.is_absent(now));
+        present
+            .filter(|state| state.record.models.contains_key(model))
+            .collect()
+    }
+
+    /// Whether the work of a model keeps to a set of a service's engines.
+    pub fn has_working_set(&self, model: &str) -> bool {
+        self.working_sets.sets.keys().any(|(_, name)| name == model)
+    }
+
+    /// Engines in all sets, and engines looked over to fill them since the start.
+    pub fn working_set_figures(&self) -> (usize, u64) {
+        let sets = &self.working_sets;
+        (sets.memberships.len(), sets.visited)
+    }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -18,7 +18,7 @@
 mod two_choices;
 
 pub use coordinator::{CoordinatorAction, OrderOutcome, VersionCoordinator};
-pub use directory::{EngineDirectory, EngineState};
+pub use directory::{EngineDirectory, EngineState, WorkingSetSize};
 pub use experience::Experience;
 pub use incarnation::{Absence, EarlierLife, Incarnation, Misdirection, ToldLife};
 pub use order_history::{OrderHistory, OrderRules};
--- a/crates/fleet/src/told.rs
+++ b/crates/fleet/src/told.rs
@@ -114,7 +114,7 @@
     time: impl Fn(&EngineState) -> f64,
 ) -> BTreeMap<String, f64> {
     let mut services: BTreeMap<&str, Vec<f64>> = BTreeMap::new();
-    for state in directory.iter() {
+    for state in directory.active() {
         let time = time(state);
         if time > 0.0 {
             services
@@ -145,10 +145,10 @@
         let since = teller.looked_at(now);
         let usual = UsualTimes::of(self);
         let mut told = Vec::new();
-        // With 3,000 engines most have shown nothing since the last look. One that another
-        // machine accused meanwhile may have answered here before.
+        // Most have shown nothing since the last look. One that another machine accused
+        // meanwhile may have answered here before.
         let is_due = |state: &&EngineState| state.seen_after(since) || !state.told.is_empty();
-        for state in self.iter().filter(is_due) {
+        for state in self.active().filter(is_due) {
             let Some(mut observation) = state.observation(now, source) else {
                 continue;
             };
@@ -169,7 +169,7 @@
     pub fn distrusts_own_link(&self, now: Time) -> bool {
         let is_recent = |at: Time| at > Time(0) && now.since(at) < FAILURE_FADE;
         let (mut failing, mut tried) = (0, 0);
-        for state in self.iter() {
+        for state in self.active() {
             let experience = &state.experience;
             let fails = experience.failures > 0 && is_recent(experience.failed_at);
             failing += usize::from(fails);
@@ -232,21 +232,19 @@
 
     /// Finds the machines whose reports of failures others refute.
     fn judge_sources(&mut self, now: Time) {
-        let accusations = self.iter().flat_map(|state| {
+        let accusations = self.active().flat_map(|state| {
             let told = &state.told;
             told.accusations(now, state.record.started, state.own_evidence())
         });
         let bad =
             discredited(accusations.map(|(source, is_refuted)| Accusation { source, is_refuted }));
-        for state in self.iter_mut() {
-            state.told.discredit(&bad);
-        }
+        self.for_each_active(|state| state.told.discredit(&bad));
     }
 
     /// Age of the newest failure told by others that keeps requests from an engine, over
     /// all engines the oldest; and the number of such engines.
     pub fn told_failures(&self, now: Time) -> (u64, Duration) {
-        let beliefs = self.iter().map(|state| state.told_belief(now));
+        let beliefs = self.active().map(|state| state.told_belief(now));
         let ages = beliefs
             .filter(|belief| belief.standing != Standing::Sound)
             .filter_map(|belief| belief.failure_age);
--- a/crates/jobs/src/dispatcher/planning.rs
+++ b/crates/jobs/src/dispatcher/planning.rs
@@ -269,9 +269,13 @@
 
 /// Places of a service's engines that take work.
 pub(super) fn places_of(now: Time, service: &str, directory: &EngineDirectory) -> u32 {
-    let engines = directory.serving(service);
-    let sound = engines.filter(|state| !state.record.draining && !state.experience.blocked(now));
-    sound.map(|state| state.record.slots.max(1)).sum()
+    let has = |slots: u32| slots.max(1);
+    let avoided = directory
+        .active_serving(service)
+        .filter(|state| state.experience.blocked(now))
+        .map(|state| has(state.record.slots));
+    let avoided: u32 = avoided.sum();
+    directory.sum_of_slots(service, has).saturating_sub(avoided)
 }
 
 /// Number of a job's groups.
--- a/crates/jobs/src/dispatcher/scoring.rs
+++ b/crates/jobs/src/dispatcher/scoring.rs
@@ -236,9 +236,16 @@
 /// Reward calls that the engines of a route may have at once.
 fn room_for_calls(now: Time, route: &Route, directory: &EngineDirectory) -> usize {
     let targets = route.targets.iter().filter(|target| target.weight > 0);
-    let engines = targets.flat_map(|target| directory.serving(&target.service));
-    let sound = engines.filter(|state| !state.experience.blocked(now) && !state.is_absent(now));
-    let places = sound.map(|state| (state.record.slots / SLOTS_DIVISOR).max(1) as usize);
+    let has = |slots: u32| (slots / SLOTS_DIVISOR).max(1);
+    let places = targets.map(|target| {
+        let avoided = directory
+            .active_serving(&target.service)
+            .filter(|state| state.experience.blocked(now) || state.is_absent(now))
+            .map(|state| has(state.record.slots));
+        let avoided: u32 = avoided.sum();
+        let all = directory.sum_of_slots(&target.service, has);
+        all.saturating_sub(avoided) as usize
+    });
     // One goes on where all engines are avoided, so that it shows when they are
     // back.
     places.sum::<usize>().max(1)
--- a/crates/jobs/src/dispatcher/starting.rs
+++ b/crates/jobs/src/dispatcher/starting.rs
@@ -178,11 +178,7 @@
     /// Whether a look at what waits can change anything: while all places are
     /// taken, one now and then is enough for what must be given up.
     fn is_start_due(&mut self, now: Time, directory: &EngineDirectory) -> bool {
-        let mut engines = directory.iter();
-        let place = engines.any(|state| {
-            !state.record.draining && state.experience.running < state.record.slots.max(1)
-        });
-        if !place && now < self.full_look_at {
+        if !directory.has_free_place() && now < self.full_look_at {
             return false;
         }
         self.full_look_at = now + FULL_LOOK_EVERY;
@@ -192,9 +188,7 @@
     /// Whether open items would fill all places of model engines: then no place
     /// may stay empty.
     fn is_crowded(&self, directory: &EngineDirectory) -> bool {
-        let engines = directory.iter().filter(|state| !state.record.draining);
-        let modelled = engines.filter(|state| !state.record.models.is_empty());
-        let places: usize = modelled.map(|state| state.record.slots as usize).sum();
+        let (_, places) = directory.model_engines();
         self.items.len() - self.unscored.len() > places
     }
 
--- a/crates/jobs/src/placement/mod.rs
+++ b/crates/jobs/src/placement/mod.rs
@@ -82,13 +82,12 @@
 }
 
 impl Candidates {
-    /// Looks over all engines once.
+    /// Looks once over the engines that make the work of the item's model.
     pub fn find(now: Time, directory: &EngineDirectory, need: &Need<'_>) -> Self {
-        let serving: Vec<&EngineState> = directory.serving(need.service).collect();
-        let paces = ServicePaces::of(now, &serving);
+        let paces = ServicePaces::of(now, directory.active_serving(need.service));
         let median = paces.map(|paces| paces.median);
-        let mut fit: Vec<&EngineState> = serving
-            .into_iter()
+        let mut fit: Vec<&EngineState> = directory
+            .working(need.service, need.model)
             .filter(|state| fits(state, need) && !state.experience.blocked(now))
             .filter(|state| !state.is_absent(now))
             .collect();
@@ -232,20 +231,21 @@
 /// engines come late together, and none of them is slow.
 pub fn service_paces(now: Time, directory: &EngineDirectory) -> HashMap<String, ServicePaces> {
     let mut services: HashMap<&str, Vec<&EngineState>> = HashMap::new();
-    for state in directory.iter().filter(|state| !state.record.draining) {
+    for state in directory.active().filter(|state| !state.record.draining) {
         let engines = services.entry(&state.record.service).or_default();
         engines.push(state);
     }
     let paces = services.into_iter().filter_map(|(service, engines)| {
-        let paces = ServicePaces::of(now, &engines)?;
+        let paces = ServicePaces::of(now, engines.into_iter())?;
         Some((service.to_string(), paces))
     });
     paces.collect()
 }
 
 impl ServicePaces {
-    fn of(now: Time, engines: &[&EngineState]) -> Option<Self> {
-        let median = median_pace(now, engines)?;
+    fn of<'a>(now: Time, engines: impl Iterator<Item = &'a EngineState>) -> Option<Self> {
+        let engines: Vec<&EngineState> = engines.collect();
+        let median = median_pace(now, &engines)?;
         let fastest = |engines: &mut dyn Iterator<Item = &&EngineState>| {
             let paces = engines.filter_map(|state| state.experience.pace());
             paces.min_by(f64::total_cmp)
--- a/crates/server/src/storage/leadership.rs
+++ b/crates/server/src/storage/leadership.rs
@@ -77,7 +77,8 @@
             self.replica.term(),
             quiet,
             self.settings.loads_at_once,
-        );
+        )
+        .in_zone(&self.settings.zone);
         for (model, version) in &self.versions {
             coordinator.named(model, *version);
         }
