Working sets are filled one a look, from the list in order

Change: one set in a look, the others wait empty; the list is gone through in order and ranks are made once for each engine. Weights are coordinated before items are placed, so that no look for items meets a model whose set was not asked for yet.

Test: one set is filled in each look.

--- a/crates/fleet/src/coordinator/mod.rs
+++ b/crates/fleet/src/coordinator/mod.rs
@@ -82,6 +82,8 @@
     visited: u64,
     /// Zone of the holder.
     zone: String,
+    /// The model whose working set was filled last.
+    filled_last: String,
     at_once: usize,
     /// Told of a higher token: this holder is one of the past.
     fenced: bool,
@@ -109,6 +111,7 @@
             looked_over: 0,
             visited: 0,
             zone: String::new(),
+            filled_last: String::new(),
             at_once,
             fenced: false,
         }
@@ -156,10 +159,7 @@
         self.polled = now;
         self.engines
             .retain(|instance, progress| directory.incarnation(instance) == Some(progress.life));
-        for model in self.models() {
-            let items = self.demand.get(model).copied().unwrap_or(0);
-            directory.renew_working_sets(now, model, items, &self.zone);
-        }
+        self.renew_working_sets(now, directory);
         self.expire(now);
         let load_time = self.load_time;
         let loads = self
@@ -210,6 +210,21 @@
         actions
     }
 
+    /// Brings working sets up to date and fills one, each in its turn.
+    fn renew_working_sets(&mut self, now: Time, directory: &mut EngineDirectory) {
+        let mut models: Vec<String> = self.models().into_iter().cloned().collect();
+        let after = models.partition_point(|model| *model <= self.filled_last);
+        models.rotate_left(after);
+        let mut may_fill = true;
+        for model in models {
+            let items = self.demand.get(&model).copied().unwrap_or(0);
+            if directory.renew_working_sets(now, &model, items, &self.zone, may_fill) {
+                may_fill = false;
+                self.filled_last = model;
+            }
+        }
+    }
+
     /// Engines that may load at once.
     fn at_once(&self, directory: &EngineDirectory) -> usize {
         if self.at_once > 0 {
--- a/crates/fleet/src/directory/working_sets.rs
+++ b/crates/fleet/src/directory/working_sets.rs
@@ -8,7 +8,9 @@
 //!
 //! A set is filled from the whole list only when it has lost engines or must grow, and
 //! with some more than it needs. It is made anew from the list alone, which says which
-//! versions engines hold: a new leader finds the engines that the one before it used.
+//! versions engines hold: a new leader finds the engines that the one before it used. It
+//! fills one set in a look: six in one turn took 0.4 s of 0.3 of a core, and two new leaders
+//! lost the lead by it.
 
 use peatgrade_ports::Instance;
 use peatgrade_types::Time;
@@ -62,6 +64,8 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct WorkingSets {
     sets: BTreeMap<SetName, BTreeSet<Instance>>,
+    /// Sets that are needed and were not filled yet.
+    pending: BTreeSet<SetName>,
     /// Sets in which an engine is.
     memberships: BTreeMap<Instance, usize>,
     /// Engines looked over to fill sets.
@@ -70,9 +74,9 @@
 
 impl WorkingSets {
     fn set(&self, service: &str, model: &str) -> Option<&BTreeSet<Instance>> {
-        // A tuple of borrowed names can't be looked up in a map of owned ones.
-        let name = (service.to_string(), model.to_string());
-        self.sets.get(&name)
+        let mut sets = self.sets.iter();
+        let found = sets.find(|((of, name), _)| of == service && name == model);
+        found.map(|(_, set)| set)
     }
 
     fn add(&mut self, name: &SetName, engine: Instance) {
@@ -102,6 +106,12 @@
             self.remove(name, &engine);
         }
         self.sets.remove(name);
+        self.pending.remove(name);
+    }
+
+    fn is_pending(&self, service: &str, model: &str) -> bool {
+        let mut pending = self.pending.iter();
+        pending.any(|(of, name)| of == service && name == model)
     }
 }
 
@@ -113,35 +123,48 @@
 
 impl EngineDirectory {
     /// Brings the sets of a model up to what its steps of so many items ask for. Engines of
-    /// `zone` are preferred among equals: what they make crosses no zone.
-    pub fn renew_working_sets(&mut self, now: Time, model: &str, items: usize, zone: &str) {
-        let services: Vec<String> = self.index.names().map(str::to_string).collect();
-        for service in services {
-            if self.is_named(&service) {
-                self.renew_working_set(now, service, model, items, zone);
-            }
-        }
-    }
-
-    fn renew_working_set(
+    /// `zone` are preferred among equals: what they make crosses no zone. Sets are filled
+    /// only if `may_fill`; whether one was.
+    pub fn renew_working_sets(
         &mut self,
         now: Time,
-        service: String,
         model: &str,
         items: usize,
         zone: &str,
-    ) {
-        let engines = self.index.holding(&service, model);
-        let slots = self.index.by_slots(&service).map(|(slots, ..)| slots).max();
+        may_fill: bool,
+    ) -> bool {
+        let services = self.index.names().filter(|service| self.is_named(service));
+        let services: Vec<String> = services.map(str::to_string).collect();
+        let mut is_filled = false;
+        for service in services {
+            let name = (service, model.to_string());
+            let lacking = self.renew_working_set(now, &name, items);
+            if lacking > 0 && may_fill && !is_filled {
+                self.fill(now, &name, lacking, zone);
+                is_filled = true;
+            }
+        }
+        is_filled
+    }
+
+    /// Takes out of a set what is of no use any more; how many engines it then lacks.
+    fn renew_working_set(&mut self, now: Time, name: &SetName, items: usize) -> usize {
+        let (service, model) = name;
+        let engines = self.index.holding(service, model);
+        let slots = self.index.by_slots(service).map(|(slots, ..)| slots).max();
         let size = WorkingSetSize::of(items, slots.unwrap_or(1));
-        let name = (service, model.to_string());
         if !size.leaves_others(engines) {
-            return self.working_sets.clear(&name);
+            self.working_sets.clear(name);
+            return 0;
         }
-        let usable = self.drop_unusable(now, &name);
-        if usable < size.least {
-            self.fill(now, &name, size.filled - usable, zone);
+        let usable = self.drop_unusable(now, name);
+        if usable >= size.least {
+            return 0;
+        }
+        if !self.working_sets.sets.contains_key(name) {
+            self.working_sets.pending.insert(name.clone());
         }
+        size.filled - usable
     }
 
     /// Takes engines out of a set that are gone, leave or can't be reached; how many stay.
@@ -169,43 +192,48 @@
         let known = self.working_sets.set(service, model);
         let is_new = |state: &&EngineState| {
             let engine = &state.record.instance;
-            is_usable(now, state)
+            state.record.service == *service
+                && is_usable(now, state)
                 && state.record.models.contains_key(model)
                 && !known.is_some_and(|known| known.contains(engine))
         };
-        let mut chosen: Vec<&EngineState> = self.serving(service).filter(is_new).collect();
-        let visited = chosen.len();
-        let rank = |state: &&EngineState| {
+        let rank = |state: &EngineState| {
             let others = memberships.get(&state.record.instance);
-            (
-                Reverse(state.version(model)),
-                others.copied().unwrap_or(0),
-                state.record.zone != zone,
-            )
+            let is_elsewhere = state.record.zone != zone;
+            let age = Reverse(state.version(model));
+            (age, others.copied().unwrap_or(0), is_elsewhere)
         };
-        if chosen.len() > lacking && lacking > 0 {
-            chosen.select_nth_unstable_by_key(lacking - 1, rank);
+        let new = self.engines.values().filter(is_new);
+        let mut chosen: Vec<_> = new.map(|state| (rank(state), state)).collect();
+        let visited = chosen.len();
+        if chosen.len() > lacking {
+            chosen.select_nth_unstable_by(lacking, |(one, _), (other, _)| one.cmp(other));
         }
         chosen.truncate(lacking);
-        let chosen: Vec<Instance> = chosen.iter().map(|s| s.record.instance.clone()).collect();
+        let chosen = chosen.iter().map(|(_, state)| &state.record.instance);
+        let chosen: Vec<Instance> = chosen.cloned().collect();
         log::info!(
             "decision=fill-working-set service={service} model={model} added={} had={} visited={visited}",
             chosen.len(),
             known.map_or(0, BTreeSet::len),
         );
         self.working_sets.visited += visited as u64;
+        self.working_sets.pending.remove(name);
         for engine in chosen {
             self.working_sets.add(name, engine);
         }
     }
 
     /// Engines that make the work of a model and take new requests: those of its set, or all
-    /// of the service where it has none.
+    /// of the service where it needs none; none yet while its set waits to be filled.
     pub fn working<'a>(
         &'a self,
         service: &'a str,
         model: &str,
     ) -> Box<dyn Iterator<Item = &'a EngineState> + 'a> {
+        if self.working_sets.is_pending(service, model) {
+            return Box::new(std::iter::empty());
+        }
         let Some(set) = self.working_sets.set(service, model) else {
             return Box::new(self.serving(service));
         };
--- a/crates/fleet/tests/spreading.rs
+++ b/crates/fleet/tests/spreading.rs
@@ -91,9 +91,10 @@
         let request = self.tell(now);
         publisher.take(now, &request, Some(self.name));
         let at = publisher.clock(now);
-        let (told, marks) = publisher
-            .board
-            .news(at, self.marks, self.name, MAX_TOLD_BYTES);
+        let (told, marks) =
+            publisher
+                .board
+                .news(at, self.marks, self.name, &|_| true, MAX_TOLD_BYTES);
         self.marks = marks;
         self.take(now, &told, None);
     }
@@ -188,9 +189,13 @@
     let at = leader.clock(after(200));
     for _ in 0..60 {
         let marks = BoardMarks::default();
-        let (told, reached) = leader.board.news(at, marks, "gateway", MAX_TOLD_BYTES);
+        let (told, reached) = leader
+            .board
+            .news(at, marks, "gateway", &|_| true, MAX_TOLD_BYTES);
         assert_eq!(told.iter().filter(|told| told.failures > 0).count(), 4);
-        let (again, _) = leader.board.news(at, reached, "gateway", MAX_TOLD_BYTES);
+        let (again, _) = leader
+            .board
+            .news(at, reached, "gateway", &|_| true, MAX_TOLD_BYTES);
         assert!(again.is_empty(), "nothing is told twice");
     }
 }
--- a/crates/fleet/tests/working_sets.rs
+++ b/crates/fleet/tests/working_sets.rs
@@ -165,18 +165,18 @@
     for engine in &set[..size.filled - size.least] {
         lose(&mut directory, engine);
     }
-    directory.renew_working_sets(NOW, "a", STEP_ITEMS, "z1");
+    directory.renew_working_sets(NOW, "a", STEP_ITEMS, "z1", true);
     assert_eq!(directory.working_set_figures().1, filled_once);
     assert_eq!(directory.working("llm", "a").count(), size.least);
     lose(&mut directory, &set[size.filled - 1]);
-    directory.renew_working_sets(NOW, "a", STEP_ITEMS, "z1");
+    directory.renew_working_sets(NOW, "a", STEP_ITEMS, "z1", true);
     assert_eq!(directory.working("llm", "a").count(), size.filled);
 }
 
 #[test]
 fn engines_that_leave_or_cannot_be_reached_make_room_for_others() {
     let mut directory = directory(1_000);
-    directory.renew_working_sets(NOW, "a", STEP_ITEMS, "z1");
+    directory.renew_working_sets(NOW, "a", STEP_ITEMS, "z1", true);
     let set: Vec<Instance> = directory
         .working("llm", "a")
         .map(|state| state.record.instance.clone())
@@ -193,7 +193,7 @@
         };
         directory.apply(NOW, event);
     }
-    directory.renew_working_sets(NOW, "a", STEP_ITEMS, "z1");
+    directory.renew_working_sets(NOW, "a", STEP_ITEMS, "z1", true);
     let now: BTreeSet<Instance> = directory
         .working("llm", "a")
         .map(|state| state.record.instance.clone())
@@ -202,6 +202,24 @@
     assert!(now.len() >= WorkingSetSize::of(STEP_ITEMS, SLOTS).least);
 }
 
+/// A look at all engines for each of six sets in one turn keeps heartbeats waiting.
+#[test]
+fn one_set_is_filled_in_a_look_and_the_others_wait_for_theirs() {
+    let (mut directory, mut coordinator) = (directory(1_000), coordinator());
+    let size = WorkingSetSize::of(STEP_ITEMS, SLOTS);
+    for look in 1..=MODELS.len() {
+        coordinator.poll(
+            NOW + Duration::from_millis(30 * look as u64),
+            &mut directory,
+        );
+        let sizes = MODELS.map(|model| directory.working("llm", model).count());
+        let filled = sizes.iter().filter(|count| **count == size.filled);
+        assert_eq!(filled.count(), look);
+        let empty = sizes.iter().filter(|count| **count == 0);
+        assert_eq!(empty.count(), MODELS.len() - look);
+    }
+}
+
 /// A new leader knows the list alone: it goes on with the engines that hold new versions.
 #[test]
 fn a_new_holder_goes_on_with_the_engines_of_the_one_before() {
@@ -209,7 +227,7 @@
     let version = |index: usize| if index % 40 == 0 { 7 } else { 1 };
     let records = (0..4_000).map(|index| record(index, version(index)));
     directory.replace(NOW, records.collect());
-    directory.renew_working_sets(NOW, "a", STEP_ITEMS, "z1");
+    directory.renew_working_sets(NOW, "a", STEP_ITEMS, "z1", true);
     let working = directory.working("llm", "a");
     let kept = working.filter(|state| state.version("a") == 7);
     assert_eq!(kept.count(), 100);
@@ -220,7 +238,7 @@
 #[case::as_many_as_two_sets_lack(239)]
 fn a_service_without_engines_to_spare_has_no_set(#[case] engines: usize) {
     let mut directory = directory(engines);
-    directory.renew_working_sets(NOW, "a", 16, "z1");
+    directory.renew_working_sets(NOW, "a", 16, "z1", true);
     assert!(!directory.has_working_set("a"));
     assert_eq!(directory.working("llm", "a").count(), engines);
 }
@@ -228,12 +246,12 @@
 #[test]
 fn a_set_grows_with_the_steps_and_ends_with_abundance() {
     let mut directory = directory(1_000);
-    directory.renew_working_sets(NOW, "a", 16, "z1");
+    directory.renew_working_sets(NOW, "a", 16, "z1", true);
     let small = directory.working("llm", "a").count();
-    directory.renew_working_sets(NOW, "a", 4 * STEP_ITEMS, "z1");
+    directory.renew_working_sets(NOW, "a", 4 * STEP_ITEMS, "z1", true);
     let large = directory.working("llm", "a").count();
     assert!(large >= 3 * 4 * STEP_ITEMS / SLOTS as usize && large > small);
-    directory.renew_working_sets(NOW, "a", 100 * STEP_ITEMS, "z1");
+    directory.renew_working_sets(NOW, "a", 100 * STEP_ITEMS, "z1", true);
     assert!(!directory.has_working_set("a"));
 }
 
--- a/crates/server/src/storage/leadership.rs
+++ b/crates/server/src/storage/leadership.rs
@@ -164,6 +164,7 @@
         let due = now.since(self.last_dispatch) >= DISPATCH_EVERY;
         if due && self.engines_known && self.configuration.version > 0 {
             self.last_dispatch = now;
+            self.coordinate(now);
             self.dispatcher.set_order(self.settings.item_order());
             self.dispatcher
                 .poll(now, &self.configuration, &mut self.directory);
@@ -173,7 +174,6 @@
             let actions = self.dispatcher.take_actions();
             self.carry_out_dispatch(actions);
             self.tick_scores(now);
-            self.coordinate(now);
         }
     }
 
