Gateways are told the engines of the services that they reach, and changes instead of lists

Cause: each change of any engine woke each gateway and was sent to it, and of more than 512 changes in a look (a release, a scale-in, entries that lapse) all engines were sent to all gateways: 9,998 x 835. Gateways held 9,530 engines that no route of theirs uses.

Weighed: relays among storage machines (a hop more for each proof; needed only once members can't answer 1.6 requests a second of each gateway); pieces of lists (left out: of what gateways need a list has 468 engines).

Change: a request names its services (only_services, services: unknown to the build before, which tells all; a gateway leaves out what it did not ask for). A publisher keeps the newest state of each object with its revision, so that a subscriber is told what changed since, each object once, however many changes there were; a list after a lost watch is compared with what was known. Ends are remembered up to the number of objects. Waiting requests are looked at only when something was read.

Tests: what a gateway receives does not grow with engines of other services (100 and 400).

--- /dev/null
+++ b/crates/mirror/src/followed.rs
@@ -0,0 +1,239 @@
+//! One kind of objects as this machine read it last, and what others lack of it.
+//!
+//! Of each object its newest state is kept with the revision of its last change, so that
+//! whoever has some revision is told what changed since, each object once, however many
+//! changes there were. A list that follows a lost watch is compared with what was known, so
+//! that whoever has what was known then is told the difference. Between the two lists
+//! things may have come and gone: who was told of them by another machine is told all.
+
+use peatgrade_schema::encoded_size;
+use peatgrade_schema::replication::mod_MirroredObject::OneOfbody;
+use peatgrade_schema::replication::{MirroredKind, MirroredKindName, MirroredObject};
+use peatgrade_types::Time;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use crate::encoding::gone;
+use crate::interest::Interest;
+
+/// Objects that are gone of which that is remembered however few are left. Who lacks an
+/// older end is told all objects.
+const LEAST_ENDS: usize = 512;
+/// Times without a watch that are remembered: the history of a store that drops it each few
+/// seconds, for as long as a subscriber may be behind.
+const MAX_GAPS: usize = 16;
+
+/// The newest state of an object.
+#[derive(Debug)]
+struct Entry {
+    /// None once it is gone.
+    object: Option<MirroredObject>,
+    /// Services that it belongs to or belonged to, if it is an engine.
+    services: BTreeSet<String>,
+    revision: u64,
+}
+
+impl Entry {
+    /// What a subscriber is told of it; none if it never was of interest.
+    fn told_to(&self, name: &str, interest: &Interest) -> Option<MirroredObject> {
+        if let Some(object) = &self.object {
+            if interest.has_object(object) {
+                return Some(object.clone());
+            }
+        }
+        interest.has_any(&self.services).then(|| gone(name))
+    }
+}
+
+/// The service of an engine; none of what is no engine.
+pub(crate) fn service_of(object: &MirroredObject) -> Option<&str> {
+    match &object.body {
+        OneOfbody::engine(engine) => Some(&engine.service),
+        _ => None,
+    }
+}
+
+/// A kind as it was read last.
+#[derive(Debug)]
+pub(crate) struct Followed {
+    entries: BTreeMap<String, Entry>,
+    /// Names by the revision of the last change.
+    order: BTreeSet<(u64, String)>,
+    /// Ends that are remembered, the oldest first.
+    ends: BTreeSet<(u64, String)>,
+    /// Ends up to this revision may be forgotten.
+    complete_from: u64,
+    /// Revisions before and after times without a watch, the oldest first.
+    gaps: VecDeque<(u64, u64)>,
+    pub revision: u64,
+    /// When the store proved that nothing newer was there.
+    proven: Time,
+    /// Revision of the newest change, in all and of what belongs to a service.
+    newest: u64,
+    newest_of: BTreeMap<String, u64>,
+}
+
+impl Followed {
+    /// A kind as a first list shows it.
+    pub fn new(at: Time, revision: u64, objects: BTreeMap<String, MirroredObject>) -> Self {
+        let mut followed = Self {
+            entries: BTreeMap::new(),
+            order: BTreeSet::new(),
+            ends: BTreeSet::new(),
+            complete_from: revision,
+            gaps: VecDeque::new(),
+            revision,
+            proven: at,
+            newest: revision,
+            newest_of: BTreeMap::new(),
+        };
+        for (name, object) in objects {
+            followed.put(&name, Some(object), revision);
+        }
+        followed
+    }
+
+    /// Takes a list that replaces what was known.
+    pub fn relist(&mut self, at: Time, revision: u64, objects: BTreeMap<String, MirroredObject>) {
+        let known = self.entries.iter();
+        let present = known.filter(|(_, entry)| entry.object.is_some());
+        let missing = present.filter(|(name, _)| !objects.contains_key(*name));
+        let missing: Vec<String> = missing.map(|(name, _)| name.clone()).collect();
+        for name in missing {
+            self.put(&name, None, revision);
+        }
+        for (name, object) in objects {
+            let known = self.entries.get(&name);
+            if known.and_then(|entry| entry.object.as_ref()) != Some(&object) {
+                self.put(&name, Some(object), revision);
+            }
+        }
+        self.gaps.push_back((self.revision, revision));
+        if self.gaps.len() > MAX_GAPS {
+            let oldest = self.gaps.pop_front();
+            self.complete_from = oldest.map_or(self.complete_from, |(_, until)| until);
+        }
+        self.revision = revision;
+        self.proven = self.proven.max(at);
+        self.forget_ends();
+    }
+
+    /// Takes changes up to a revision.
+    pub fn change(&mut self, at: Time, revision: u64, objects: Vec<MirroredObject>) {
+        if revision < self.revision {
+            return;
+        }
+        self.revision = revision;
+        self.proven = self.proven.max(at);
+        for object in objects {
+            let name = object.name.clone();
+            let object = Some(object).filter(|object| *object != gone(&name));
+            self.put(&name, object, revision);
+        }
+        self.forget_ends();
+    }
+
+    fn put(&mut self, name: &str, object: Option<MirroredObject>, revision: u64) {
+        let mut services = BTreeSet::new();
+        if let Some(before) = self.entries.remove(name) {
+            let key = (before.revision, name.to_string());
+            self.order.remove(&key);
+            self.ends.remove(&key);
+            services = before.services;
+        }
+        let service = object.as_ref().and_then(service_of);
+        services.extend(service.map(str::to_string));
+        for service in &services {
+            self.newest_of.insert(service.clone(), revision);
+        }
+        self.newest = revision;
+        let key = (revision, name.to_string());
+        if object.is_none() {
+            self.ends.insert(key.clone());
+        }
+        self.order.insert(key);
+        let entry = Entry {
+            object,
+            services,
+            revision,
+        };
+        self.entries.insert(name.to_string(), entry);
+    }
+
+    /// Keeps no more ends than there are objects: beyond that a list is shorter.
+    fn forget_ends(&mut self) {
+        while self.ends.len() > LEAST_ENDS.max(self.entries.len() - self.ends.len()) {
+            let Some(oldest) = self.ends.pop_first() else {
+                return;
+            };
+            self.complete_from = self.complete_from.max(oldest.0);
+            self.order.remove(&oldest);
+            self.entries.remove(&oldest.1);
+        }
+    }
+
+    /// Whether something of interest changed after a revision.
+    pub fn has_newer(&self, than: u64, interest: &Interest) -> bool {
+        let newest = match (interest.services(), self.newest_of.is_empty()) {
+            (Some(services), false) => {
+                let of = services.iter().filter_map(|name| self.newest_of.get(name));
+                of.copied().max().unwrap_or(0)
+            }
+            _ => self.newest,
+        };
+        newest > than || (than < self.revision && self.lacks_history(than))
+    }
+
+    /// Whether changes after a revision are not known one by one.
+    fn lacks_history(&self, since: u64) -> bool {
+        let mut gaps = self.gaps.iter();
+        since < self.complete_from || gaps.any(|(from, until)| (from + 1..*until).contains(&since))
+    }
+
+    /// What a subscriber that has a revision lacks. None is ahead of this machine.
+    pub fn news(
+        &self,
+        now: Time,
+        kind: MirroredKindName,
+        since: u64,
+        interest: &Interest,
+    ) -> Option<MirroredKind> {
+        if since > self.revision {
+            return None;
+        }
+        let whole = self.lacks_history(since);
+        let objects = match whole {
+            true => self.present(interest),
+            false => self.changed_after(since, interest),
+        };
+        Some(MirroredKind {
+            kind,
+            whole,
+            revision: self.revision,
+            age: now.since(self.proven).0,
+            objects,
+        })
+    }
+
+    fn present(&self, interest: &Interest) -> Vec<MirroredObject> {
+        let objects = self.entries.values().filter_map(|e| e.object.as_ref());
+        let told = objects.filter(|object| interest.has_object(object));
+        told.cloned().collect()
+    }
+
+    fn changed_after(&self, since: u64, interest: &Interest) -> Vec<MirroredObject> {
+        let newer = self.order.range((since + 1, String::new())..);
+        let told = newer.filter_map(|(_, name)| self.entries.get(name)?.told_to(name, interest));
+        told.collect()
+    }
+
+    /// Bytes of the objects that are kept.
+    pub fn bytes(&self) -> usize {
+        let objects = self.entries.values().filter_map(|e| e.object.as_ref());
+        objects.map(encoded_size).sum()
+    }
+
+    /// Objects that are kept, and ends of others that are remembered.
+    pub fn counts(&self) -> (usize, usize) {
+        (self.entries.len() - self.ends.len(), self.ends.len())
+    }
+}
--- /dev/null
+++ b/crates/mirror/src/interest.rs
@@ -0,0 +1,78 @@
+//! What of the engine list a subscriber needs.
+
+use peatgrade_schema::replication::{MirrorRequest, MirroredObject};
+use std::collections::BTreeSet;
+
+use crate::followed::service_of;
+
+/// The engines that a machine wants to be told.
+///
+/// The load: hundreds of gateways before thousands of engines, of which single requests
+/// reach one in twenty. Told of all, each of them holds and is sent twenty times as much.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum Interest {
+    /// All engines.
+    #[default]
+    All,
+    /// Engines of these services.
+    Services(BTreeSet<String>),
+}
+
+impl Interest {
+    /// What a request asks for.
+    pub fn of(request: &MirrorRequest) -> Self {
+        match request.only_services {
+            true => Self::Services(request.services.iter().cloned().collect()),
+            false => Self::All,
+        }
+    }
+
+    /// Writes it into a request.
+    pub(crate) fn put_into(&self, request: &mut MirrorRequest) {
+        if let Self::Services(services) = self {
+            request.only_services = true;
+            request.services = services.iter().cloned().collect();
+        }
+    }
+
+    /// The services, if not all engines are of interest.
+    pub fn services(&self) -> Option<&BTreeSet<String>> {
+        match self {
+            Self::All => None,
+            Self::Services(services) => Some(services),
+        }
+    }
+
+    /// Whether engines of a service are of interest.
+    pub fn has(&self, service: &str) -> bool {
+        self.services().is_none_or(|known| known.contains(service))
+    }
+
+    pub(crate) fn has_any(&self, services: &BTreeSet<String>) -> bool {
+        services.is_empty() || services.iter().any(|service| self.has(service))
+    }
+
+    /// Whether an object is of interest; all that are no engines are.
+    pub(crate) fn has_object(&self, object: &MirroredObject) -> bool {
+        service_of(object).is_none_or(|service| self.has(service))
+    }
+
+    /// Whether all that another interest asks for is part of this one.
+    pub fn covers(&self, other: &Self) -> bool {
+        match (self.services(), other.services()) {
+            (None, _) => true,
+            (Some(_), None) => false,
+            (Some(own), Some(other)) => other.is_subset(own),
+        }
+    }
+
+    /// What is part of both.
+    pub(crate) fn and(&self, other: &Self) -> Self {
+        match (self, other) {
+            (Self::All, one) | (one, Self::All) => one.clone(),
+            (Self::Services(one), Self::Services(other)) => {
+                Self::Services(one.intersection(other).cloned().collect())
+            }
+        }
+    }
+}
--- a/crates/mirror/src/publisher.rs
+++ b/crates/mirror/src/publisher.rs
@@ -1,22 +1,17 @@
 //! What a machine that watches the store tells others of it.
 
 use peatgrade_ports::{ObjectKind, StoreObject, StoreUpdate};
-use peatgrade_schema::encoded_size;
-use peatgrade_schema::replication::{MirrorRequest, MirroredKind, MirroredObject};
+use peatgrade_schema::replication::{MirrorRequest, MirroredKind};
 use peatgrade_types::{Duration, Time};
 use std::collections::{BTreeMap, VecDeque};
 
 use crate::encoding::{gone, kind_name, message_of};
+use crate::followed::Followed;
+use crate::interest::Interest;
 
 /// Kinds that every subscriber needs. Versions are followed only while one asks for them:
 /// a leader whom the store turns away.
 const KINDS: [ObjectKind; 2] = [ObjectKind::Configuration, ObjectKind::Engines];
-/// Changes of a kind kept for subscribers that lack only the newest; others are told
-/// all objects.
-const MAX_CHANGES: usize = 512;
-/// Bytes of them: a configuration of 1,400 routes has some 140 KB, and what is older than
-/// the last few is told as a whole in less.
-const MAX_CHANGE_BYTES: usize = 1024 * 1024;
 /// Requests held at once; more are answered at once.
 const MAX_HELD: usize = 2_048;
 /// Replies with news made in one turn: one with a configuration of 1,400 routes has
@@ -29,114 +24,16 @@
 /// Longest time that a request is held, whatever it says.
 const MAX_HOLD: Duration = Duration::from_millis(1_000);
 
-/// Changes that one update brought.
-#[derive(Debug)]
-struct Changes {
-    /// Revision to which they lead.
-    revision: u64,
-    objects: Vec<MirroredObject>,
-    bytes: usize,
-}
-
-/// A kind as it was read last.
-#[derive(Debug)]
-struct Followed {
-    objects: BTreeMap<String, MirroredObject>,
-    revision: u64,
-    /// When the store proved that nothing newer was there.
-    proven: Time,
-    /// The newest changes, oldest first; all after `changes_from` are there.
-    changes: VecDeque<Changes>,
-    changes_from: u64,
-    change_count: usize,
-    change_bytes: usize,
-}
-
-impl Followed {
-    fn new(at: Time, revision: u64, objects: BTreeMap<String, MirroredObject>) -> Self {
-        Self {
-            objects,
-            revision,
-            proven: at,
-            changes: VecDeque::new(),
-            changes_from: revision,
-            change_count: 0,
-            change_bytes: 0,
-        }
-    }
-
-    fn change(&mut self, at: Time, revision: u64, objects: Vec<MirroredObject>) {
-        if revision < self.revision {
-            return;
-        }
-        self.revision = revision;
-        self.proven = self.proven.max(at);
-        if objects.is_empty() {
-            return;
-        }
-        for object in &objects {
-            if *object == gone(&object.name) {
-                self.objects.remove(&object.name);
-            } else {
-                self.objects.insert(object.name.clone(), object.clone());
-            }
-        }
-        let bytes = objects.iter().map(encoded_size).sum();
-        self.change_count += objects.len();
-        self.change_bytes += bytes;
-        self.changes.push_back(Changes {
-            revision,
-            objects,
-            bytes,
-        });
-        while self.change_count > MAX_CHANGES || self.change_bytes > MAX_CHANGE_BYTES {
-            let Some(oldest) = self.changes.pop_front() else {
-                break;
-            };
-            self.change_count -= oldest.objects.len();
-            self.change_bytes -= oldest.bytes;
-            self.changes_from = oldest.revision;
-        }
-    }
-
-    /// Whether something changed after a revision.
-    fn has_newer(&self, than: u64) -> bool {
-        let newest = self
-            .changes
-            .back()
-            .map_or(self.changes_from, |c| c.revision);
-        newest > than
-    }
-
-    /// What a subscriber that has a revision lacks. None is ahead of this machine.
-    fn news(&self, now: Time, kind: ObjectKind, since: u64) -> Option<MirroredKind> {
-        if since > self.revision {
-            return None;
-        }
-        let whole = since < self.changes_from;
-        let objects = if whole {
-            self.objects.values().cloned().collect()
-        } else {
-            let newer = self.changes.iter().filter(|c| c.revision > since);
-            newer.flat_map(|c| c.objects.iter().cloned()).collect()
-        };
-        Some(MirroredKind {
-            kind: kind_name(kind)?,
-            whole,
-            revision: self.revision,
-            age: now.since(self.proven).0,
-            objects,
-        })
-    }
-}
-
 /// A request that waits.
 #[derive(Debug)]
 struct Held {
     address: String,
     request: MirrorRequest,
+    interest: Interest,
     since: Time,
     until: Time,
+    /// It was not looked at yet.
+    is_new: bool,
 }
 
 /// An answer to a subscriber.
@@ -154,6 +51,8 @@
     pub crash_digest: u64,
     /// How far the subscriber was told failures of engines, and their loads.
     pub observation_marks: (u64, u64),
+    /// Engines that the subscriber needs.
+    pub interest: Interest,
 }
 
 /// What this machine has read of the store, and who waits for news of it.
@@ -162,6 +61,8 @@
     followed: BTreeMap<ObjectKind, Followed>,
     held: VecDeque<Held>,
     has_backlog: bool,
+    /// Something was read since the last look at requests that wait.
+    has_changed: bool,
     /// Number of the newest failure of an engine that there is to tell.
     newest_failure: u64,
 }
@@ -186,8 +87,15 @@
                 let objects = objects.iter();
                 let messages = objects.filter_map(|(name, object)| message_of(name, object));
                 let messages = messages.map(|message| (message.name.clone(), message));
-                let followed = Followed::new(*at, *revision, messages.collect());
-                self.followed.insert(*kind, followed);
+                let objects = messages.collect();
+                match self.followed.get_mut(kind) {
+                    Some(known) => known.relist(*at, *revision, objects),
+                    None => {
+                        let followed = Followed::new(*at, *revision, objects);
+                        self.followed.insert(*kind, followed);
+                    }
+                }
+                self.has_changed = true;
             }
             StoreUpdate::Changed {
                 kind,
@@ -206,15 +114,25 @@
                     Some(object) => message_of(&event.name, object),
                     None => Some(gone(&event.name)),
                 });
-                followed.change(*at, *revision, objects.collect());
+                let objects: Vec<_> = objects.collect();
+                self.has_changed |= !objects.is_empty();
+                followed.change(*at, *revision, objects);
             }
             StoreUpdate::Listed { .. } => {}
         }
     }
 
-    /// Bytes of changes that are kept for subscribers.
-    pub fn change_bytes(&self) -> usize {
-        self.followed.values().map(|kind| kind.change_bytes).sum()
+    /// Bytes of all objects that are kept for subscribers.
+    pub fn kept_bytes(&self) -> usize {
+        self.followed.values().map(Followed::bytes).sum()
+    }
+
+    /// Objects that are kept, and ends of others that are remembered.
+    pub fn kept_objects(&self) -> (usize, usize) {
+        let counts = self.followed.values().map(Followed::counts);
+        counts.fold((0, 0), |(objects, ends), (more, more_ends)| {
+            (objects + more, ends + more_ends)
+        })
     }
 
     /// Stops telling a kind.
@@ -236,9 +154,11 @@
         let until = if is_full { now } else { now + hold };
         self.held.push_back(Held {
             address: address.to_string(),
+            interest: Interest::of(&request),
             request,
             since: now,
             until,
+            is_new: true,
         });
     }
 
@@ -253,17 +173,21 @@
     }
 
     /// Answers that are due: there is news, or the request was held for long enough,
-    /// or this machine has nothing to tell.
+    /// or this machine has nothing to tell. While nothing was read, requests that were
+    /// looked at before cost no more than a look at the clock.
     pub fn due(&mut self, now: Time) -> Vec<Published> {
         let mut published = Vec::new();
         let mut with_news = 0;
+        let may_have_news = std::mem::take(&mut self.has_changed) || self.has_backlog;
+        let follows_all = self.follows_all();
         self.has_backlog = false;
         let mut kept = VecDeque::with_capacity(self.held.len());
-        while let Some(held) = self.held.pop_front() {
-            let has_news = self.has_news(&held.request);
+        while let Some(mut held) = self.held.pop_front() {
+            let is_looked_at = std::mem::take(&mut held.is_new) || may_have_news;
+            let has_news = is_looked_at && self.has_news(&held);
             let lacks_failure = held.request.failure_mark < self.newest_failure
                 && now.since(held.since) >= FAILURE_AFTER;
-            let is_due = has_news || lacks_failure || now >= held.until || !self.follows_all();
+            let is_due = has_news || lacks_failure || now >= held.until || !follows_all;
             let waits_for_turn = has_news && with_news >= NEWS_A_TURN;
             self.has_backlog |= waits_for_turn;
             if !is_due || waits_for_turn {
@@ -277,9 +201,11 @@
         published
     }
 
-    fn has_news(&self, request: &MirrorRequest) -> bool {
-        let mut followed = self.followed_for(request);
-        followed.any(|(kind, followed)| followed.has_newer(revision_of(request, kind)))
+    fn has_news(&self, held: &Held) -> bool {
+        let mut followed = self.followed_for(&held.request);
+        followed.any(|(kind, followed)| {
+            followed.has_newer(revision_of(&held.request, kind), &held.interest)
+        })
     }
 
     /// Whether this machine follows what every subscriber needs.
@@ -302,7 +228,8 @@
     fn answer(&self, now: Time, held: Held) -> Published {
         let followed = self.followed_for(&held.request);
         let kinds = followed.filter_map(|(kind, followed)| {
-            followed.news(now, kind, revision_of(&held.request, kind))
+            let since = revision_of(&held.request, kind);
+            followed.news(now, kind_name(kind)?, since, &held.interest)
         });
         let kinds = kinds.collect();
         Published {
@@ -311,6 +238,7 @@
             kinds,
             crash_digest: held.request.crash_digest,
             observation_marks: (held.request.failure_mark, held.request.load_mark),
+            interest: held.interest,
             address: held.address,
         }
     }
--- a/crates/mirror/src/subscriber.rs
+++ b/crates/mirror/src/subscriber.rs
@@ -6,6 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::encoding::{kind_of, object_of};
+use crate::interest::Interest;
 use crate::timing::MirrorTiming;
 
 /// Kinds that are followed.
@@ -43,6 +44,8 @@
     call: u64,
     address: String,
     at: Time,
+    /// The engines that it asked for.
+    interest: Interest,
 }
 
 /// What is known of a kind.
@@ -70,6 +73,10 @@
     started: Time,
     watches_store: bool,
     has_new_publishers: bool,
+    /// Engines that are needed.
+    interest: Interest,
+    /// Engines of which the newest known revision tells.
+    covered: Interest,
 }
 
 impl Subscriber {
@@ -89,9 +96,34 @@
             started: now,
             watches_store: false,
             has_new_publishers: false,
+            interest: Interest::All,
+            covered: Interest::All,
         }
     }
 
+    /// Needs these engines from now on. Those that it was not told so far are asked for
+    /// with the next request.
+    pub fn set_interest(&mut self, interest: Interest) {
+        self.interest = interest;
+    }
+
+    /// The engines that are needed.
+    pub fn interest(&self) -> &Interest {
+        &self.interest
+    }
+
+    /// The engines of which the newest known revision tells: what is told of others must be
+    /// left out, since nobody tells how it goes on.
+    pub fn covered(&self) -> &Interest {
+        &self.covered
+    }
+
+    /// Whether all engines that are needed have been told.
+    pub fn has_interest(&self) -> bool {
+        let engines = self.known.get(&ObjectKind::Engines);
+        engines.is_some_and(|known| known.proven.is_some()) && self.covered.covers(&self.interest)
+    }
+
     /// Follows the newest versions of models as well.
     pub fn with_versions(mut self) -> Self {
         self.known.entry(ObjectKind::Versions).or_default();
@@ -236,22 +268,29 @@
             call,
             address: publisher.address.clone(),
             at: now,
+            interest: self.interest.clone(),
         });
+        // Of engines that were not told before nothing is known as of any revision.
+        let engines_known = self.covered.covers(&self.interest);
         let revision = |kind| {
             self.known
                 .get(&kind)
                 .map_or(0, |known: &Known| known.revision)
         };
-        let request = MirrorRequest {
+        let mut request = MirrorRequest {
             call,
             configuration_revision: revision(ObjectKind::Configuration),
-            engines_revision: revision(ObjectKind::Engines),
+            engines_revision: match engines_known {
+                true => revision(ObjectKind::Engines),
+                false => 0,
+            },
             versions_revision: revision(ObjectKind::Versions),
             wants_versions: self.known.contains_key(&ObjectKind::Versions),
             wait_ms: self.timing.hold.as_millis(),
             renew_connection: std::mem::take(&mut publisher.was_silent),
             ..MirrorRequest::default()
         };
+        self.interest.put_into(&mut request);
         Some(SubscriberAction::Ask {
             address: publisher.address.clone(),
             request,
@@ -278,13 +317,18 @@
         let made = asked.at + Duration(reply.held);
         let mut updates = Vec::new();
         for kind in reply.kinds {
-            updates.extend(self.take_kind(made, kind));
+            updates.extend(self.take_kind(made, kind, &asked.interest));
         }
         self.judge(now, &asked.address, actions);
         updates
     }
 
-    fn take_kind(&mut self, made: Time, told: MirroredKind) -> Option<StoreUpdate> {
+    fn take_kind(
+        &mut self,
+        made: Time,
+        told: MirroredKind,
+        asked_for: &Interest,
+    ) -> Option<StoreUpdate> {
         let kind = kind_of(told.kind);
         let at = Time(made.0.saturating_sub(told.age));
         let known = self.known.get_mut(&kind)?;
@@ -297,6 +341,12 @@
         }
         known.revision = told.revision;
         known.proven = known.proven.max(Some(at));
+        if kind == ObjectKind::Engines {
+            self.covered = match told.whole {
+                true => asked_for.clone(),
+                false => self.covered.and(asked_for),
+            };
+        }
         let objects = told.objects.into_iter().map(object_of);
         let revision = told.revision;
         Some(if told.whole {
@@ -369,6 +419,9 @@
         }
         known.revision = revision;
         known.proven = known.proven.max(Some(at));
+        if matches!(update, StoreUpdate::Listed { kind, .. } if *kind == ObjectKind::Engines) {
+            self.covered = Interest::All;
+        }
         true
     }
 }
--- a/crates/observations/src/board.rs
+++ b/crates/observations/src/board.rs
@@ -131,17 +131,19 @@
 
     /// What a subscriber that was told up to `marks` lacks, failures first, as many as fit
     /// into `max_bytes`, and how far it is told then. What came from its address is left
-    /// out.
+    /// out, and so are engines that it does not need.
     pub fn news(
         &self,
         now: Time,
         marks: BoardMarks,
         subscriber: &str,
+        needs: &dyn Fn(&Instance) -> bool,
         max_bytes: usize,
     ) -> (Vec<EngineObservation>, BoardMarks) {
         let mut page = Page {
             now,
             subscriber,
+            needs,
             left: max_bytes,
             told: Vec::new(),
         };
@@ -164,6 +166,7 @@
 struct Page<'a> {
     now: Time,
     subscriber: &'a str,
+    needs: &'a dyn Fn(&Instance) -> bool,
     left: usize,
     told: Vec<EngineObservation>,
 }
@@ -174,8 +177,9 @@
         let mut reached = mark;
         for (number, entry) in kept.range(mark + 1..) {
             let observation = &entry.observation;
-            let is_of_use =
-                entry.told_by != self.subscriber && self.now.since(observation.seen) < MAX_AGE;
+            let is_of_use = entry.told_by != self.subscriber
+                && self.now.since(observation.seen) < MAX_AGE
+                && (self.needs)(&observation.engine);
             if is_of_use {
                 let message = to_message(self.now, observation);
                 let bytes = told_bytes(&message);
--- a/crates/server/src/gateway_process/beliefs.rs
+++ b/crates/server/src/gateway_process/beliefs.rs
@@ -1,8 +1,12 @@
 //! What the gateway believes, from the object store.
 
-use peatgrade_ports::{Limits, ObjectKind, StoreEvent, StoreObject, StoreUpdate};
+use peatgrade_mirror::Interest;
+use peatgrade_ports::{
+    Configuration, Limits, ObjectKind, RouteKind, StoreEvent, StoreObject, StoreUpdate,
+};
 use peatgrade_runtime::ServerLimits;
 use peatgrade_types::{Duration, Time};
+use std::collections::BTreeSet;
 
 use super::GatewayProcess;
 use crate::clock::steady_now;
@@ -23,9 +27,11 @@
                         _ => None,
                     });
                     let heartbeat = Duration::from_millis(self.settings.engine_heartbeat_ms);
+                    let covered = self.subscriber.covered();
+                    let records = records.filter(|record| covered.has(&record.service));
                     let directory = &mut self.gateway.directory;
                     directory.relist(now, at, records.collect(), heartbeat);
-                    self.engines_known = true;
+                    self.engines_known |= self.subscriber.has_interest();
                     log::info!(
                         "belief=engines count={} lapsed={}",
                         directory.len(),
@@ -54,7 +60,13 @@
     }
 
     fn take_engine_events(&mut self, at: Time, events: Vec<StoreEvent>) {
-        for event in events {
+        for mut event in events {
+            let covered = self.subscriber.covered();
+            // An engine that moved to a service that nothing here reaches is gone.
+            event.object = event.object.filter(|object| match object {
+                StoreObject::Engine(record) => covered.has(&record.service),
+                _ => true,
+            });
             if let Some(StoreObject::Engine(record)) = &event.object {
                 log::info!(
                     "belief=engine instance={} address={} draining={} started={:?}",
@@ -80,7 +92,9 @@
             StoreObject::Configuration(configuration) => {
                 let (version, routes) = (configuration.version, configuration.routes.len());
                 let limits = server_limits(&configuration.limits);
+                let needed = engines_needed(&configuration);
                 if self.gateway.configure(*configuration) {
+                    self.subscriber.set_interest(needed);
                     self.server.limits.set(limits);
                     log::info!("belief=configuration version={version} routes={routes}");
                 }
@@ -94,6 +108,24 @@
     }
 }
 
+/// Engines that single requests may go to: those of batch jobs are the leader's matter. A
+/// service that no route names yet is among them, so that a route that moves there finds
+/// its engines known.
+fn engines_needed(configuration: &Configuration) -> Interest {
+    let of_kind = |is_batch: bool| {
+        let routes = configuration.routes.iter();
+        let routes = routes.filter(move |route| (route.kind == RouteKind::Batch) == is_batch);
+        let targets = routes.flat_map(|route| &route.targets);
+        targets
+            .map(|target| &target.service)
+            .collect::<BTreeSet<_>>()
+    };
+    let (single, batch) = (of_kind(false), of_kind(true));
+    let services = configuration.services.keys();
+    let needed = services.filter(|service| single.contains(service) || !batch.contains(service));
+    Interest::Services(needed.chain(single.iter().copied()).cloned().collect())
+}
+
 fn server_limits(limits: &Limits) -> ServerLimits {
     ServerLimits {
         head_bytes: limits.head_bytes,
--- a/crates/server/src/gateway_process/news.rs
+++ b/crates/server/src/gateway_process/news.rs
@@ -2,13 +2,14 @@
 //! while none of them is heard.
 
 use futures_channel::mpsc::UnboundedSender;
-use peatgrade_mirror::{Subscriber, SubscriberAction};
+use peatgrade_mirror::{Interest, Subscriber, SubscriberAction};
 use peatgrade_ports::{ObjectKind, StoreUpdate};
 use peatgrade_runtime::Delivery;
 use peatgrade_schema::encode;
 use peatgrade_schema::replication::mod_ReplicaMessage::OneOfbody;
 use peatgrade_schema::replication::{MirrorReply, MirrorRequest, ReplicaMessage};
 use peatgrade_types::{Duration, Time};
+use std::collections::BTreeSet;
 
 use super::GatewayProcess;
 use crate::clock::steady_now;
@@ -128,6 +129,10 @@
         for update in self.subscriber.on_reply(now, reply, &mut actions) {
             self.take_update(update);
         }
+        let covered = self.subscriber.covered();
+        self.gateway
+            .directory
+            .keep_services(|service| covered.has(service));
         for action in actions {
             self.carry_out_subscription(action);
         }
@@ -183,12 +188,15 @@
 
 /// A subscriber for this process.
 pub(super) fn new_subscriber(settings: &crate::settings::ServerSettings) -> Subscriber {
-    Subscriber::new(
+    let mut subscriber = Subscriber::new(
         steady_now(),
         &settings.name,
         &settings.zone,
         settings.mirror_timing(),
         // Leaves room for as many requests above it.
         u64::from(rand::random::<u32>()) << 31,
-    )
+    );
+    // Which engines are needed is known with the first configuration.
+    subscriber.set_interest(Interest::Services(BTreeSet::new()));
+    subscriber
 }
--- a/crates/server/src/storage/observations.rs
+++ b/crates/server/src/storage/observations.rs
@@ -4,7 +4,9 @@
 //! Nothing that a member told goes to another member, so that each observation crosses the
 //! group once and none comes back.
 
+use peatgrade_mirror::Published;
 use peatgrade_observations::{BoardMarks, Observation, ObservationBoard, Urgency, MAX_TOLD_BYTES};
+use peatgrade_ports::Instance;
 use peatgrade_schema::replication::mod_ReplicaMessage::OneOfbody;
 use peatgrade_schema::replication::{EngineObservations, MirrorReply, MirrorRequest};
 use peatgrade_types::{Duration, Time};
@@ -103,12 +105,18 @@
     pub(super) fn add_observations(
         &self,
         now: Time,
-        marks: BoardMarks,
-        subscriber: &str,
+        published: &Published,
         reply: &mut MirrorReply,
     ) {
+        let (failure, load) = published.observation_marks;
+        let marks = BoardMarks { failure, load };
+        let needs = |engine: &Instance| {
+            let state = self.directory.get(engine);
+            state.is_some_and(|state| published.interest.has(&state.record.service))
+        };
         let board = &self.observations.board;
-        let (told, reached) = board.news(now, marks, subscriber, MAX_TOLD_BYTES);
+        let subscriber = &published.address;
+        let (told, reached) = board.news(now, marks, subscriber, &needs, MAX_TOLD_BYTES);
         reply.observations = told;
         reply.failure_mark = reached.failure;
         reply.load_mark = reached.load;
--- a/crates/server/src/storage/publishing.rs
+++ b/crates/server/src/storage/publishing.rs
@@ -1,7 +1,6 @@
 //! Tells other machines what this one has read of the object store.
 
 use peatgrade_mirror::Published;
-use peatgrade_observations::BoardMarks;
 use peatgrade_schema::replication::mod_ReplicaMessage::OneOfbody;
 use peatgrade_schema::replication::{MirrorReply, MirrorRequest};
 use peatgrade_types::Time;
@@ -28,7 +27,7 @@
         }
     }
 
-    fn send_published(&mut self, now: Time, published: Published) {
+    fn send_published(&mut self, now: Time, mut published: Published) {
         let log = self.replica.log();
         let crash_digest = self.directory.quarantine.digest();
         let crashes = match crash_digest == published.crash_digest {
@@ -38,7 +37,7 @@
         let mut reply = MirrorReply {
             call: published.call,
             held: published.held.0,
-            kinds: published.kinds,
+            kinds: std::mem::take(&mut published.kinds),
             members: log.members(),
             members_index: log.members_index().max(log.base().index),
             leader_address: self.replica.leader_address().unwrap_or("").to_string(),
@@ -46,9 +45,7 @@
             crashes,
             ..MirrorReply::default()
         };
-        let (failure, load) = published.observation_marks;
-        let marks = BoardMarks { failure, load };
-        self.add_observations(now, marks, &published.address, &mut reply);
+        self.add_observations(now, &published, &mut reply);
         self.reply_lightly(&published.address, OneOfbody::mirror_reply(reply));
     }
 }
