--- a/crates/server/src/storage/housekeeping.rs
+++ b/crates/server/src/storage/housekeeping.rs
@@ -30,6 +30,7 @@
             self.note_behind(now);
             self.keep_observations(now);
             self.set_state(now);
+            self.tell_work(now);
         }
         if now.since(self.last_expire) >= EXPIRE_EVERY {
             self.last_expire = now;
@@ -137,6 +138,17 @@
             ("item_prompts_kept", placement.prompts_kept),
             ("item_prompts_read", placement.prompts_read),
         ];
+        let (in_sets, filling) = self.directory.working_set_figures();
+        let coordinated = self.coordinator.as_ref();
+        let coordinated = coordinated.map_or(0, |coordinator| coordinator.engines_visited());
+        let sets = [
+            ("working_set_engines", in_sets as u64),
+            ("working_set_engines_visited", filling),
+            ("coordinated_engines_visited", coordinated),
+        ];
+        for (name, value) in self.shares.figures().chain(sets) {
+            self.metrics.set(name, value);
+        }
         let quarantine = self.directory.quarantine.figures();
         for (name, value) in figures.into_iter().chain(placement).chain(quarantine) {
             self.metrics.set(name, value);
--- a/crates/server/src/storage/inputs.rs
+++ b/crates/server/src/storage/inputs.rs
@@ -8,6 +8,7 @@
 
 use super::engines::ExchangeId;
 use super::registration::Founding;
+use super::work_shares::WorkKind;
 
 /// Something that arrived.
 pub(super) enum Input {
@@ -18,6 +19,18 @@
     Founding(Founding),
 }
 
+impl Input {
+    /// The kind of work that it makes.
+    pub fn kind(&self) -> WorkKind {
+        match self {
+            Self::Part(..) => WorkKind::EngineAnswers,
+            Self::Message(_) => WorkKind::Messages,
+            Self::Update(_) => WorkKind::StoreNews,
+            Self::Signal(_) | Self::Founding(_) => WorkKind::Housekeeping,
+        }
+    }
+}
+
 /// Where they come from.
 pub(super) struct Inputs {
     pub signals: UnboundedReceiver<ProcessSignal>,
--- a/crates/server/src/storage/leadership.rs
+++ b/crates/server/src/storage/leadership.rs
@@ -10,6 +10,7 @@
 use crate::watcher::{watch, Wanted, WatchTiming};
 
 use super::process::StorageProcess;
+use super::work_shares::WorkKind;
 
 /// Beyond the lease of an earlier holder's orders.
 const ORDER_SLACK: Duration = Duration::from_millis(400);
@@ -165,6 +166,7 @@
         if due && self.engines_known && self.configuration.version > 0 {
             self.last_dispatch = now;
             self.coordinate(now);
+            self.worked_on(WorkKind::Versions);
             self.dispatcher.set_order(self.settings.item_order());
             self.dispatcher
                 .poll(now, &self.configuration, &mut self.directory);
@@ -174,6 +176,7 @@
             let actions = self.dispatcher.take_actions();
             self.carry_out_dispatch(actions);
             self.tick_scores(now);
+            self.worked_on(WorkKind::Items);
         }
     }
 
--- a/crates/server/src/storage/mod.rs
+++ b/crates/server/src/storage/mod.rs
@@ -39,5 +39,6 @@
 mod traffic;
 mod updates;
 mod usage;
+mod work_shares;
 
 pub use process::run_storage;
--- a/crates/server/src/storage/process.rs
+++ b/crates/server/src/storage/process.rs
@@ -46,6 +46,7 @@
 use super::scores::ScoreCalls;
 use super::traffic::CallerZones;
 use super::usage::Usage;
+use super::work_shares::{WorkKind, WorkShares};
 
 /// Inputs handled before the log is persisted once for all of them.
 const MAX_BATCH: usize = 256;
@@ -75,10 +76,13 @@
         };
         let began = steady_now();
         process.turns.begin(began);
+        process.shares.begin(began);
         let mut next = first;
         let mut handled = 0;
         while let Some(input) = next {
+            let kind = input.kind();
             process.handle(input);
+            process.worked_on(kind);
             handled += 1;
             let is_in_time = steady_now().since(began) < MAX_BATCH_TIME;
             next = if handled < MAX_BATCH && is_in_time {
@@ -164,6 +168,7 @@
     pub store_heard: Time,
     pub pauses: PauseWatch,
     pub turns: TurnWatch,
+    pub shares: WorkShares,
     /// When this machine began to lead, and runs that it has started since.
     pub led_since: Time,
     pub runs_started: u64,
@@ -286,6 +291,7 @@
             store_heard: now,
             pauses: PauseWatch::new(now, suspended_time()),
             turns: TurnWatch::new(now),
+            shares: WorkShares::default(),
             led_since: now,
             runs_started: 0,
         };
@@ -367,16 +373,21 @@
         self.pass_on_ends(now);
         self.ask_members(now);
         self.pump()?;
+        self.worked_on(WorkKind::Replication);
         self.lead(now);
         if members_due {
             self.change_members(now);
         }
         self.pump()?;
+        self.worked_on(WorkKind::Replication);
         self.answer_waiting(now);
+        self.worked_on(WorkKind::Callers);
         self.share_observations(now);
         self.publish(now);
         self.share_crashes(now);
+        self.worked_on(WorkKind::Publishing);
         self.housekeeping(now)?;
+        self.worked_on(WorkKind::Housekeeping);
         Ok(())
     }
 
--- /dev/null
+++ b/crates/server/src/storage/work_shares.rs
@@ -0,0 +1,140 @@
+//! Which kind of work takes the main task's time.
+//!
+//! One machine leads, on a share of a core, and what it cannot do in time waits: this says
+//! which kind of work binds it.
+
+use peatgrade_types::{Duration, Time};
+
+use super::process::StorageProcess;
+use crate::clock::steady_now;
+
+/// A kind of work of the main task.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub(super) enum WorkKind {
+    /// Parts of answers of engines: events of texts, orders, reports.
+    EngineAnswers,
+    /// Messages of other processes.
+    Messages,
+    /// News of the object store.
+    StoreNews,
+    /// The replicated log: heartbeats, entries, what is applied of them.
+    Replication,
+    /// Weight versions and working sets.
+    Versions,
+    /// Items that wait or run.
+    Items,
+    /// Answers to callers' calls.
+    Callers,
+    /// What is seen of engines, and news for other machines.
+    Publishing,
+    /// All that is done now and then.
+    Housekeeping,
+}
+
+impl WorkKind {
+    const ALL: [Self; 9] = [
+        Self::EngineAnswers,
+        Self::Messages,
+        Self::StoreNews,
+        Self::Replication,
+        Self::Versions,
+        Self::Items,
+        Self::Callers,
+        Self::Publishing,
+        Self::Housekeeping,
+    ];
+
+    /// Name of its figure.
+    fn figure(self) -> &'static str {
+        match self {
+            Self::EngineAnswers => "work_engine_answers_us",
+            Self::Messages => "work_messages_us",
+            Self::StoreNews => "work_store_news_us",
+            Self::Replication => "work_replication_us",
+            Self::Versions => "work_versions_us",
+            Self::Items => "work_items_us",
+            Self::Callers => "work_callers_us",
+            Self::Publishing => "work_publishing_us",
+            Self::Housekeeping => "work_housekeeping_us",
+        }
+    }
+}
+
+/// Time between two lines about it.
+const TELL_EVERY: Duration = Duration::from_secs(5);
+
+/// Time of the main task since the start, by kind of work.
+#[derive(Debug, Default)]
+pub(super) struct WorkShares {
+    spent: [Duration; WorkKind::ALL.len()],
+    /// Up to here all time is counted.
+    counted_to: Time,
+    /// When it was told last, and what was spent then.
+    told_at: Time,
+    told: [Duration; WorkKind::ALL.len()],
+}
+
+impl WorkShares {
+    /// Work begins: what was before is not counted.
+    pub fn begin(&mut self, now: Time) {
+        self.counted_to = now;
+    }
+
+    /// What was done since then or since the last call was of this kind.
+    pub fn was(&mut self, kind: WorkKind, now: Time) {
+        let spent = &mut self.spent[kind as usize];
+        *spent = *spent + now.since(self.counted_to);
+        self.counted_to = now;
+    }
+
+    /// Thousandths of the time since the last line that went to each kind of work; none
+    /// while it is not time for another line.
+    pub fn news(&mut self, now: Time) -> Option<Vec<(WorkKind, u64)>> {
+        let span = now.since(self.told_at);
+        if span < TELL_EVERY {
+            return None;
+        }
+        let shares = WorkKind::ALL.into_iter().map(|kind| {
+            let spent = self.spent[kind as usize].0 - self.told[kind as usize].0;
+            (kind, spent * 1_000 / span.0)
+        });
+        let shares = shares.collect();
+        self.told_at = now;
+        self.told = self.spent;
+        Some(shares)
+    }
+
+    /// Figures by name, in microseconds.
+    pub fn figures(&self) -> impl Iterator<Item = (&'static str, u64)> + '_ {
+        let kinds = WorkKind::ALL.into_iter();
+        kinds.map(|kind| (kind.figure(), self.spent[kind as usize].0))
+    }
+}
+
+impl StorageProcess {
+    /// Takes note that what was done since the last note was of this kind.
+    pub(super) fn worked_on(&mut self, kind: WorkKind) {
+        self.shares.was(kind, steady_now());
+    }
+
+    /// Tells what the leader's time goes to.
+    pub(super) fn tell_work(&mut self, now: Time) {
+        let Some(shares) = self.shares.news(now).filter(|_| self.working()) else {
+            return;
+        };
+        let shares = shares
+            .iter()
+            .map(|(kind, share)| format!("{kind:?}:{share}"));
+        log::info!(
+            "belief=work per_mille={} open_items={} runs={} engines_used={}",
+            shares.collect::<Vec<_>>().join(","),
+            self.dispatcher.open_items(),
+            self.dispatcher.running(),
+            self.directory.active().count()
+        );
+    }
+}
+
+#[cfg(test)]
+#[path = "../../tests/unit/work_shares.rs"]
+mod tests;
