Weights are coordinated when something was learnt

Change: a look follows a new version, demand, an answer, a change of the list or a timer, and one each 250 ms; sets and lives are gone through when the list changed; marks of loading engines are changed where they differ.

--- a/crates/fleet/src/coordinator/mod.rs
+++ b/crates/fleet/src/coordinator/mod.rs
@@ -30,6 +30,9 @@
 /// over: a look at hundreds takes milliseconds, and starts many loads at once.
 const POLL_EVERY: Duration = Duration::from_millis(10);
 const POLL_PER_ENGINE: Duration = Duration(20);
+/// Longest time between two looks at what changes without news: paces, and engines that can't
+/// be reached.
+const LOOK_AT_LEAST: Duration = Duration::from_millis(250);
 /// Further looks at an engine that loads.
 const NEXT_LOOK: Duration = Duration::from_millis(80);
 /// Wait before an engine that gave no answer is tried again.
@@ -77,6 +80,16 @@
     /// Items of the largest open batch job of each model.
     demand: BTreeMap<String, usize>,
     polled: Time,
+    /// Something was learnt since the last look.
+    has_news: bool,
+    /// When a look is due without news.
+    next_look: Time,
+    /// Changes of the engine list at the last look.
+    list_seen: u64,
+    /// A working set may lack engines.
+    sets_are_due: bool,
+    /// Engines that are marked as loading a model.
+    marked: BTreeMap<Instance, String>,
     /// Engines that the last look went over, and all looks so far.
     looked_over: usize,
     visited: u64,
@@ -108,6 +121,11 @@
             engines: BTreeMap::new(),
             demand: BTreeMap::new(),
             polled: Time(0),
+            has_news: true,
+            next_look: Time(0),
+            list_seen: 0,
+            sets_are_due: true,
+            marked: BTreeMap::new(),
             looked_over: 0,
             visited: 0,
             zone: String::new(),
@@ -131,12 +149,16 @@
     /// Takes note of the newest version of a model.
     pub fn named(&mut self, model: &str, version: u64) {
         let known = self.named.entry(model.to_string()).or_insert(0);
+        self.has_news |= version > *known;
+        self.sets_are_due |= *known == 0;
         *known = (*known).max(version);
     }
 
     /// Takes note of a batch job's size.
     pub fn demanded(&mut self, model: &str, items: usize) {
-        self.demand.insert(model.to_string(), items);
+        let before = self.demand.insert(model.to_string(), items);
+        self.has_news |= before != Some(items);
+        self.sets_are_due |= before != Some(items);
     }
 
     /// Newest versions.
@@ -149,17 +171,29 @@
         self.fenced
     }
 
+    /// Whether a look may find something to do.
+    fn is_due(&self, now: Time, directory: &EngineDirectory) -> bool {
+        let rest = POLL_EVERY.max(Duration(POLL_PER_ENGINE.0 * self.looked_over as u64));
+        let has_news = self.has_news || directory.changes() != self.list_seen;
+        now.since(self.polled) >= rest && (has_news || now >= self.next_look)
+    }
+
     /// What to do now.
     pub fn poll(&mut self, now: Time, directory: &mut EngineDirectory) -> Vec<CoordinatorAction> {
         let mut actions = Vec::new();
-        let rest = POLL_EVERY.max(Duration(POLL_PER_ENGINE.0 * self.looked_over as u64));
-        if self.fenced || now.since(self.polled) < rest {
+        if self.fenced || !self.is_due(now, directory) {
             return actions;
         }
+        let is_timed = now >= self.next_look;
         self.polled = now;
-        self.engines
-            .retain(|instance, progress| directory.incarnation(instance) == Some(progress.life));
-        self.renew_working_sets(now, directory);
+        self.has_news = false;
+        if is_timed || self.sets_are_due || directory.changes() != self.list_seen {
+            self.list_seen = directory.changes();
+            self.engines.retain(|instance, progress| {
+                directory.incarnation(instance) == Some(progress.life)
+            });
+            self.renew_working_sets(now, directory);
+        }
         self.expire(now);
         let load_time = self.load_time;
         let loads = self
@@ -207,20 +241,33 @@
         }
         self.looks(now, &mut actions);
         self.mark_loading(directory);
+        self.next_look = self.next_timer(now).min(now + LOOK_AT_LEAST);
         actions
     }
 
+    /// When something is due although nothing is heard.
+    fn next_timer(&self, now: Time) -> Time {
+        let timers = self.engines.values();
+        let timers = timers.filter_map(|progress| progress.next_timer(now, self.load_time));
+        let quiet = self.quiet.values().copied().filter(|until| *until > now);
+        timers.chain(quiet).min().unwrap_or(now + LOOK_AT_LEAST)
+    }
+
     /// Brings working sets up to date and fills one, each in its turn.
     fn renew_working_sets(&mut self, now: Time, directory: &mut EngineDirectory) {
         let mut models: Vec<String> = self.models().into_iter().cloned().collect();
         let after = models.partition_point(|model| *model <= self.filled_last);
         models.rotate_left(after);
         let mut may_fill = true;
+        self.sets_are_due = false;
         for model in models {
             let items = self.demand.get(&model).copied().unwrap_or(0);
             if directory.renew_working_sets(now, &model, items, &self.zone, may_fill) {
                 may_fill = false;
                 self.filled_last = model;
+                // Others may wait for their turn.
+                self.sets_are_due = true;
+                self.has_news = true;
             }
         }
     }
@@ -262,18 +309,28 @@
         }
     }
 
-    fn mark_loading(&self, directory: &mut EngineDirectory) {
-        for (instance, progress) in &self.engines {
-            let target = progress.target.iter().filter(|_| progress.is_loading());
-            let loading: Vec<String> = target.map(|(model, _)| model.clone()).collect();
-            let known = directory.get(instance);
-            if known.is_none_or(|known| known.loading == loading) {
-                continue;
-            }
-            if let Some(state) = directory.get_mut(instance) {
-                state.loading = loading;
+    /// Marks engines that load, for choices of engines, and takes old marks away.
+    fn mark_loading(&mut self, directory: &mut EngineDirectory) {
+        let engines = self.engines.iter();
+        let loading = engines.filter(|(_, progress)| progress.is_loading());
+        let loading = loading.filter_map(|(instance, progress)| {
+            let (model, _) = progress.target.as_ref()?;
+            Some((instance.clone(), model.clone()))
+        });
+        let loading: BTreeMap<Instance, String> = loading.collect();
+        let over = self
+            .marked
+            .keys()
+            .filter(|name| !loading.contains_key(*name));
+        for instance in over {
+            set_loading(directory, instance, Vec::new());
+        }
+        for (instance, model) in &loading {
+            if self.marked.get(instance) != Some(model) {
+                set_loading(directory, instance, vec![model.clone()]);
             }
         }
+        self.marked = loading;
     }
 
     /// Takes the outcome of an order.
@@ -284,6 +341,7 @@
         if !matches!(progress.phase, Phase::Ordered(_)) {
             return;
         }
+        self.has_news = true;
         progress.phase = match outcome {
             OrderOutcome::Answered(OrderAnswer::Started) => {
                 progress.orders += 1;
@@ -315,6 +373,7 @@
         let Some(progress) = self.engines.get_mut(instance) else {
             return;
         };
+        self.has_news = true;
         let told = report.map(|report| directory.note_report(now, instance, report));
         let Some(report) = report.filter(|_| told != Some(ToldLife::Earlier)) else {
             progress.phase = Phase::Pause(now + RETRY);
@@ -356,3 +415,9 @@
         self.engines.values().filter(|e| e.is_loading()).count()
     }
 }
+
+fn set_loading(directory: &mut EngineDirectory, instance: &Instance, models: Vec<String>) {
+    if let Some(state) = directory.get_mut(instance) {
+        state.loading = models;
+    }
+}
--- a/crates/fleet/src/coordinator/progress.rs
+++ b/crates/fleet/src/coordinator/progress.rs
@@ -2,6 +2,7 @@
 
 use peatgrade_types::{Duration, Time};
 
+use super::{ANSWER_TIMEOUT, LOAD_TIMEOUT};
 use crate::incarnation::Incarnation;
 
 /// Part of the time that loads were taken to last after one that was over when
@@ -95,6 +96,24 @@
         }
     }
 
+    /// When it changes, frees its place or is to be looked at although nothing is heard.
+    pub fn next_timer(&self, now: Time, load_time: Duration) -> Option<Time> {
+        match self.phase {
+            Phase::Unseen | Phase::Idle => None,
+            Phase::Asked(since) | Phase::Ordered(since) => Some(since + ANSWER_TIMEOUT),
+            Phase::Pause(until) => Some(until),
+            Phase::Loading(load) => {
+                let place_free = Some(load.since + load_time).filter(|at| *at > now);
+                let failed = load.since + LOAD_TIMEOUT;
+                Some(
+                    place_free
+                        .map_or(load.look, |at| at.min(load.look))
+                        .min(failed),
+                )
+            }
+        }
+    }
+
     pub fn is_loading(&self) -> bool {
         matches!(self.phase, Phase::Ordered(_) | Phase::Loading(_))
     }
--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -61,6 +61,8 @@
     /// from others, is found here without a look over the whole list.
     active: BTreeSet<Instance>,
     working_sets: WorkingSets,
+    /// Changes of the list and of lives so far.
+    changes: u64,
     /// Lives counted so far, and those that are known to be over.
     lives: u64,
     lives_ended: u64,
@@ -106,6 +108,7 @@
         records: Vec<EngineRecord>,
     ) -> HashMap<Instance, EngineState> {
         let mut old = std::mem::take(&mut self.engines);
+        self.changes += 1;
         self.index = ServiceIndex::default();
         for record in records {
             if let Some(state) = old.remove(&record.instance) {
@@ -140,6 +143,7 @@
         let Some(state) = self.engines.remove(instance) else {
             return false;
         };
+        self.changes += 1;
         self.index.remove(&state.record.service, instance);
         self.active.remove(instance);
         true
@@ -189,6 +193,7 @@
     }
 
     fn upsert(&mut self, now: Time, mut record: EngineRecord) {
+        self.changes += 1;
         let instance = record.instance.clone();
         let Some(state) = self.engines.get_mut(&instance) else {
             let incarnation = self.next_incarnation();
@@ -222,6 +227,12 @@
         state.lapsed_until = None;
     }
 
+    /// A count that rises with each change of the list and with each end of a life: who has
+    /// seen it knows the list.
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
     /// Takes note of a version that an engine has shown.
     pub fn saw_version(&mut self, instance: &Instance, model: &str, version: u64) {
         let Some(state) = self.engines.get_mut(instance) else {
--- a/crates/fleet/src/directory/identity.rs
+++ b/crates/fleet/src/directory/identity.rs
@@ -177,6 +177,7 @@
             return;
         };
         self.lives_ended += 1;
+        self.changes += 1;
         log::info!(
             "belief=engine-life-ended engine={engine} reason={reason} started={:?} before={:?} life={incarnation} running={} list_age_ms={}",
             record.started,
--- a/crates/server/src/storage/leadership.rs
+++ b/crates/server/src/storage/leadership.rs
@@ -173,10 +173,11 @@
             if self.dispatcher.has_backlog() {
                 self.metrics.count("look_cut_short");
             }
+            self.worked_on(WorkKind::Items);
             let actions = self.dispatcher.take_actions();
             self.carry_out_dispatch(actions);
             self.tick_scores(now);
-            self.worked_on(WorkKind::Items);
+            self.worked_on(WorkKind::Requests);
         }
     }
 
--- a/crates/server/src/storage/work_shares.rs
+++ b/crates/server/src/storage/work_shares.rs
@@ -21,8 +21,10 @@
     Replication,
     /// Weight versions and working sets.
     Versions,
-    /// Items that wait or run.
+    /// Items that wait or run: which of them go where.
     Items,
+    /// Requests to engines that this makes, and proposals to the log.
+    Requests,
     /// Answers to callers' calls.
     Callers,
     /// What is seen of engines, and news for other machines.
@@ -32,13 +34,14 @@
 }
 
 impl WorkKind {
-    const ALL: [Self; 9] = [
+    const ALL: [Self; 10] = [
         Self::EngineAnswers,
         Self::Messages,
         Self::StoreNews,
         Self::Replication,
         Self::Versions,
         Self::Items,
+        Self::Requests,
         Self::Callers,
         Self::Publishing,
         Self::Housekeeping,
@@ -53,6 +56,7 @@
             Self::Replication => "work_replication_us",
             Self::Versions => "work_versions_us",
             Self::Items => "work_items_us",
+            Self::Requests => "work_requests_us",
             Self::Callers => "work_callers_us",
             Self::Publishing => "work_publishing_us",
             Self::Housekeeping => "work_housekeeping_us",
