A look for waiting items costs by its starts, not by the engines in use

Each of 250 looks a second went over all engines in use for paces and over the engines of each kind of need.

Change: engines found for a kind of need are weighed for 20 ms, unless the list or a version changes; whether they have a place and are avoided is asked each time. Paces are those of the last look at them. A choice reckons the cost of an engine once.

--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -227,8 +227,8 @@
         state.lapsed_until = None;
     }
 
-    /// A count that rises with each change of the list and with each end of a life: who has
-    /// seen it knows the list.
+    /// A count that rises with each change of the list, of a version that an engine holds and
+    /// with each end of a life.
     pub fn changes(&self) -> u64 {
         self.changes
     }
@@ -239,9 +239,11 @@
             return;
         };
         if let Some(known) = state.record.models.get_mut(model) {
+            self.changes += u64::from(version > *known);
             *known = (*known).max(version);
             return;
         }
+        self.changes += 1;
         state.record.models.insert(model.to_string(), version);
         self.index.put(&state.record, Some(&state.record.service));
     }
--- a/crates/jobs/src/dispatcher/mod.rs
+++ b/crates/jobs/src/dispatcher/mod.rs
@@ -40,6 +40,7 @@
 use crate::streams::Run;
 use placing::Placing;
 use queue::WaitingQueue;
+use rooms::FoundEngines;
 
 /// Names a run of an item.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
@@ -127,6 +128,8 @@
     group_counts: HashMap<Rc<str>, usize>,
     order: ItemOrder,
     queue: WaitingQueue,
+    /// Engines that looks for waiting items go on with.
+    found_engines: FoundEngines,
     /// Items that wait for an engine again since the last look.
     returned: Vec<ItemKey>,
     /// Engines that run items of each group.
@@ -164,6 +167,7 @@
             group_counts: HashMap::new(),
             order: ItemOrder::default(),
             queue: WaitingQueue::default(),
+            found_engines: FoundEngines::default(),
             returned: Vec::new(),
             companions: HashMap::new(),
             lengths: Lengths::default(),
--- a/crates/jobs/src/dispatcher/rooms.rs
+++ b/crates/jobs/src/dispatcher/rooms.rs
@@ -1,78 +1,126 @@
-//! Engines with room for waiting items, looked up once a look.
+//! Engines with room for waiting items, looked up now and then.
+//!
+//! The load: steps of six trainers come together, a thousand items that are started eight in
+//! a look, 250 looks a second. Engines of six kinds of need, found anew in each look, cost a
+//! leader as much as all else that it does for items.
 
 use peatgrade_fleet::EngineDirectory;
-use peatgrade_types::Time;
+use peatgrade_types::{Duration, Time};
 use std::collections::HashMap;
 
+use super::queue::NeedClass;
 use crate::placement::{service_pace, Candidates, Need, ServicePaces};
 
-/// Engines that could run items of each class, looked up once in a look.
+/// How long engines that were found for a kind of need are weighed without another look:
+/// whether one of them has a place, and is not avoided, is asked each time.
+const FOUND_FOR: Duration = Duration::from_millis(20);
+
+/// Engines that were found for each kind of need.
+#[derive(Debug, Default)]
+pub(super) struct FoundEngines {
+    found: HashMap<NeedClass, (Time, Candidates)>,
+    /// Changes of the engine list then.
+    list_seen: u64,
+}
+
+impl FoundEngines {
+    /// Forgets what the engine list or time has overtaken.
+    fn forget_old(&mut self, now: Time, directory: &EngineDirectory) {
+        if directory.changes() != self.list_seen {
+            self.list_seen = directory.changes();
+            self.found.clear();
+        }
+        // Before any pace was known each look may be the first that knows one.
+        self.found.retain(|_, (found_at, found)| {
+            found.paces().is_some() && now.since(*found_at) < FOUND_FOR
+        });
+    }
+}
+
+/// Engines that could run items of each class, in one look.
 pub(super) struct Rooms {
-    looks: Vec<Option<Option<Candidates>>>,
+    /// Classes for which it is known whether there is a place.
+    rooms: Vec<Option<bool>>,
     full: usize,
-    /// Paces of each service, gathered once a look: for each class anew they took longer
-    /// than the starts of the look.
-    paces: HashMap<String, Option<ServicePaces>>,
+    engines: FoundEngines,
+    /// Paces of each service at the last look at them.
+    paces: HashMap<String, ServicePaces>,
 }
 
 impl Rooms {
-    pub fn new(classes: usize) -> Self {
+    /// For so many classes, with what was found in earlier looks.
+    pub fn new(
+        now: Time,
+        classes: usize,
+        mut engines: FoundEngines,
+        paces: HashMap<String, ServicePaces>,
+        directory: &EngineDirectory,
+    ) -> Self {
+        engines.forget_old(now, directory);
         Self {
-            paces: HashMap::new(),
-            looks: (0..classes).map(|_| None).collect(),
+            rooms: vec![None; classes],
             full: 0,
+            engines,
+            paces,
         }
     }
 
+    /// What the next look may go on with.
+    pub fn into_found(self) -> FoundEngines {
+        self.engines
+    }
+
     /// Whether no item of any class finds a place.
     pub fn are_full(&self) -> bool {
-        self.full == self.looks.len()
+        self.full == self.rooms.len()
     }
 
     /// Whether it is known that no item of this class finds a place.
     pub fn is_full(&self, class: usize) -> bool {
-        matches!(self.looks.get(class), Some(Some(None)))
+        matches!(self.rooms.get(class), Some(Some(false)))
     }
 
     /// The engines weighed for a class; none if no place is free.
     pub fn look(
         &mut self,
         now: Time,
-        class: usize,
+        class: (usize, &NeedClass),
         directory: &EngineDirectory,
         need: &Need<'_>,
     ) -> Option<&Candidates> {
-        if class >= self.looks.len() {
-            self.looks.resize_with(class + 1, || None);
+        let (index, class) = class;
+        if index >= self.rooms.len() {
+            self.rooms.resize(index + 1, None);
+        }
+        if !self.engines.found.contains_key(class) {
+            let paces = self.paces.get(need.service).copied();
+            let paces = paces.or_else(|| service_pace(now, directory, need.service));
+            let found = Candidates::find(now, directory, need, paces);
+            self.engines.found.insert(class.clone(), (now, found));
         }
-        if self.looks[class].is_none() {
-            let service = need.service.to_string();
-            let paces = self.paces.entry(service);
-            let paces = *paces.or_insert_with(|| service_pace(now, directory, need.service));
-            let look = Candidates::find(now, directory, need, paces);
-            let look = look.has_room(now, directory, need).then_some(look);
-            self.full += usize::from(look.is_none());
-            self.looks[class] = Some(look);
+        let (_, found) = self.engines.found.get(class)?;
+        if self.rooms[index].is_none() {
+            let has_room = found.has_room(now, directory, need);
+            self.full += usize::from(!has_room);
+            self.rooms[index] = Some(has_room);
         }
-        self.looks[class].as_ref()?.as_ref()
+        (self.rooms[index] == Some(true)).then_some(found)
     }
 
     /// Takes note that an item found no place: maybe none is left for its class.
     pub fn note_full(
         &mut self,
         now: Time,
-        class: usize,
+        class: (usize, &NeedClass),
         directory: &EngineDirectory,
         need: &Need<'_>,
     ) {
-        if let Some(Some(look)) = self.looks.get_mut(class) {
-            if look
-                .as_ref()
-                .is_some_and(|look| !look.has_room(now, directory, need))
-            {
-                *look = None;
-                self.full += 1;
-            }
+        let (index, class) = class;
+        let found = self.engines.found.get(class);
+        let has_room = found.is_some_and(|(_, found)| found.has_room(now, directory, need));
+        if self.rooms[index] == Some(true) && !has_room {
+            self.rooms[index] = Some(false);
+            self.full += 1;
         }
     }
 }
--- a/crates/jobs/src/dispatcher/starting.rs
+++ b/crates/jobs/src/dispatcher/starting.rs
@@ -6,7 +6,7 @@
 use peatgrade_types::{Duration, Time};
 
 use super::eligibility::{batch_route, reason_to_give_up, target_of};
-use super::queue::QueuedItem;
+use super::queue::NeedClass;
 use super::rooms::Rooms;
 use super::suspects::may_start;
 use super::{DispatchAction, Dispatcher, RunId};
@@ -53,7 +53,10 @@
         }
         self.queue_returned(configuration);
         let crowded = self.is_crowded(directory);
-        let mut rooms = Rooms::new(self.queue.classes.len());
+        let found = std::mem::take(&mut self.found_engines);
+        let classes = self.queue.classes.clone();
+        let paces = self.paces.clone();
+        let mut rooms = Rooms::new(now, classes.len(), found, paces, directory);
         let mut starts_left = STARTS_PER_LOOK;
         let mut passed_over = Vec::new();
         while !rooms.are_full() {
@@ -70,26 +73,37 @@
                 passed_over.push(queued);
                 continue;
             }
-            match self.try_start(now, &queued, crowded, configuration, directory, &mut rooms) {
+            let class = (queued.class, &classes[queued.class]);
+            let key = &queued.key;
+            match self.try_start(
+                now,
+                key,
+                class,
+                crowded,
+                configuration,
+                directory,
+                &mut rooms,
+            ) {
                 Attempt::Started => starts_left -= 1,
                 Attempt::Waits => passed_over.push(queued),
                 Attempt::Gone => {}
             }
         }
         self.queue.put_back(passed_over);
+        self.found_engines = rooms.into_found();
     }
 
     /// Brings an item to an engine, if one has a place for it.
     fn try_start(
         &mut self,
         now: Time,
-        queued: &QueuedItem,
+        key: &ItemKey,
+        class: (usize, &NeedClass),
         crowded: bool,
         configuration: &Configuration,
         directory: &mut EngineDirectory,
         rooms: &mut Rooms,
     ) -> Attempt {
-        let key = &queued.key;
         let Some(item) = self.items.get(key).filter(|item| item.waits_for_engine()) else {
             return Attempt::Gone;
         };
@@ -128,7 +142,7 @@
             left: &[],
             expected: None,
         };
-        let Some(look) = rooms.look(now, queued.class, directory, &any) else {
+        let Some(look) = rooms.look(now, class, directory, &any) else {
             return Attempt::Waits;
         };
         let paces = look.paces();
@@ -160,7 +174,7 @@
             .or_else(|| choose(&without, limit, SlowEngines::Allowed));
         let Some(instance) = chosen else {
             let lost = !look.has_fitting(directory, &without);
-            rooms.note_full(now, queued.class, directory, &any);
+            rooms.note_full(now, class, directory, &any);
             if lost && without.exact.is_some() {
                 self.restart(key, "version-gone");
             }
--- a/crates/jobs/src/placement/mod.rs
+++ b/crates/jobs/src/placement/mod.rs
@@ -129,10 +129,10 @@
             .filter(|state| usable(now, state, need) && state.experience.running < limit)
             .filter(fast_enough);
         let best = match need.expected {
-            None => free.min_by(|a, b| {
-                let cost = |state: &EngineState| cost(now, state, need, self.median());
-                cost(a).total_cmp(&cost(b))
-            }),
+            None => free
+                .map(|state| (cost(now, state, need, self.median()), state))
+                .min_by(|(a, _), (b, _)| a.total_cmp(b))
+                .map(|(_, state)| state),
             Some(expected) => free
                 .map(|state| (self.rank(now, state, need, &expected, scarce), state))
                 .min_by(|(a, _), (b, _)| a.total_cmp(b))
