A list of all engines is taken in a turn that heartbeats survive

The directory was built anew, the index of services too, each engine became a message and was compared as such.

Ruled out: the store (4 ms an answer).

--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -4,7 +4,7 @@
 use peatgrade_ports::{EngineRecord, Instance, StoreEvent, StoreObject};
 use peatgrade_quarantine::{ComesAgain, Fingerprint, Quarantine};
 use peatgrade_types::{Duration, Time};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, HashSet};
 
 mod identity;
 mod services;
@@ -79,8 +79,9 @@
 impl EngineDirectory {
     /// Replaces the list; experience of engines that stay is kept.
     pub fn replace(&mut self, now: Time, records: Vec<EngineRecord>) {
-        self.exchange(now, records);
-        self.forget_gone();
+        for instance in self.take_list(now, records) {
+            self.remove(&instance);
+        }
     }
 
     /// Takes a list that was asked for at `at`. Where the store was away for longer
@@ -88,43 +89,33 @@
     pub fn relist(&mut self, now: Time, at: Time, records: Vec<EngineRecord>, heartbeat: Duration) {
         let away = at.since(self.confirmed);
         let lapsed = away >= Duration(heartbeat.0 * LAPSE_HEARTBEATS);
-        for (instance, mut state) in self.exchange(at, records) {
+        for instance in self.take_list(at, records) {
+            let Some(state) = self.engines.get_mut(&instance) else {
+                continue;
+            };
             let fresh = lapsed.then(|| now + RETURN_GRACE);
             let until = state.lapsed_until.or(fresh);
             if until.is_some_and(|until| now < until) {
                 state.lapsed_until = until;
-                self.index.put(&state.record, None);
-                self.engines.insert(instance, state);
+            } else {
+                self.remove(&instance);
             }
         }
-        self.forget_gone();
         self.note_next_drop();
     }
 
-    /// Puts a list in the place of the last one; engines that are not in it.
-    fn exchange(
-        &mut self,
-        now: Time,
-        records: Vec<EngineRecord>,
-    ) -> HashMap<Instance, EngineState> {
-        let mut old = std::mem::take(&mut self.engines);
-        self.changes += 1;
-        self.index = ServiceIndex::default();
+    /// Takes what a list says, in place: a leader takes one of thousands of engines between
+    /// two heartbeats. The known engines that it does not name.
+    fn take_list(&mut self, now: Time, records: Vec<EngineRecord>) -> Vec<Instance> {
+        let mut missing: HashSet<Instance> = self.engines.keys().cloned().collect();
         for record in records {
-            if let Some(state) = old.remove(&record.instance) {
-                self.engines.insert(record.instance.clone(), state);
-            }
+            missing.remove(&record.instance);
             self.upsert(now, record);
         }
         self.confirmed = now;
-        old
-    }
-
-    /// Forgets what was noted of engines that are not listed.
-    fn forget_gone(&mut self) {
-        let engines = &self.engines;
-        self.active
-            .retain(|instance| engines.contains_key(instance));
+        let mut missing: Vec<Instance> = missing.into_iter().collect();
+        missing.sort();
+        missing
     }
 
     /// Forgets the engines of services that are not needed here.
@@ -193,7 +184,6 @@
     }
 
     fn upsert(&mut self, now: Time, mut record: EngineRecord) {
-        self.changes += 1;
         let instance = record.instance.clone();
         let Some(state) = self.engines.get_mut(&instance) else {
             let incarnation = self.next_incarnation();
@@ -204,6 +194,7 @@
             };
             self.index.put(&state.record, None);
             self.engines.insert(instance, state);
+            self.changes += 1;
             return;
         };
         match ToldLife::of(state.record.started, record.started) {
@@ -222,9 +213,13 @@
         if record.address != state.record.address {
             state.absence = None;
         }
+        state.lapsed_until = None;
+        if record == state.record {
+            return;
+        }
+        self.changes += 1;
         self.index.put(&record, Some(&state.record.service));
         state.record = record;
-        state.lapsed_until = None;
     }
 
     /// A count that rises with each change of the list, of a version that an engine holds and
--- a/crates/mirror/src/followed.rs
+++ b/crates/mirror/src/followed.rs
@@ -5,14 +5,16 @@
 //! changes there were. A list that follows a lost watch is compared with what was known, so
 //! that whoever has what was known then is told the difference. Between the two lists
 //! things may have come and gone: who was told of them by another machine is told all.
+//! Objects become messages when they are told: made for each of 9,998 engines of a list, they
+//! kept a leader from its heartbeats until it lost the lead.
 
+use peatgrade_ports::StoreObject;
 use peatgrade_schema::encoded_size;
-use peatgrade_schema::replication::mod_MirroredObject::OneOfbody;
 use peatgrade_schema::replication::{MirroredKind, MirroredKindName, MirroredObject};
 use peatgrade_types::Time;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
 
-use crate::encoding::gone;
+use crate::encoding::{gone, message_of};
 use crate::interest::Interest;
 
 /// Objects that are gone of which that is remembered however few are left. Who lacks an
@@ -26,7 +28,7 @@
 #[derive(Debug)]
 struct Entry {
     /// None once it is gone.
-    object: Option<MirroredObject>,
+    object: Option<StoreObject>,
     /// Services that it belongs to or belonged to, if it is an engine.
     services: BTreeSet<String>,
     revision: u64,
@@ -37,7 +39,7 @@
     fn told_to(&self, name: &str, interest: &Interest) -> Option<MirroredObject> {
         if let Some(object) = &self.object {
             if interest.has_object(object) {
-                return Some(object.clone());
+                return message_of(name, object);
             }
         }
         interest.has_any(&self.services).then(|| gone(name))
@@ -45,9 +47,9 @@
 }
 
 /// The service of an engine; none of what is no engine.
-pub(crate) fn service_of(object: &MirroredObject) -> Option<&str> {
-    match &object.body {
-        OneOfbody::engine(engine) => Some(&engine.service),
+pub(crate) fn service_of(object: &StoreObject) -> Option<&str> {
+    match object {
+        StoreObject::Engine(record) => Some(&record.service),
         _ => None,
     }
 }
@@ -74,7 +76,11 @@
 
 impl Followed {
     /// A kind as a first list shows it.
-    pub fn new(at: Time, revision: u64, objects: BTreeMap<String, MirroredObject>) -> Self {
+    pub fn new<'a>(
+        at: Time,
+        revision: u64,
+        objects: impl Iterator<Item = (&'a str, &'a StoreObject)>,
+    ) -> Self {
         let mut followed = Self {
             entries: BTreeMap::new(),
             order: BTreeSet::new(),
@@ -87,26 +93,33 @@
             newest_of: BTreeMap::new(),
         };
         for (name, object) in objects {
-            followed.put(&name, Some(object), revision);
+            followed.put(name, Some(object.clone()), revision);
         }
         followed
     }
 
     /// Takes a list that replaces what was known.
-    pub fn relist(&mut self, at: Time, revision: u64, objects: BTreeMap<String, MirroredObject>) {
+    pub fn relist<'a>(
+        &mut self,
+        at: Time,
+        revision: u64,
+        objects: impl Iterator<Item = (&'a str, &'a StoreObject)>,
+    ) {
+        let mut listed = HashSet::new();
+        for (name, object) in objects {
+            listed.insert(name);
+            let known = self.entries.get(name);
+            if known.and_then(|entry| entry.object.as_ref()) != Some(object) {
+                self.put(name, Some(object.clone()), revision);
+            }
+        }
         let known = self.entries.iter();
         let present = known.filter(|(_, entry)| entry.object.is_some());
-        let missing = present.filter(|(name, _)| !objects.contains_key(*name));
+        let missing = present.filter(|(name, _)| !listed.contains(name.as_str()));
         let missing: Vec<String> = missing.map(|(name, _)| name.clone()).collect();
         for name in missing {
             self.put(&name, None, revision);
         }
-        for (name, object) in objects {
-            let known = self.entries.get(&name);
-            if known.and_then(|entry| entry.object.as_ref()) != Some(&object) {
-                self.put(&name, Some(object), revision);
-            }
-        }
         self.gaps.push_back((self.revision, revision));
         if self.gaps.len() > MAX_GAPS {
             let oldest = self.gaps.pop_front();
@@ -118,21 +131,24 @@
     }
 
     /// Takes changes up to a revision.
-    pub fn change(&mut self, at: Time, revision: u64, objects: Vec<MirroredObject>) {
+    pub fn change<'a>(
+        &mut self,
+        at: Time,
+        revision: u64,
+        objects: impl Iterator<Item = (&'a str, Option<&'a StoreObject>)>,
+    ) {
         if revision < self.revision {
             return;
         }
         self.revision = revision;
         self.proven = self.proven.max(at);
-        for object in objects {
-            let name = object.name.clone();
-            let object = Some(object).filter(|object| *object != gone(&name));
-            self.put(&name, object, revision);
+        for (name, object) in objects {
+            self.put(name, object.cloned(), revision);
         }
         self.forget_ends();
     }
 
-    fn put(&mut self, name: &str, object: Option<MirroredObject>, revision: u64) {
+    fn put(&mut self, name: &str, object: Option<StoreObject>, revision: u64) {
         let mut services = BTreeSet::new();
         if let Some(before) = self.entries.remove(name) {
             let key = (before.revision, name.to_string());
@@ -215,9 +231,7 @@
     }
 
     fn present(&self, interest: &Interest) -> Vec<MirroredObject> {
-        let objects = self.entries.values().filter_map(|e| e.object.as_ref());
-        let told = objects.filter(|object| interest.has_object(object));
-        told.cloned().collect()
+        self.messages(|object| interest.has_object(object))
     }
 
     fn changed_after(&self, since: u64, interest: &Interest) -> Vec<MirroredObject> {
@@ -226,10 +240,17 @@
         told.collect()
     }
 
-    /// Bytes of the objects that are kept.
+    /// Bytes of the objects that are kept, as they are told.
     pub fn bytes(&self) -> usize {
-        let objects = self.entries.values().filter_map(|e| e.object.as_ref());
-        objects.map(encoded_size).sum()
+        self.messages(|_| true).iter().map(encoded_size).sum()
+    }
+
+    fn messages(&self, is_told: impl Fn(&StoreObject) -> bool) -> Vec<MirroredObject> {
+        let entries = self.entries.iter();
+        let objects = entries.filter_map(|(name, entry)| Some((name, entry.object.as_ref()?)));
+        let told = objects.filter(|(_, object)| is_told(object));
+        let messages = told.filter_map(|(name, object)| message_of(name, object));
+        messages.collect()
     }
 
     /// Objects that are kept, and ends of others that are remembered.
--- a/crates/mirror/src/interest.rs
+++ b/crates/mirror/src/interest.rs
@@ -1,6 +1,7 @@
 //! What of the engine list a subscriber needs.
 
-use peatgrade_schema::replication::{MirrorRequest, MirroredObject};
+use peatgrade_ports::StoreObject;
+use peatgrade_schema::replication::MirrorRequest;
 use std::collections::BTreeSet;
 
 use crate::followed::service_of;
@@ -53,7 +54,7 @@
     }
 
     /// Whether an object is of interest; all that are no engines are.
-    pub(crate) fn has_object(&self, object: &MirroredObject) -> bool {
+    pub(crate) fn has_object(&self, object: &StoreObject) -> bool {
         service_of(object).is_none_or(|service| self.has(service))
     }
 
--- a/crates/mirror/src/publisher.rs
+++ b/crates/mirror/src/publisher.rs
@@ -5,7 +5,7 @@
 use peatgrade_types::{Duration, Time};
 use std::collections::{BTreeMap, VecDeque};
 
-use crate::encoding::{gone, kind_name, message_of};
+use crate::encoding::kind_name;
 use crate::followed::Followed;
 use crate::interest::Interest;
 
@@ -84,14 +84,12 @@
                 if behind {
                     return;
                 }
-                let objects = objects.iter();
-                let messages = objects.filter_map(|(name, object)| message_of(name, object));
-                let messages = messages.map(|message| (message.name.clone(), message));
-                let objects = messages.collect();
+                let told = objects.iter().filter(|(_, object)| is_told(object));
+                let told = told.map(|(name, object)| (name.as_str(), object));
                 match self.followed.get_mut(kind) {
-                    Some(known) => known.relist(*at, *revision, objects),
+                    Some(known) => known.relist(*at, *revision, told),
                     None => {
-                        let followed = Followed::new(*at, *revision, objects);
+                        let followed = Followed::new(*at, *revision, told);
                         self.followed.insert(*kind, followed);
                     }
                 }
@@ -106,16 +104,19 @@
                 let Some(followed) = self.followed.get_mut(kind) else {
                     return;
                 };
-                let objects = events.iter().filter_map(|event| match &event.object {
-                    // An entry that can't be read any more names no engine to use.
-                    Some(StoreObject::Unreadable { .. }) if *kind == ObjectKind::Engines => {
-                        Some(gone(&event.name))
-                    }
-                    Some(object) => message_of(&event.name, object),
-                    None => Some(gone(&event.name)),
+                self.has_changed |= !events.is_empty();
+                let objects = events.iter().filter_map(|event| {
+                    let told = match &event.object {
+                        // An entry that can't be read any more names no engine to use.
+                        Some(StoreObject::Unreadable { .. }) if *kind == ObjectKind::Engines => {
+                            None
+                        }
+                        Some(object) if is_told(object) => Some(object),
+                        Some(_) => return None,
+                        None => None,
+                    };
+                    Some((event.name.as_str(), told))
                 });
-                let objects: Vec<_> = objects.collect();
-                self.has_changed |= !objects.is_empty();
                 followed.change(*at, *revision, objects);
             }
             StoreUpdate::Listed { .. } => {}
@@ -244,6 +245,14 @@
     }
 }
 
+/// Whether an object is of a kind that others are told, and could be read.
+fn is_told(object: &StoreObject) -> bool {
+    matches!(
+        object,
+        StoreObject::Configuration(_) | StoreObject::Engine(_) | StoreObject::Version { .. }
+    )
+}
+
 /// The revision of a kind that a subscriber has.
 fn revision_of(request: &MirrorRequest, kind: ObjectKind) -> u64 {
     match kind {
