A starting gateway leaves reading all engines to publishers that answer

Change: while publishers answer, with nothing yet, 90 % of the bound passes before that; where nobody answers it is as before.

Test: who starts beside its publishers waits for their lists.

--- a/crates/mirror/src/subscriber.rs
+++ b/crates/mirror/src/subscriber.rs
@@ -72,6 +72,8 @@
     next_call: u64,
     started: Time,
     watches_store: bool,
+    /// A publisher has answered since the start, with news or without.
+    was_answered: bool,
     has_new_publishers: bool,
     /// Engines that are needed.
     interest: Interest,
@@ -95,6 +97,7 @@
             next_call: first_call,
             started: now,
             watches_store: false,
+            was_answered: false,
             has_new_publishers: false,
             interest: Interest::All,
             covered: Interest::All,
@@ -199,6 +202,7 @@
             actions.extend(self.ask(now));
         }
         let limit = match self.is_starting() && !self.publishers.is_empty() {
+            true if self.was_answered => self.timing.answered_age,
             true => self.timing.first_age,
             false => self.timing.max_age,
         };
@@ -307,6 +311,7 @@
         let Some(asked) = self.asked.take_if(|asked| asked.call == reply.call) else {
             return Vec::new();
         };
+        self.was_answered = true;
         if !reply.members.is_empty() && reply.members_index >= self.members_index {
             self.members_index = reply.members_index;
             let members = reply.members.into_iter();
--- a/crates/mirror/src/timing.rs
+++ b/crates/mirror/src/timing.rs
@@ -28,6 +28,9 @@
     /// Age at which a subscriber that knows nothing yet watches the store, if it knows
     /// publishers: callers are refused until it knows something.
     pub first_age: Duration,
+    /// The same once publishers have answered, with nothing to tell yet: they are listing all
+    /// engines just then, and hundreds of machines that list beside them make it longer.
+    pub answered_age: Duration,
     /// How long a publisher that was silent is left at first; twice as long each time.
     pub rest: Duration,
     /// The same at most.
@@ -60,6 +63,7 @@
             patience: PATIENCE,
             first_patience: FIRST_PATIENCE,
             first_age: Duration::from_millis(bound_ms * 55 / 200),
+            answered_age: Duration::from_millis(bound_ms * 90 / 100),
             rest: REST,
             longest_rest: LONGEST_REST,
         }
--- a/crates/mirror/tests/interest.rs
+++ b/crates/mirror/tests/interest.rs
@@ -263,3 +263,37 @@
     machine.ask(&mut publisher);
     assert_eq!(machine.subscriber.covered(), &only(&["app"]));
 }
+
+/// All machines start together: while publishers that answer are still reading the list, a
+/// subscriber does not read all of it too. One that nobody answers does so soon.
+#[rstest]
+#[case::publishers_answer(true)]
+#[case::nobody_answers(false)]
+fn who_starts_beside_its_publishers_waits_for_their_lists(#[case] is_answered: bool) {
+    let timing = MirrorTiming::within(Duration::from_secs(4));
+    let mut publisher = Publisher::default();
+    let mut machine = Machine::new(only(&[]));
+    let mut watched_at = None;
+    for now in (1_000..6_000).step_by(20) {
+        machine.now = now;
+        for action in machine.subscriber.tick(ms(now)) {
+            match action {
+                SubscriberAction::Ask { request, .. } if is_answered => {
+                    publisher.ask(ms(now), "gateway", request);
+                    let told = publisher.due(ms(now)).remove(0);
+                    machine.take(told);
+                }
+                SubscriberAction::Ask { .. } => {}
+                SubscriberAction::WatchStore(is_wanted) => {
+                    assert!(is_wanted);
+                    watched_at = watched_at.or(Some(Duration::from_millis(now - 1_000)));
+                }
+            }
+        }
+    }
+    let expected = match is_answered {
+        true => timing.answered_age,
+        false => timing.first_age,
+    };
+    assert_eq!(watched_at, Some(expected));
+}
