A replica that refuses entries names the last one that the leader may have too

Ruled out: connections (they were up; the queue moved), elections (one, 2 ms).

Change: a refusal also names an entry and its term (new fields; builds before name and use match_index as ever). A log that is too short names its end, one that differs goes back over terms that the leader can't have, the leader over those that the replica can't have.

--- a/crates/replication/src/replicate.rs
+++ b/crates/replication/src/replicate.rs
@@ -179,6 +179,7 @@
             match_index: self.log.last_index(),
             sent_at: request.sent_at,
             store_age: self.store_age.0,
+            ..AppendResponse::default()
         };
         if term < self.term {
             // The answer's term tells the sender that it leads no more.
@@ -209,10 +210,11 @@
         let previous = self.log.term(request.previous_index);
         let trimmed = request.previous_index < self.log.base().index;
         if previous != Some(request.previous_term) && !trimmed {
-            // What is committed here is the same everywhere. Anything after it
-            // may stem from a leader of the past, and going back through it one
-            // message at a time would take as many round trips.
+            // What is committed here is the same everywhere.
             response.match_index = self.commit;
+            let tried = self.may_match(request.previous_index, request.previous_term);
+            response.tried_index = tried;
+            response.tried_term = self.log.term(tried).unwrap_or(0);
             return self.send(from, &address, OneOfbody::append_response(response));
         }
         let last_new = request.previous_index + request.entries.len() as u64;
@@ -226,6 +228,27 @@
         self.send(from, &address, OneOfbody::append_response(response));
     }
 
+    /// The last entry here that a leader may have too whose entry at an index is of another
+    /// term: it has none of a later term before that one. After a loss of all power nobody
+    /// knows how much is committed; where that alone was named, all of the log was sent again.
+    fn may_match(&self, index: u64, term: u64) -> u64 {
+        let least = self.commit.max(self.log.base().index);
+        let mut tried = self.log.last_index().min(index.saturating_sub(1));
+        while tried > least && self.log.term(tried) > Some(term) {
+            tried -= 1;
+        }
+        tried.max(least)
+    }
+
+    /// The last own entry that a replica may have whose entry at an index is of a term.
+    fn may_match_replica(&self, index: u64, term: u64) -> u64 {
+        let mut tried = index;
+        while tried > self.log.base().index && self.log.term(tried) > Some(term) {
+            tried -= 1;
+        }
+        tried
+    }
+
     fn take_entry(&mut self, entry: LogEntry) {
         if entry.index <= self.commit {
             return;
@@ -251,6 +274,9 @@
         }
         let now = self.now;
         let last = self.log.last_index();
+        let tried = self.may_match_replica(response.tried_index, response.tried_term);
+        // A build before names what is committed alone.
+        let hint = tried.max(response.match_index).min(last);
         let Some(progress) = self.progress.get_mut(&from) else {
             return;
         };
@@ -260,8 +286,8 @@
         progress.acknowledged_send = progress.acknowledged_send.max(Some(sent));
         if response.success {
             progress.matched(response.match_index.min(last));
-        } else if progress.is_news(sent) && response.match_index + 1 < progress.next_index {
-            progress.rewind(now, response.match_index.min(last));
+        } else if progress.is_news(sent) && hint + 1 < progress.next_index {
+            progress.rewind(now, hint);
         }
         self.advance_commit();
         self.ask_successor();
--- a/crates/replication/tests/cluster/mod.rs
+++ b/crates/replication/tests/cluster/mod.rs
@@ -42,6 +42,8 @@
     /// Commands that a leader has answered for.
     pub acknowledged: BTreeSet<Vec<u8>>,
     pub proposed: u64,
+    /// Entries that were sent to other machines.
+    pub entries_sent: usize,
     /// A crash between sending early messages and the sync.
     pub crash_before_sync: f64,
     /// Registrations as a store shows them that machines cannot write to.
@@ -73,6 +75,7 @@
             committed: BTreeMap::new(),
             acknowledged: BTreeSet::new(),
             proposed: 0,
+            entries_sent: 0,
             crash_before_sync: 0.0,
             stale_list: None,
             answering: None,
@@ -164,6 +167,9 @@
 
     fn send(&mut self, from: usize, outgoing: Outgoing) {
         let to: usize = outgoing.address.parse().unwrap();
+        if let OneOfbody::append_request(request) = &outgoing.body {
+            self.entries_sent += request.entries.len();
+        }
         let message = ReplicaMessage {
             from: self.machines[from].disk.state.replica,
             to: outgoing.to.0,
--- a/crates/replication/tests/replica.rs
+++ b/crates/replication/tests/replica.rs
@@ -50,6 +50,44 @@
     assert!(times[119] < 1_500, "longest {} ms", times[119]);
 }
 
+/// The machines that lose power hold logs of different lengths, and none knows how much of
+/// them is committed: 600 entries were sent of a log of 300 to each of two.
+#[test]
+fn after_a_loss_of_all_power_only_what_is_missing_is_sent() {
+    let mut longest_led = 0;
+    for seed in 0..40 {
+        let mut cluster = Cluster::new(seed, 0);
+        cluster.run_until_led(LONG);
+        write_for(&mut cluster, Duration::from_secs(3));
+        let leader = cluster.answering.unwrap();
+        for other in (0..3).filter(|other| *other != leader) {
+            cluster.cut(leader, other);
+        }
+        // Heard by no other machine: they go on without these.
+        write_for(&mut cluster, Duration::from_millis(80));
+        for index in 0..3 {
+            cluster.stop(index);
+        }
+        cluster.answering = None;
+        cluster.heal();
+        cluster.entries_sent = 0;
+        for index in 0..3 {
+            cluster.start(index);
+        }
+        cluster.run_until_led(LONG);
+        longest_led += usize::from(cluster.answering == Some(leader));
+        cluster.run(SECOND);
+        let written = cluster.proposed as usize;
+        assert!(written > 250);
+        let sent = cluster.entries_sent;
+        assert!(sent <= 60, "seed {seed}: {sent} entries sent of {written}");
+    }
+    assert!(
+        longest_led > 10,
+        "the longest log led {longest_led} times of 40"
+    );
+}
+
 #[test]
 fn a_leader_answers_only_from_a_state_that_holds_all_earlier_promises() {
     // A leader elected by a replica that has applied nothing in this life.
@@ -157,6 +195,7 @@
         match_index: index,
         sent_at: now.0,
         store_age: 0,
+        ..AppendResponse::default()
     };
     let term = replica.term();
     replica.step(
