--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -205,8 +205,12 @@
         }
         // The list lags behind what answers and reports have shown.
         for (model, seen) in &state.record.models {
-            let listed = record.models.entry(model.clone()).or_insert(0);
-            *listed = (*listed).max(*seen);
+            match record.models.get_mut(model) {
+                Some(listed) => *listed = (*listed).max(*seen),
+                None => {
+                    record.models.insert(model.clone(), *seen);
+                }
+            }
         }
         record.draining |= state.record.draining;
         record.started = record.started.or(state.record.started);
