The watch after a long list proves soon

Change: the watch after a list waits what a list and a wait take together less the list, 0.1 s at least.

--- a/crates/jobs/src/dispatcher/rooms.rs
+++ b/crates/jobs/src/dispatcher/rooms.rs
@@ -42,6 +42,8 @@
     /// Classes for which it is known whether there is a place.
     rooms: Vec<Option<bool>>,
     full: usize,
+    /// Open items would fill all places.
+    pub are_crowded: bool,
     engines: FoundEngines,
     /// Paces of each service at the last look at them.
     paces: HashMap<String, ServicePaces>,
@@ -60,6 +62,7 @@
         Self {
             rooms: vec![None; classes],
             full: 0,
+            are_crowded: false,
             engines,
             paces,
         }
--- a/crates/jobs/src/dispatcher/starting.rs
+++ b/crates/jobs/src/dispatcher/starting.rs
@@ -52,11 +52,11 @@
             self.renew_queue(now, configuration, directory);
         }
         self.queue_returned(configuration);
-        let crowded = self.is_crowded(directory);
         let found = std::mem::take(&mut self.found_engines);
         let classes = self.queue.classes.clone();
         let paces = self.paces.clone();
         let mut rooms = Rooms::new(now, classes.len(), found, paces, directory);
+        rooms.are_crowded = self.is_crowded(directory);
         let mut starts_left = STARTS_PER_LOOK;
         let mut passed_over = Vec::new();
         while !rooms.are_full() {
@@ -75,15 +75,7 @@
             }
             let class = (queued.class, &classes[queued.class]);
             let key = &queued.key;
-            match self.try_start(
-                now,
-                key,
-                class,
-                crowded,
-                configuration,
-                directory,
-                &mut rooms,
-            ) {
+            match self.try_start(now, key, class, configuration, directory, &mut rooms) {
                 Attempt::Started => starts_left -= 1,
                 Attempt::Waits => passed_over.push(queued),
                 Attempt::Gone => {}
@@ -99,7 +91,6 @@
         now: Time,
         key: &ItemKey,
         class: (usize, &NeedClass),
-        crowded: bool,
         configuration: &Configuration,
         directory: &mut EngineDirectory,
         rooms: &mut Rooms,
@@ -142,6 +133,7 @@
             left: &[],
             expected: None,
         };
+        let are_crowded = rooms.are_crowded;
         let Some(look) = rooms.look(now, class, directory, &any) else {
             return Attempt::Waits;
         };
@@ -158,7 +150,7 @@
             left: &item.left,
             ..without
         };
-        let limit = if crowded {
+        let limit = if are_crowded {
             u32::MAX
         } else {
             self.place_limit(now, key, item, configuration, service)
--- a/crates/mirror/tests/interest.rs
+++ b/crates/mirror/tests/interest.rs
@@ -120,11 +120,19 @@
         let updates = self.subscriber.on_reply(ms(self.now), reply, &mut actions);
         for update in updates {
             match update {
-                StoreUpdate::Listed { kind, objects, .. } if kind == ObjectKind::Engines => {
+                StoreUpdate::Listed {
+                    kind: ObjectKind::Engines,
+                    objects,
+                    ..
+                } => {
                     self.received += objects.len();
                     self.engines = objects.into_iter().collect();
                 }
-                StoreUpdate::Changed { kind, events, .. } if kind == ObjectKind::Engines => {
+                StoreUpdate::Changed {
+                    kind: ObjectKind::Engines,
+                    events,
+                    ..
+                } => {
                     self.received += events.len();
                     for event in events {
                         match event.object {
--- a/crates/server/src/watcher.rs
+++ b/crates/server/src/watcher.rs
@@ -32,6 +32,8 @@
 /// Shortest and longest wait, whatever the settings say.
 const MIN_WAIT_MS: u64 = 400;
 const MAX_WAIT_MS: u64 = 8_000;
+/// Shortest wait of the watch after a list.
+const LEAST_WAIT_AFTER_LIST: Span = Span::from_millis(100);
 /// Changes of the engine list are told together once in this share of the time that
 /// a leaving engine serves on, in percent. The rest is for the answer on its way and
 /// a busy machine; each look less is a call less for each machine.
@@ -72,6 +74,15 @@
         Duration::from_micros(self.wait.0) + WATCH_SLACK
     }
 
+    /// How long the watch after a list waits: the list proves what was when it began, and one
+    /// of thousands of objects takes so long that others would find it too old before a whole
+    /// wait proves more.
+    fn wait_after_list(&self, took: Duration) -> Span {
+        let took = Span::from_millis(took.as_millis() as u64);
+        let left = Span(self.wait.0.saturating_sub(took.0));
+        left.max(LEAST_WAIT_AFTER_LIST).min(self.wait)
+    }
+
     /// For a machine from which others take what it reads: a watch that was lost without
     /// a sign must be noticed while there is time for them to look elsewhere.
     pub fn published(settings: &ServerSettings) -> Self {
@@ -112,12 +123,22 @@
     let mut revision = None;
     let mut listing = Listing::new(kind, timing.page);
     let mut lost = false;
+    let mut first_wait = None;
     while wanted.get() && !updates.is_closed() {
         let begun = BootInstant::now();
         let step = match revision {
             None => list(&store, &mut listing, &updates).await,
-            Some(revision) => follow(&store, kind, timing, revision, &updates).await,
+            Some(revision) => {
+                let timing = WatchTiming {
+                    wait: first_wait.take().unwrap_or(timing.wait),
+                    ..timing
+                };
+                follow(&store, kind, timing, revision, &updates).await
+            }
         };
+        if revision.is_none() {
+            first_wait = Some(timing.wait_after_list(begun.elapsed()));
+        }
         match step {
             Ok(next) => {
                 if lost {
@@ -204,3 +225,7 @@
         Err(error) => Err(format!("watch: {error}")),
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/watcher.rs"]
+mod tests;
