--- a/crates/fleet/tests/working_sets.rs
+++ b/crates/fleet/tests/working_sets.rs
@@ -224,7 +224,7 @@
 #[test]
 fn a_new_holder_goes_on_with_the_engines_of_the_one_before() {
     let mut directory = EngineDirectory::default();
-    let version = |index: usize| if index % 40 == 0 { 7 } else { 1 };
+    let version = |index: usize| if index.is_multiple_of(40) { 7 } else { 1 };
     let records = (0..4_000).map(|index| record(index, version(index)));
     directory.replace(NOW, records.collect());
     directory.renew_working_sets(NOW, "a", STEP_ITEMS, "z1", true);
@@ -318,8 +318,5 @@
     let places: usize = holding.clone().map(|s| s.record.slots as usize).sum();
     assert_eq!(directory.model_engines(), (holding.count(), places));
     let is_free = |s: &&peatgrade_fleet::EngineState| s.experience.running < s.record.slots.max(1);
-    assert_eq!(
-        directory.has_free_place(),
-        serving.iter().any(|s| is_free(s))
-    );
+    assert_eq!(directory.has_free_place(), serving.iter().any(is_free));
 }
