--- a/crates/fleet/src/coordinator/mod.rs
+++ b/crates/fleet/src/coordinator/mod.rs
@@ -13,16 +13,16 @@
 //! nothing. An answer that does not come is a state of its own: the engine is
 //! asked for its report before anything else is ordered.
 
-use peatgrade_ports::{EngineReport, Instance, OrderAnswer, OrderMode, VersionOrder};
+use peatgrade_ports::{Instance, OrderAnswer, OrderMode, VersionOrder};
 use peatgrade_types::{Duration, Time};
 use std::collections::BTreeMap;
 
+mod answers;
 mod candidates;
 mod progress;
 
 use crate::directory::EngineDirectory;
-use crate::incarnation::ToldLife;
-use progress::{next_load_time, EngineProgress, Load, Phase, FIRST_LOAD_TIME, REPORT_LAG};
+use progress::{EngineProgress, Phase, FIRST_LOAD_TIME};
 
 /// Time after which an order or a report without an answer is given up.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(600);
@@ -333,83 +333,6 @@
         self.marked = loading;
     }
 
-    /// Takes the outcome of an order.
-    pub fn on_order(&mut self, now: Time, instance: &Instance, outcome: OrderOutcome) {
-        let Some(progress) = self.engines.get_mut(instance) else {
-            return;
-        };
-        if !matches!(progress.phase, Phase::Ordered(_)) {
-            return;
-        }
-        self.has_news = true;
-        progress.phase = match outcome {
-            OrderOutcome::Answered(OrderAnswer::Started) => {
-                progress.orders += 1;
-                Phase::Loading(Load {
-                    look: now + self.load_time + REPORT_LAG,
-                    since: now,
-                    seen_busy: None,
-                })
-            }
-            OrderOutcome::Answered(OrderAnswer::Fenced) => {
-                self.fenced = true;
-                Phase::Pause(now + RETRY)
-            }
-            // The count may have risen, or the version is there already.
-            OrderOutcome::Answered(_) => Phase::Unseen,
-            OrderOutcome::NotSent => Phase::Pause(now + RETRY),
-            OrderOutcome::Unknown => Phase::Pause(now + RETRY),
-        };
-    }
-
-    /// Takes a report, or the lack of one.
-    pub fn on_report(
-        &mut self,
-        now: Time,
-        instance: &Instance,
-        report: Option<&EngineReport>,
-        directory: &mut EngineDirectory,
-    ) {
-        let Some(progress) = self.engines.get_mut(instance) else {
-            return;
-        };
-        self.has_news = true;
-        let told = report.map(|report| directory.note_report(now, instance, report));
-        let Some(report) = report.filter(|_| told != Some(ToldLife::Earlier)) else {
-            progress.phase = Phase::Pause(now + RETRY);
-            return;
-        };
-        if let Some(life) = directory.incarnation(instance) {
-            if progress.life != life {
-                *progress = EngineProgress::unseen(life);
-                progress.phase = Phase::Asked(now);
-            }
-        }
-        if report.orders < progress.orders && !report.busy {
-            // The report is older than the last order, or the engine is new.
-            if let Phase::Loading(load) = &mut progress.phase {
-                if now.since(load.since) < Duration(LOAD_TIMEOUT.0 / 4) {
-                    load.look = now + NEXT_LOOK;
-                    return;
-                }
-            }
-        }
-        progress.orders = report.orders;
-        progress.phase = match progress.phase {
-            Phase::Loading(load) if report.busy => Phase::Loading(Load {
-                look: now + NEXT_LOOK,
-                seen_busy: Some(now),
-                ..load
-            }),
-            Phase::Asked(_) if report.busy => Phase::Pause(now + RETRY),
-            Phase::Loading(load) => {
-                self.load_time = next_load_time(now, self.load_time, &load);
-                Phase::Idle
-            }
-            _ => Phase::Idle,
-        };
-    }
-
     /// How many engines load now.
     pub fn loading(&self) -> usize {
         self.engines.values().filter(|e| e.is_loading()).count()
--- a/crates/mirror/src/subscriber.rs
+++ b/crates/mirror/src/subscriber.rs
@@ -2,13 +2,15 @@
 
 use peatgrade_ports::{ObjectKind, StoreEvent, StoreUpdate};
 use peatgrade_schema::replication::{MirrorReply, MirrorRequest, MirroredKind};
-use peatgrade_types::{hash_bytes, rendezvous_order, Duration, Time};
-use std::collections::{BTreeMap, BTreeSet};
+use peatgrade_types::{hash_bytes, Duration, Time};
+use std::collections::BTreeMap;
 
 use crate::encoding::{kind_of, object_of};
 use crate::interest::Interest;
 use crate::timing::MirrorTiming;
 
+mod publishers;
+
 /// Kinds that are followed.
 const KINDS: [ObjectKind; 2] = [ObjectKind::Configuration, ObjectKind::Engines];
 
@@ -133,11 +135,6 @@
         self
     }
 
-    /// Whether no machine is known that could publish.
-    pub fn lacks_publishers(&self) -> bool {
-        self.publishers.is_empty()
-    }
-
     /// Whether the store is to be watched here.
     pub fn watches_store(&self) -> bool {
         self.watches_store
@@ -157,43 +154,6 @@
         now.since(oldest.unwrap_or(self.started))
     }
 
-    /// Machines that may publish, as zones and addresses in any order. Those in the own
-    /// zone are asked first, and the leader, which has other work, last of all.
-    pub fn set_publishers(&mut self, machines: Vec<(String, String)>, leader: &str) {
-        let before = std::mem::take(&mut self.publishers);
-        let mut order = rendezvous_order(self.key, machines.iter(), |(_, address)| {
-            hash_bytes(address.as_bytes())
-        });
-        order.sort_by_key(|(zone, address)| (address == leader, *zone != self.zone));
-        let states = order.into_iter().map(|(_, address)| {
-            let mut known = before.iter();
-            let known = known.find(|publisher| publisher.address == *address);
-            known.cloned().unwrap_or_else(|| PublisherState {
-                address: address.clone(),
-                rests_until: Time(0),
-                next_rest: self.timing.rest,
-                was_silent: false,
-            })
-        });
-        self.publishers = states.collect();
-        let addresses = |states: &[PublisherState]| -> BTreeSet<String> {
-            states.iter().map(|state| state.address.clone()).collect()
-        };
-        self.has_new_publishers |= addresses(&before) != addresses(&self.publishers);
-    }
-
-    /// Addresses of the machines that may publish, if they have changed since the last
-    /// time.
-    pub fn take_new_publishers(&mut self) -> Option<Vec<String>> {
-        let is_new = std::mem::take(&mut self.has_new_publishers);
-        let publishers = self.publishers.iter();
-        is_new.then(|| {
-            publishers
-                .map(|publisher| publisher.address.clone())
-                .collect()
-        })
-    }
-
     /// What is due.
     pub fn tick(&mut self, now: Time) -> Vec<SubscriberAction> {
         let mut actions = Vec::new();
@@ -219,40 +179,6 @@
         actions
     }
 
-    fn give_up_silent(&mut self, now: Time) {
-        let is_starting = self.is_starting();
-        let patience = match is_starting {
-            true => self.timing.first_patience,
-            false => self.timing.hold + self.timing.patience,
-        };
-        let silent = self.asked.take_if(|asked| now.since(asked.at) >= patience);
-        if let Some(asked) = silent {
-            let longest = self.timing.longest_rest;
-            if let Some(silent) = self.publisher(&asked.address) {
-                let rest = if is_starting {
-                    patience
-                } else {
-                    silent.next_rest
-                };
-                log::info!(
-                    "belief=publisher-silent address={} rest_ms={}",
-                    asked.address,
-                    rest.as_millis()
-                );
-                silent.rests_until = now + rest;
-                if !is_starting {
-                    silent.was_silent = true;
-                    silent.next_rest = Duration(silent.next_rest.0 * 2).min(longest);
-                }
-            }
-        }
-    }
-
-    fn publisher(&mut self, address: &str) -> Option<&mut PublisherState> {
-        let mut publishers = self.publishers.iter_mut();
-        publishers.find(|publisher| publisher.address == address)
-    }
-
     fn ask(&mut self, now: Time) -> Option<SubscriberAction> {
         let earliest = self.publishers.iter().map(|p| p.rests_until).min()?;
         // While all of them rest, one is tried now and then: a cut may be over.
--- a/crates/server/src/storage/process.rs
+++ b/crates/server/src/storage/process.rs
@@ -41,7 +41,7 @@
 use super::observations::ObservationRelay;
 use super::opening::{open_crashes, open_ends, open_log, own_member};
 use super::pressure::{Pressure, Room};
-use super::registration::{self, Founding};
+use super::registration;
 use super::retirement::Retirement;
 use super::scores::ScoreCalls;
 use super::traffic::CallerZones;
@@ -336,18 +336,6 @@
         }
     }
 
-    fn on_founding(&mut self, founding: Founding) {
-        let me = self.replica.id().0;
-        let member = founding.members.iter().any(|m| m.replica == me);
-        log::info!(
-            "belief=first-members count={} member={member}",
-            founding.members.len()
-        );
-        if member {
-            self.replica.found(founding.members);
-        }
-    }
-
     /// All that is due after inputs were handled.
     fn work(&mut self) -> Result<(), ServerError> {
         let now = steady_now();
--- a/crates/server/src/storage/registration.rs
+++ b/crates/server/src/storage/registration.rs
@@ -15,6 +15,8 @@
 use crate::listing::list_all;
 use crate::store_client::StoreClient;
 
+use super::process::StorageProcess;
+
 /// Name of the object with the first members.
 const GROUP_NAME: &str = "jobs";
 /// How long to wait for machines of other zones before a group begins with
@@ -34,6 +36,21 @@
     pub members: Vec<Member>,
 }
 
+impl StorageProcess {
+    /// The first members are known.
+    pub(super) fn on_founding(&mut self, founding: Founding) {
+        let me = self.replica.id().0;
+        let member = founding.members.iter().any(|m| m.replica == me);
+        log::info!(
+            "belief=first-members count={} member={member}",
+            founding.members.len()
+        );
+        if member {
+            self.replica.found(founding.members);
+        }
+    }
+}
+
 fn fields_of(member: &Member) -> BTreeMap<String, String> {
     BTreeMap::from([
         ("address".to_string(), member.address.clone()),
