How long a list takes is expected by what is known

Change: the time of a list is expected by the objects that are known, at 70 us each until a list of 1,000 or more was seen.

--- a/crates/server/src/gateway_process/news.rs
+++ b/crates/server/src/gateway_process/news.rs
@@ -15,7 +15,7 @@
 use crate::clock::steady_now;
 use crate::storage::registration::{read_group, registered_machines};
 use crate::store_client::StoreClient;
-use crate::watcher::{watch, Wanted, WatchTiming};
+use crate::watcher::{watch, ObjectCount, Wanted, WatchTiming};
 
 /// Pause between two looks for the group, at first and at most. Each is a call to the
 /// store; a group that nobody has founded yet is there a second after the first start.
@@ -117,6 +117,8 @@
                 kind,
                 timing,
                 self.store_watch.clone(),
+                // Nobody takes news from a gateway.
+                ObjectCount::default(),
                 updates,
             ));
         }
--- a/crates/server/src/storage/leadership.rs
+++ b/crates/server/src/storage/leadership.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 
 use crate::clock::steady_now;
-use crate::watcher::{watch, Wanted, WatchTiming};
+use crate::watcher::{watch, ObjectCount, Wanted, WatchTiming};
 
 use super::process::StorageProcess;
 use super::work_shares::WorkKind;
@@ -47,7 +47,11 @@
             ObjectKind::Configuration => WatchTiming::published(&self.settings),
             _ => WatchTiming::prompt(&self.settings),
         };
-        monoio::spawn(watch(store, kind, timing, wanted, updates));
+        let known = match kind {
+            ObjectKind::Engines => self.engine_count.clone(),
+            _ => ObjectCount::default(),
+        };
+        monoio::spawn(watch(store, kind, timing, wanted, known, updates));
     }
 
     /// Begins and ends the leader's work as the role changes.
--- a/crates/server/src/storage/process.rs
+++ b/crates/server/src/storage/process.rs
@@ -26,7 +26,7 @@
 use crate::store_client::StoreClient;
 use crate::turns::TurnWatch;
 use crate::unreadable_entries::UnreadableEntries;
-use crate::watcher::Wanted;
+use crate::watcher::{ObjectCount, Wanted};
 use crate::ServerError;
 
 use super::applied_commands::AppliedCommands;
@@ -124,6 +124,8 @@
     pub configuration: Configuration,
     pub directory: EngineDirectory,
     pub engines_known: bool,
+    /// Engines in the directory, for the watch of their list.
+    pub engine_count: ObjectCount,
     pub metrics: Metrics,
     pub client: HttpClient<ExchangeId>,
     pub exchanges: HashMap<ExchangeId, EngineExchange>,
@@ -258,6 +260,7 @@
             configuration: Configuration::default(),
             directory,
             engines_known: false,
+            engine_count: ObjectCount::default(),
             metrics,
             client: HttpClient::telling_opened(parts),
             exchanges: HashMap::new(),
--- a/crates/server/src/storage/updates.rs
+++ b/crates/server/src/storage/updates.rs
@@ -17,6 +17,7 @@
         }
         if self.is_news(&update) {
             self.take_update(update);
+            self.engine_count.set(self.directory.len());
         }
     }
 
--- a/crates/server/src/watcher.rs
+++ b/crates/server/src/watcher.rs
@@ -35,6 +35,11 @@
 /// A store that lists slowly once must not be called without a pause from then on: part of
 /// the usual wait that stays however long lists take.
 const LONGEST_LIST_DIVISOR: u64 = 3;
+/// Time that a list takes for each object, before one was seen: pages of 200 in 14 ms, the
+/// store's answer and a third of a core together.
+const UNSEEN_LIST_TIME: Duration = Duration::from_micros(70);
+/// Objects of a list that tells how long others take: several pages.
+const TELLING_LIST: usize = 1_000;
 /// Shortest wait of the watch after a list.
 const LEAST_WAIT_AFTER_LIST: Span = Span::from_millis(100);
 /// Changes of the engine list are told together once in this share of the time that
@@ -48,6 +53,37 @@
 /// Whether a watcher is wanted; it ends soon after this is cleared.
 pub type Wanted = Rc<Cell<bool>>;
 
+/// Objects of a kind that are known just now, as whoever takes the updates counts them.
+pub type ObjectCount = Rc<Cell<usize>>;
+
+/// How long a list of a kind takes.
+#[derive(Clone, Copy, Debug)]
+struct ListTime {
+    per_object: Duration,
+}
+
+impl Default for ListTime {
+    fn default() -> Self {
+        Self {
+            per_object: UNSEEN_LIST_TIME,
+        }
+    }
+}
+
+impl ListTime {
+    /// A list took so long.
+    fn learn(&mut self, took: Duration, objects: usize) {
+        if objects >= TELLING_LIST {
+            self.per_object = took / objects as u32;
+        }
+    }
+
+    /// How long one of so many objects would take.
+    fn expected(&self, objects: usize) -> Duration {
+        self.per_object * objects as u32
+    }
+}
+
 /// How a kind is followed.
 #[derive(Clone, Copy, Debug)]
 pub struct WatchTiming {
@@ -89,8 +125,8 @@
     /// A watch that is lost without a sign is followed by a list. Who takes news from this
     /// machine waits for both, so the longer a list is, the sooner a lost watch must show.
     fn beside_lists_of(self, took: Duration) -> Self {
-        let took = Span::from_millis(took.as_millis() as u64);
-        let left = Span(self.wait.0.saturating_sub(took.0));
+        let took = took.as_micros() as u64;
+        let left = Span(self.wait.0.saturating_sub(took));
         let wait = left.max(Span(self.wait.0 / LONGEST_LIST_DIVISOR));
         let shortened = Duration::from_micros(self.wait.0 - wait.0);
         Self {
@@ -134,6 +170,7 @@
     kind: ObjectKind,
     timing: WatchTiming,
     wanted: Wanted,
+    known: ObjectCount,
     updates: UnboundedSender<StoreUpdate>,
 ) {
     let mut pause = FIRST_PAUSE;
@@ -141,9 +178,10 @@
     let mut listing = Listing::new(kind, timing.page);
     let mut lost = false;
     let mut first_wait = None;
-    let mut usual = timing;
+    let mut list_time = ListTime::default();
     while wanted.get() && !updates.is_closed() {
         let begun = BootInstant::now();
+        let usual = timing.beside_lists_of(list_time.expected(known.get()));
         let step = match revision {
             None => list(&store, &mut listing, &updates).await,
             Some(revision) => {
@@ -157,7 +195,9 @@
         if revision.is_none() {
             let took = begun.elapsed();
             first_wait = Some(timing.wait_after_list(took));
-            usual = timing.beside_lists_of(took);
+            if let Ok(Some(_)) = step {
+                list_time.learn(took, known.get());
+            }
         }
         match step {
             Ok(next) => {
--- a/crates/server/tests/unit/watcher.rs
+++ b/crates/server/tests/unit/watcher.rs
@@ -58,3 +58,13 @@
     let beside = timing.beside_lists_of(Duration::from_millis(700));
     assert_eq!(beside.pace, Duration::ZERO);
 }
+
+/// A list that was short when the process began says nothing of one of thousands later.
+#[test]
+fn the_time_of_a_list_is_expected_by_what_is_known() {
+    let mut list_time = ListTime::default();
+    list_time.learn(Duration::from_millis(20), 97);
+    assert_eq!(list_time.expected(10_000), Duration::from_millis(700));
+    list_time.learn(Duration::from_millis(1_400), 10_000);
+    assert_eq!(list_time.expected(5_000), Duration::from_millis(700));
+}
