Jobs: say why each item waits for an engine

The log named an item when a run began or ended and said nothing while it waited, so the hypotheses of the incident could not be told apart: held after engine crashes, engines not seen, requirements that no engine meets.

The leader now logs belief=item-waiting for each item that waits a second for anything but a slot (reason, wait, runs, crashes, fingerprint, engines by obstacle, age of the list), at most 16 items each half second, and counts waiting items by reason (items_waiting_*, item_longest_wait_ms). belief=dispatch-obstacle names a leader without engine list or configuration; decision=resume carries the fingerprint that belief=engine-crashed names.

--- a/crates/jobs/src/dispatcher/migration.rs
+++ b/crates/jobs/src/dispatcher/migration.rs
@@ -170,7 +170,7 @@
                 state.stats.record_failure(now);
             }
         }
-        self.cancel_run(&key, directory);
+        self.cancel_run(now, &key, directory);
         self.placement.count_move(reason);
         if let Some(item) = self.items.get_mut(&key) {
             if planned.details.is_some() {
--- a/crates/jobs/src/dispatcher/mod.rs
+++ b/crates/jobs/src/dispatcher/mod.rs
@@ -26,11 +26,13 @@
 mod scoring;
 mod starting;
 mod suspects;
+mod wait_reasons;
 
 pub use placement_state::PlacementStats;
 pub use planning::PlannedGroups;
 pub use scoring::{ScoreCall, ScoreOutcome};
 pub use suspects::RunRequest;
+pub use wait_reasons::{WaitReason, WaitingItems};
 
 use crate::item::{GroupKey, ItemKey, OpenItem};
 use crate::listing::{ListingQueue, PendingResult};
@@ -135,6 +137,7 @@
     lengths: LengthEstimates,
     plans: planning::PlanState,
     placement: PlacementState,
+    wait_report: wait_reasons::WaitReport,
     reader: Box<dyn Fn() -> Box<dyn EventDecoder>>,
     actions: Vec<DispatchAction>,
 }
@@ -170,6 +173,7 @@
             lengths: LengthEstimates::default(),
             plans: planning::PlanState::default(),
             placement: PlacementState::default(),
+            wait_report: wait_reasons::WaitReport::default(),
             reader,
             actions: Vec::new(),
         }
@@ -258,7 +262,7 @@
         self.plans.remove_job(&name);
         self.placement.end_job(&name);
         for key in keys {
-            self.cancel_run(&key, directory);
+            self.cancel_run(now, &key, directory);
             self.cancel_scoring(&key);
             if let Some(item) = self.items.remove(&key) {
                 if !item.text.events.is_empty() {
@@ -270,10 +274,10 @@
     }
 
     /// Stops all work when this replica is no longer the leader.
-    pub fn stop(&mut self, directory: &mut EngineDirectory) {
+    pub fn stop(&mut self, now: Time, directory: &mut EngineDirectory) {
         let keys: Vec<ItemKey> = self.items.keys().cloned().collect();
         for key in keys {
-            self.cancel_run(&key, directory);
+            self.cancel_run(now, &key, directory);
             self.cancel_scoring(&key);
         }
         self.items.clear();
@@ -283,6 +287,7 @@
         self.group_counts.clear();
         self.plans = planning::PlanState::default();
         self.requeued.clear();
+        self.wait_report = wait_reasons::WaitReport::default();
         self.has_backlog = false;
     }
 
@@ -304,9 +309,10 @@
             self.adopt_runs(now, directory);
             self.check_runs(now, directory);
         }
-        self.cancel_convicted_runs(directory);
+        self.cancel_convicted_runs(now, directory);
         self.has_backlog = false;
         self.start_waiting_items(now, configuration, directory);
+        self.report_waiting_items(now, configuration, directory);
         self.start_reward_calls(now, configuration, directory);
         self.propose_due_results(now);
         if now.since(self.progress_proposed_at) >= PROGRESS_INTERVAL {
@@ -316,11 +322,12 @@
     }
 
     /// Cancels the run of an item, if it has one, and queues the item again. Its text is kept.
-    fn cancel_run(&mut self, key: &ItemKey, directory: &mut EngineDirectory) {
+    fn cancel_run(&mut self, now: Time, key: &ItemKey, directory: &mut EngineDirectory) {
         let Some(item) = self.items.get_mut(key) else {
             return;
         };
-        if let Some(id) = item.run.take() {
+        if let Some(id) = item.run {
+            item.end_run(now);
             self.actions.push(DispatchAction::Cancel(id));
             self.requeued.push(key.clone());
             self.remove_run(id, directory);
--- a/crates/jobs/src/dispatcher/opening.rs
+++ b/crates/jobs/src/dispatcher/opening.rs
@@ -56,6 +56,7 @@
                 continue;
             }
             let mut open = OpenItem::new(job.spec.clone(), index, job.known_since);
+            open.waiting_since = now;
             open.single_version = single_version;
             open.is_resubmitted = store.is_resubmitted(id, index);
             open.failures = job.failures.get(&index).copied().unwrap_or_default();
--- a/crates/jobs/src/dispatcher/responses.rs
+++ b/crates/jobs/src/dispatcher/responses.rs
@@ -158,7 +158,7 @@
         let Some(item) = self.items.get_mut(&key) else {
             return;
         };
-        item.run = None;
+        item.end_run(now);
         item.avoid = Some((run.instance.clone(), run.incarnation));
         self.requeued.push(key.clone());
         let route = configuration.route(&item.spec.host, &item.item().path);
@@ -226,7 +226,7 @@
         let Some(item) = self.items.get_mut(&run.key) else {
             return;
         };
-        item.run = None;
+        item.end_run(now);
         item.text.complete = true;
         let (hint, events) = (item.item().length_hint, item.text.events.len());
         self.lengths.record(&item.spec.model, hint, events);
@@ -277,13 +277,16 @@
             return;
         };
         log::info!(
-            "decision=resume item={} job={} engine={} reason={reason} events={}",
+            "decision=resume item={} job={} engine={} reason={reason} events={} runs={} run_ms={} fingerprint={}",
             item.item().id,
             run.key.0,
             run.instance,
-            item.text.events.len()
+            item.text.events.len(),
+            item.runs,
+            now.since(run.started_at).as_millis(),
+            item.fingerprint()
         );
-        item.run = None;
+        item.end_run(now);
         item.avoid = Some((run.instance, run.incarnation));
         item.not_before = now + FAILED_BACKOFF;
         self.requeued.push(run.key);
--- a/crates/jobs/src/dispatcher/suspects.rs
+++ b/crates/jobs/src/dispatcher/suspects.rs
@@ -65,7 +65,7 @@
     }
 
     /// Cancels runs of convicted items, which may still be queued at an engine.
-    pub(super) fn cancel_convicted_runs(&mut self, directory: &mut EngineDirectory) {
+    pub(super) fn cancel_convicted_runs(&mut self, now: Time, directory: &mut EngineDirectory) {
         if directory.quarantine.is_empty() {
             return;
         }
@@ -81,7 +81,7 @@
                 self.items[&key].item().id,
                 key.0
             );
-            self.cancel_run(&key, directory);
+            self.cancel_run(now, &key, directory);
         }
     }
 }
--- a/crates/jobs/src/item.rs
+++ b/crates/jobs/src/item.rs
@@ -45,6 +45,10 @@
     pub empty_runs: u32,
     /// The run under way.
     pub run: Option<RunId>,
+    /// Since when no engine has it.
+    pub waiting_since: Time,
+    /// When its wait for an engine was last logged.
+    pub wait_logged_at: Option<Time>,
     /// Earliest time of the next run.
     pub not_before: Time,
     /// Engine that its last run failed on or was moved from, and its incarnation.
@@ -81,6 +85,8 @@
             logged_complete: false,
             empty_runs: 0,
             run: None,
+            waiting_since: known_since,
+            wait_logged_at: None,
             not_before: Time(0),
             avoid: None,
             moved_from: Vec::new(),
@@ -114,6 +120,13 @@
         })
     }
 
+    /// Records that its run has ended and that it waits for an engine again.
+    pub fn end_run(&mut self, now: Time) {
+        self.run = None;
+        self.waiting_since = now;
+        self.wait_logged_at = None;
+    }
+
     /// Whether it waits for an engine to continue its text.
     pub fn waits_for_engine(&self) -> bool {
         self.run.is_none() && !self.text.complete && !self.proposed
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -31,7 +31,7 @@
 
 pub use dispatcher::{
     DispatchAction, Dispatcher, PlacementStats, PlannedGroups, RunId, RunPart, RunRequest,
-    ScoreCall, ScoreOutcome,
+    ScoreCall, ScoreOutcome, WaitReason, WaitingItems,
 };
 pub use item::ItemKey;
 pub use job::{Failures, Job, PriorText, StoredResult};
--- a/crates/jobs/tests/dispatcher.rs
+++ b/crates/jobs/tests/dispatcher.rs
@@ -11,6 +11,7 @@
 mod suspects;
 mod tenants;
 mod uneven;
+mod waiting;
 
 use dispatch::{engine, Harness};
 use peatgrade_jobs::RunPart;
--- a/crates/jobs/tests/suspects/mod.rs
+++ b/crates/jobs/tests/suspects/mod.rs
@@ -20,7 +20,7 @@
 }
 
 /// Records crashes of engines that were running an item.
-fn record_crashes(harness: &mut Harness, item: &str, crashes: usize) {
+pub fn record_crashes(harness: &mut Harness, item: &str, crashes: usize) {
     let quarantine = &mut harness.directory.quarantine;
     for number in 0..crashes {
         let crashed = Instance(format!("gone-{number}"));
--- a/crates/server/src/storage/housekeeping.rs
+++ b/crates/server/src/storage/housekeeping.rs
@@ -151,7 +151,9 @@
             ("working_set_engines_visited", engines_visited),
             ("coordinated_engines_visited", coordinated_visited),
         ];
-        for (name, value) in self.work_times.metrics().chain(working_set_gauges) {
+        let waiting = self.dispatcher.waiting_items().metrics();
+        let gauges_by_item = waiting.chain(working_set_gauges);
+        for (name, value) in self.work_times.metrics().chain(gauges_by_item) {
             self.metrics.set(name, value);
         }
         let quarantine = self.directory.quarantine.metrics();
--- a/crates/server/src/storage/leader_session.rs
+++ b/crates/server/src/storage/leader_session.rs
@@ -6,6 +6,16 @@
 pub(super) struct LeaderSession {
     is_active: bool,
     has_failed_proposal: bool,
+    /// What keeps the leader from dispatching items, if anything.
+    obstacle: Option<DispatchObstacle>,
+}
+
+/// Information that a leader needs before it may dispatch items.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub(super) enum DispatchObstacle {
+    /// Neither the store nor a member has sent the engine list.
+    NoEngineList,
+    NoConfiguration,
 }
 
 impl LeaderSession {
@@ -17,7 +27,7 @@
     pub fn start(&mut self) {
         *self = Self {
             is_active: true,
-            has_failed_proposal: false,
+            ..Self::default()
         };
     }
 
@@ -33,6 +43,11 @@
         self.has_failed_proposal = self.is_active;
     }
 
+    /// Records what keeps the leader from dispatching items. Returns whether that has changed.
+    pub fn set_obstacle(&mut self, obstacle: Option<DispatchObstacle>) -> bool {
+        std::mem::replace(&mut self.obstacle, obstacle) != obstacle
+    }
+
     /// Whether the session must stop, given whether this machine is the leader.
     pub fn must_stop(&self, is_leader: bool) -> bool {
         self.is_active && (!is_leader || self.has_failed_proposal)
--- a/crates/server/src/storage/leadership.rs
+++ b/crates/server/src/storage/leadership.rs
@@ -9,6 +9,7 @@
 use crate::clock::steady_now;
 use crate::watcher::{watch, ObjectCount, WatchFlag, WatchTiming};
 
+use super::leader_session::DispatchObstacle;
 use super::process::StorageProcess;
 use super::work_times::WorkKind;
 
@@ -149,7 +150,7 @@
         self.coordinator = None;
         self.stop_usage_reporting();
         self.pending_orders.clear();
-        self.dispatcher.stop(&mut self.directory);
+        self.dispatcher.stop(steady_now(), &mut self.directory);
         let cancellations = self.dispatcher.take_actions();
         self.execute_dispatch(cancellations);
         self.fail_pending_calls();
@@ -170,7 +171,7 @@
         self.end_requested_jobs(now);
         self.report_usage(now);
         let is_due = now.since(self.last_dispatch) >= DISPATCH_INTERVAL;
-        if is_due && self.engines_listed && self.configuration.version > 0 {
+        if is_due && self.may_dispatch(now) {
             self.last_dispatch = now;
             self.coordinate(now);
             self.record_work(WorkKind::Versions);
@@ -188,6 +189,26 @@
         }
     }
 
+    /// Whether the engine list and a configuration are known.
+    fn may_dispatch(&mut self, now: Time) -> bool {
+        let obstacle = if !self.engines_listed {
+            Some(DispatchObstacle::NoEngineList)
+        } else if self.configuration.version == 0 {
+            Some(DispatchObstacle::NoConfiguration)
+        } else {
+            None
+        };
+        if self.leader_session.set_obstacle(obstacle) {
+            log::warn!(
+                "belief=dispatch-obstacle obstacle={obstacle:?} open_items={} store_age_ms={} led_ms={}",
+                self.dispatcher.open_items(),
+                now.since(self.last_store_update).as_millis(),
+                now.since(self.leading_since).as_millis()
+            );
+        }
+        obstacle.is_none()
+    }
+
     fn coordinate(&mut self, now: Time) {
         let Some(coordinator) = &mut self.coordinator else {
             return;
--- a/crates/server/tests/takeover/machine.rs
+++ b/crates/server/tests/takeover/machine.rs
@@ -101,7 +101,7 @@
         let leads = self.replica.role() == Role::Leader;
         if self.has_leader_session && !leads {
             self.has_leader_session = false;
-            self.dispatcher.stop(&mut self.directory);
+            self.dispatcher.stop(now, &mut self.directory);
             self.dispatcher.take_actions();
             self.runs.clear();
             self.engine_outputs.clear();
