--- a/crates/jobs/tests/suspects/mod.rs
+++ b/crates/jobs/tests/suspects/mod.rs
@@ -82,6 +82,20 @@
     assert_eq!(started(&harness), [CRASHING_ITEM, "one"]);
 }
 
+/// An item that no engine has for longer than this is lost to its caller.
+const MAX_WAIT_MS: u64 = 4_000;
+
+#[test]
+fn item_runs_again_after_engines_crashed_under_it() {
+    for crashes in [2, 3, 8] {
+        let mut harness = Harness::new(vec![engine("a", 5), engine("b", 5)]);
+        record_crashes(&mut harness, CRASHING_ITEM, crashes);
+        harness.submit_bodies("j", &[CRASHING_ITEM]);
+        harness.wait(MAX_WAIT_MS);
+        assert!(!harness.started.is_empty(), "held after {crashes} crashes");
+    }
+}
+
 #[test]
 fn items_with_one_crash_run_normally() {
     let mut harness = Harness::new(vec![engine("a", 5)]);
