Jobs: an item under which engines crashed runs again

An item was convicted once three engines had crashed during the first 0.3 s of its runs, or before them, and then held until its queue limit; only a completed run could clear it, and none was allowed to begin. The records are shared and kept on disk, so the next leader held it too. A suspected item waited for a second healthy engine without a limit.

Evidence: the tests of failed ('no engine has had it for 5s', same leader and after a leader was killed), and a soak with bursts of crashes named it on the old code: belief=item-waiting reason=quarantined crashes=4 free=6, for 20 s and over two leaders.

Now crashes delay an item's next run (0.25 s after the third, doubled to 2 s at most, counted from the last crash) and never forbid it; avoiding the last healthy engine ends after 2 s as well. A run under way is no longer cancelled on a conviction, since it is what shows whether the item is sound. The time of the last crash is kept beyond the eighth, so that the delay does not lapse.

Requests of callers are convicted as before (3 crashes, 0 late runs).

--- a/crates/jobs/src/dispatcher/mod.rs
+++ b/crates/jobs/src/dispatcher/mod.rs
@@ -309,7 +309,6 @@
             self.adopt_runs(now, directory);
             self.check_runs(now, directory);
         }
-        self.cancel_convicted_runs(now, directory);
         self.has_backlog = false;
         self.start_waiting_items(now, configuration, directory);
         self.report_waiting_items(now, configuration, directory);
--- a/crates/jobs/src/dispatcher/suspects.rs
+++ b/crates/jobs/src/dispatcher/suspects.rs
@@ -3,10 +3,17 @@
 use peatgrade_fleet::{EngineDirectory, Incarnation};
 use peatgrade_ports::Instance;
 use peatgrade_quarantine::{Fingerprint, Verdict};
-use peatgrade_types::Time;
+use peatgrade_types::{Duration, Time};
 
 use super::{Dispatcher, RunId};
-use crate::item::{ItemKey, OpenItem};
+use crate::item::OpenItem;
+
+/// Crashes from which on retries are delayed.
+const MIN_CONVICTING_CRASHES: usize = 3;
+/// Delay of the first such retry; doubles with each further crash.
+const INITIAL_RETRY_DELAY: Duration = Duration::from_millis(250);
+/// Upper bound of the time for which a request is kept from engines that could run it.
+const MAX_RETRY_DELAY: Duration = Duration::from_millis(2_000);
 
 /// The request that a run sends, and the engine it runs on.
 #[derive(Clone, Debug)]
@@ -29,24 +36,60 @@
     directory.quarantine.verdict(item.fingerprint())
 }
 
-/// Whether an item may start. A convicted item waits until it is given up. A suspected item
-/// needs a second healthy engine, so that others can still run if it crashes one, unless the
-/// service has a single engine.
+/// Whether an item may start. An accepted item runs until it completes or is given up: engines
+/// may have crashed by themselves, which only another run can show. In case the item does crash
+/// engines, it is retried less often with each crash, and not on the last healthy engine of
+/// several unless that would delay it for too long.
 pub(super) fn may_start(
     now: Time,
     item: &OpenItem,
     service: &str,
     directory: &EngineDirectory,
 ) -> bool {
-    match verdict_of(item, directory) {
-        Verdict::Clear => true,
-        Verdict::Convicted { .. } => false,
-        Verdict::Suspected { .. } => {
-            let serving = directory.serving(service);
-            let healthy = serving.filter(|state| state.is_healthy(now)).count();
-            healthy > 1 || directory.serving(service).count() == 1
-        }
+    // Avoids computing the fingerprint in the common case.
+    if directory.quarantine.is_empty() {
+        return true;
+    }
+    let since_crash = time_since_crash(now, item.fingerprint(), directory);
+    let is_overdue = since_crash.is_none_or(|time| time >= MAX_RETRY_DELAY);
+    is_overdue
+        || is_retry_due(now, item.fingerprint(), directory)
+            && has_spare_engine(now, service, directory)
+}
+
+/// Whether enough time has passed since an engine last crashed while running a request.
+pub(super) fn is_retry_due(now: Time, request: Fingerprint, directory: &EngineDirectory) -> bool {
+    let delay = retry_delay(directory.quarantine.verdict(request));
+    time_since_crash(now, request, directory).is_none_or(|time| time >= delay)
+}
+
+/// Time since the last crash that counts against a request; `None` if none does.
+fn time_since_crash(
+    now: Time,
+    request: Fingerprint,
+    directory: &EngineDirectory,
+) -> Option<Duration> {
+    if directory.quarantine.verdict(request) == Verdict::Clear {
+        return None;
     }
+    let last_crash = directory.quarantine.last_crash(request)?;
+    Some(now.since(last_crash))
+}
+
+/// Minimum time from a crash to the next run of a request with this verdict.
+fn retry_delay(verdict: Verdict) -> Duration {
+    let Verdict::Convicted { crashes } = verdict else {
+        return Duration(0);
+    };
+    let doublings = crashes.saturating_sub(MIN_CONVICTING_CRASHES).min(8);
+    Duration(INITIAL_RETRY_DELAY.0 << doublings).min(MAX_RETRY_DELAY)
+}
+
+/// Whether other engines of a service can run requests if one crashes, or none could anyway.
+fn has_spare_engine(now: Time, service: &str, directory: &EngineDirectory) -> bool {
+    let serving = directory.serving(service);
+    let healthy = serving.filter(|state| state.is_healthy(now)).count();
+    healthy > 1 || directory.serving(service).count() == 1
 }
 
 impl Dispatcher {
@@ -63,25 +106,4 @@
             first_event_at: run.first_event_at,
         })
     }
-
-    /// Cancels runs of convicted items, which may still be queued at an engine.
-    pub(super) fn cancel_convicted_runs(&mut self, now: Time, directory: &mut EngineDirectory) {
-        if directory.quarantine.is_empty() {
-            return;
-        }
-        let is_convicted = |key: &ItemKey| {
-            let verdict = self.items.get(key).map(|item| verdict_of(item, directory));
-            matches!(verdict, Some(Verdict::Convicted { .. }))
-        };
-        let keys = self.runs.values().map(|run| run.key.clone());
-        let convicted: Vec<ItemKey> = keys.filter(is_convicted).collect();
-        for key in convicted {
-            log::info!(
-                "decision=hold item={} job={} reason=engines-crash-under-it",
-                self.items[&key].item().id,
-                key.0
-            );
-            self.cancel_run(now, &key, directory);
-        }
-    }
 }
--- a/crates/jobs/src/dispatcher/wait_reasons.rs
+++ b/crates/jobs/src/dispatcher/wait_reasons.rs
@@ -26,7 +26,7 @@
     Backoff,
     /// No batch route of the configuration matches it.
     NoRoute,
-    /// Engines crashed while running it.
+    /// Engines crashed while running it, and its next run is delayed.
     Quarantined,
     /// The service has no listed engine, or its working set is not filled yet.
     NoEngine,
--- a/crates/quarantine/src/encoding.rs
+++ b/crates/quarantine/src/encoding.rs
@@ -3,6 +3,7 @@
 
 use peatgrade_schema::replication::{Crash, CrashRecord};
 use peatgrade_types::{Duration, Time};
+use std::collections::BTreeMap;
 
 use crate::fingerprint::Fingerprint;
 use crate::ledger::{Record, MAX_CRASHES_PER_REQUEST, RECORD_TTL};
@@ -28,8 +29,10 @@
     let crashes = message.crashes.iter().take(MAX_CRASHES_PER_REQUEST);
     let crashes =
         crashes.filter_map(|crash| Some((crash.engine, time_from_age(now, crash.age_ms)?)));
+    let crashes: BTreeMap<u64, Time> = crashes.collect();
     let record = Record {
-        crashes: crashes.collect(),
+        last_crash: crashes.values().max().copied().unwrap_or(Time(0)),
+        crashes,
         completed: Some(message.completed_age_ms)
             .filter(|_| message.completed)
             .and_then(|age| time_from_age(now, age)),
--- a/crates/quarantine/src/ledger.rs
+++ b/crates/quarantine/src/ledger.rs
@@ -55,6 +55,8 @@
 pub(crate) struct Record {
     /// Times of crashes by the hash of the engine's incarnation.
     pub crashes: BTreeMap<u64, Time>,
+    /// Time of the last crash, which is not among `crashes` if these are too many.
+    pub last_crash: Time,
     /// When an engine last completed it, which clears it of earlier crashes.
     pub completed: Option<Time>,
     /// Whether it is shared with other machines.
@@ -62,10 +64,6 @@
 }
 
 impl Record {
-    fn last_crash(&self) -> Time {
-        self.crashes.values().max().copied().unwrap_or(Time(0))
-    }
-
     fn remove_cleared_crashes(&mut self) {
         if let Some(completed) = self.completed {
             self.crashes.retain(|_, at| *at > completed);
@@ -74,7 +72,7 @@
 
     fn is_expired(&self, now: Time) -> bool {
         let completed = self.completed.unwrap_or(Time(0));
-        now.since(self.last_crash().max(completed)) >= RECORD_TTL
+        now.since(self.last_crash.max(completed)) >= RECORD_TTL
     }
 }
 
@@ -99,7 +97,11 @@
         let record = self.records.entry(request).or_default();
         let is_cleared = record.completed.is_some_and(|completed| at <= completed);
         let is_known = record.crashes.contains_key(&engine);
-        if is_cleared || is_known || record.crashes.len() >= MAX_CRASHES_PER_REQUEST {
+        if is_cleared || is_known {
+            return false;
+        }
+        record.last_crash = record.last_crash.max(at);
+        if record.crashes.len() >= MAX_CRASHES_PER_REQUEST {
             return false;
         }
         record.crashes.insert(engine, at);
@@ -138,7 +140,7 @@
             return;
         }
         let weight =
-            |(_, record): &(&Fingerprint, &Record)| (record.crashes.len(), record.last_crash());
+            |(_, record): &(&Fingerprint, &Record)| (record.crashes.len(), record.last_crash);
         let least = self.records.iter().min_by_key(weight);
         if let Some(request) = least.map(|(request, _)| *request) {
             self.records.remove(&request);
@@ -197,6 +199,13 @@
         record.map_or(0, |record| record.crashes.len())
     }
 
+    /// When an engine last crashed while running a request, if that is not cleared.
+    pub fn last_crash(&self, request: Fingerprint) -> Option<Time> {
+        let record = self.records.get(&request);
+        let record = record.filter(|record| !record.crashes.is_empty());
+        record.map(|record| record.last_crash)
+    }
+
     /// Whether no crash is recorded.
     pub fn is_empty(&self) -> bool {
         self.records
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -139,6 +139,11 @@
         self.ledger.crash_count(request)
     }
 
+    /// When an engine last crashed while running a request, unless a completed run cleared it.
+    pub fn last_crash(&self, request: Fingerprint) -> Option<Time> {
+        self.ledger.last_crash(request)
+    }
+
     /// Whether no crash is recorded.
     pub fn is_empty(&self) -> bool {
         self.ledger.is_empty()
