Scoring: a reward call under which engines crashed is made again

The class of the incident beside items: a whole text waited for its score for as long as the record of its reward call lasted (15 min), since the forwarder refused a convicted call before it reached an engine; the dispatcher asked each 0.5 s in vain and gave the item up at its queue limit.

The forwarder now takes a quarantine policy. Callers' requests are refused as before; a reward call under which engines crashed gets a single attempt, and the dispatcher repeats it with the delay of items. The test on real processes failed before ('not made again for 5s') and passes now (1.7 s after the third crash, 0.2 s after the engines are back).

--- a/crates/forward/src/dispatch.rs
+++ b/crates/forward/src/dispatch.rs
@@ -2,13 +2,12 @@
 
 use peatgrade_fleet::EngineDirectory;
 use peatgrade_ports::Instance;
-use peatgrade_quarantine::Verdict;
 use peatgrade_types::Time;
 
 use crate::action::{CallId, ForwardAction};
 use crate::admission::{decide, Admission};
 use crate::forwarder::Forwarder;
-use crate::quarantine::may_run_on;
+use crate::quarantine::{is_refused, may_run_on};
 use crate::selection::EngineSelector;
 
 /// Maximum number of engine refusals per request.
@@ -34,8 +33,7 @@
         if now >= forward.deadline && forward.open_attempts.is_empty() {
             return self.finish_without_answer(now, call, directory, actions);
         }
-        let verdict = directory.quarantine.verdict(forward.fingerprint);
-        if matches!(verdict, Verdict::Convicted { .. }) {
+        if is_refused(directory, forward) {
             return self.refuse_convicted(now, call, directory, actions);
         }
         let chosen = self.admit(now, call, directory);
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -5,7 +5,7 @@
 use peatgrade_ports::{
     CallerRequest, Codec, EngineRequest, EngineResponseHead, Instance, Route, RouteKind,
 };
-use peatgrade_quarantine::{Fingerprint, RequestParts};
+use peatgrade_quarantine::Fingerprint;
 use peatgrade_types::http::ResponseHead;
 use peatgrade_types::{Duration, Time};
 use rand::rngs::SmallRng;
@@ -74,6 +74,7 @@
     pub tried: Vec<Instance>,
     pub open_attempts: Vec<HttpId>,
     pub may_have_run: bool,
+    pub quarantine_policy: QuarantinePolicy,
     /// Whether quarantine kept it from the engine that was selected last.
     pub quarantine_blocked: bool,
     /// Whether its stream may be resumed on another engine.
@@ -115,6 +116,17 @@
     pub priority: u32,
     /// Version of the configuration that contains the route.
     pub configuration_version: u64,
+    pub quarantine_policy: QuarantinePolicy,
+}
+
+/// What the quarantine does with a request under which engines crashed.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum QuarantinePolicy {
+    /// A suspected request is restricted and a convicted one refused.
+    Refuse,
+    /// A suspected or convicted request is sent to a single engine. For requests that have to
+    /// run eventually, which their owner repeats less often with each crash.
+    SingleAttempt,
 }
 
 /// Settings of a forwarder.
@@ -197,11 +209,12 @@
             route,
             priority,
             configuration_version,
+            quarantine_policy,
         } = accepted;
         let requested = request.deadline.unwrap_or(DEFAULT_TIMEOUT);
         let caller_limit = Duration(requested.0.saturating_sub(RESPONSE_MARGIN.0));
         let forward = ForwardedRequest {
-            fingerprint: fingerprint_of(&request),
+            fingerprint: Fingerprint::of_request(&request),
             service: self.pick_service(route),
             kind: route.kind,
             max_attempts: route.max_attempts.max(1),
@@ -219,6 +232,7 @@
             tried: Vec::new(),
             open_attempts: Vec::new(),
             may_have_run: false,
+            quarantine_policy,
             quarantine_blocked: false,
             resumable: route.resumable,
             stream: None,
@@ -369,14 +383,3 @@
         ]
     }
 }
-
-fn fingerprint_of(request: &CallerRequest) -> Fingerprint {
-    Fingerprint::of(&RequestParts {
-        method: &request.http.method,
-        host: &request.host,
-        path: &request.http.path,
-        headers: &request.http.headers,
-        body: &request.http.body,
-        tenant: &request.tenant,
-    })
-}
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -27,5 +27,5 @@
 mod timers;
 
 pub use action::{answer_parts, CallId, ForwardAction, HttpId, DEFAULT_RETRY_AFTER};
-pub use forwarder::{AcceptedCall, ForwardCounts, Forwarder, ForwarderSettings};
+pub use forwarder::{AcceptedCall, ForwardCounts, Forwarder, ForwarderSettings, QuarantinePolicy};
 pub use quarantine::{record_failure, InterruptedRun};
--- a/crates/forward/src/quarantine.rs
+++ b/crates/forward/src/quarantine.rs
@@ -8,7 +8,7 @@
 use peatgrade_types::{Duration, Time};
 
 use crate::action::{answer_parts, CallId, ForwardAction, HttpId};
-use crate::forwarder::{ForwardedRequest, Forwarder};
+use crate::forwarder::{ForwardedRequest, Forwarder, QuarantinePolicy};
 
 /// Time after which a liveness probe is abandoned.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -40,10 +40,12 @@
     forward: &ForwardedRequest,
     engine: &Instance,
 ) -> bool {
-    match directory.quarantine.verdict(forward.fingerprint) {
-        Verdict::Clear => true,
-        Verdict::Convicted { .. } => false,
-        Verdict::Suspected { .. } => {
+    let verdict = directory.quarantine.verdict(forward.fingerprint);
+    match (verdict, forward.quarantine_policy) {
+        (Verdict::Clear, _) => true,
+        (_, QuarantinePolicy::SingleAttempt) => forward.tried.is_empty(),
+        (Verdict::Convicted { .. }, QuarantinePolicy::Refuse) => false,
+        (Verdict::Suspected { .. }, QuarantinePolicy::Refuse) => {
             let is_only = directory.serving(&forward.service).count() == 1;
             let spares = directory.count_other_healthy(now, &forward.service, engine);
             forward.open_attempts.is_empty() && (is_only || spares > 0)
@@ -51,6 +53,13 @@
     }
 }
 
+/// Whether the quarantine refuses a request.
+pub(crate) fn is_refused(directory: &EngineDirectory, forward: &ForwardedRequest) -> bool {
+    let verdict = directory.quarantine.verdict(forward.fingerprint);
+    forward.quarantine_policy == QuarantinePolicy::Refuse
+        && matches!(verdict, Verdict::Convicted { .. })
+}
+
 /// A run that ended without a complete response.
 #[derive(Clone, Copy, Debug)]
 pub struct InterruptedRun<'a> {
@@ -229,12 +238,7 @@
         if directory.quarantine.is_empty() {
             return;
         }
-        let quarantine = &directory.quarantine;
-        let convicted: Vec<CallId> = self.calls_where(|forward| {
-            let verdict = quarantine.verdict(forward.fingerprint);
-            matches!(verdict, Verdict::Convicted { .. })
-        });
-        for call in convicted {
+        for call in self.calls_where(|forward| is_refused(directory, forward)) {
             self.refuse_convicted(now, call, directory, actions);
         }
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -4,7 +4,7 @@
 use peatgrade_fleet::EngineDirectory;
 use peatgrade_forward::{
     answer_parts, AcceptedCall, CallId, ForwardAction, ForwardCounts, Forwarder, ForwarderSettings,
-    HttpId, DEFAULT_RETRY_AFTER,
+    HttpId, QuarantinePolicy, DEFAULT_RETRY_AFTER,
 };
 use peatgrade_ports::{
     CallerMessage, CallerRequest, CallerResponse, Codec, Configuration, Refusal, RouteKind,
@@ -277,6 +277,7 @@
         if route.kind != RouteKind::Batch {
             let tenants = &configuration.tenants;
             let accepted = AcceptedCall {
+                quarantine_policy: QuarantinePolicy::Refuse,
                 call,
                 priority: tenants.priority_of(&request.tenant, route.priority),
                 request,
--- a/crates/jobs/src/dispatcher/scoring.rs
+++ b/crates/jobs/src/dispatcher/scoring.rs
@@ -6,11 +6,13 @@
 use bytes::Bytes;
 use peatgrade_fleet::EngineDirectory;
 use peatgrade_ports::{CallerRequest, Configuration, Route, RouteKind};
+use peatgrade_quarantine::Fingerprint;
 use peatgrade_schema::replication::RewardCall;
 use peatgrade_types::http::HttpRequest;
 use peatgrade_types::{Duration, Time};
 use std::collections::HashMap;
 
+use super::suspects::is_retry_due;
 use super::{DispatchAction, Dispatcher};
 use crate::item::ItemKey;
 use crate::listing::PendingResult;
@@ -122,6 +124,12 @@
                 }
                 continue;
             };
+            let request = caller_request(reward_call, &item.spec.tenant);
+            if !directory.quarantine.is_empty()
+                && !is_retry_due(now, Fingerprint::of_request(&request), directory)
+            {
+                continue;
+            }
             let free = free_slots.entry(&route.name).or_insert_with(|| {
                 let active_calls = self.unscored.calls_on_route(&route.name);
                 max_calls(now, route, directory).saturating_sub(active_calls)
@@ -131,7 +139,6 @@
             }
             *free -= 1;
             let remaining_calls = *free;
-            let request = caller_request(reward_call, &item.spec.tenant);
             let call = ScoreCall {
                 request,
                 route: Route {
--- a/crates/jobs/tests/scoring/mod.rs
+++ b/crates/jobs/tests/scoring/mod.rs
@@ -1,5 +1,7 @@
 //! Items whose text is scored by a reward call before listing.
 
+mod crashes;
+
 use crate::dispatch::{engine, Harness};
 use peatgrade_jobs::{RunPart, ScoreId, ScoreOutcome};
 use peatgrade_ports::{EngineRecord, Instance, Route, RouteKind, Target};
--- a/crates/quarantine/src/fingerprint.rs
+++ b/crates/quarantine/src/fingerprint.rs
@@ -1,5 +1,6 @@
 //! Identification of requests by their content.
 
+use peatgrade_ports::CallerRequest;
 use xxhash_rust::xxh3::Xxh3;
 
 /// Headers that identify the caller. Requests of different callers are kept apart, so that one
@@ -29,7 +30,19 @@
 pub struct Fingerprint(pub u128);
 
 impl Fingerprint {
-    /// Computes the fingerprint of a request.
+    /// Computes the fingerprint of a caller's request.
+    pub fn of_request(request: &CallerRequest) -> Self {
+        Self::of(&RequestParts {
+            method: &request.http.method,
+            host: &request.host,
+            path: &request.http.path,
+            headers: &request.http.headers,
+            body: &request.http.body,
+            tenant: &request.tenant,
+        })
+    }
+
+    /// Computes the fingerprint of a request from its parts.
     pub fn of(parts: &RequestParts<'_>) -> Self {
         let mut hasher = Xxh3::new();
         let host = parts.host.to_ascii_lowercase();
--- a/crates/server/src/storage/reward_calls.rs
+++ b/crates/server/src/storage/reward_calls.rs
@@ -1,6 +1,6 @@
 //! Reward calls: the leader sends them to engines as a gateway forwards a lookup.
 
-use peatgrade_forward::{AcceptedCall, CallId, ForwardAction, Forwarder, HttpId};
+use peatgrade_forward::{AcceptedCall, CallId, ForwardAction, Forwarder, HttpId, QuarantinePolicy};
 use peatgrade_jobs::{ScoreCall, ScoreId, ScoreOutcome};
 use peatgrade_types::http::{ResponseHead, ResponsePart};
 use peatgrade_types::Time;
@@ -40,6 +40,7 @@
                 route: &call.route,
                 priority: call.route.priority,
                 configuration_version: call.configuration,
+                quarantine_policy: QuarantinePolicy::SingleAttempt,
             },
             &mut self.directory,
             &mut actions,
