Jobs: crashes of many engines at once do not lengthen an item's delay

A crash is isolated if no engine that was not running the request crashed within a second of it. Only isolated crashes lengthen an item's delay or keep it from the last healthy engine; after others a convicted item waits 0.25 s. Verdicts on callers' requests are unchanged: several requests that do crash engines at the same time must not be each other's excuse.

--- a/crates/jobs/src/dispatcher/suspects.rs
+++ b/crates/jobs/src/dispatcher/suspects.rs
@@ -8,9 +8,11 @@
 use super::{Dispatcher, RunId};
 use crate::item::OpenItem;
 
-/// Crashes from which on retries are delayed.
+/// Crashes from which on a request is kept from the last healthy engine of its service.
+const MIN_SUSPICIOUS_CRASHES: usize = 2;
+/// Crashes from which on retries are delayed longer with each one.
 const MIN_CONVICTING_CRASHES: usize = 3;
-/// Delay of the first such retry; doubles with each further crash.
+/// Minimum delay of a retry after a conviction.
 const INITIAL_RETRY_DELAY: Duration = Duration::from_millis(250);
 /// Upper bound of the time for which a request is kept from engines that could run it.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(2_000);
@@ -50,17 +52,23 @@
     if directory.quarantine.is_empty() {
         return true;
     }
-    let since_crash = time_since_crash(now, item.fingerprint(), directory);
-    let is_overdue = since_crash.is_none_or(|time| time >= MAX_RETRY_DELAY);
-    is_overdue
-        || is_retry_due(now, item.fingerprint(), directory)
-            && has_spare_engine(now, service, directory)
+    let request = item.fingerprint();
+    let Some(since_crash) = time_since_crash(now, request, directory) else {
+        return true;
+    };
+    if since_crash >= MAX_RETRY_DELAY {
+        return true;
+    }
+    let crashes = directory.quarantine.isolated_crashes(request);
+    let needs_spare = crashes >= MIN_SUSPICIOUS_CRASHES;
+    is_retry_due(now, request, directory)
+        && (!needs_spare || has_spare_engine(now, service, directory))
 }
 
 /// Whether enough time has passed since an engine last crashed while running a request.
 pub(super) fn is_retry_due(now: Time, request: Fingerprint, directory: &EngineDirectory) -> bool {
-    let delay = retry_delay(directory.quarantine.verdict(request));
-    time_since_crash(now, request, directory).is_none_or(|time| time >= delay)
+    let since_crash = time_since_crash(now, request, directory);
+    since_crash.is_none_or(|time| time >= retry_delay(request, directory))
 }
 
 /// Time since the last crash that counts against a request; `None` if none does.
@@ -76,11 +84,14 @@
     Some(now.since(last_crash))
 }
 
-/// Minimum time from a crash to the next run of a request with this verdict.
-fn retry_delay(verdict: Verdict) -> Duration {
-    let Verdict::Convicted { crashes } = verdict else {
+/// Minimum time from a crash to the next run of a request. Crashes at about whose time other
+/// engines crashed too do not increase it.
+fn retry_delay(request: Fingerprint, directory: &EngineDirectory) -> Duration {
+    let quarantine = &directory.quarantine;
+    if !matches!(quarantine.verdict(request), Verdict::Convicted { .. }) {
         return Duration(0);
-    };
+    }
+    let crashes = quarantine.isolated_crashes(request);
     let doublings = crashes.saturating_sub(MIN_CONVICTING_CRASHES).min(8);
     Duration(INITIAL_RETRY_DELAY.0 << doublings).min(MAX_RETRY_DELAY)
 }
--- a/crates/jobs/tests/suspects/mod.rs
+++ b/crates/jobs/tests/suspects/mod.rs
@@ -95,6 +95,29 @@
     assert!(!started(&harness).contains(&CRASHING_ITEM.to_string()));
 }
 
+/// Guards against steps that are late because all their items are delayed after a burst of
+/// crashes, which no item caused.
+#[test]
+fn items_run_again_soon_after_many_engines_crashed_at_once() {
+    let mut harness = Harness::new(vec![engine("a", 5), engine("b", 5)]);
+    let items = ["one", "two", "three"];
+    for number in 0..6 {
+        harness.wait(300);
+        for item in items {
+            let crashed = Instance(format!("gone-{item}-{number}"));
+            let scope = RetryScope::LeaderOnly;
+            let quarantine = &mut harness.directory.quarantine;
+            quarantine.record_interrupted_run(harness.now, &crashed, fingerprint(item), scope);
+            quarantine.record_engine_crash(harness.now, &crashed, None);
+        }
+    }
+    harness.submit_bodies("j", &items);
+    harness.wait(200);
+    assert!(harness.started.is_empty());
+    harness.wait(100);
+    assert_eq!(started(&harness), ["one", "three", "two"]);
+}
+
 /// A run under way shows whether the item crashes engines, which cancelling it would not.
 #[test]
 fn run_of_a_convicted_item_continues_and_clears_it() {
--- a/crates/quarantine/src/ledger.rs
+++ b/crates/quarantine/src/ledger.rs
@@ -1,7 +1,7 @@
 //! Record of which engines crashed while running which requests, and the verdicts on requests.
 
 use peatgrade_types::{hash_pair, Duration, Time};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use crate::fingerprint::Fingerprint;
 
@@ -14,6 +14,11 @@
 /// Crashes that make a request suspected: it runs on one engine at a time, and not on the last
 /// available engine of a service.
 const CRASHES_TO_SUSPECT: usize = 2;
+/// Engines that crash within this time of each other probably do so for a common cause, such as
+/// the loss of a machine. It covers the time to detect a crash.
+const COINCIDENCE: Duration = Duration::from_millis(1_000);
+/// Maximum number of engine crashes that are kept to detect coincidences.
+const MAX_ENGINE_CRASHES: usize = 256;
 /// Time after the last crash or completion for which a record is kept. Expiry allows a request
 /// to run again in case the fault in the engines has been fixed.
 pub const RECORD_TTL: Duration = Duration::from_secs(15 * 60);
@@ -80,9 +85,44 @@
 #[derive(Clone, Debug, Default)]
 pub struct CrashLedger {
     records: BTreeMap<Fingerprint, Record>,
+    /// Times of the latest crashes, whatever the engines were running, by the hash of the
+    /// engine's incarnation.
+    engine_crashes: VecDeque<(Time, u64)>,
 }
 
 impl CrashLedger {
+    /// Records that an engine crashed, whatever it was running.
+    pub fn record_engine_crash(&mut self, at: Time, engine: u64) {
+        let is_known = self
+            .engine_crashes
+            .iter()
+            .any(|(_, known)| *known == engine);
+        if is_known {
+            return;
+        }
+        if self.engine_crashes.len() >= MAX_ENGINE_CRASHES {
+            self.engine_crashes.pop_front();
+        }
+        self.engine_crashes.push_back((at, engine));
+    }
+
+    /// Number of crashes during a request at about whose time no engine crashed that was not
+    /// running the request. The others probably have another cause.
+    pub fn isolated_crashes(&self, request: Fingerprint) -> usize {
+        let Some(record) = self.records.get(&request) else {
+            return 0;
+        };
+        let is_coincident = |at: &Time| {
+            let mut others = self.engine_crashes.iter();
+            others.any(|(other_at, engine)| {
+                let apart = at.since(*other_at).max(other_at.since(*at));
+                apart <= COINCIDENCE && !record.crashes.contains_key(engine)
+            })
+        };
+        let crashes = record.crashes.values();
+        crashes.filter(|at| !is_coincident(at)).count()
+    }
+
     /// Records that an engine crashed while running a request, and returns whether that is new.
     pub fn record_crash(
         &mut self,
@@ -94,6 +134,7 @@
         if !self.records.contains_key(&request) {
             self.evict_if_full();
         }
+        self.record_engine_crash(at, engine);
         let record = self.records.entry(request).or_default();
         let is_cleared = record.completed.is_some_and(|completed| at <= completed);
         let is_known = record.crashes.contains_key(&engine);
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -100,6 +100,8 @@
         engine: &Instance,
         started: Option<StartedAt>,
     ) {
+        let incarnation = incarnation_hash(engine, started);
+        self.ledger.record_engine_crash(now, incarnation);
         for InterruptedRun {
             request,
             retry_scope,
@@ -108,7 +110,6 @@
             if self.completed.is_recent(now, request) {
                 continue;
             }
-            let incarnation = incarnation_hash(engine, started);
             if !self
                 .ledger
                 .record_crash(now, request, incarnation, retry_scope)
@@ -117,8 +118,9 @@
             }
             self.changed = true;
             log::info!(
-                "belief=engine-crashed engine={engine} fingerprint={request} crashes={} verdict={:?}",
+                "belief=engine-crashed engine={engine} fingerprint={request} crashes={} isolated={} verdict={:?}",
                 self.ledger.crash_count(request),
+                self.ledger.isolated_crashes(request),
                 self.ledger.verdict(request)
             );
         }
@@ -139,6 +141,11 @@
         self.ledger.crash_count(request)
     }
 
+    /// Number of crashes during a request at about whose time no other engine crashed.
+    pub fn isolated_crashes(&self, request: Fingerprint) -> usize {
+        self.ledger.isolated_crashes(request)
+    }
+
     /// When an engine last crashed while running a request, unless a completed run cleared it.
     pub fn last_crash(&self, request: Fingerprint) -> Option<Time> {
         self.ledger.last_crash(request)
--- a/crates/quarantine/tests/ledger.rs
+++ b/crates/quarantine/tests/ledger.rs
@@ -139,3 +139,43 @@
     ledger.record_crash(seconds(2), CRASHING, 2, RetryScope::LeaderOnly);
     assert_ne!(ledger.digest(), 0);
 }
+
+/// Engines that crash at the same time for another reason are no evidence against a request.
+#[test]
+fn crashes_beside_those_of_other_engines_are_not_isolated() {
+    let mut ledger = ledger(&crashes_of_single_request(4));
+    assert_eq!(ledger.isolated_crashes(CRASHING), 4);
+    let after = |millis: u64| Time(seconds(3).0 + 1_000 * millis);
+    ledger.record_engine_crash(after(1_001), 90);
+    assert_eq!(ledger.isolated_crashes(CRASHING), 4, "too late");
+    ledger.record_engine_crash(after(900), 91);
+    assert_eq!(ledger.isolated_crashes(CRASHING), 3);
+    // The verdict is that on a caller's request, which the coincidence does not change.
+    assert_eq!(ledger.verdict(CRASHING), Verdict::Convicted { crashes: 4 });
+    ledger.record_completed_run(seconds(9), CRASHING);
+    assert_eq!(ledger.isolated_crashes(CRASHING), 0);
+}
+
+/// Requests that were running on the same engine explain each other by the verdict only.
+#[test]
+fn crashes_of_engines_that_ran_several_requests_are_isolated() {
+    let both: &[Fingerprint] = &[CRASHING, OTHER];
+    let ledger = ledger(&[(0, both), (1, both), (2, both)]);
+    assert_eq!(ledger.isolated_crashes(CRASHING), 3);
+    assert_eq!(ledger.isolated_crashes(OTHER), 3);
+}
+
+#[test]
+fn the_number_of_kept_engine_crashes_is_bounded() {
+    let mut ledger = ledger(&crashes_of_single_request(1));
+    ledger.record_engine_crash(seconds(0), 50);
+    assert_eq!(ledger.isolated_crashes(CRASHING), 0);
+    for engine in 1_000..1_300 {
+        ledger.record_engine_crash(seconds(60), engine);
+    }
+    assert_eq!(
+        ledger.isolated_crashes(CRASHING),
+        1,
+        "the oldest are dropped"
+    );
+}
