Placement: full engines do not displace free ones among the candidates

With the fastest 96 full, no engine counted as free and items waited although others were idle. The new test (200 engines, the faster 100 full) failed before ('no engine was chosen').

Engines that can accept an item now come first. An item that needs an exact version is a class of its own, so that its engines cannot be cut off either, and its text is begun again only if no engine of the service holds the version, rather than none of the candidates.

--- a/crates/jobs/src/dispatcher/queue.rs
+++ b/crates/jobs/src/dispatcher/queue.rs
@@ -15,6 +15,8 @@
     pub service: Rc<str>,
     pub model: Rc<str>,
     pub min_version: u64,
+    /// The only allowed version, if a single version must generate the whole text.
+    pub exact_version: Option<u64>,
 }
 
 #[derive(Clone, Debug)]
--- a/crates/jobs/src/dispatcher/queue_refresh.rs
+++ b/crates/jobs/src/dispatcher/queue_refresh.rs
@@ -54,7 +54,12 @@
         let item = self.items.get(&key)?;
         let route = batch_route(item, configuration)?;
         let service = target_service(route, &item.item().id)?;
-        let class = classes.index_of(service, &item.spec.model, item.spec.min_version);
+        let class = classes.index_of(ItemClass {
+            service: service.into(),
+            model: item.spec.model.as_str().into(),
+            min_version: item.spec.min_version,
+            exact_version: item.exact_version(),
+        });
         Some(QueuedItem { key, class })
     }
 
@@ -88,16 +93,10 @@
 impl ClassTable {
     /// Returns the index of a class, adding it if it is new. Searches linearly, because there
     /// are few classes.
-    fn index_of(&mut self, service: &str, model: &str, min_version: u64) -> usize {
-        let index = self.0.iter().position(|class| {
-            &*class.service == service && &*class.model == model && class.min_version == min_version
-        });
+    fn index_of(&mut self, class: ItemClass) -> usize {
+        let index = self.0.iter().position(|known| *known == class);
         index.unwrap_or_else(|| {
-            self.0.push(ItemClass {
-                service: service.into(),
-                model: model.into(),
-                min_version,
-            });
+            self.0.push(class);
             self.0.len() - 1
         })
     }
--- a/crates/jobs/src/dispatcher/starting.rs
+++ b/crates/jobs/src/dispatcher/starting.rs
@@ -11,7 +11,7 @@
 use super::suspects::may_start;
 use super::{DispatchAction, Dispatcher, RunId};
 use crate::item::{ItemKey, OpenItem, ITEM_HTTP_METHOD};
-use crate::placement::{ItemRequirements, SlowEngines};
+use crate::placement::{has_eligible_engine, ItemRequirements, SlowEngines};
 use crate::streams::Run;
 
 /// Time after submission during which half of an engine's slots are reserved for long items.
@@ -127,13 +127,24 @@
             service,
             model: &item.spec.model,
             min_version: item.spec.min_version,
-            exact_version: None,
+            exact_version: class.1.exact_version,
             cached_on: group_engines,
             avoid: None,
             moved_from: &[],
             expected: None,
         };
         let is_oversubscribed = capacity.is_oversubscribed;
+        let is_version_gone = item.exact_version().is_some_and(|version| {
+            let requirements = ItemRequirements {
+                exact_version: Some(version),
+                ..base_requirements
+            };
+            !has_eligible_engine(now, directory, &requirements)
+        });
+        if is_version_gone {
+            self.restart(key, "version-gone");
+            return StartOutcome::Waiting;
+        }
         let Some(candidates) = capacity.candidates(now, class, directory, &base_requirements)
         else {
             return StartOutcome::Waiting;
@@ -170,11 +181,7 @@
             .or_else(|| choose(&requirements, u32::MAX, SlowEngines::Allowed))
             .or_else(|| choose(&relaxed_requirements, limit, SlowEngines::Allowed));
         let Some(instance) = chosen else {
-            let is_version_gone = !candidates.has_eligible(directory, &relaxed_requirements);
             capacity.recheck(now, class, directory, &base_requirements);
-            if is_version_gone && relaxed_requirements.exact_version.is_some() {
-                self.restart(key, "version-gone");
-            }
             return StartOutcome::Waiting;
         };
         let has_prompt_cached = prompt_holders.contains(&instance);
@@ -253,6 +260,8 @@
             item.text.versions()
         );
         item.restart();
+        // Its class has changed.
+        self.queue.invalidate();
     }
 
     fn start(
--- a/crates/jobs/src/placement/mod.rs
+++ b/crates/jobs/src/placement/mod.rs
@@ -86,14 +86,13 @@
         paces: Option<ServicePaces>,
     ) -> Self {
         let median = paces.map(|paces| paces.median);
-        let mut eligible: Vec<&EngineState> = directory
-            .batch_engines(need.service, need.model)
-            .filter(|state| has_allowed_version(state, need) && !state.stats.is_backing_off(now))
-            .filter(|state| !state.is_absent(now))
-            .collect();
+        let mut eligible: Vec<&EngineState> = eligible_engines(now, directory, need).collect();
         if eligible.len() > MAX_CANDIDATES {
+            // An engine that cannot accept an item now must not displace one that can.
             let order = |a: &&EngineState, b: &&EngineState| {
-                cost(now, a, need, median).total_cmp(&cost(now, b, need, median))
+                let free = can_accept(now, b, need).cmp(&can_accept(now, a, need));
+                let cost = |state| cost(now, state, need, median);
+                free.then(cost(a).total_cmp(&cost(b)))
             };
             eligible.select_nth_unstable_by(MAX_CANDIDATES, order);
             eligible.truncate(MAX_CANDIDATES);
@@ -182,12 +181,6 @@
         self.engines.len()
     }
 
-    /// Whether any candidate, full or not, has allowed weights.
-    pub fn has_eligible(&self, directory: &EngineDirectory, need: &ItemRequirements<'_>) -> bool {
-        let mut states = self.engines.iter().filter_map(|name| directory.get(name));
-        states.any(|state| !state.record.draining && has_allowed_version(state, need))
-    }
-
     /// Whether any candidate can accept an item now.
     pub fn has_capacity(
         &self,
@@ -200,6 +193,27 @@
     }
 }
 
+/// Engines with allowed weights, full or not, that are not avoided.
+fn eligible_engines<'a>(
+    now: Time,
+    directory: &'a EngineDirectory,
+    need: &'a ItemRequirements<'a>,
+) -> impl Iterator<Item = &'a EngineState> {
+    directory
+        .batch_engines(need.service, need.model)
+        .filter(move |state| has_allowed_version(state, need) && !state.stats.is_backing_off(now))
+        .filter(move |state| !state.is_absent(now))
+}
+
+/// Whether any engine, full or not, has allowed weights and is not avoided.
+pub fn has_eligible_engine(
+    now: Time,
+    directory: &EngineDirectory,
+    need: &ItemRequirements<'_>,
+) -> bool {
+    eligible_engines(now, directory, need).next().is_some()
+}
+
 /// Estimated pace of an engine; the median if none is known.
 pub fn estimated_pace(now: Time, state: &EngineState, median: Option<f64>) -> Pace {
     let median_pace = median.unwrap_or(DEFAULT_PACE_US);
--- a/crates/jobs/tests/queue/mod.rs
+++ b/crates/jobs/tests/queue/mod.rs
@@ -160,3 +160,23 @@
         "last item of the small tenant started after {last_small} ms"
     );
 }
+
+/// Guards against items that wait although engines are free, because the engines that are
+/// considered are the fastest ones and all of their slots are occupied.
+#[test]
+fn an_item_starts_on_a_slow_engine_while_the_fastest_hundred_are_full() {
+    let engines = (0..200).map(|number| engine(&format!("e-{number:03}"), 5));
+    let mut harness = Harness::new(engines.collect());
+    for number in 0..200 {
+        let name = format!("e-{number:03}");
+        harness.set_pace(&name, if number < 100 { 20 } else { 30 });
+        if number < 100 {
+            harness.set_running(&name, 4);
+        }
+    }
+    harness.submit("j", 5, &["i"]);
+    harness.wait(2_000);
+    let started = &harness.started;
+    assert!(!started.is_empty(), "no engine was chosen");
+    assert!(started[0].engine.as_str() >= "e-100");
+}
