Runtime: responses without end are cut off and do not occupy the event loop

An engine may send bytes without end in a head or a body.

Reading a body yields to other tasks after 16 parts.

--- a/crates/forward/src/responses.rs
+++ b/crates/forward/src/responses.rs
@@ -33,7 +33,7 @@
         }
         match part {
             ResponsePart::Head(head) => self.on_head(now, id, head, directory, actions),
-            ResponsePart::Data(data) => self.on_data(id, &data, actions),
+            ResponsePart::Data(data) => self.on_data(now, id, &data, directory, actions),
             ResponsePart::End => self.on_end(now, id, directory, actions),
             ResponsePart::Failed(failure) => {
                 self.on_attempt_failed(now, id, &failure, directory, actions);
@@ -114,7 +114,14 @@
         }
     }
 
-    fn on_data(&mut self, id: HttpId, data: &Bytes, actions: &mut Vec<ForwardAction>) {
+    fn on_data(
+        &mut self,
+        now: Time,
+        id: HttpId,
+        data: &Bytes,
+        directory: &mut EngineDirectory,
+        actions: &mut Vec<ForwardAction>,
+    ) {
         let Some(attempt) = self.attempts.get_mut(&id) else {
             return;
         };
@@ -128,6 +135,15 @@
                     let part = ResponsePart::Data(events);
                     actions.push(ForwardAction::Respond { call, part });
                 }
+                if stream.is_event_too_long() {
+                    let failure = HttpFailure {
+                        peer: attempt.instance.to_string(),
+                        step: HttpStep::Body,
+                        reason: "event is longer than 1 MiB".into(),
+                    };
+                    actions.push(ForwardAction::CancelHttp(id));
+                    self.on_attempt_failed(now, id, &failure, directory, actions);
+                }
             }
         }
     }
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -5,6 +5,9 @@
 
 use bytes::{Bytes, BytesMut};
 
+/// Limit of an event. A faulty engine may send bytes without end that form no event.
+const MAX_EVENT_BYTES: usize = 1024 * 1024;
+
 /// State of a relayed event stream.
 #[derive(Debug, Default)]
 pub(crate) struct StreamRelay {
@@ -26,6 +29,11 @@
         Some(complete)
     }
 
+    /// Whether the incomplete event is longer than events may be.
+    pub fn is_event_too_long(&self) -> bool {
+        self.partial_event.len() > MAX_EVENT_BYTES
+    }
+
     /// Whether an incomplete event is buffered.
     pub fn has_partial_event(&self) -> bool {
         !self.partial_event.is_empty()
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -263,11 +263,8 @@
                     request,
                     timeout,
                 } => {
-                    let options = SendOptions {
-                        read_timeout: Duration::from_micros(timeout.0),
-                        new_connection: false,
-                        batch_reads: false,
-                    };
+                    let read_timeout = Duration::from_micros(timeout.0);
+                    let options = SendOptions::with_read_timeout(read_timeout);
                     let cancel = self.client.send(id, &address, request, options);
                     self.requests.insert(id, cancel);
                 }
--- a/crates/runtime/src/event_loop.rs
+++ b/crates/runtime/src/event_loop.rs
@@ -2,6 +2,7 @@
 
 use peatgrade_types::Time;
 use std::future::Future;
+use std::task::Poll;
 use std::time::{SystemTime, UNIX_EPOCH};
 
 /// Runs a future to completion on a new epoll event loop on this thread.
@@ -12,6 +13,19 @@
     Ok(runtime.block_on(future))
 }
 
+/// Lets the other tasks of this thread run before the caller continues.
+pub(crate) async fn yield_now() {
+    let mut has_yielded = false;
+    std::future::poll_fn(|context| {
+        if std::mem::replace(&mut has_yielded, true) {
+            return Poll::Ready(());
+        }
+        context.waker().wake_by_ref();
+        Poll::Pending
+    })
+    .await;
+}
+
 /// Microseconds since the Unix epoch.
 pub fn now() -> Time {
     let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
--- a/crates/runtime/src/http_client.rs
+++ b/crates/runtime/src/http_client.rs
@@ -15,6 +15,7 @@
 use std::time::Duration;
 
 use crate::boot_clock::BootInstant;
+use crate::event_loop::yield_now;
 use crate::request_writer::serialize_request;
 use crate::response_reader::{BodyPart, ResponseReader};
 
@@ -25,6 +26,12 @@
 /// Idle connections are dropped this long before the server's `Keep-Alive` timeout, to
 /// avoid sending on a connection that the server is closing.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
+/// Default limit of a response body. Far above what engines send, and low enough for several
+/// such bodies to fit in the memory of a process.
+pub const DEFAULT_MAX_BODY_BYTES: u64 = 8 * 1024 * 1024;
+/// Parts of a body that are read before other tasks get a turn. A server that sends faster than
+/// the body is read would keep this thread busy otherwise.
+const PARTS_PER_TURN: u32 = 16;
 /// Header of requests that must not be sent over a pooled connection, which the server may
 /// be closing.
 const NON_REPEATABLE: &str = "x-non-repeatable";
@@ -94,6 +101,8 @@
     pub new_connection: bool,
     /// Pauses between reads of the body, see [`HttpClient::set_read_interval`].
     pub batch_reads: bool,
+    /// The response fails once its body is larger. A faulty server may send bytes without end.
+    pub max_body_bytes: u64,
 }
 
 impl SendOptions {
@@ -103,6 +112,7 @@
             read_timeout,
             new_connection: false,
             batch_reads: false,
+            max_body_bytes: DEFAULT_MAX_BODY_BYTES,
         }
     }
 
@@ -348,13 +358,28 @@
         };
         let idle_timeout = idle_timeout(head.header("keep-alive"));
         emit(ResponsePart::Head(head));
+        let mut body_bytes = 0;
+        let mut parts_in_turn = 0;
         loop {
             match monoio::time::timeout(read_timeout, connection.reader.next_body_part()).await {
                 Err(_) => return Err(self.failure(HttpStep::Body, TIMEOUT)),
                 Ok(Err(error)) => return Err(self.failure(HttpStep::Body, error)),
-                Ok(Ok(BodyPart::Data(data))) => emit(ResponsePart::Data(data)),
+                Ok(Ok(BodyPart::Data(data))) => {
+                    body_bytes += data.len() as u64;
+                    if body_bytes > self.options.max_body_bytes {
+                        let limit = self.options.max_body_bytes;
+                        let reason = format!("response body is larger than {limit} bytes");
+                        return Err(self.failure(HttpStep::Body, reason));
+                    }
+                    emit(ResponsePart::Data(data));
+                }
                 Ok(Ok(BodyPart::End)) => break,
             }
+            parts_in_turn += 1;
+            if parts_in_turn >= PARTS_PER_TURN {
+                parts_in_turn = 0;
+                yield_now().await;
+            }
             if self.options.batch_reads && !connection.reader.has_bytes() {
                 let interval = self.read_interval.get();
                 if !interval.is_zero() {
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -34,7 +34,7 @@
 
 pub use boot_clock::{suspended_time, BootInstant};
 pub use event_loop::{block_on, now, open_io_uring_instances};
-pub use http_client::{ConnectedRequest, HttpClient, SendOptions};
+pub use http_client::{ConnectedRequest, HttpClient, SendOptions, DEFAULT_MAX_BODY_BYTES};
 pub use http_server::{serve, serve_with_control, Incoming};
 pub use link_socket::{Delivery, LinkSocket};
 pub use memory_budget::{BudgetStats, MemoryBudget};
--- a/crates/runtime/src/response_reader.rs
+++ b/crates/runtime/src/response_reader.rs
@@ -12,6 +12,8 @@
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 const READ_BYTES: usize = 8 * 1024;
 const MAX_CHUNK_LINE: usize = 256;
+/// Limit of all trailer lines of a response together.
+const MAX_TRAILER_BYTES: usize = 16 * 1024;
 
 /// How a body is delimited.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -36,6 +38,8 @@
     buffer: BytesMut,
     read_buffer: Option<Vec<u8>>,
     framing: Framing,
+    /// Bytes of trailers received with the current response.
+    trailer_bytes: usize,
     /// The connection may carry another request.
     reusable: bool,
 }
@@ -53,6 +57,7 @@
             buffer: BytesMut::new(),
             read_buffer: None,
             framing: Framing::Length(0),
+            trailer_bytes: 0,
             reusable: true,
         }
     }
@@ -86,9 +91,15 @@
 
     /// Reads a response head, skipping interim (1xx) responses.
     pub async fn read_head(&mut self, bodyless: bool) -> std::io::Result<ResponseHead> {
+        let mut skipped = 0;
+        self.trailer_bytes = 0;
         loop {
             if let Some((head, length, minor)) = parse_head(&self.buffer)? {
                 self.buffer.advance(length);
+                skipped += length;
+                if head.status / 100 == 1 && skipped > MAX_HEAD_BYTES {
+                    return Err(invalid("interim responses are larger than 64 KiB"));
+                }
                 if head.status / 100 == 1 {
                     continue;
                 }
@@ -177,6 +188,10 @@
                     let Some(line) = self.line()? else {
                         return Ok(None);
                     };
+                    self.trailer_bytes += line.len() + 1;
+                    if self.trailer_bytes > MAX_TRAILER_BYTES {
+                        return Err(invalid("trailers are larger than 16 KiB"));
+                    }
                     if line.is_empty() {
                         self.framing = Framing::Length(0);
                         return Ok(Some(BodyPart::End));
--- a/crates/server/src/gateway_process/actions.rs
+++ b/crates/server/src/gateway_process/actions.rs
@@ -71,9 +71,8 @@
             } => {
                 self.metrics.count("engine_attempt");
                 let options = SendOptions {
-                    read_timeout: ENGINE_IDLE_TIMEOUT,
                     new_connection,
-                    batch_reads: false,
+                    ..SendOptions::with_read_timeout(ENGINE_IDLE_TIMEOUT)
                 };
                 let cancel = self.client.send(id, &address, request, options);
                 self.requests.insert(id, cancel);
--- a/crates/server/src/storage/engine_exchanges.rs
+++ b/crates/server/src/storage/engine_exchanges.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 
 use crate::clock::steady_now;
-use crate::engine_probe::probe_options;
+use crate::engine_probe::{control_options, probe_options};
 
 use super::process::StorageProcess;
 use super::traffic::{self, ZoneScope};
@@ -24,8 +24,6 @@
 const RUN_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 /// Idle timeout of a reward call, whose own deadline is shorter.
 const SCORE_IDLE_TIMEOUT: Duration = Duration::from_secs(5);
-/// Timeout of orders and reports.
-const CONTROL_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Up to this many streams, events are read without batching.
 const UNBATCHED_STREAMS: usize = 48;
@@ -73,7 +71,7 @@
         let options = match exchange {
             EngineExchange::Run(..) => SendOptions::batching_reads(RUN_IDLE_TIMEOUT),
             EngineExchange::Check(_) => probe_options(),
-            _ => SendOptions::with_read_timeout(CONTROL_TIMEOUT),
+            _ => control_options(),
         };
         self.send_with_options(options, exchange, address, request);
     }
--- a/crates/server/src/store_client.rs
+++ b/crates/server/src/store_client.rs
@@ -8,6 +8,9 @@
 
 use crate::metrics::Metrics;
 
+/// Limit of a response. A watch may return many objects after an outage.
+const MAX_RESPONSE_BYTES: u64 = 64 * 1024 * 1024;
+
 /// A call that received no response. The store may still execute it.
 #[derive(Debug, thiserror::Error)]
 #[error("object store: {0}")]
@@ -59,7 +62,10 @@
     ) -> Result<StoreResponse, StoreCallError> {
         let request = self.codec.store_request(call);
         let address = self.address.borrow().clone();
-        let options = SendOptions::with_read_timeout(timeout);
+        let options = SendOptions {
+            max_body_bytes: MAX_RESPONSE_BYTES,
+            ..SendOptions::with_read_timeout(timeout)
+        };
         let fetch = self.http.fetch(&address, request, options);
         let response = monoio::time::timeout(timeout, fetch).await;
         let (status, body) = response
