--- a/scripts/planted-breaks.sh
+++ b/scripts/planted-breaks.sh
@@ -253,9 +253,31 @@
 plant "quarantine: a long run is suspected of a crash" $Q/evidence.rs \
     "now.since(at) <= MAX_SUSPECT_RUN_AGE" "now.since(at) >= Duration(0)" \
     peatgrade-jobs not_the_cause
-plant "quarantine: dispatch ignores convictions" $J/dispatcher/suspects.rs \
-    "Verdict::Convicted { .. } => false," "Verdict::Convicted { .. } => true," \
-    peatgrade-jobs convicted_item_does
+plant "quarantine: a convicted item is held" $J/dispatcher/suspects.rs \
+    "if since_crash >= MAX_RETRY_DELAY {" "if false {" \
+    peatgrade-jobs wait_for_a_second_engine_that_never
+plant "quarantine: the delay of an item never ends" $J/dispatcher/suspects.rs \
+    ".min(MAX_RETRY_DELAY)" ".max(Duration(u64::MAX / 2))" \
+    peatgrade-jobs runs_again_after_engines_crashed
+plant "quarantine: a convicted item is not delayed" $J/dispatcher/suspects.rs \
+    "time >= retry_delay(request, directory)" "time >= Duration(0)" \
+    peatgrade-jobs crashes_every_engine
+plant "quarantine: every crash lengthens the delay" crates/quarantine/src/ledger.rs \
+    "apart <= COINCIDENCE &&" "false &&" \
+    peatgrade-jobs many_engines_crashed_at_once
+plant "quarantine: a convicted reward call is refused" crates/forward/src/quarantine.rs \
+    "forward.quarantine_policy == QuarantinePolicy::Refuse
+        && matches" "matches" \
+    peatgrade-platform reward_call_is_made_again
+plant "placement: full engines displace free ones" crates/jobs/src/placement/mod.rs \
+    "free.then(cost(a)" "std::cmp::Ordering::Equal.then(cost(a)" \
+    peatgrade-jobs fastest_hundred
+plant "client: bodies without end are read" crates/runtime/src/http_client.rs \
+    "if body_bytes > self.options.max_body_bytes {" "if false {" \
+    peatgrade-platform without_end
+plant "client: interim responses without end are read" crates/runtime/src/response_reader.rs \
+    "&& skipped > MAX_HEAD_BYTES" "&& skipped > usize::MAX - 1" \
+    peatgrade-platform without_end
 plant "suspend: the clock stops while the machine is suspended" crates/runtime/src/boot_clock.rs \
     "Self(read_clock(libc::CLOCK_BOOTTIME))" "Self(read_clock(libc::CLOCK_MONOTONIC))" \
     peatgrade-platform was_suspended
