Coordinator: items that wait beside idle engines raise the number of engines that load

Log of the leader: belief=item-waiting listed=6 allowed=2, then reason=busy. Versions had been published during a burst; the leader counted the items of the job that was opened last (20) and gave the newest version to two engines, while 318 items of 44 jobs waited for it.

Items that have waited for a second for a slot of an engine with an allowed version, while engines with older versions are less than half full, now count as further items of the step. Where no engine is idle nothing changes.

--- a/crates/fleet/src/coordinator/candidates.rs
+++ b/crates/fleet/src/coordinator/candidates.rs
@@ -16,12 +16,13 @@
     /// step waits for engines of the previous one.
     fn engines_needed(&self, model: &str, engines: &[&EngineState], is_abundant: bool) -> usize {
         let half = (engines.len() / 2).max(1);
-        let Some(items) = self.demand.get(model) else {
+        let Some(items) = self.demand.get(model).copied() else {
             return half;
         };
         let slots = engines.iter().map(|state| state.record.slots).max();
         let slots = slots.unwrap_or(1).max(1) as usize;
         let divisor = if is_abundant { 1 } else { 2 };
+        let items = items + self.backlog.get(model).copied().unwrap_or(0);
         half.min(items.div_ceil(divisor * slots).max(1))
     }
 
--- a/crates/fleet/src/coordinator/mod.rs
+++ b/crates/fleet/src/coordinator/mod.rs
@@ -5,7 +5,8 @@
 //! those with the oldest version first. In a small fleet, each engine loads every second
 //! version, so that one half serves while the other loads. Since concurrent loads are limited,
 //! the model that lacks the largest share of its engines goes first. If capacity remains, as
-//! many engines again whose version is too old take the newest one.
+//! many engines again whose version is too old take the newest one. Items that wait while engines
+//! with older versions are idle count as further items of the step.
 //!
 //! Orders carry a fencing token and the expected number of orders that the engine has accepted
 //! before, so that a delayed order has no effect. If the answer to an order is lost, the
@@ -76,6 +77,8 @@
     engines: BTreeMap<Instance, EngineProgress>,
     /// Items of the largest open batch job of each model.
     demand: BTreeMap<String, usize>,
+    /// Items of each model that wait although engines with older versions are idle.
+    backlog: BTreeMap<String, usize>,
     last_poll: Time,
     /// Whether anything has changed since the last poll.
     has_changes: bool,
@@ -119,6 +122,7 @@
             newest_versions: BTreeMap::new(),
             engines: BTreeMap::new(),
             demand: BTreeMap::new(),
+            backlog: BTreeMap::new(),
             last_poll: Time(0),
             has_changes: true,
             next_poll: Time(0),
@@ -160,6 +164,15 @@
         self.working_sets_outdated |= before != Some(items);
     }
 
+    /// Sets the number of items of each model that wait for an engine with a version that their
+    /// jobs allow, while engines with older versions are idle.
+    pub fn set_backlog(&mut self, backlog: &BTreeMap<String, usize>) {
+        if self.backlog != *backlog {
+            self.backlog.clone_from(backlog);
+            self.has_changes = true;
+        }
+    }
+
     pub fn newest_versions(&self) -> &BTreeMap<String, u64> {
         &self.newest_versions
     }
--- a/crates/fleet/tests/coordinator.rs
+++ b/crates/fleet/tests/coordinator.rs
@@ -172,6 +172,23 @@
     assert_eq!(harness.engines_at(3), 8 - 4 + 4);
 }
 
+/// Guards against items that wait although engines are idle: those hold older versions, and the
+/// newest job alone needs no more engines.
+#[test]
+fn items_that_wait_beside_idle_engines_raise_the_number_of_loads() {
+    let mut harness = Harness::new(12, 0);
+    harness.coordinator.set_demand("m", 16);
+    harness.coordinator.set_newest_version("m", 2);
+    harness.coordinator.set_newest_version("m", 3);
+    harness.run(20_000);
+    // Half of 16 items on engines with 4 slots, and as many outdated ones again.
+    assert_eq!(harness.engines_at(3), 4);
+    let backlog = BTreeMap::from([("m".to_string(), 100)]);
+    harness.coordinator.set_backlog(&backlog);
+    harness.run(20_000);
+    assert_eq!(harness.engines_at(3), 12);
+}
+
 #[test]
 fn new_holder_waits_for_lease_of_previous_orders() {
     let mut harness = Harness::new(4, 3_000);
--- a/crates/jobs/src/dispatcher/wait_reasons.rs
+++ b/crates/jobs/src/dispatcher/wait_reasons.rs
@@ -3,7 +3,7 @@
 use peatgrade_fleet::{EngineDirectory, EngineState};
 use peatgrade_ports::Configuration;
 use peatgrade_types::{Duration, Time};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
 use super::eligibility::{batch_route, target_service};
 use super::suspects::may_start;
@@ -127,6 +127,7 @@
 pub(super) struct WaitReport {
     next_at: Time,
     waiting: WaitingItems,
+    backlog: BTreeMap<String, usize>,
 }
 
 /// Requirements that determine which engines may run an item.
@@ -142,6 +143,8 @@
     absent: usize,
     full: usize,
     free: usize,
+    /// Engines without an allowed version, less than half full.
+    outdated_idle: usize,
 }
 
 impl ClassEngines {
@@ -156,6 +159,9 @@
             if is_allowed {
                 engines.allowed += 1;
                 engines.add_allowed(now, state, model);
+            } else {
+                let is_idle = state.stats.in_flight * 2 < state.record.slots.max(1);
+                engines.outdated_idle += usize::from(is_idle);
             }
         }
         engines
@@ -205,6 +211,12 @@
         &self.wait_report.waiting
     }
 
+    /// By model, the items that wait for a slot of an engine with an allowed version while
+    /// engines with older versions are idle, as of the last report.
+    pub fn version_backlog(&self) -> &BTreeMap<String, usize> {
+        &self.wait_report.backlog
+    }
+
     /// Counts the items that wait for an engine by reason, and logs those that wait long for
     /// anything but a free slot.
     pub(super) fn report_waiting_items(
@@ -219,6 +231,7 @@
         self.wait_report.next_at = now + REPORT_INTERVAL;
         self.count_visits(self.items.len());
         let mut waiting = WaitingItems::default();
+        let mut backlog: BTreeMap<String, usize> = BTreeMap::new();
         let mut engines: HashMap<EngineClass<'_>, ClassEngines> = HashMap::new();
         let mut logged: Vec<ItemKey> = Vec::new();
         for (key, item) in &self.items {
@@ -229,6 +242,10 @@
             let (reason, available) =
                 wait_reason(now, item, configuration, directory, &mut engines);
             waiting.record(reason, waited);
+            let lacks_slot = matches!(reason, WaitReason::Busy | WaitReason::NoVersion);
+            if lacks_slot && available.outdated_idle > 0 {
+                *backlog.entry(item.spec.model.clone()).or_insert(0) += 1;
+            }
             let was_logged = item
                 .wait_logged_at
                 .is_some_and(|at| now.since(at) < LOG_INTERVAL);
@@ -245,6 +262,7 @@
             }
         }
         self.wait_report.waiting = waiting;
+        self.wait_report.backlog = backlog;
     }
 }
 
--- a/crates/jobs/tests/waiting/mod.rs
+++ b/crates/jobs/tests/waiting/mod.rs
@@ -83,3 +83,21 @@
     let results = harness.results("j");
     assert!(results.iter().all(|(_, completed, ..)| !completed));
 }
+
+/// Items that wait for an engine with an allowed version, as the coordinator sees them.
+#[test]
+fn backlog_counts_items_that_wait_beside_idle_outdated_engines() {
+    let mut harness = Harness::new(vec![engine("a", 5), engine("old", 3)]);
+    state(&mut harness).stats.in_flight = 4;
+    harness.submit("j", 5, &["one", "two"]);
+    harness.wait(900);
+    assert!(harness.dispatcher.version_backlog().is_empty());
+    harness.wait(700);
+    assert_eq!(harness.dispatcher.version_backlog()["m"], 2);
+    harness.set_running("old", 4);
+    harness.wait(700);
+    assert!(
+        harness.dispatcher.version_backlog().is_empty(),
+        "no engine is idle"
+    );
+}
--- a/crates/server/src/storage/leadership.rs
+++ b/crates/server/src/storage/leadership.rs
@@ -213,6 +213,7 @@
         let Some(coordinator) = &mut self.coordinator else {
             return;
         };
+        coordinator.set_backlog(self.dispatcher.version_backlog());
         let actions = coordinator.poll(now, &mut self.directory);
         for action in actions {
             self.execute_coordination(action);
