--- a/crates/jobs/src/dispatcher/wait_reasons.rs
+++ b/crates/jobs/src/dispatcher/wait_reasons.rs
@@ -233,7 +233,7 @@
         let mut waiting = WaitingItems::default();
         let mut backlog: BTreeMap<String, usize> = BTreeMap::new();
         let mut engines: HashMap<EngineClass<'_>, ClassEngines> = HashMap::new();
-        let mut logged: Vec<ItemKey> = Vec::new();
+        let mut due: Vec<(Option<Time>, ItemKey, WaitReason, ClassEngines)> = Vec::new();
         for (key, item) in &self.items {
             let waited = now.since(item.waiting_since);
             if !item.waits_for_engine() || waited < MIN_REPORTED_WAIT {
@@ -246,18 +246,19 @@
             if lacks_slot && available.outdated_idle > 0 {
                 *backlog.entry(item.spec.model.clone()).or_insert(0) += 1;
             }
-            let was_logged = item
-                .wait_logged_at
-                .is_some_and(|at| now.since(at) < LOG_INTERVAL);
-            let is_logged =
-                reason != WaitReason::Busy && !was_logged && logged.len() < MAX_LOGGED_ITEMS;
-            if is_logged {
-                log_wait(now, key, item, reason, &available, directory);
-                logged.push(key.clone());
+            let logged_at = item.wait_logged_at;
+            let is_due = logged_at.is_none_or(|at| now.since(at) >= LOG_INTERVAL);
+            if is_due && reason != WaitReason::Busy {
+                due.push((logged_at, key.clone(), reason, available));
             }
         }
-        for key in logged {
-            if let Some(item) = self.items.get_mut(&key) {
+        // Items that were not logged yet go first, or the same ones would be logged each time.
+        due.sort_by(|(at, key, ..), (other_at, other_key, ..)| {
+            (at, key).cmp(&(other_at, other_key))
+        });
+        for (_, key, reason, available) in due.iter().take(MAX_LOGGED_ITEMS) {
+            if let Some(item) = self.items.get_mut(key) {
+                log_wait(now, key, item, *reason, available, directory);
                 item.wait_logged_at = Some(now);
             }
         }
