--- a/crates/jobs/src/dispatcher/suspects.rs
+++ b/crates/jobs/src/dispatcher/suspects.rs
@@ -53,47 +53,55 @@
         return true;
     }
     let request = item.fingerprint();
-    let Some(since_crash) = time_since_crash(now, request, directory) else {
+    let Some(crashes) = RecentCrashes::of(now, request, directory) else {
         return true;
     };
-    if since_crash >= MAX_RETRY_DELAY {
-        return true;
-    }
-    let crashes = directory.quarantine.isolated_crashes(request);
-    let needs_spare = crashes >= MIN_SUSPICIOUS_CRASHES;
-    is_retry_due(now, request, directory)
-        && (!needs_spare || has_spare_engine(now, service, directory))
+    let needs_spare = crashes.isolated >= MIN_SUSPICIOUS_CRASHES;
+    crashes.age >= MAX_RETRY_DELAY
+        || crashes.is_retry_due() && (!needs_spare || has_spare_engine(now, service, directory))
 }
 
 /// Whether enough time has passed since an engine last crashed while running a request.
 pub(super) fn is_retry_due(now: Time, request: Fingerprint, directory: &EngineDirectory) -> bool {
-    let since_crash = time_since_crash(now, request, directory);
-    since_crash.is_none_or(|time| time >= retry_delay(request, directory))
+    let crashes = RecentCrashes::of(now, request, directory);
+    crashes.is_none_or(|crashes| crashes.is_retry_due())
 }
 
-/// Time since the last crash that counts against a request; `None` if none does.
-fn time_since_crash(
-    now: Time,
-    request: Fingerprint,
-    directory: &EngineDirectory,
-) -> Option<Duration> {
-    if directory.quarantine.verdict(request) == Verdict::Clear {
-        return None;
-    }
-    let last_crash = directory.quarantine.last_crash(request)?;
-    Some(now.since(last_crash))
+/// Crashes that count against a request.
+struct RecentCrashes {
+    /// Time since the last one.
+    age: Duration,
+    is_convicted: bool,
+    /// Number of those at about whose time no other engine crashed.
+    isolated: usize,
 }
 
-/// Minimum time from a crash to the next run of a request. Crashes at about whose time other
-/// engines crashed too do not increase it.
-fn retry_delay(request: Fingerprint, directory: &EngineDirectory) -> Duration {
-    let quarantine = &directory.quarantine;
-    if !matches!(quarantine.verdict(request), Verdict::Convicted { .. }) {
-        return Duration(0);
+impl RecentCrashes {
+    /// Returns `None` if no crash counts against the request.
+    fn of(now: Time, request: Fingerprint, directory: &EngineDirectory) -> Option<Self> {
+        let quarantine = &directory.quarantine;
+        let last_crash = quarantine.last_crash(request)?;
+        let verdict = quarantine.verdict(request);
+        (verdict != Verdict::Clear).then(|| Self {
+            age: now.since(last_crash),
+            is_convicted: matches!(verdict, Verdict::Convicted { .. }),
+            isolated: quarantine.isolated_crashes(request),
+        })
+    }
+
+    fn is_retry_due(&self) -> bool {
+        self.age >= self.retry_delay()
+    }
+
+    /// Minimum time from the last crash to the next run. Crashes at about whose time other
+    /// engines crashed too do not increase it.
+    fn retry_delay(&self) -> Duration {
+        if !self.is_convicted {
+            return Duration(0);
+        }
+        let doublings = self.isolated.saturating_sub(MIN_CONVICTING_CRASHES).min(8);
+        Duration(INITIAL_RETRY_DELAY.0 << doublings).min(MAX_RETRY_DELAY)
     }
-    let crashes = quarantine.isolated_crashes(request);
-    let doublings = crashes.saturating_sub(MIN_CONVICTING_CRASHES).min(8);
-    Duration(INITIAL_RETRY_DELAY.0 << doublings).min(MAX_RETRY_DELAY)
 }
 
 /// Whether other engines of a service can run requests if one crashes, or none could anyway.
--- a/scripts/planted-breaks.sh
+++ b/scripts/planted-breaks.sh
@@ -254,13 +254,13 @@
     "now.since(at) <= MAX_SUSPECT_RUN_AGE" "now.since(at) >= Duration(0)" \
     peatgrade-jobs not_the_cause
 plant "quarantine: a convicted item is held" $J/dispatcher/suspects.rs \
-    "if since_crash >= MAX_RETRY_DELAY {" "if false {" \
+    "crashes.age >= MAX_RETRY_DELAY" "false" \
     peatgrade-jobs wait_for_a_second_engine_that_never
 plant "quarantine: the delay of an item never ends" $J/dispatcher/suspects.rs \
     ".min(MAX_RETRY_DELAY)" ".max(Duration(u64::MAX / 2))" \
     peatgrade-jobs runs_again_after_engines_crashed
 plant "quarantine: a convicted item is not delayed" $J/dispatcher/suspects.rs \
-    "time >= retry_delay(request, directory)" "time >= Duration(0)" \
+    "self.age >= self.retry_delay()" "self.age >= Duration(0)" \
     peatgrade-jobs crashes_every_engine
 plant "quarantine: every crash lengthens the delay" crates/quarantine/src/ledger.rs \
     "apart <= COINCIDENCE &&" "false &&" \
