--- a/scripts/planted-breaks.sh
+++ b/scripts/planted-breaks.sh
@@ -256,9 +256,9 @@
 plant "quarantine: a convicted item is held" $J/dispatcher/suspects.rs \
     "crashes.age >= MAX_RETRY_DELAY" "false" \
     peatgrade-jobs wait_for_a_second_engine_that_never
-plant "quarantine: the delay of an item never ends" $J/dispatcher/suspects.rs \
+plant "quarantine: the delay of a reward call never ends" $J/dispatcher/suspects.rs \
     ".min(MAX_RETRY_DELAY)" ".max(Duration(u64::MAX / 2))" \
-    peatgrade-jobs runs_again_after_engines_crashed
+    peatgrade-jobs a_reward_call_under_which
 plant "quarantine: a convicted item is not delayed" $J/dispatcher/suspects.rs \
     "self.age >= self.retry_delay()" "self.age >= Duration(0)" \
     peatgrade-jobs crashes_every_engine
