--- a/crates/jobs/src/dispatcher/starting.rs
+++ b/crates/jobs/src/dispatcher/starting.rs
@@ -11,7 +11,7 @@
 use super::suspects::may_start;
 use super::{DispatchAction, Dispatcher, RunId};
 use crate::item::{ItemKey, OpenItem, ITEM_HTTP_METHOD};
-use crate::placement::{has_eligible_engine, ItemRequirements, SlowEngines};
+use crate::placement::{has_accepting_engine, has_eligible_engine, ItemRequirements, SlowEngines};
 use crate::streams::Run;
 
 /// Time after submission during which half of an engine's slots are reserved for long items.
@@ -135,14 +135,7 @@
             expected: None,
         };
         let is_oversubscribed = capacity.is_oversubscribed;
-        let is_version_gone = item.exact_version().is_some_and(|version| {
-            let requirements = ItemRequirements {
-                exact_version: Some(version),
-                ..base_requirements
-            };
-            !has_eligible_engine(now, directory, &requirements)
-        });
-        if is_version_gone {
+        if is_version_gone(now, item, &base_requirements, directory) {
             self.restart(key, "version-gone");
             return StartOutcome::Waiting;
         }
@@ -342,6 +335,25 @@
     }
 }
 
+/// Whether no engine can continue a text that a single version must generate, while another
+/// could begin it again.
+fn is_version_gone(
+    now: Time,
+    item: &OpenItem,
+    requirements: &ItemRequirements<'_>,
+    directory: &EngineDirectory,
+) -> bool {
+    let Some(version) = item.exact_version() else {
+        return false;
+    };
+    let with_version = |exact_version| ItemRequirements {
+        exact_version,
+        ..*requirements
+    };
+    !has_eligible_engine(now, directory, &with_version(Some(version)))
+        && has_accepting_engine(now, directory, &with_version(None))
+}
+
 /// The engine that failed an item last, unless it has restarted since.
 fn engine_to_avoid<'a>(item: &'a OpenItem, directory: &EngineDirectory) -> Option<&'a Instance> {
     let (engine, incarnation) = item.avoid.as_ref()?;
--- a/crates/jobs/src/placement/mod.rs
+++ b/crates/jobs/src/placement/mod.rs
@@ -214,6 +214,15 @@
     eligible_engines(now, directory, need).next().is_some()
 }
 
+/// Whether any engine can accept an item now.
+pub fn has_accepting_engine(
+    now: Time,
+    directory: &EngineDirectory,
+    need: &ItemRequirements<'_>,
+) -> bool {
+    eligible_engines(now, directory, need).any(|state| can_accept(now, state, need))
+}
+
 /// Estimated pace of an engine; the median if none is known.
 pub fn estimated_pace(now: Time, state: &EngineState, median: Option<f64>) -> Pace {
     let median_pace = median.unwrap_or(DEFAULT_PACE_US);
--- a/crates/jobs/tests/single_version/mod.rs
+++ b/crates/jobs/tests/single_version/mod.rs
@@ -94,6 +94,22 @@
     assert_eq!(harness.results("j"), vec![completed("i", text, &[6])]);
 }
 
+/// Guards against texts that are generated again because their engine failed once.
+#[test]
+fn text_is_kept_while_the_only_engine_is_avoided_after_a_failure() {
+    let mut harness = single_version_harness(&[("a", 5)]);
+    harness.submit("j", 5, &["i"]);
+    harness.poll();
+    let first = harness.last_started().run;
+    harness.head(first, 200, 5);
+    harness.data(first, "1|0|one\n2|0|two\n");
+    harness.part(first, RunPart::Failed("reset".into()));
+    harness.wait(600);
+    let again = harness.last_started();
+    assert_ne!(again.run, first);
+    assert_eq!(again.after, Some(2));
+}
+
 #[test]
 fn mixed_version_text_is_not_reused_for_a_single_version_route() {
     let mut harness = Harness::new(vec![engine("a", 5)]);
