Review case 1: a machine to be emptied that lost its disk stays out of the group

Cause: a retiring machine is no candidate for the group, even if no other is left, so two of three voters remain and the next lost disk stops the group. Script: broken with, held without the request to empty.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/../.." || exit 2
 program=review/stand_in/target/release/review-stand-in
 [ -x "$program" ] || { echo "run review/build.sh first"; exit 2; }
-timeout --kill-after=2 118 "$program" second-answer "review/2"
+timeout --kill-after=2 118 "$program" route-gone "review/2"
 code=$?
 [ "$code" -le 2 ] || exit 2
 exit "$code"
--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/../.." || exit 2
 program=review/stand_in/target/release/review-stand-in
 [ -x "$program" ] || { echo "run review/build.sh first"; exit 2; }
-timeout --kill-after=2 118 "$program" old-limit "review/5"
+timeout --kill-after=2 118 "$program" cut-event "review/5"
 code=$?
 [ "$code" -le 2 ] || exit 2
 exit "$code"
--- a/review/stand_in/src/cases/mod.rs
+++ b/review/stand_in/src/cases/mod.rs
@@ -1,5 +1,6 @@
 pub mod cut_event;
 pub mod large_jobs;
+pub mod lost_disks;
 pub mod old_limit;
 pub mod route_gone;
 pub mod second_answer;
--- a/review/stand_in/src/client.rs
+++ b/review/stand_in/src/client.rs
@@ -69,6 +69,14 @@
     (answer.status == 200).then(|| document.get("results").list().to_vec())
 }
 
+/// Asks for the body of an item that is not listed yet.
+pub fn item_body(gateway: SocketAddr, job: &str, item: &str) -> Option<u16> {
+    let path = format!("/peatgrade/items/{job}?id={item}");
+    let patience = Duration::from_secs(3);
+    let answer = call(gateway, "GET", &path, &[("host", HOST)], b"", patience);
+    answer.map(|answer| answer.status)
+}
+
 pub fn request(
     gateway: SocketAddr,
     path: &str,
--- a/review/stand_in/src/main.rs
+++ b/review/stand_in/src/main.rs
@@ -33,6 +33,7 @@
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     record.line(format!("case {case}, with the disruption: {trouble}"));
     let outcome = match case.as_str() {
+        "lost-disks" => cases::lost_disks::play(&record, trouble),
         "route-gone" => cases::route_gone::play(&record, trouble),
         "large-jobs" => cases::large_jobs::play(&record, trouble),
         "second-answer" => cases::second_answer::play(&record, trouble),
--- a/review/stand_in/src/processes.rs
+++ b/review/stand_in/src/processes.rs
@@ -67,6 +67,7 @@
     pub name: String,
     role: &'static str,
     settings: PathBuf,
+    data: PathBuf,
     log: PathBuf,
     child: Option<Child>,
     pub front: SocketAddr,
@@ -85,6 +86,7 @@
         record: &Record,
     ) -> Self {
         let name = format!("{role}-{index}");
+        let data = folder.join(format!("{name}-data"));
         let mut host = Host::claim();
         let (front, ready, metrics, peer) = (host.port(), host.port(), host.port(), host.port());
         let mut settings = format!(
@@ -100,7 +102,6 @@
                 "front_address = \"{front}\"\nready_address = \"{ready}\"\nmemory_limit_mb = 260\n"
             );
         } else {
-            let data = folder.join(format!("{name}-data"));
             settings += &format!(
                 "data_folder = \"{}\"\norder_lease_ms = 3000\nengines_check_fences = true\n\
                  job_keep_ms = 120000\ntolerated_losses = 1\ndisk_limit_mb = 620\n\
@@ -115,6 +116,7 @@
             name,
             role,
             settings: file,
+            data,
             child: None,
             front,
             ready,
@@ -146,6 +148,12 @@
         }
     }
 
+    /// Empties the disk of a process that is down.
+    pub fn wipe(&self) {
+        let _ = fs::remove_dir_all(&self.data);
+        let _ = fs::create_dir_all(&self.data);
+    }
+
     pub fn is_ready(&self) -> bool {
         let patience = Duration::from_secs(1);
         let answer = call(self.ready, "GET", "/peatgrade/ready", &[], b"", patience);
