--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -21,6 +21,7 @@
 mod job;
 mod listed_text;
 mod listing;
+mod memory;
 mod pending_ends;
 mod placement;
 mod scores;
@@ -36,8 +37,9 @@
 pub use item::ItemKey;
 pub use job::{Failures, Job, PriorText, StoredResult};
 pub use listed_text::{CommandLog, ListedText, TextReader};
+pub use memory::JobMemory;
 pub use pending_ends::{EndRequest, PendingEnds};
 pub use placement::ItemPlacement;
 pub use scores::ScoreId;
-pub use store::{Applied, JobMemory, JobStore, UsageCommand};
+pub use store::{Applied, JobStore, UsageCommand};
 pub use text::{PartialText, TextEvent};
--- a/crates/jobs/src/store.rs
+++ b/crates/jobs/src/store.rs
@@ -4,7 +4,7 @@
 use peatgrade_schema::decode;
 use peatgrade_schema::replication::mod_JobCommand::OneOfbody;
 use peatgrade_schema::replication::{
-    AcceptJob, CountUsage, DecideUsage, JobCommand, JobItem, KeepProgress, ListResults,
+    AcceptJob, CountUsage, DecideUsage, JobCommand, KeepProgress, ListResults,
 };
 use peatgrade_types::{Duration, Time};
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -12,6 +12,7 @@
 
 use crate::job::{Job, PriorText, StoredResult};
 use crate::listed_text::{CommandLog, ListedText, RecentTexts, TextReader};
+use crate::memory::{item_bytes, JobMemory};
 use crate::text::{PartialText, TextEvent};
 
 /// Limit on the bytes of listed texts in memory; older texts are read from the log. Covers
@@ -55,19 +56,6 @@
     Nothing,
 }
 
-/// Bytes that jobs take in memory, by kind of data.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct JobMemory {
-    /// Submitted items, with bodies and headers while their job is open.
-    pub items: usize,
-    /// Results, excluding their texts.
-    pub results: usize,
-    /// Texts of listed results.
-    pub recent_texts: usize,
-    /// Partial texts.
-    pub progress: usize,
-}
-
 /// All jobs of a replica group.
 #[derive(Clone, Debug, Default)]
 pub struct JobStore {
@@ -375,15 +363,3 @@
     let logged = logged.filter(|text| text.events.len() >= count)?;
     Some(Bytes::from(logged.joined_with(count, &added)))
 }
-
-/// Approximate memory of an item.
-fn item_bytes(item: &JobItem) -> usize {
-    let headers = item.headers.iter();
-    let headers = headers.map(|h| h.name.len() + h.value.len() + std::mem::size_of_val(h));
-    std::mem::size_of_val(item)
-        + item.id.len()
-        + item.path.len()
-        + item.body.len()
-        + item.group.len()
-        + headers.sum::<usize>()
-}
