Jobs: no final decision by a configuration older than the one that accepted them

Cause: a leader judges waiting items by its own configuration: route gone, max_queue, max_attempts, single_version. Gateways may know a newer one; neither the submission nor the log named a version, so a leader that the store refuses could not tell that it was outdated.

Change: a submission names the version of its gateway; the leader accepts the job under the newest of that, its own and the log's, and logs newer versions while items are open. On the way: a new leader runs an item that has used up its attempts not once more; a text of several versions is not continued where one is demanded.

Why it works: the version stands in the log entry of the job itself, so every leader that can open the job knows it.

Evidence: on all five process tests of outdated_configuration fail ("terminated", expected "completed"; three refusals, a killed leader, a changed limit); with the change all pass.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -144,14 +144,13 @@
             }
             CallerMessage::Request(request) => self.on_request(now, call, request, &mut actions),
             CallerMessage::ReadJob(read) => {
-                let wait = read.wait;
                 let body = OneOfbody::read(ReadJob {
                     job: read.job,
                     position: read.position,
-                    wait_ms: wait.as_millis(),
+                    wait_ms: read.wait.as_millis(),
                     max_bytes: MAX_RESULT_BYTES,
                 });
-                self.authorize_job_call(now, call, read.key, body, wait, &mut actions);
+                self.authorize_job_call(now, call, read.key, body, read.wait, &mut actions);
             }
             CallerMessage::ReadItem { job, item, key } => {
                 let body = OneOfbody::item(ReadItem { job, item });
@@ -290,7 +289,8 @@
             return actions.extend(forwards.into_iter().map(GatewayAction::Forward));
         }
         match self.codec.submission(&request) {
-            Ok(submission) => {
+            Ok(mut submission) => {
+                submission.configuration = configuration.version;
                 let tenant = submission.tenant.clone();
                 let body = OneOfbody::submit(submission);
                 self.relay_call(now, call, tenant, body, Duration(0), actions);
--- a/crates/gateway/src/relay/pending_call.rs
+++ b/crates/gateway/src/relay/pending_call.rs
@@ -69,7 +69,10 @@
 /// Identifies a call in log lines.
 pub(crate) fn log_subject(body: &OneOfbody) -> String {
     match body {
-        OneOfbody::submit(submit) => format!("call=submit job={}", submit.job),
+        OneOfbody::submit(submit) => format!(
+            "call=submit job={} configuration={}",
+            submit.job, submit.configuration
+        ),
         OneOfbody::end(end) => format!("call=end job={}", end.job),
         OneOfbody::read(read) => format!("call=read job={}", read.job),
         OneOfbody::item(item) => format!("call=item job={} item={}", item.job, item.item),
--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -243,6 +243,18 @@
     assert!(harness.response_heads[0].header("retry-ms").is_some());
 }
 
+/// Guards against a leader that cannot tell that its configuration is older than the one under
+/// which a job was submitted.
+#[test]
+fn a_submission_names_the_configuration_of_its_gateway() {
+    let mut harness = Harness::new(RouteKind::Batch, 0);
+    harness.gateway.set_replicas(vec!["a:1".into()]);
+    harness.call();
+    harness.set_max_attempts(5);
+    harness.call_as(CallId(2));
+    assert_eq!(harness.submitted_under, vec![1, 2]);
+}
+
 #[test]
 fn a_draining_gateway_finishes_requests_and_refuses_new_ones() {
     let mut harness = Harness::new(RouteKind::Unsafe, 2);
--- a/crates/gateway/tests/harness/mod.rs
+++ b/crates/gateway/tests/harness/mod.rs
@@ -10,6 +10,7 @@
     CallerMessage, CallerRequest, Configuration, EngineRecord, Instance, Route, RouteKind,
     StartedAt, StoreEvent, StoreObject, Target,
 };
+use peatgrade_schema::replication::mod_JobCall::OneOfbody;
 use peatgrade_schema::replication::{JobReply, JobStatus};
 use peatgrade_types::http::{HttpFailure, HttpRequest, HttpStep, ResponseHead, ResponsePart};
 use peatgrade_types::{Duration, Time};
@@ -37,6 +38,8 @@
     pub is_finished: bool,
     pub is_truncated: bool,
     pub job_calls: Vec<(String, u64)>,
+    /// Versions of the configuration named by the submissions that were sent.
+    pub submitted_under: Vec<u64>,
     /// Number of reported engine failures.
     pub engine_failures: usize,
     /// Tenants of requests that engines started to run, with the start time.
@@ -50,6 +53,16 @@
         Self::with_seed(kind, engines, 1)
     }
 
+    /// Applies a newer configuration with changed routes.
+    pub fn change_routes(&mut self, change: impl Fn(&mut Route)) {
+        let mut newer = (**self.gateway.configuration.as_ref().unwrap()).clone();
+        newer.version += 1;
+        let mut routes: Vec<Route> = newer.routes.iter().cloned().collect();
+        routes.iter_mut().for_each(change);
+        newer.routes = routes.into();
+        assert!(self.gateway.apply_configuration(newer));
+    }
+
     pub fn with_seed(kind: RouteKind, engines: usize, seed: u64) -> Self {
         let forwarding = ForwarderSettings {
             zone: "z".into(),
@@ -123,6 +136,7 @@
             is_finished: false,
             is_truncated: false,
             job_calls: Vec::new(),
+            submitted_under: Vec::new(),
             engine_failures: 0,
             started_runs: Vec::new(),
             accepts_connections: true,
@@ -131,15 +145,7 @@
 
     /// Applies a newer configuration with another limit of attempts.
     pub fn set_max_attempts(&mut self, max_attempts: u32) {
-        let mut newer = (**self.gateway.configuration.as_ref().unwrap()).clone();
-        newer.version += 1;
-        let routes = newer.routes.iter().cloned();
-        let routes = routes.map(|route| Route {
-            max_attempts,
-            ..route
-        });
-        newer.routes = routes.collect();
-        assert!(self.gateway.apply_configuration(newer));
+        self.change_routes(|route| route.max_attempts = max_attempts);
     }
 
     pub fn execute(&mut self, actions: Vec<GatewayAction>) {
@@ -148,6 +154,9 @@
                 GatewayAction::Forward(action) => action,
                 GatewayAction::SendJobCall { address, call } => {
                     self.job_calls.push((address, call.call));
+                    if let OneOfbody::submit(submit) = call.body {
+                        self.submitted_under.push(submit.configuration);
+                    }
                     continue;
                 }
             };
--- a/crates/jobs/src/dispatcher/admission.rs
+++ b/crates/jobs/src/dispatcher/admission.rs
@@ -13,7 +13,8 @@
 
 impl Dispatcher {
     /// Decides whether a job is accepted, based on the current load. Jobs are always accepted if
-    /// their service has a single priority, or if lengths or paces are not known yet.
+    /// their service has a single priority, if lengths or paces are not known yet, or if their
+    /// gateway knows a newer configuration, which may have other limits.
     pub fn admit_job(
         &mut self,
         now: Time,
@@ -49,6 +50,9 @@
         configuration: &Configuration,
         directory: &EngineDirectory,
     ) -> Option<AdmissionRequest> {
+        if configuration.version < job.configuration {
+            return None;
+        }
         let first = job.items.first()?;
         let route = configuration.route(&job.host, &first.path)?;
         let service = target_service(route, &first.id)?;
--- a/crates/jobs/src/dispatcher/eligibility.rs
+++ b/crates/jobs/src/dispatcher/eligibility.rs
@@ -9,6 +9,9 @@
 use super::suspects::verdict_of;
 use crate::item::OpenItem;
 
+/// An item is given up after this multiple of the route's attempts was answered with status 500,
+/// so that one randomly failing engine does not exhaust the attempts.
+const ATTEMPTS_FACTOR: u32 = 2;
 /// An item is long if its length hint is at least 5/2 of the median hint of its job.
 const LONG_NUMERATOR: u64 = 5;
 const LONG_DENOMINATOR: u64 = 2;
@@ -22,7 +25,8 @@
     route.filter(|route| route.kind == RouteKind::Batch)
 }
 
-/// Returns the reason for which a waiting item must be given up, if there is one.
+/// Returns the reason for which a waiting item must be given up under this configuration, if there
+/// is one. The decision is final only if the configuration is not outdated.
 pub(super) fn give_up_reason(
     now: Time,
     item: &OpenItem,
@@ -32,6 +36,10 @@
     let Some(route) = batch_route(item, configuration) else {
         return Some("route-gone");
     };
+    let failures = item.failures.runs;
+    if failures > 0 && failures >= route.max_attempts * ATTEMPTS_FACTOR {
+        return Some("failed-every-time");
+    }
     if now.since(item.known_since) < route.max_queue {
         return None;
     }
--- a/crates/jobs/src/dispatcher/mod.rs
+++ b/crates/jobs/src/dispatcher/mod.rs
@@ -16,6 +16,7 @@
 mod eligibility;
 mod migration;
 mod opening;
+mod outdated_configuration;
 mod placement_state;
 mod planning;
 mod queue;
@@ -41,6 +42,7 @@
 use crate::streams::Run;
 use crate::text_cache::TextCache;
 use capacity::CandidateCache;
+use outdated_configuration::ConfigurationAge;
 use placement_state::PlacementState;
 use queue::WaitingQueue;
 
@@ -138,6 +140,7 @@
     plans: planning::PlanState,
     placement: PlacementState,
     wait_report: wait_reasons::WaitReport,
+    configuration_age: ConfigurationAge,
     reader: Box<dyn Fn() -> Box<dyn EventDecoder>>,
     actions: Vec<DispatchAction>,
 }
@@ -174,6 +177,7 @@
             plans: planning::PlanState::default(),
             placement: PlacementState::default(),
             wait_report: wait_reasons::WaitReport::default(),
+            configuration_age: ConfigurationAge::default(),
             reader,
             actions: Vec::new(),
         }
@@ -355,17 +359,19 @@
         }
     }
 
-    fn give_up(&mut self, key: &ItemKey, reason: &str) {
+    fn give_up(&mut self, now: Time, key: &ItemKey, reason: &str, configuration: &Configuration) {
+        let applied = self.describe_configuration(now, configuration);
         let Some(item) = self.items.get_mut(key) else {
             return;
         };
         log::info!(
-            "decision=terminate item={} job={} reason={reason} runs={} failures={} reward_failures={}",
+            "decision=terminate item={} job={} reason={reason} runs={} failures={} reward_failures={} accepted_under={} {applied}",
             item.item().id,
             key.0,
             item.runs,
             item.failures.runs,
-            item.failures.reward_calls
+            item.failures.reward_calls,
+            item.spec.configuration
         );
         item.proposed = true;
         let result = ItemResult {
--- a/crates/jobs/src/dispatcher/opening.rs
+++ b/crates/jobs/src/dispatcher/opening.rs
@@ -34,6 +34,9 @@
         self.group_counts
             .insert(name.clone(), planning::group_count(&job.spec));
         self.queue.invalidate();
+        self.configuration_age
+            .record_logged_version(store.newest_configuration());
+        let is_outdated = self.is_outdated(configuration);
         self.placement.open_job(&name, &job.spec);
         let listing = new_listing(now, job, configuration);
         self.listings.insert(name.clone(), listing);
@@ -43,9 +46,12 @@
                 continue;
             }
             let prior = store.prior_text(id, index);
+            let progress = job.progress.get(&index);
             let single_version = requires_single_version(configuration, &job.spec, index);
+            // A text of a single version is valid whichever setting a newer configuration has.
+            let reuses_single_version = single_version || is_outdated;
             if let Some(result) =
-                reusable_result(&job.spec, index, single_version, prior, &mut texts)
+                reusable_result(&job.spec, index, reuses_single_version, prior, &mut texts)
             {
                 log::info!(
                     "decision=relist item={} job={id} versions={:?}",
@@ -57,11 +63,15 @@
             }
             let mut open = OpenItem::new(job.spec.clone(), index, job.known_since);
             open.waiting_since = now;
-            open.single_version = single_version;
+            // The leader that generated its progress had the setting.
+            open.single_version = match progress {
+                Some(_) => single_version,
+                None => reuses_single_version,
+            };
             open.is_resubmitted = store.is_resubmitted(id, index);
             open.failures = job.failures.get(&index).copied().unwrap_or_default();
             open.logged_failures = open.failures;
-            match job.progress.get(&index) {
+            match progress {
                 Some(text) => {
                     open.logged_events = text.events.len();
                     open.logged_complete = text.complete;
@@ -69,7 +79,7 @@
                 }
                 None => self.restore_text(&mut open, prior, &mut texts),
             }
-            if open.text.complete && !open.is_consistent() {
+            if !open.is_consistent() {
                 open.restart();
             }
             let key = (name.clone(), index);
--- a/crates/jobs/src/dispatcher/queue_refresh.rs
+++ b/crates/jobs/src/dispatcher/queue_refresh.rs
@@ -81,7 +81,23 @@
         let ineligible: Vec<(ItemKey, &str)> = ineligible.collect();
         self.count_visits(self.items.len());
         for (key, reason) in ineligible {
-            self.give_up(&key, reason);
+            self.give_up_unless_outdated(now, &key, reason, configuration);
+        }
+    }
+
+    /// Gives a waiting item up if it is no longer allowed to run.
+    pub(super) fn give_up_if_ineligible(
+        &mut self,
+        now: Time,
+        key: &ItemKey,
+        configuration: &Configuration,
+        directory: &EngineDirectory,
+    ) {
+        let Some(item) = self.items.get(key) else {
+            return;
+        };
+        if let Some(reason) = give_up_reason(now, item, configuration, directory) {
+            self.give_up_unless_outdated(now, key, reason, configuration);
         }
     }
 }
--- a/crates/jobs/src/dispatcher/responses.rs
+++ b/crates/jobs/src/dispatcher/responses.rs
@@ -15,9 +15,6 @@
 const FAILED_BACKOFF: Duration = Duration::from_millis(30);
 /// Number of consecutive runs without events after which a text is considered complete.
 const MIN_EMPTY_RUNS: u32 = 2;
-/// An item is given up after this multiple of the route's attempts was answered with status 500,
-/// so that one randomly failing engine does not exhaust the attempts.
-const ATTEMPTS_FACTOR: u32 = 2;
 
 impl Dispatcher {
     /// Handles a part of an engine's response.
@@ -161,8 +158,6 @@
         item.end_run(now);
         item.avoid = Some((run.instance.clone(), run.incarnation));
         self.requeued.push(key.clone());
-        let route = configuration.route(&item.spec.host, &item.item().path);
-        let max_attempts = route.map_or(1, |route| route.max_attempts);
         let is_refused =
             head.not_run || head.misdirected || head.status == 503 || head.status == 429;
         log::info!(
@@ -190,12 +185,10 @@
         }
         item.not_before = now + FAILED_BACKOFF;
         match head.status {
-            422 => self.give_up(&key, "can-never-be-done"),
+            422 => self.give_up(now, &key, "can-never-be-done", configuration),
             500 => {
                 item.failures.runs += 1;
-                if item.failures.runs >= max_attempts * ATTEMPTS_FACTOR {
-                    self.give_up(&key, "failed-every-time");
-                }
+                self.give_up_if_ineligible(now, &key, configuration, directory);
             }
             _ => {
                 if let Some(state) = directory.incarnation_mut(&run.instance, run.incarnation) {
--- a/crates/jobs/src/dispatcher/scoring.rs
+++ b/crates/jobs/src/dispatcher/scoring.rs
@@ -14,7 +14,7 @@
 
 use super::suspects::is_retry_due;
 use super::{DispatchAction, Dispatcher};
-use crate::item::ItemKey;
+use crate::item::{ItemKey, OpenItem};
 use crate::listing::PendingResult;
 use crate::scores::{PendingScore, ScoreId};
 
@@ -31,6 +31,11 @@
 const MAX_FAILED_BACKOFF: Duration = Duration::from_millis(500);
 /// Delay before the route of a call is looked up again if it was missing.
 const MISSING_ROUTE_BACKOFF: Duration = Duration::from_millis(100);
+/// Delay before the limits of a held item are checked again.
+const OUTDATED_BACKOFF: Duration = Duration::from_millis(100);
+
+/// Reason to give up an item whose reward call may not be repeated.
+const CALLS_EXHAUSTED: &str = "reward-call-failed-every-time";
 
 /// Maximum number of reward calls started per poll.
 const MAX_REWARD_CALLS_PER_POLL: usize = 4;
@@ -99,17 +104,15 @@
                 self.has_backlog = true;
                 break;
             }
+            if !self.may_score(now, &key, configuration) {
+                continue;
+            }
             let Some(item) = self.items.get(&key) else {
                 continue;
             };
             let Some(reward_call) = &item.item().reward_call else {
                 continue;
             };
-            let item_route = configuration.route(&item.spec.host, &item.item().path);
-            if item_route.is_some_and(|route| now.since(item.known_since) >= route.max_queue) {
-                self.give_up(&key, "queue-limit-without-score");
-                continue;
-            }
             let route = configuration.route(&reward_call.host, &reward_call.path);
             let Some(route) = route.filter(|route| takes_reward_calls(route)) else {
                 // The route may be part of a later configuration.
@@ -164,6 +167,21 @@
         }
     }
 
+    /// Whether a call may be made for an item. An item whose limit is reached is given up, or held
+    /// if the configuration with that limit is outdated.
+    fn may_score(&mut self, now: Time, key: &ItemKey, configuration: &Configuration) -> bool {
+        let Some(item) = self.items.get(key) else {
+            return false;
+        };
+        let Some(limit) = score_limit_reached(now, item, configuration) else {
+            return true;
+        };
+        if !self.give_up_unless_outdated(now, key, limit, configuration) {
+            self.unscored.postpone(now, key, OUTDATED_BACKOFF);
+        }
+        false
+    }
+
     /// Handles the outcome of a reward call. If the text is scored, returns how long it waited for
     /// its score.
     pub fn on_score(
@@ -182,7 +200,7 @@
                 self.add_complete_text(&key, score);
                 return Some(waited);
             }
-            ScoreOutcome::EngineFailed => self.record_engine_failure(&key, configuration),
+            ScoreOutcome::EngineFailed => self.record_engine_failure(now, &key, configuration),
             ScoreOutcome::NotRun { come_back } => {
                 let backoff = come_back.map_or(REFUSED_BACKOFF, |delay| delay.max(REFUSED_BACKOFF));
                 self.unscored
@@ -215,22 +233,38 @@
     }
 
     /// Counts a failed call, and gives the item up after the maximum number of attempts.
-    fn record_engine_failure(&mut self, key: &ItemKey, configuration: &Configuration) {
+    fn record_engine_failure(&mut self, now: Time, key: &ItemKey, configuration: &Configuration) {
         let Some(item) = self.items.get_mut(key) else {
             return;
         };
         item.failures.reward_calls += 1;
-        let spec = &item.spec.items[item.index];
-        let route = spec
-            .reward_call
-            .as_ref()
-            .and_then(|call| configuration.route(&call.host, &call.path));
-        if route.is_some_and(|route| item.failures.reward_calls >= route.max_attempts) {
-            self.give_up(key, "reward-call-failed-every-time");
+        if has_exhausted_calls(item, configuration) {
+            self.give_up_unless_outdated(now, key, CALLS_EXHAUSTED, configuration);
         }
     }
 }
 
+/// Returns the limit of an unscored item that is reached, if there is one.
+fn score_limit_reached(
+    now: Time,
+    item: &OpenItem,
+    configuration: &Configuration,
+) -> Option<&'static str> {
+    if has_exhausted_calls(item, configuration) {
+        return Some(CALLS_EXHAUSTED);
+    }
+    let route = configuration.route(&item.spec.host, &item.item().path)?;
+    (now.since(item.known_since) >= route.max_queue).then_some("queue-limit-without-score")
+}
+
+/// Whether the engines of the reward call's route have failed it as often as the route allows.
+fn has_exhausted_calls(item: &OpenItem, configuration: &Configuration) -> bool {
+    let failures = item.failures.reward_calls;
+    let call = item.item().reward_call.as_ref();
+    let route = call.and_then(|call| configuration.route(&call.host, &call.path));
+    failures > 0 && route.is_some_and(|route| failures >= route.max_attempts)
+}
+
 /// Whether a route leads to engines that answer single requests.
 fn takes_reward_calls(route: &Route) -> bool {
     matches!(route.kind, RouteKind::Safe | RouteKind::Unsafe)
--- a/crates/jobs/src/dispatcher/starting.rs
+++ b/crates/jobs/src/dispatcher/starting.rs
@@ -100,8 +100,10 @@
             return StartOutcome::Waiting;
         }
         if let Some(reason) = give_up_reason(now, item, configuration, directory) {
-            self.give_up(key, reason);
-            return StartOutcome::Removed;
+            return match self.give_up_unless_outdated(now, key, reason, configuration) {
+                true => StartOutcome::Removed,
+                false => StartOutcome::Waiting,
+            };
         }
         let Some(route) = batch_route(item, configuration) else {
             return StartOutcome::Waiting;
@@ -113,7 +115,7 @@
             return StartOutcome::Waiting;
         }
         let single_version = route.single_version;
-        if item.single_version != single_version {
+        if item.single_version != single_version && !self.is_outdated(configuration) {
             self.set_single_version(key, single_version);
         }
         let Some(item) = self.items.get(key) else {
--- a/crates/jobs/src/dispatcher/wait_reasons.rs
+++ b/crates/jobs/src/dispatcher/wait_reasons.rs
@@ -5,7 +5,7 @@
 use peatgrade_types::{Duration, Time};
 use std::collections::{BTreeMap, HashMap};
 
-use super::eligibility::{batch_route, target_service};
+use super::eligibility::{batch_route, give_up_reason, target_service};
 use super::suspects::may_start;
 use super::Dispatcher;
 use crate::item::{ItemKey, OpenItem};
@@ -26,6 +26,8 @@
     Backoff,
     /// No batch route of the configuration matches it.
     NoRoute,
+    /// It may not run under a configuration that is older than the newest one in the log.
+    OutdatedConfiguration,
     /// Engines crashed while running it, and its next run is delayed.
     Quarantined,
     /// The service has no listed engine, or its working set is not filled yet.
@@ -45,9 +47,10 @@
 }
 
 impl WaitReason {
-    const ALL: [Self; 10] = [
+    const ALL: [Self; 11] = [
         Self::Backoff,
         Self::NoRoute,
+        Self::OutdatedConfiguration,
         Self::Quarantined,
         Self::NoEngine,
         Self::NoVersion,
@@ -63,6 +66,7 @@
         match self {
             Self::Backoff => "backoff",
             Self::NoRoute => "no-route",
+            Self::OutdatedConfiguration => "outdated-configuration",
             Self::Quarantined => "quarantined",
             Self::NoEngine => "no-engine",
             Self::NoVersion => "no-version",
@@ -79,6 +83,7 @@
         match self {
             Self::Backoff => "items_waiting_backoff",
             Self::NoRoute => "items_waiting_no_route",
+            Self::OutdatedConfiguration => "items_waiting_outdated_configuration",
             Self::Quarantined => "items_waiting_quarantined",
             Self::NoEngine => "items_waiting_no_engine",
             Self::NoVersion => "items_waiting_no_version",
@@ -230,6 +235,7 @@
         }
         self.wait_report.next_at = now + REPORT_INTERVAL;
         self.count_visits(self.items.len());
+        let is_outdated = self.is_outdated(configuration);
         let mut waiting = WaitingItems::default();
         let mut backlog: BTreeMap<String, usize> = BTreeMap::new();
         let mut engines: HashMap<EngineClass<'_>, ClassEngines> = HashMap::new();
@@ -239,8 +245,12 @@
             if !item.waits_for_engine() || waited < MIN_REPORTED_WAIT {
                 continue;
             }
-            let (reason, available) =
-                wait_reason(now, item, configuration, directory, &mut engines);
+            let is_held =
+                is_outdated && give_up_reason(now, item, configuration, directory).is_some();
+            let (reason, available) = match is_held {
+                true => (WaitReason::OutdatedConfiguration, ClassEngines::default()),
+                false => wait_reason(now, item, configuration, directory, &mut engines),
+            };
             waiting.record(reason, waited);
             let lacks_slot = matches!(reason, WaitReason::Busy | WaitReason::NoVersion);
             if lacks_slot && available.outdated_idle > 0 {
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -156,6 +156,7 @@
         min_version: spec.min_version,
         desired: spec.desired,
         tenant: spec.tenant.clone(),
+        configuration: spec.configuration,
         items: Vec::new(),
     }
 }
--- a/crates/jobs/src/store.rs
+++ b/crates/jobs/src/store.rs
@@ -67,6 +67,7 @@
     recent: RecentTexts,
     /// Ended jobs with partial texts, in order of their ends.
     ended_with_progress: VecDeque<String>,
+    newest_configuration: u64,
 }
 
 impl JobStore {
@@ -131,6 +132,10 @@
             Ok(OneOfbody::usage_reported(reported)) => {
                 Applied::Usage(UsageCommand::Reported(reported.window))
             }
+            Ok(OneOfbody::configuration(known)) => {
+                self.record_configuration(known.version);
+                Applied::Nothing
+            }
             Ok(OneOfbody::None) => Applied::Nothing,
             Err(error) => {
                 log::error!("step=apply-command index={index} error={error}");
@@ -139,7 +144,19 @@
         }
     }
 
+    /// Newest version of the configuration that the log names: under it jobs were accepted, or
+    /// a leader made decisions on them. Truncation of the log does not lower it for jobs that
+    /// are kept, since a job names at least the newest version logged before it.
+    pub fn newest_configuration(&self) -> u64 {
+        self.newest_configuration
+    }
+
+    fn record_configuration(&mut self, version: u64) {
+        self.newest_configuration = self.newest_configuration.max(version);
+    }
+
     fn accept_job(&mut self, now: Time, first_index: u64, spec: AcceptJob) -> Applied {
+        self.record_configuration(spec.configuration);
         if self.jobs.contains_key(&spec.job) {
             return Applied::Nothing;
         }
@@ -279,6 +296,7 @@
     }
 
     pub fn clear(&mut self) {
+        self.newest_configuration = 0;
         self.ended_with_progress.clear();
         self.jobs.clear();
         self.jobs_by_item.clear();
--- a/crates/jobs/tests/dispatch/mod.rs
+++ b/crates/jobs/tests/dispatch/mod.rs
@@ -12,7 +12,9 @@
 };
 use peatgrade_schema::encode;
 use peatgrade_schema::replication::mod_JobCommand::OneOfbody;
-use peatgrade_schema::replication::{AcceptJob, EndJob, JobCommand, JobItem, RewardCall};
+use peatgrade_schema::replication::{
+    AcceptJob, ConfigurationInForce, EndJob, JobCommand, JobItem, RewardCall,
+};
 use peatgrade_types::{Duration, Time};
 use std::collections::BTreeMap;
 
@@ -65,6 +67,8 @@
     pub cancelled: Vec<RunId>,
     pub score_calls: Vec<(ScoreId, ScoreCall)>,
     pub cancelled_scores: Vec<ScoreId>,
+    /// Version of the configuration under which jobs are submitted; 0 if the gateway names none.
+    pub accepted_under: u64,
     /// Tenant of submitted jobs; empty if authentication is not configured.
     tenant: String,
     index: u64,
@@ -135,6 +139,7 @@
             cancelled: Vec::new(),
             score_calls: Vec::new(),
             cancelled_scores: Vec::new(),
+            accepted_under: 0,
             tenant: String::new(),
             index: 0,
         }
@@ -150,6 +155,17 @@
         self.configuration.routes = routes.into();
     }
 
+    /// Applies a configuration with this version and changed routes.
+    pub fn set_configuration(&mut self, version: u64, change: impl FnOnce(&mut Vec<Route>)) {
+        self.change_routes(change);
+        self.configuration.version = version;
+    }
+
+    /// Logs that a leader applies this version of the configuration.
+    pub fn log_configuration(&mut self, version: u64) {
+        self.apply(OneOfbody::configuration(ConfigurationInForce { version }));
+    }
+
     fn apply(&mut self, body: OneOfbody) {
         self.index += 1;
         let command = encode(&JobCommand { body });
@@ -220,6 +236,7 @@
             model: "m".into(),
             min_version,
             items,
+            configuration: self.accepted_under,
             ..AcceptJob::default()
         }));
         self.dispatcher
--- a/crates/jobs/tests/dispatcher.rs
+++ b/crates/jobs/tests/dispatcher.rs
@@ -1,6 +1,7 @@
 //! Tests of the dispatcher: items are run to completion despite engine failures.
 
 mod dispatch;
+mod outdated_configuration;
 mod pace;
 mod queue;
 mod restarts;
--- a/crates/jobs/tests/store.rs
+++ b/crates/jobs/tests/store.rs
@@ -4,8 +4,8 @@
 use peatgrade_schema::encode;
 use peatgrade_schema::replication::mod_JobCommand::OneOfbody;
 use peatgrade_schema::replication::{
-    AcceptJob, EndJob, ItemProgress, ItemResult, JobCommand, JobItem, KeepProgress, ListResults,
-    ProgressEvent,
+    AcceptJob, ConfigurationInForce, EndJob, ItemProgress, ItemResult, JobCommand, JobItem,
+    KeepProgress, ListResults, ProgressEvent,
 };
 use peatgrade_types::{Duration, Time};
 
@@ -229,3 +229,29 @@
         "an ended job stays private to its tenant"
     );
 }
+
+fn accept_under(job: &str, configuration: u64) -> OneOfbody {
+    OneOfbody::accept(AcceptJob {
+        job: job.into(),
+        configuration,
+        ..AcceptJob::default()
+    })
+}
+
+/// Guards against a new leader that takes its older configuration for current.
+#[test]
+fn newest_logged_configuration_never_decreases() {
+    let mut harness = Harness::new();
+    assert_eq!(harness.store.newest_configuration(), 0);
+    harness.apply(accept_under("first", 3));
+    harness.apply(accept_under("second", 2));
+    assert_eq!(harness.store.newest_configuration(), 3);
+    for version in [5, 4] {
+        harness.apply(OneOfbody::configuration(ConfigurationInForce { version }));
+        assert_eq!(harness.store.newest_configuration(), 5);
+    }
+    harness.apply(OneOfbody::end(EndJob {
+        job: "first".into(),
+    }));
+    assert_eq!(harness.store.newest_configuration(), 5);
+}
--- a/crates/server/src/storage/housekeeping.rs
+++ b/crates/server/src/storage/housekeeping.rs
@@ -118,6 +118,15 @@
             ("engines_weighed", self.dispatcher.engines_weighed()),
             ("item_runs", self.dispatcher.running() as u64),
             ("configuration_version", self.configuration.version),
+            (
+                "configuration_newest_logged",
+                self.jobs.newest_configuration(),
+            ),
+            (
+                "configuration_age_ms",
+                now.since(self.configuration_freshness.confirmed_at())
+                    .as_millis(),
+            ),
             ("engines", self.directory.len() as u64),
             ("engine_lives_ended", self.directory.ended_incarnations()),
             ("engines_absent", self.directory.absent_count(now) as u64),
--- a/crates/server/src/storage/job_calls.rs
+++ b/crates/server/src/storage/job_calls.rs
@@ -166,7 +166,7 @@
             .unwrap_or_default()
     }
 
-    fn on_submit(&mut self, now: Time, caller: Caller, submit: AcceptJob) {
+    fn on_submit(&mut self, now: Time, caller: Caller, mut submit: AcceptJob) {
         if let Some(known) = self.jobs.get(&submit.job) {
             let status = match known.is_accessible_to(&caller.tenant) {
                 true => JobStatus::OK,
@@ -189,8 +189,12 @@
                 self.metrics.count("job_refused_no_time");
                 return self.refuse_job(&caller, retry_after);
             }
+            let told_by_gateway = submit.configuration;
+            submit.configuration = self.newest_known_configuration(told_by_gateway);
             log::info!(
-                "decision=accept job={job} tenant={} items={} step={} model={} min_version={} desired={}",
+                "decision=accept job={job} accepted_under={} told_by_gateway={told_by_gateway} {} tenant={} items={} step={} model={} min_version={} desired={}",
+                submit.configuration,
+                self.describe_configuration(now),
                 submit.tenant,
                 submit.items.len(),
                 submit.step,
--- a/crates/server/src/storage/leader_session.rs
+++ b/crates/server/src/storage/leader_session.rs
@@ -8,6 +8,8 @@
     has_failed_proposal: bool,
     /// What keeps the leader from dispatching items, if anything.
     obstacle: Option<DispatchObstacle>,
+    /// Newest version of the configuration that this leader has proposed to the log.
+    proposed_configuration: u64,
 }
 
 /// Information that a leader needs before it may dispatch items.
@@ -48,6 +50,15 @@
         std::mem::replace(&mut self.obstacle, obstacle) != obstacle
     }
 
+    /// Newest version of the configuration that this leader has proposed to the log.
+    pub fn proposed_configuration(&self) -> u64 {
+        self.proposed_configuration
+    }
+
+    pub fn set_proposed_configuration(&mut self, version: u64) {
+        self.proposed_configuration = version;
+    }
+
     /// Whether the session must stop, given whether this machine is the leader.
     pub fn must_stop(&self, is_leader: bool) -> bool {
         self.is_active && (!is_leader || self.has_failed_proposal)
--- a/crates/server/src/storage/leadership.rs
+++ b/crates/server/src/storage/leadership.rs
@@ -175,7 +175,10 @@
             self.last_dispatch = now;
             self.coordinate(now);
             self.record_work(WorkKind::Versions);
+            self.log_configuration_version(now);
             self.dispatcher.set_order(self.settings.item_order());
+            self.dispatcher
+                .set_configuration_confirmed_at(self.configuration_freshness.confirmed_at());
             self.dispatcher
                 .poll(now, &self.configuration, &mut self.directory);
             if self.dispatcher.has_backlog() {
--- a/crates/server/src/storage/mod.rs
+++ b/crates/server/src/storage/mod.rs
@@ -13,6 +13,7 @@
 //! The main task handles inputs in batches and persists the log once per batch.
 
 mod applied_commands;
+mod configuration_log;
 mod crash_file;
 mod crashes;
 mod end_request_file;
--- a/crates/server/src/storage/peer_mirror.rs
+++ b/crates/server/src/storage/peer_mirror.rs
@@ -52,15 +52,20 @@
         self.peer_mirror.subscriber.on_watch_update(update)
     }
 
-    /// Requests updates from other members while this leader receives none from the store.
+    /// Requests updates from other members while this leader receives none from the store, or
+    /// while the log names a newer configuration than the store has sent.
     pub(super) fn poll_peers(&mut self, now: Time) {
         self.expire_version_watch(now);
+        self.update_configuration_freshness(now);
         let age = now.since(self.last_store_update);
-        let is_needed = self.has_leader_session() && age >= MAX_STORE_AGE;
+        let is_outdated = self.configuration_freshness.is_long_outdated(now);
+        let is_needed = self.has_leader_session() && (age >= MAX_STORE_AGE || is_outdated);
         if is_needed != self.peer_mirror.is_polling {
             self.peer_mirror.is_polling = is_needed;
             let age = age.as_millis();
-            log::info!("decision=ask-members value={is_needed} store_age_ms={age}");
+            log::info!(
+                "decision=ask-members value={is_needed} store_age_ms={age} outdated={is_outdated}"
+            );
             if is_needed {
                 self.metrics.count("members_asked");
                 self.set_peer_publishers();
--- a/crates/server/src/storage/process.rs
+++ b/crates/server/src/storage/process.rs
@@ -31,6 +31,7 @@
 use crate::ServerError;
 
 use super::applied_commands::AppliedCommands;
+use super::configuration_log::ConfigurationFreshness;
 use super::crashes::CrashSharing;
 use super::end_request_file::EndRequestFile;
 use super::engine_exchanges::{EngineExchange, ExchangeId};
@@ -41,7 +42,6 @@
 use super::observations::ObservationRelay;
 use super::peer_mirror::PeerMirror;
 use super::pressure::{ResourceLimits, ResourcePressure};
-use super::registration;
 use super::retirement::Retirement;
 use super::reward_calls::RewardCalls;
 use super::startup::{open_crashes, open_end_requests, open_log, own_member};
@@ -122,6 +122,7 @@
     pub coordinator: Option<VersionCoordinator>,
     pub membership_planner: MembershipPlanner,
     pub configuration: Configuration,
+    pub configuration_freshness: ConfigurationFreshness,
     pub directory: EngineDirectory,
     pub engines_listed: bool,
     /// Number of engines in the directory; the engine watch derives its timing from it.
@@ -219,10 +220,10 @@
         let (updates, update_inputs) = unbounded();
         let (initial_members, initial_members_inputs) = unbounded();
         let member = own_member(&settings, id);
-        monoio::spawn(registration::register(store.clone(), member.clone()));
+        monoio::spawn(super::registration::register(store.clone(), member.clone()));
         if replica.members().is_empty() {
             let voters = voters_to_tolerate(settings.tolerated_losses);
-            monoio::spawn(registration::bootstrap_group(
+            monoio::spawn(super::registration::bootstrap_group(
                 store.clone(),
                 member,
                 voters,
@@ -261,6 +262,7 @@
             coordinator: None,
             membership_planner,
             configuration: Configuration::default(),
+            configuration_freshness: ConfigurationFreshness::default(),
             directory,
             engines_listed: false,
             engine_count: ObjectCount::default(),
--- a/crates/server/src/storage/store_updates.rs
+++ b/crates/server/src/storage/store_updates.rs
@@ -57,6 +57,7 @@
         for (name, object) in objects {
             self.apply_object(kind, &name, object);
         }
+        self.record_confirmed(kind, at);
         self.update_retiring_members();
     }
 
@@ -79,12 +80,19 @@
                 None => {}
             }
         }
-        if kind == ObjectKind::Engines {
-            self.directory.confirmed_at = at;
-        }
+        self.record_confirmed(kind, at);
         self.update_retiring_members();
     }
 
+    /// Records that the store held the known objects of a kind at `at`.
+    fn record_confirmed(&mut self, kind: ObjectKind, at: Time) {
+        match kind {
+            ObjectKind::Engines => self.directory.confirmed_at = at,
+            ObjectKind::Configuration => self.configuration_freshness.record_confirmed(at),
+            _ => {}
+        }
+    }
+
     fn apply_object(&mut self, kind: ObjectKind, name: &str, object: StoreObject) {
         match object {
             StoreObject::Configuration(configuration) => self.apply_configuration(*configuration),
