Forward: an event stream that ends within an event is a failed attempt

Cause: the end of a connection completes a body without a length, also if the process behind it has crashed. The event without its empty line, which shows that it did, was looked at on resumable routes only.

A rest that belongs to no event is passed on as before. The server takes parameters of a content type into account when it begins a stream. Streaming moves into a file of its own.

Why it works: a reader of events discards one without its empty line, so the stream lacks a piece whatever the framing says.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod retry_budget;
 mod selection;
 mod stream;
+mod streaming;
 mod timers;
 
 pub use action::{answer_parts, CallId, ForwardAction, HttpId, DEFAULT_RETRY_AFTER};
--- a/crates/forward/src/responses.rs
+++ b/crates/forward/src/responses.rs
@@ -7,11 +7,10 @@
 use peatgrade_types::http::{HttpFailure, HttpStep, ResponseHead, ResponsePart};
 use peatgrade_types::{Duration, Time};
 
-use crate::action::{complete_response, CallId, ForwardAction, HttpId};
+use crate::action::{complete_response, ForwardAction, HttpId};
 use crate::forwarder::{Attempt, Forwarder};
 use crate::quarantine::{record_failure, InterruptedRun};
 use crate::retry_budget::ExtraAttempt;
-use crate::stream::StreamRelay;
 
 /// Status of an engine that failed while running a request.
 const STATUS_INTERNAL_ERROR: u16 = 500;
@@ -96,24 +95,6 @@
         }
     }
 
-    /// Sends the head of the first engine that streams; engines that resume the stream add no
-    /// head.
-    fn begin_stream(&mut self, id: HttpId, actions: &mut Vec<ForwardAction>) {
-        let Some(attempt) = self.attempts.get(&id) else {
-            return;
-        };
-        let call = attempt.call;
-        let (Some(forward), Some((head, _))) = (self.calls.get_mut(&call), &attempt.head) else {
-            return;
-        };
-        if forward.stream.is_none() {
-            forward.stream = Some(StreamRelay::default());
-            let head = self.codec.forwarded_response_head(head, &forward.request);
-            let part = ResponsePart::Head(head);
-            actions.push(ForwardAction::Respond { call, part });
-        }
-    }
-
     fn on_data(
         &mut self,
         now: Time,
@@ -148,48 +129,6 @@
         }
     }
 
-    /// Finishes a stream whose engine has ended it, or resumes it on another engine if it was
-    /// interrupted.
-    fn on_stream_end(
-        &mut self,
-        now: Time,
-        call: CallId,
-        failure: Option<&HttpFailure>,
-        directory: &mut EngineDirectory,
-        actions: &mut Vec<ForwardAction>,
-    ) {
-        let Some(forward) = self.calls.get_mut(&call) else {
-            return;
-        };
-        let Some(stream) = &mut forward.stream else {
-            return;
-        };
-        let broken = failure.is_some() || (forward.resumable && stream.has_partial_event());
-        if !broken {
-            if let Some(remainder) = stream.take_remainder() {
-                let part = ResponsePart::Data(remainder);
-                actions.push(ForwardAction::Respond { call, part });
-            }
-            let part = ResponsePart::End;
-            actions.push(ForwardAction::Respond { call, part });
-            self.calls.remove(&call);
-            return;
-        }
-        stream.discard_partial_event();
-        forward.streaming_attempt = None;
-        forward.may_have_run = true;
-        if !forward.resumable {
-            return self.finish_without_answer(now, call, directory, actions);
-        }
-        forward.request.last_event = stream.last_event_id.or(forward.request.last_event);
-        log::info!(
-            "decision=resume request={} after={:?}",
-            forward.request.id,
-            forward.request.last_event
-        );
-        self.dispatch(now, call, directory, actions);
-    }
-
     fn on_end(
         &mut self,
         now: Time,
@@ -197,6 +136,9 @@
         directory: &mut EngineDirectory,
         actions: &mut Vec<ForwardAction>,
     ) {
+        if let Some(failure) = self.find_truncation(id) {
+            return self.on_attempt_failed(now, id, &failure, directory, actions);
+        }
         let Some(attempt) = self.remove_attempt(id, directory) else {
             return;
         };
@@ -216,7 +158,7 @@
             return;
         };
         if forward.streaming_attempt == Some(id) {
-            return self.on_stream_end(now, call, None, directory, actions);
+            return self.finish_stream(call, actions);
         }
         if answer_head.not_run || answer_head.misdirected {
             forward.attempts -= 1;
@@ -364,7 +306,7 @@
             attempt.instance
         );
         if forward.streaming_attempt == Some(id) {
-            return self.on_stream_end(now, call, Some(failure), directory, actions);
+            return self.resume_stream(now, call, directory, actions);
         }
         let unsent = failure.step.is_unsent();
         if !unsent {
--- a/crates/forward/src/stream.rs
+++ b/crates/forward/src/stream.rs
@@ -36,7 +36,12 @@
 
     /// Whether an incomplete event is buffered.
     pub fn has_partial_event(&self) -> bool {
-        !self.partial_event.is_empty()
+        contains_event_line(&self.partial_event)
+    }
+
+    /// Whether numbered events were relayed.
+    pub fn has_events(&self) -> bool {
+        self.last_event_id.is_some()
     }
 
     pub fn discard_partial_event(&mut self) {
@@ -50,6 +55,20 @@
     }
 }
 
+/// Whether a stream ends before the empty line that terminates its last event. A reader discards
+/// that event, so the stream is incomplete however its response is framed.
+pub(crate) fn ends_within_event(stream: &[u8]) -> bool {
+    let end = last_boundary(stream).unwrap_or(0);
+    contains_event_line(&stream[end..])
+}
+
+/// Whether bytes that follow a complete event hold a line of another one. Blank lines and comments
+/// belong to no event.
+fn contains_event_line(bytes: &[u8]) -> bool {
+    let mut lines = bytes.split(|byte| *byte == b'\n');
+    lines.any(|line| !matches!(line, [] | [b'\r'] | [b':', ..]))
+}
+
 /// End of the last complete event; events are terminated by an empty line.
 fn last_boundary(bytes: &[u8]) -> Option<usize> {
     let plain = find_last(bytes, b"\n\n");
--- a/crates/runtime/src/http_server.rs
+++ b/crates/runtime/src/http_server.rs
@@ -216,8 +216,7 @@
     ) -> std::io::Result<Progress> {
         match part {
             Some(ResponsePart::Head(head)) => {
-                let is_event_stream = head.header("content-type") == Some("text/event-stream");
-                if is_event_stream {
+                if head.is_event_stream() {
                     writer.begin_chunked(&head, b"").await?;
                     self.is_chunked = true;
                 }
--- a/crates/types/src/http.rs
+++ b/crates/types/src/http.rs
@@ -2,6 +2,9 @@
 
 use bytes::Bytes;
 
+/// Media type of server-sent events.
+const EVENT_STREAM: &str = "text/event-stream";
+
 /// Request from a caller or to an engine.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct HttpRequest {
@@ -81,6 +84,13 @@
     pub fn header(&self, name: &str) -> Option<&str> {
         find_header(&self.headers, name)
     }
+
+    /// Whether the body is a stream of server-sent events.
+    pub fn is_event_stream(&self) -> bool {
+        let content_type = self.header("content-type").unwrap_or("");
+        let media_type = content_type.split(';').next().unwrap_or("");
+        media_type.trim().eq_ignore_ascii_case(EVENT_STREAM)
+    }
 }
 
 /// Part of a streamed response. Parts arrive in order: a head, any number of
