Runtime: small chunks of a response are received as few parts

Cause: each chunk became a part of its own, a million for the 8 MiB after which a response is cut off. The event loop was so busy with them that hedges left 0.45 s late and connections to sound engines were given up as not established within 30 and 60 ms; with both engines tried, nothing was left but the deadline.

Change: the data of all chunks in the buffer form one part. An error behind them comes with the next part.

The test of the runtime fails before (100,000 parts of 100,000 chunks).

--- a/crates/runtime/src/response_reader.rs
+++ b/crates/runtime/src/response_reader.rs
@@ -42,6 +42,8 @@
     trailer_bytes: usize,
     /// The connection may carry another request.
     reusable: bool,
+    /// Error found after data that was returned first.
+    pending_error: Option<std::io::Error>,
 }
 
 /// A part of a body, or its end.
@@ -59,6 +61,7 @@
             framing: Framing::Length(0),
             trailer_bytes: 0,
             reusable: true,
+            pending_error: None,
         }
     }
 
@@ -146,10 +149,42 @@
                 let data = self.take(u64::MAX);
                 Ok(non_empty(data))
             }
-            Framing::Chunked(state) => self.chunk(state),
+            Framing::Chunked(state) => self.buffered_chunks(state),
         }
     }
 
+    /// Returns the data of all buffered chunks as one part. A server may send chunks of a few bytes,
+    /// and each part costs its receiver far more than its bytes do.
+    fn buffered_chunks(&mut self, state: ChunkState) -> std::io::Result<Option<BodyPart>> {
+        if let Some(error) = self.pending_error.take() {
+            return Err(error);
+        }
+        let Some(BodyPart::Data(first)) = self.chunk(state)? else {
+            return Ok(self.body_end());
+        };
+        let mut more = BytesMut::new();
+        while let Framing::Chunked(state) = self.framing {
+            match self.chunk(state) {
+                Ok(Some(BodyPart::Data(data))) => more.extend_from_slice(&data),
+                Ok(_) => break,
+                Err(error) => {
+                    self.pending_error = Some(error);
+                    break;
+                }
+            }
+        }
+        if more.is_empty() {
+            return Ok(Some(BodyPart::Data(first)));
+        }
+        let joined = [&first[..], &more[..]].concat();
+        Ok(Some(BodyPart::Data(joined.into())))
+    }
+
+    /// The end of a chunked body, once its last chunk was read.
+    fn body_end(&self) -> Option<BodyPart> {
+        (self.framing == Framing::Length(0)).then_some(BodyPart::End)
+    }
+
     fn chunk(&mut self, mut state: ChunkState) -> std::io::Result<Option<BodyPart>> {
         loop {
             match state {
--- a/crates/runtime/tests/http_client.rs
+++ b/crates/runtime/tests/http_client.rs
@@ -204,3 +204,63 @@
     .unwrap();
     assert_eq!(read.join().unwrap(), 0);
 }
+
+/// Starts a server that answers one request with a chunked body in chunks of one byte. The
+/// response ends with `end`.
+fn start_chunking_server(chunks: usize, end: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let read = stream.read(&mut [0; 1024]).unwrap();
+        assert!(read > 0);
+        let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+        let answer = format!("{head}{}{end}", "1\r\na\r\n".repeat(chunks));
+        stream.write_all(answer.as_bytes()).unwrap();
+    });
+    address
+}
+
+/// Returns the data parts of a response, and its failure, if it fails.
+fn receive_parts(address: SocketAddr) -> (Vec<usize>, Option<HttpFailure>) {
+    block_on(async move {
+        let (parts, mut received) = unbounded();
+        let client = HttpClient::new(parts);
+        let options = SendOptions::with_read_timeout(Duration::from_secs(5));
+        let request = HttpRequest::new("GET", "/", "");
+        let _running = client.send(1_u32, &address.to_string(), request, options);
+        let mut sizes = Vec::new();
+        loop {
+            match received.next().await {
+                Some((_, ResponsePart::Data(data))) => {
+                    assert!(data.iter().all(|byte| *byte == b'a'));
+                    sizes.push(data.len());
+                }
+                Some((_, ResponsePart::End)) | None => return (sizes, None),
+                Some((_, ResponsePart::Failed(failure))) => return (sizes, Some(failure)),
+                Some((_, ResponsePart::Head(_))) => {}
+            }
+        }
+    })
+    .unwrap()
+}
+
+/// Guards against a part for each chunk: a server that sends chunks of a few bytes would occupy
+/// the event loop of its client.
+#[test]
+fn small_chunks_are_received_as_few_parts() {
+    const CHUNKS: usize = 100_000;
+    let (sizes, failure) = receive_parts(start_chunking_server(CHUNKS, "0\r\n\r\n"));
+    assert_eq!(failure, None);
+    assert_eq!(sizes.iter().sum::<usize>(), CHUNKS);
+    assert!(sizes.len() <= CHUNKS / 100, "{} parts", sizes.len());
+}
+
+/// Guards against data that is lost, or a body that looks complete, if chunks are followed by
+/// something else.
+#[test]
+fn malformed_chunk_fails_after_the_data_before_it() {
+    let (sizes, failure) = receive_parts(start_chunking_server(10, "no size\r\n"));
+    assert_eq!(failure.map(|failure| failure.step), Some(HttpStep::Body));
+    assert_eq!(sizes.iter().sum::<usize>(), 10);
+}
