--- a/crates/server/src/event_loop.rs
+++ b/crates/server/src/event_loop.rs
@@ -21,6 +21,8 @@
     pub cancelled: usize,
     /// Number of log entries applied.
     pub applied: usize,
+    /// Time for which the loop waited for the disk to sync the log.
+    pub synced: Duration,
 }
 
 /// Measures the iterations of an event loop.
--- a/crates/server/src/storage/loop_latency.rs
+++ b/crates/server/src/storage/loop_latency.rs
@@ -32,8 +32,9 @@
         self.metrics.count("slow_turn");
         let work = self.iteration_monitor.work;
         log::warn!(
-            "step=slow-turn turn_ms={} leads={} inputs={} started={} cancelled={} applied={} open_items={} routes={}",
+            "step=slow-turn turn_ms={} sync_ms={} leads={} inputs={} started={} cancelled={} applied={} open_items={} routes={}",
             took.as_millis(),
+            work.synced.as_millis(),
             self.has_leader_session(),
             work.inputs,
             work.started,
--- a/crates/server/src/storage/replication.rs
+++ b/crates/server/src/storage/replication.rs
@@ -156,6 +156,8 @@
             self.log_file.append(ready.state.as_ref(), &ready.entries)?;
             if ready.state.is_some() || !ready.entries.is_empty() {
                 let took = steady_now().since(started);
+                let work = &mut self.iteration_monitor.work;
+                work.synced = work.synced + took;
                 self.metrics.sync_seconds.observe(took.as_secs_f64());
             }
             self.replica.on_persisted();
