Jobs: runs of an outdated leader may have several versions once it is current

Cause: an item opened under an outdated configuration accepts a single version of the weights, and kept that until its next run, so a change of the weights broke its run off although its route allows several. Change: once the configuration is current, running items get their route's setting. The attempts of reward calls are looked up only after a failure. Measured: the new test fails without the call (the run is cancelled at the second version) and passes with it; all tests of the crate pass.

--- a/crates/jobs/src/dispatcher/mod.rs
+++ b/crates/jobs/src/dispatcher/mod.rs
@@ -314,6 +314,7 @@
             self.check_runs(now, directory);
         }
         self.has_backlog = false;
+        self.apply_settings_to_runs(configuration);
         self.start_waiting_items(now, configuration, directory);
         self.report_waiting_items(now, configuration, directory);
         self.start_reward_calls(now, configuration, directory);
--- a/crates/jobs/src/dispatcher/outdated_configuration.rs
+++ b/crates/jobs/src/dispatcher/outdated_configuration.rs
@@ -7,6 +7,7 @@
 use peatgrade_ports::Configuration;
 use peatgrade_types::Time;
 
+use super::eligibility::batch_route;
 use super::Dispatcher;
 use crate::item::ItemKey;
 
@@ -17,6 +18,8 @@
     newest_logged: u64,
     /// When the store is known to have held the applied version.
     confirmed_at: Time,
+    /// Version of the configuration whose settings running items have.
+    applied_to_runs: u64,
     /// Applied and newest logged version at the last log line about held items.
     logged_hold: Option<(u64, u64)>,
 }
@@ -43,6 +46,22 @@
         self.configuration_age.is_outdated(configuration)
     }
 
+    /// Allows running items to have several versions of the weights if their route does. Items
+    /// opened under an outdated configuration may have only one until then.
+    pub(super) fn apply_settings_to_runs(&mut self, configuration: &Configuration) {
+        let is_applied = self.configuration_age.applied_to_runs == configuration.version;
+        if is_applied || self.is_outdated(configuration) {
+            return;
+        }
+        self.configuration_age.applied_to_runs = configuration.version;
+        self.count_visits(self.items.len());
+        let running = self.items.values_mut().filter(|item| item.run.is_some());
+        for item in running.filter(|item| item.single_version) {
+            let route = batch_route(item, configuration);
+            item.single_version = route.is_none_or(|route| route.single_version);
+        }
+    }
+
     /// Gives an item up for a reason that depends on the configuration. If the configuration is
     /// outdated, the item is held instead. Returns whether it was given up.
     pub(super) fn give_up_unless_outdated(
--- a/crates/jobs/src/dispatcher/scoring.rs
+++ b/crates/jobs/src/dispatcher/scoring.rs
@@ -260,9 +260,12 @@
 /// Whether the engines of the reward call's route have failed it as often as the route allows.
 fn has_exhausted_calls(item: &OpenItem, configuration: &Configuration) -> bool {
     let failures = item.failures.reward_calls;
+    if failures == 0 {
+        return false;
+    }
     let call = item.item().reward_call.as_ref();
     let route = call.and_then(|call| configuration.route(&call.host, &call.path));
-    failures > 0 && route.is_some_and(|route| failures >= route.max_attempts)
+    route.is_some_and(|route| failures >= route.max_attempts)
 }
 
 /// Whether a route leads to engines that answer single requests.
--- a/crates/jobs/tests/outdated_configuration/mod.rs
+++ b/crates/jobs/tests/outdated_configuration/mod.rs
@@ -212,3 +212,25 @@
         vec![completed("pure", "one\ntwo", &[5])]
     );
 }
+
+/// Guards against texts that are broken off at a change of the weights although their route allows
+/// several versions: they began while the leader did not know the setting.
+#[test]
+fn running_item_may_have_several_versions_once_the_configuration_allows_it() {
+    let mut harness = outdated_leader(|_| {});
+    harness.submit("j", 5, &["i"]);
+    harness.poll();
+    let run = harness.last_started().run;
+    harness.head(run, 200, 5);
+    harness.data(run, "1|0|one\n");
+    harness.set_configuration(ACCEPTED_UNDER, |_| {});
+    harness.wait(100);
+    harness.data(run, "2|6|two\n");
+    assert!(harness.cancelled.is_empty(), "the run goes on");
+    harness.part(run, RunPart::End);
+    harness.poll();
+    assert_eq!(
+        harness.results("j"),
+        vec![completed("i", "one\ntwo", &[5, 6])]
+    );
+}
