--- a/crates/jobs/src/dispatcher/queue_refresh.rs
+++ b/crates/jobs/src/dispatcher/queue_refresh.rs
@@ -85,7 +85,7 @@
         }
     }
 
-    /// Gives a waiting item up if it is no longer allowed to run.
+    /// Gives a waiting item up if the configuration does not allow it to run.
     pub(super) fn give_up_if_ineligible(
         &mut self,
         now: Time,
