--- a/review/stand_in_2/src/cases/mod.rs
+++ b/review/stand_in_2/src/cases/mod.rs
@@ -1,5 +1,6 @@
 //! The cases.
 
+mod emptied;
 mod promise;
 mod smuggled;
 mod unkeyed;
@@ -15,6 +16,7 @@
     match case {
         "unkeyed" => unkeyed::play(record, trouble),
         "waiting" => waiting::play(record, trouble),
+        "emptied" => emptied::play(record, trouble),
         "promise" => promise::play(record, trouble),
         "smuggled" => smuggled::play(record, trouble),
         _ => (Outcome::CouldNotRun, format!("there is no case {case}")),
--- a/review/stand_in_2/src/processes.rs
+++ b/review/stand_in_2/src/processes.rs
@@ -186,6 +186,14 @@
         }
     }
 
+    /// Adds an empty storage machine; `index` sets its name and zone. Returns the name.
+    pub fn add_storage(&mut self, index: usize) -> String {
+        let process = Process::start(&self.folder, &self.store, "storage", index);
+        let name = process.name.clone();
+        self.storage.push(process);
+        name
+    }
+
     pub fn leader(&self) -> Option<usize> {
         let leads = |process: &Process| process.state("works_as_leader") == Some(1);
         self.storage.iter().position(leads)
