--- a/review/stand_in_2/src/cases/emptied.rs
+++ b/review/stand_in_2/src/cases/emptied.rs
@@ -21,7 +21,11 @@
 
 pub fn play(record: &Record, trouble: bool) -> Verdict {
     let mut deployment = Deployment::start("emptied", 2, |store| {
-        store.put("config", "main", configuration(1, &single_route("safe", 1_500)));
+        store.put(
+            "config",
+            "main",
+            configuration(1, &single_route("safe", 1_500)),
+        );
     });
     let _engines: Vec<Engine> = (0..2)
         .map(|index| {
@@ -30,7 +34,10 @@
         })
         .collect();
     if !deployment.wait_until_up() {
-        return (Outcome::CouldNotRun, "the deployment did not come up".into());
+        return (
+            Outcome::CouldNotRun,
+            "the deployment did not come up".into(),
+        );
     }
     let front = deployment.gateways[0].front;
     if trouble {
@@ -41,23 +48,34 @@
     std::thread::sleep(Duration::from_secs(3));
     // The planned replacement of storage-1: the new one first, then SIGTERM.
     let newcomer = deployment.add_storage(4);
-    record.line(&format!("{newcomer} starts, empty, as the successor of storage-1"));
+    record.line(&format!(
+        "{newcomer} starts, empty, as the successor of storage-1"
+    ));
     std::thread::sleep(Duration::from_secs(3));
     let emptied = deployment.store.status("retirements", "storage-0");
-    record.line(&format!("status of the request to empty storage-0: {emptied:?}"));
+    record.line(&format!(
+        "status of the request to empty storage-0: {emptied:?}"
+    ));
     if emptied == "completed" {
         take_away(&mut deployment.storage[0]);
         record.line("the platform takes storage-0 away with its disk");
     }
     deployment.storage[1].signal("-TERM");
-    let stopped = wait(Duration::from_secs(9), || deployment.storage[1].ended().is_some());
+    let stopped = wait(Duration::from_secs(9), || {
+        deployment.storage[1].ended().is_some()
+    });
     take_away(&mut deployment.storage[1]);
-    record.line(&format!("storage-1 was stopped with SIGTERM (ended: {stopped}) and is gone for good"));
+    record.line(&format!(
+        "storage-1 was stopped with SIGTERM (ended: {stopped}) and is gone for good"
+    ));
     std::thread::sleep(CALM);
     let sent = submit(front);
     record.line(&format!("batch job {JOB} answered {sent}"));
     if sent != 202 {
-        return (Outcome::CouldNotRun, format!("the batch job was answered {sent}"));
+        return (
+            Outcome::CouldNotRun,
+            format!("the batch job was answered {sent}"),
+        );
     }
     std::thread::sleep(Duration::from_secs(1));
     let before = listed(front).map(|ids| ids.len());
@@ -78,10 +96,14 @@
     let took = start.elapsed().as_millis();
     record.line(&format!("{took} ms after the return of storage-2: {last}"));
     match is_kept {
-        true => (Outcome::Held, format!("{took} ms after the return the batch job was whole")),
+        true => (
+            Outcome::Held,
+            format!("{took} ms after the return the batch job was whole"),
+        ),
         false => {
             let seconds = RECOVERY.as_secs();
-            let reason = format!("for {seconds} s after the return from the loss of one disk: {last}");
+            let reason =
+                format!("for {seconds} s after the return from the loss of one disk: {last}");
             (Outcome::Broken, reason)
         }
     }
@@ -101,7 +123,10 @@
     let answer = call(front, "GET", &path, &headers, b"", Duration::from_secs(3));
     match answer.map_or(0, |answer| answer.status) {
         200 => "kept".into(),
-        status => format!("{} of {ITEMS} items are listed, and the body of one that isn't gets {status}", ids.len()),
+        status => format!(
+            "{} of {ITEMS} items are listed, and the body of one that isn't gets {status}",
+            ids.len()
+        ),
     }
 }
 
@@ -126,9 +151,20 @@
         "{{\"step\":0,\"model\":\"m\",\"min_version\":1,\"desired\":6,\"requests\":[{}]}}",
         items.join(",")
     );
-    let headers = [("Host", "h.example"), ("X-Attempt-Id", JOB), ("X-Deadline-Ms", "5000")];
+    let headers = [
+        ("Host", "h.example"),
+        ("X-Attempt-Id", JOB),
+        ("X-Deadline-Ms", "5000"),
+    ];
     let patience = Duration::from_secs(5);
-    let answer = call(front, "POST", "/jobs/c1", &headers, body.as_bytes(), patience);
+    let answer = call(
+        front,
+        "POST",
+        "/jobs/c1",
+        &headers,
+        body.as_bytes(),
+        patience,
+    );
     answer.map_or(0, |answer| answer.status)
 }
 
@@ -149,7 +185,11 @@
         if results.is_empty() {
             return Some(ids);
         }
-        ids.extend(results.iter().map(|result| result.get("id").text().to_string()));
+        ids.extend(
+            results
+                .iter()
+                .map(|result| result.get("id").text().to_string()),
+        );
         position += results.len();
     }
 }
--- a/review/stand_in_2/src/cases/smuggled.rs
+++ b/review/stand_in_2/src/cases/smuggled.rs
@@ -28,11 +28,16 @@
         })
         .collect();
     if !deployment.wait_until_up() {
-        return (Outcome::CouldNotRun, "the deployment did not come up".into());
+        return (
+            Outcome::CouldNotRun,
+            "the deployment did not come up".into(),
+        );
     }
     std::thread::sleep(Duration::from_secs(1));
     let front = deployment.gateways[0].front;
-    let ids: Vec<String> = (0..ITEMS).map(|index| format!("{:016x}", 0xa000 + index)).collect();
+    let ids: Vec<String> = (0..ITEMS)
+        .map(|index| format!("{:016x}", 0xa000 + index))
+        .collect();
     let job = "00000000000000a1";
     let items: Vec<String> = ids
         .iter()
@@ -60,7 +65,9 @@
         "{{\"step\":0,\"model\":\"m\",\"min_version\":1,\"desired\":1,\"requests\":[{}]}}",
         items.join(",")
     );
-    record.line(&format!("client of tenant alumni sends batch job {job}: {body}"));
+    record.line(&format!(
+        "client of tenant alumni sends batch job {job}: {body}"
+    ));
     let headers = [
         ("Host", "h.example"),
         ("X-Attempt-Id", job),
@@ -69,14 +76,31 @@
         ("Content-Type", "application/json"),
     ];
     let patience = Duration::from_secs(5);
-    let sent = call(front, "POST", "/jobs/a1", &headers, body.as_bytes(), patience);
+    let sent = call(
+        front,
+        "POST",
+        "/jobs/a1",
+        &headers,
+        body.as_bytes(),
+        patience,
+    );
     let status = sent.map_or(0, |answer| answer.status);
     record.line(&format!("batch job {job} answered {status}"));
     if status != 202 && !trouble {
-        return (Outcome::CouldNotRun, format!("the batch job was answered {status}"));
+        return (
+            Outcome::CouldNotRun,
+            format!("the batch job was answered {status}"),
+        );
     }
     let finished = |id: &String| {
-        let has = |engine: &Engine| engine.state.lock().expect("state").finished.contains_key(id);
+        let has = |engine: &Engine| {
+            engine
+                .state
+                .lock()
+                .expect("state")
+                .finished
+                .contains_key(id)
+        };
         engines.iter().any(has)
     };
     // A refused batch job has nothing to run.
@@ -99,7 +123,11 @@
     match unasked.is_empty() {
         true => (Outcome::Held, "engines ran the items alone".into()),
         false => {
-            let reason = format!("engines ran {} requests that nobody sent: {}", unasked.len(), unasked.join("; "));
+            let reason = format!(
+                "engines ran {} requests that nobody sent: {}",
+                unasked.len(),
+                unasked.join("; ")
+            );
             (Outcome::Broken, reason)
         }
     }
--- a/review/stand_in_2/src/cases/unkeyed.rs
+++ b/review/stand_in_2/src/cases/unkeyed.rs
@@ -16,13 +16,15 @@
     let deployment = Deployment::start("unkeyed", 2, |store| {
         store.put("config", "main", public_configuration(1));
     });
-    let start = |id: &str, service: &str| {
-        Engine::start(&deployment.store, record, id, service, "m")
-    };
+    let start =
+        |id: &str, service: &str| Engine::start(&deployment.store, record, id, service, "m");
     let open = start("open-0", "models-open");
     let keyed = start("keyed-0", "models");
     if !deployment.wait_until_up() {
-        return (Outcome::CouldNotRun, "the deployment did not come up".into());
+        return (
+            Outcome::CouldNotRun,
+            "the deployment did not come up".into(),
+        );
     }
     std::thread::sleep(Duration::from_secs(1));
     let front = deployment.gateways[0].front;
@@ -32,10 +34,21 @@
     let body = "{\"step\":0,\"model\":\"m\",\"min_version\":1,\"desired\":1,\"requests\":[{\"id\":\
                 \"000000000000b0ff\",\"path\":\"/jobs/0\",\"headers\":{},\"body\":\"\",\
                 \"tokens\":32,\"group\":\"g1\"}]}";
-    let direct = call(front, "POST", "/jobs/b1", &headers, body.as_bytes(), patience);
+    let direct = call(
+        front,
+        "POST",
+        "/jobs/b1",
+        &headers,
+        body.as_bytes(),
+        patience,
+    );
     let direct = direct.map_or(0, |answer| answer.status);
-    record.line(&format!("client without a key sends a batch job to /jobs/b1: answered {direct}"));
-    let ids: Vec<String> = (0..ITEMS).map(|index| format!("{:016x}", 0xb000 + index)).collect();
+    record.line(&format!(
+        "client without a key sends a batch job to /jobs/b1: answered {direct}"
+    ));
+    let ids: Vec<String> = (0..ITEMS)
+        .map(|index| format!("{:016x}", 0xb000 + index))
+        .collect();
     let items: Vec<String> = ids
         .iter()
         .enumerate()
@@ -55,13 +68,25 @@
         "{{\"step\":0,\"model\":\"m\",\"min_version\":1,\"desired\":1,\"requests\":[{}]}}",
         items.join(",")
     );
-    record.line(&format!("the same client sends a batch job to /open/b2: {body}"));
+    record.line(&format!(
+        "the same client sends a batch job to /open/b2: {body}"
+    ));
     let headers = [("Host", "h.example"), ("X-Attempt-Id", "00000000000000b2")];
-    let sent = call(front, "POST", "/open/b2", &headers, body.as_bytes(), patience);
+    let sent = call(
+        front,
+        "POST",
+        "/open/b2",
+        &headers,
+        body.as_bytes(),
+        patience,
+    );
     let status = sent.map_or(0, |answer| answer.status);
     record.line(&format!("batch job answered {status}"));
     if status != 202 && !trouble {
-        return (Outcome::CouldNotRun, format!("the batch job was answered {status}"));
+        return (
+            Outcome::CouldNotRun,
+            format!("the batch job was answered {status}"),
+        );
     }
     let ran = |engine: &Engine| engine.state.lock().expect("state").requests.len();
     let limit = Duration::from_secs(if status == 202 { 8 } else { 2 });
@@ -72,7 +97,10 @@
     }
     let state = keyed.state.lock().expect("state");
     match state.requests.is_empty() {
-        true => (Outcome::Held, format!("only the public service ran items, {}", ran(&open))),
+        true => (
+            Outcome::Held,
+            format!("only the public service ran items, {}", ran(&open)),
+        ),
         false => {
             let runs: Vec<String> = state
                 .requests
@@ -80,7 +108,12 @@
                 .map(|(id, what, tenant)| format!("id {id}, {what}, tenant {tenant}"))
                 .collect();
             let runs = runs.join("; ");
-            (Outcome::Broken, format!("the service of the keyed route ran items of a client without a key: {runs}"))
+            (
+                Outcome::Broken,
+                format!(
+                    "the service of the keyed route ran items of a client without a key: {runs}"
+                ),
+            )
         }
     }
 }
--- a/review/stand_in_2/src/cases/waiting.rs
+++ b/review/stand_in_2/src/cases/waiting.rs
@@ -23,13 +23,28 @@
 
 pub fn play(record: &Record, trouble: bool) -> Verdict {
     let deployment = Deployment::start("waiting", 2, |store| {
-        store.put("config", "main", configuration(1, &single_route("unsafe", TIMEOUT_MS)));
+        store.put(
+            "config",
+            "main",
+            configuration(1, &single_route("unsafe", TIMEOUT_MS)),
+        );
     });
     let engines: Vec<Engine> = (0..ENGINES)
-        .map(|index| Engine::start(&deployment.store, record, &format!("app-{index}"), "app", ""))
+        .map(|index| {
+            Engine::start(
+                &deployment.store,
+                record,
+                &format!("app-{index}"),
+                "app",
+                "",
+            )
+        })
         .collect();
     if !deployment.wait_until_up() {
-        return (Outcome::CouldNotRun, "the deployment did not come up".into());
+        return (
+            Outcome::CouldNotRun,
+            "the deployment did not come up".into(),
+        );
     }
     std::thread::sleep(Duration::from_secs(4));
     let results = Arc::new(Mutex::new(Vec::new()));
@@ -56,9 +71,9 @@
     let results = results.lock().expect("results");
     let mut cut = 0;
     for (id, answered) in results.iter() {
-        let begun = engines.iter().any(|engine| {
-            engine.state.lock().expect("state").begun.contains_key(id)
-        });
+        let begun = engines
+            .iter()
+            .any(|engine| engine.state.lock().expect("state").begun.contains_key(id));
         cut += usize::from(begun && !answered);
     }
     let answered = results.iter().filter(|(_, answered)| *answered).count();
@@ -96,20 +111,30 @@
     let short = send(&format!("{:016x}", 0x1000 + index), 25);
     record.line(&format!(
         "client {index}: short request {}",
-        short.map_or_else(|error| error.to_string(), |answer| answer.status.to_string())
+        short.map_or_else(
+            |error| error.to_string(),
+            |answer| answer.status.to_string()
+        )
     ));
     let sent = Instant::now();
-    record.line(&format!("client {index} sends {id} on the same connection, deadline {TIMEOUT_MS} ms"));
+    record.line(&format!(
+        "client {index} sends {id} on the same connection, deadline {TIMEOUT_MS} ms"
+    ));
     let long = send(&id, WORK_MS);
     let took = sent.elapsed().as_millis();
     match long {
         Ok(answer) => {
             let stamp = answer.header("x-server-stamp").unwrap_or("none");
-            record.line(&format!("client {index}: {id} answered {} after {took} ms, stamp {stamp}", answer.status));
+            record.line(&format!(
+                "client {index}: {id} answered {} after {took} ms, stamp {stamp}",
+                answer.status
+            ));
             (id, true)
         }
         Err(error) => {
-            record.line(&format!("client {index}: {id} has no answer, the connection ended after {took} ms: {error}"));
+            record.line(&format!(
+                "client {index}: {id} has no answer, the connection ended after {took} ms: {error}"
+            ));
             (id, false)
         }
     }
--- a/review/stand_in_2/src/engine.rs
+++ b/review/stand_in_2/src/engine.rs
@@ -68,7 +68,9 @@
         );
         store.put("servers", id, Json::parse(spec.as_bytes()).expect("entry"));
         let (handler, model) = (engine.clone(), model.to_string());
-        serve(listener, move |request, stream| handler.handle(&request, stream, &model));
+        serve(listener, move |request, stream| {
+            handler.handle(&request, stream, &model)
+        });
         engine
     }
 
@@ -80,11 +82,18 @@
             std::thread::sleep(STEP.min(work - done));
             let slow_until = self.state.lock().expect("state").slow_until;
             let is_slow = slow_until.is_some_and(|until| before < until);
-            done += before.elapsed().div_f64(if is_slow { SLOW_FACTOR } else { 1.0 });
+            done += before
+                .elapsed()
+                .div_f64(if is_slow { SLOW_FACTOR } else { 1.0 });
         }
     }
 
-    fn handle(&self, request: &Request, stream: &mut TcpStream, model: &str) -> std::io::Result<()> {
+    fn handle(
+        &self,
+        request: &Request,
+        stream: &mut TcpStream,
+        model: &str,
+    ) -> std::io::Result<()> {
         let expected = request.header("x-expect-instance");
         if expected.is_some_and(|id| id != self.id) {
             let headers = [("X-Not-Run", "1"), ("X-Instance-Id", self.id.as_str())];
@@ -140,14 +149,22 @@
     /// A single request: its header `Work` tells how long a sound engine works on it.
     fn answer(&self, request: &Request, stream: &mut TcpStream) -> std::io::Result<()> {
         let id = request.header("x-attempt-id").unwrap_or("").to_string();
-        let work = request.header("x-work-ms").and_then(|value| value.parse().ok());
+        let work = request
+            .header("x-work-ms")
+            .and_then(|value| value.parse().ok());
         let begun = Instant::now();
         self.record.line(&format!(
             "engine {} begins {id}, deadline {} ms",
             self.id,
             request.header("x-deadline-ms").unwrap_or("none")
         ));
-        *self.state.lock().expect("state").begun.entry(id.clone()).or_insert(0) += 1;
+        *self
+            .state
+            .lock()
+            .expect("state")
+            .begun
+            .entry(id.clone())
+            .or_insert(0) += 1;
         self.work(Duration::from_millis(work.unwrap_or(25)));
         let fails = {
             let mut state = self.state.lock().expect("state");
@@ -159,17 +176,32 @@
         // It has run the request, so its failure has no `X-Not-Run`.
         let status = if fails { 503 } else { 200 };
         let sent = respond(stream, status, &headers, &request.body);
-        *self.state.lock().expect("state").finished.entry(id.clone()).or_insert(0) += 1;
+        *self
+            .state
+            .lock()
+            .expect("state")
+            .finished
+            .entry(id.clone())
+            .or_insert(0) += 1;
         let took = begun.elapsed().as_millis();
-        self.record.line(&format!("engine {} has run {id} in {took} ms, answer sent: {}", self.id, sent.is_ok()));
+        self.record.line(&format!(
+            "engine {} has run {id} in {took} ms, answer sent: {}",
+            self.id,
+            sent.is_ok()
+        ));
         sent
     }
 
     /// An item: a stream of numbered events.
     fn generate(&self, request: &Request, stream: &mut TcpStream) -> std::io::Result<()> {
         let id = request.header("x-attempt-id").unwrap_or("").to_string();
-        let after = request.header("last-event-id").and_then(|value| value.parse::<u64>().ok());
-        self.record.line(&format!("engine {} begins item {id} after event {after:?}", self.id));
+        let after = request
+            .header("last-event-id")
+            .and_then(|value| value.parse::<u64>().ok());
+        self.record.line(&format!(
+            "engine {} begins item {id} after event {after:?}",
+            self.id
+        ));
         let version = {
             let mut state = self.state.lock().expect("state");
             *state.begun.entry(id.clone()).or_insert(0) += 1;
@@ -185,7 +217,13 @@
             let block = format!("id: {event}\ndata: {}\n\n", event_text(&id, event));
             stream.write_all(format!("{:x}\r\n{block}\r\n", block.len()).as_bytes())?;
         }
-        *self.state.lock().expect("state").finished.entry(id).or_insert(0) += 1;
+        *self
+            .state
+            .lock()
+            .expect("state")
+            .finished
+            .entry(id)
+            .or_insert(0) += 1;
         stream.write_all(b"0\r\n\r\n")
     }
 }
--- a/review/stand_in_2/src/http.rs
+++ b/review/stand_in_2/src/http.rs
@@ -1,6 +1,6 @@
 //! Minimal HTTP/1.1: a server with a thread per connection, and a client connection.
 
-use std::io::{BufRead, BufReader, Read as _, Write};
+use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::time::Duration;
@@ -30,7 +30,9 @@
 }
 
 fn find<'a>(headers: &'a [(String, String)], name: &str) -> Option<&'a str> {
-    let found = headers.iter().find(|(key, _)| key.eq_ignore_ascii_case(name));
+    let found = headers
+        .iter()
+        .find(|(key, _)| key.eq_ignore_ascii_case(name));
     found.map(|(_, value)| value.as_str())
 }
 
@@ -56,10 +58,7 @@
     }
 }
 
-fn read_body(
-    reader: &mut impl BufRead,
-    headers: &[(String, String)],
-) -> std::io::Result<Vec<u8>> {
+fn read_body(reader: &mut impl BufRead, headers: &[(String, String)]) -> std::io::Result<Vec<u8>> {
     if find(headers, "transfer-encoding").is_some() {
         let mut body = Vec::new();
         loop {
@@ -166,7 +165,10 @@
         patience: Duration,
     ) -> std::io::Result<Answer> {
         self.reader.get_ref().set_read_timeout(Some(patience))?;
-        let mut head = format!("{method} {path} HTTP/1.1\r\nContent-Length: {}\r\n", body.len());
+        let mut head = format!(
+            "{method} {path} HTTP/1.1\r\nContent-Length: {}\r\n",
+            body.len()
+        );
         for (name, value) in headers {
             head.push_str(&format!("{name}: {value}\r\n"));
         }
--- a/review/stand_in_2/src/processes.rs
+++ b/review/stand_in_2/src/processes.rs
@@ -37,7 +37,6 @@
     pub front: SocketAddr,
     pub ready: SocketAddr,
     pub metrics: SocketAddr,
-    pub peer: SocketAddr,
     _claim: TcpListener,
 }
 
@@ -55,7 +54,7 @@
              contact_ms = 3000\nconfig_apply_ms = 2000\nengine_drain_ms = 2000\n\
              engine_heartbeat_ms = 1200\nlog_level = \"info\"\n",
             index % 3,
-            store.address_for(&name)
+            store.serve()
         );
         if role == "gateway" {
             text += &format!(
@@ -81,7 +80,6 @@
             front,
             ready,
             metrics,
-            peer,
             _claim: claim,
         };
         process.run();
@@ -90,11 +88,18 @@
 
     pub fn run(&mut self) {
         let mut options = fs::File::options();
-        let log = options.create(true).append(true).open(&self.log).expect("open log");
+        let log = options
+            .create(true)
+            .append(true)
+            .open(&self.log)
+            .expect("open log");
         let copy = log.try_clone().expect("copy log");
         let mut command = Command::new(PROGRAM);
         command.arg(self.role).arg("--settings").arg(&self.settings);
-        command.stdin(Stdio::null()).stdout(Stdio::from(log)).stderr(Stdio::from(copy));
+        command
+            .stdin(Stdio::null())
+            .stdout(Stdio::from(log))
+            .stderr(Stdio::from(copy));
         self.child = Some(command.spawn().expect("start the program"));
     }
 
@@ -104,7 +109,9 @@
 
     pub fn signal(&self, signal: &str) {
         if let Some(id) = self.id() {
-            let _ = Command::new("kill").args([signal, &id.to_string()]).status();
+            let _ = Command::new("kill")
+                .args([signal, &id.to_string()])
+                .status();
         }
     }
 
@@ -127,7 +134,14 @@
     }
 
     pub fn is_ready(&self) -> bool {
-        let answer = call(self.ready, "GET", "/peatgrade/ready", &[], b"", Duration::from_secs(1));
+        let answer = call(
+            self.ready,
+            "GET",
+            "/peatgrade/ready",
+            &[],
+            b"",
+            Duration::from_secs(1),
+        );
         answer.is_ok_and(|answer| answer.status == 200)
     }
 
@@ -140,17 +154,6 @@
         let mut lines = text.lines();
         lines.find_map(|line| line.strip_prefix(&start)?.trim().parse().ok())
     }
-
-    /// Resident memory in MB, as the platform sees it.
-    pub fn resident_mb(&self) -> u64 {
-        let Some(id) = self.id() else {
-            return 0;
-        };
-        let text = fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
-        let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-        let kb = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
-        kb.unwrap_or(0) / 1024
-    }
 }
 
 impl Drop for Process {
--- a/review/stand_in_2/src/store.rs
+++ b/review/stand_in_2/src/store.rs
@@ -14,7 +14,6 @@
     objects: BTreeMap<(String, String), Json>,
     /// Revision, kind, object, and whether it is gone.
     history: Vec<(u64, String, Json, bool)>,
-    refused: BTreeMap<String, bool>,
 }
 
 #[derive(Clone, Default)]
@@ -23,29 +22,24 @@
 }
 
 fn object(fields: &[(&str, Json)]) -> Json {
-    let fields = fields.iter().map(|(name, value)| (name.to_string(), value.clone()));
+    let fields = fields
+        .iter()
+        .map(|(name, value)| (name.to_string(), value.clone()));
     Json::Object(fields.collect())
 }
 
 impl Store {
-    /// An address of the store for one machine.
-    pub fn address_for(&self, machine: &str) -> SocketAddr {
+    /// Serves the store at a new address.
+    pub fn serve(&self) -> SocketAddr {
         let listener = TcpListener::bind("127.0.0.1:0").expect("bind store");
         let address = listener.local_addr().expect("address");
-        let (store, machine) = (self.clone(), machine.to_string());
+        let store = self.clone();
         serve(listener, move |request, stream| {
-            store.handle(&machine, &request, stream)
+            store.handle(&request, stream)
         });
         address
     }
 
-    /// Turns a machine away with 503, or serves it again.
-    pub fn refuse(&self, machine: &str, refused: bool) {
-        let mut state = self.shared.0.lock().expect("state");
-        state.refused.insert(machine.to_string(), refused);
-        self.shared.1.notify_all();
-    }
-
     pub fn put(&self, kind: &str, name: &str, spec: Json) {
         let mut state = self.shared.0.lock().expect("state");
         state.write(kind, name, Some(spec), None);
@@ -60,32 +54,16 @@
         status.unwrap_or_default()
     }
 
-    fn is_refused(&self, machine: &str) -> bool {
-        let state = self.shared.0.lock().expect("state");
-        state.refused.get(machine) == Some(&true)
-    }
-
-    fn handle(
-        &self,
-        machine: &str,
-        request: &Request,
-        stream: &mut TcpStream,
-    ) -> std::io::Result<()> {
-        if self.is_refused(machine) {
-            return respond(stream, 503, &[], b"{}");
-        }
-        let path = request.path_only().trim_start_matches("/peatgrade/objects/");
+    fn handle(&self, request: &Request, stream: &mut TcpStream) -> std::io::Result<()> {
+        let path = request
+            .path_only()
+            .trim_start_matches("/peatgrade/objects/");
         let mut parts = path.split('/');
         let kind = parts.next().unwrap_or("").to_string();
         let name = parts.next().map(str::to_string);
         let status_part = parts.next() == Some("status");
         let (status, body) = match (request.method.as_str(), name) {
-            ("GET", None) if request.query("watch").is_some() => {
-                match self.watch(machine, &kind, request) {
-                    Some(answer) => answer,
-                    None => return Err(std::io::ErrorKind::ConnectionReset.into()),
-                }
-            }
+            ("GET", None) if request.query("watch").is_some() => self.watch(&kind, request),
             ("GET", None) => self.list(&kind, request.query("after_rev")),
             ("GET", Some(name)) => self.get(&kind, &name),
             ("POST", None) => self.create(&kind, request),
@@ -118,15 +96,16 @@
         }
     }
 
-    fn watch(&self, machine: &str, kind: &str, request: &Request) -> Option<(u16, Json)> {
-        let number = |name| request.query(name).and_then(|value| value.parse::<u64>().ok());
+    fn watch(&self, kind: &str, request: &Request) -> (u16, Json) {
+        let number = |name| {
+            request
+                .query(name)
+                .and_then(|value| value.parse::<u64>().ok())
+        };
         let after = number("watch").unwrap_or(0);
         let end = Instant::now() + Duration::from_millis(number("wait_ms").unwrap_or(0));
         let mut state = self.shared.0.lock().expect("state");
         loop {
-            if state.refused.get(machine) == Some(&true) {
-                return None;
-            }
             let news = state.history.iter();
             let news = news.filter(|(revision, of, ..)| *revision > after && of == kind);
             let events: Vec<Json> = news
@@ -137,7 +116,7 @@
             let left = end.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
                 let at = Json::Number(state.revision as f64);
-                return Some((200, object(&[("events", Json::List(events)), ("at", at)])));
+                return (200, object(&[("events", Json::List(events)), ("at", at)]));
             }
             state = self.shared.1.wait_timeout(state, left).expect("state").0;
         }
@@ -158,7 +137,11 @@
     fn replace(&self, kind: &str, name: &str, status: bool, request: &Request) -> (u16, Json) {
         let document = Json::parse(&request.body).unwrap_or(Json::Null);
         let mut state = self.shared.0.lock().expect("state");
-        let Some(held) = state.objects.get(&(kind.to_string(), name.to_string())).cloned() else {
+        let Some(held) = state
+            .objects
+            .get(&(kind.to_string(), name.to_string()))
+            .cloned()
+        else {
             return (404, Json::Null);
         };
         let expected = document.get("metadata").get("revision").number();
@@ -186,7 +169,10 @@
         let written = object(&[
             ("metadata", metadata),
             ("spec", spec.unwrap_or_else(|| old.get("spec").clone())),
-            ("status", status.unwrap_or_else(|| old.get("status").clone())),
+            (
+                "status",
+                status.unwrap_or_else(|| old.get("status").clone()),
+            ),
         ]);
         self.objects.insert(key, written.clone());
         let entry = (self.revision, kind.to_string(), written.clone(), false);
