Replication: a group works its way back to tolerating a lost disk, requests to empty a machine wait

Cause: the planner decided by what a machine was asked to do, not by whether the group tolerates a loss.

A voter is released only while the others alone are as many as wanted, answer, hold the log and have been there for catch_up_s (new setting) and 3 s. `completed` needs the same. Retiring machines are candidates of last resort, drained ones never. The log says what a request waits for (belief=retirement-waits) and how many losses the group tolerates. The log lines name the machine as `machine=`: `node` was overwritten by the writer's name.

In the simulated cluster registrations of machines that are gone now stay, election seeds can't cancel out any more, and time skips to the next event. The spare in a_retiring_machine_is_replaced_by_a_spare_one is there for 8 s before the request, as a new machine is no spare yet; the bound of 6 s stays.

--- a/crates/replication/tests/cluster/mod.rs
+++ b/crates/replication/tests/cluster/mod.rs
@@ -6,14 +6,20 @@
 };
 use peatgrade_schema::replication::mod_ReplicaMessage::OneOfbody;
 use peatgrade_schema::replication::{HardState, LogEntry, Member, ReplicaMessage, WrongReplica};
-use peatgrade_types::{Duration, Time};
+use peatgrade_types::{hash_pair, Duration, Time};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet};
 
 mod disk;
+mod member_checks;
+mod retirement;
 
 use disk::Disk;
+use member_checks::MemberChecks;
+
+/// Interval of the comparison of the leader's state with all acknowledged commands.
+const FULL_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
 /// A machine with its disk and, while it is running, its replica.
 pub struct Machine {
@@ -25,9 +31,14 @@
     pub applied: BTreeSet<Vec<u8>>,
     planner: MembershipPlanner,
     paused_until: Time,
+    /// Whether the operator has taken the machine away for good.
+    pub is_gone: bool,
+    /// The machine as last registered in the store.
+    registered: Member,
 }
 
 pub struct Cluster {
+    seed: u64,
     pub now: Time,
     pub random: SmallRng,
     pub machines: Vec<Machine>,
@@ -52,6 +63,17 @@
     /// The machine whose replica can serve requests.
     pub serving_leader: Option<usize>,
     target_voters: usize,
+    /// Machines that the operator wants drained, by name.
+    retiring: Vec<String>,
+    /// Machines that a leader has reported as drained.
+    released: Vec<String>,
+    pub catch_up_time: Duration,
+    checks: MemberChecks,
+    /// Interval at which the leader plans membership changes.
+    pub plan_interval: Duration,
+    /// Since when no machine and no link has been disturbed.
+    pub calm_since: Time,
+    last_full_check: Time,
 }
 
 impl Cluster {
@@ -63,6 +85,7 @@
     /// A bootstrapped group of `voters` machines, and `spares` machines with empty disks.
     pub fn with_voters(seed: u64, voters: usize, spares: usize) -> Self {
         let mut cluster = Self {
+            seed,
             now: Time(1_000_000),
             random: SmallRng::seed_from_u64(seed),
             machines: Vec::new(),
@@ -80,19 +103,16 @@
             stale_registrations: None,
             serving_leader: None,
             target_voters: voters,
+            retiring: Vec::new(),
+            released: Vec::new(),
+            catch_up_time: Duration::from_secs(5),
+            checks: MemberChecks::default(),
+            plan_interval: Duration(1_000),
+            calm_since: Time(u64::MAX),
+            last_full_check: Time(0),
         };
-        for index in 0..voters + spares {
-            cluster.machines.push(Machine {
-                name: format!("machine-{index}"),
-                address: index.to_string(),
-                disk: Disk::default(),
-                replica: None,
-                applied: BTreeSet::new(),
-                planner: MembershipPlanner::new(voters),
-                paused_until: Time(0),
-            });
-            cluster.wipe(index);
-            cluster.start(index);
+        for _ in 0..voters + spares {
+            cluster.push_machine();
         }
         let first: Vec<Member> = (0..voters)
             .map(|index| cluster.member(index, true))
@@ -105,6 +125,25 @@
         cluster
     }
 
+    /// Starts a machine with an empty disk. Returns its index.
+    pub fn push_machine(&mut self) -> usize {
+        let index = self.machines.len();
+        self.machines.push(Machine {
+            name: format!("machine-{index}"),
+            address: index.to_string(),
+            disk: Disk::default(),
+            replica: None,
+            applied: BTreeSet::new(),
+            planner: MembershipPlanner::new(self.target_voters),
+            paused_until: Time(0),
+            is_gone: false,
+            registered: Member::default(),
+        });
+        self.wipe(index);
+        self.start(index);
+        index
+    }
+
     pub fn member(&self, index: usize, voter: bool) -> Member {
         Member {
             replica: self.machines[index].disk.state.replica,
@@ -136,20 +175,30 @@
         let now = self.now;
         let target_voters = self.target_voters;
         let machine = &mut self.machines[index];
-        if machine.replica.is_some() {
+        if machine.replica.is_some() || machine.is_gone {
             return;
         }
         let settings = ReplicaSettings {
             id: ReplicaId(machine.disk.state.replica),
             address: machine.address.clone(),
-            seed: index as u64,
+            // Two replicas whose ids and seeds cancel out would draw the same election timeouts
+            // for ever.
+            seed: hash_pair(self.seed, index as u64),
             timing: Timing::default(),
         };
         let disk = &machine.disk;
         machine.replica = Some(Replica::new(now, settings, &disk.state, disk.log()));
         machine.applied.clear();
-        machine.planner = MembershipPlanner::new(target_voters);
+        machine.planner =
+            MembershipPlanner::new(target_voters).with_catch_up_time(self.catch_up_time);
         machine.paused_until = Time(0);
+        self.machines[index].registered = self.member(index, false);
+    }
+
+    /// Registrations in the store. Those of machines that are gone stay there.
+    pub fn registrations(&self) -> Vec<Member> {
+        let machines = self.machines.iter();
+        machines.map(|machine| machine.registered.clone()).collect()
     }
 
     /// Pauses a machine. Its state and its incoming messages are kept.
@@ -230,6 +279,7 @@
             "two replicas hold different entries at {}",
             entry.index
         );
+        self.checks.record_committed(entry);
         let machine = &mut self.machines[index];
         if entry.command.is_empty() {
             return;
@@ -281,11 +331,9 @@
         let now = self.now;
         let registrations: Vec<Member> = match &self.stale_registrations {
             Some(stale) => stale.clone(),
-            None => (0..self.machines.len())
-                .filter(|other| self.machines[*other].replica.is_some())
-                .map(|other| self.member(other, false))
-                .collect(),
+            None => self.registrations(),
         };
+        let (retiring, released) = (self.retiring.clone(), self.released.clone());
         let machine = &mut self.machines[index];
         let Some(replica) = machine.replica.as_mut() else {
             return;
@@ -296,24 +344,23 @@
         for member in registrations {
             machine.planner.record_registration(now, member);
         }
+        machine.planner.set_retiring(&retiring);
+        machine.planner.set_released(&released);
         if let Some(members) = machine.planner.next_members(now, replica) {
-            replica.change_members(now, members);
+            let before = replica.members();
+            let commit_index = replica.commit_index();
+            if replica.change_members(now, members.clone()) {
+                self.check_change(index, commit_index, &before, &members);
+            }
         }
         self.process_ready(index);
     }
 
-    /// Sets the machines being decommissioned, on every machine.
-    pub fn retire(&mut self, names: &[String]) {
-        for machine in &mut self.machines {
-            machine.planner.set_retiring(names);
-        }
-    }
-
     /// Advances the virtual clock.
     pub fn run(&mut self, duration: Duration) {
         let end = self.now + duration;
         while self.now < end {
-            self.now += Duration(1_000);
+            self.now = self.next_event(end);
             for index in 0..self.machines.len() {
                 if self.machines[index].paused_until > self.now {
                     continue;
@@ -325,7 +372,9 @@
                     }
                 }
                 self.process_ready(index);
-                self.change_members(index);
+                if self.now.0.is_multiple_of(self.plan_interval.0) {
+                    self.change_members(index);
+                }
             }
             self.check_serving_leader();
             while let Some((&(at, sequence), _)) = self.in_flight.first_key_value() {
@@ -344,6 +393,23 @@
         }
     }
 
+    /// Time of the next event, in whole milliseconds.
+    fn next_event(&self, end: Time) -> Time {
+        let mut next = Time(
+            end.0
+                .min((self.now.0 / self.plan_interval.0 + 1) * self.plan_interval.0),
+        );
+        if let Some(((at, _), _)) = self.in_flight.first_key_value() {
+            next = next.min(*at);
+        }
+        for machine in &self.machines {
+            if let Some(replica) = &machine.replica {
+                next = next.min(replica.next_tick().max(machine.paused_until));
+            }
+        }
+        Time(next.0.max(self.now.0 + 1).next_multiple_of(1_000))
+    }
+
     /// Asserts that at most one replica can serve and that it has applied all acknowledged
     /// commands.
     fn check_serving_leader(&mut self) {
@@ -356,14 +422,17 @@
             })
             .collect();
         assert!(serving.len() <= 1, "several leaders can serve: {serving:?}");
+        self.check_terms();
         let before = self.serving_leader;
         self.serving_leader = serving.first().copied();
         // The full comparison is slow. Commands can only go missing when the leader changes
         // or its state machine is reset.
-        let due = before != self.serving_leader || self.now.0.is_multiple_of(250_000);
+        let due = before != self.serving_leader
+            || self.now.since(self.last_full_check) >= FULL_CHECK_INTERVAL;
         if !due {
             return;
         }
+        self.last_full_check = self.now;
         if let Some(index) = self.serving_leader {
             let applied = &self.machines[index].applied;
             let lost = self.acknowledged.difference(applied).next();
--- a/crates/replication/tests/replica.rs
+++ b/crates/replication/tests/replica.rs
@@ -1,6 +1,8 @@
 //! Safety and liveness of the replicated log under faults, checked against an oracle.
 
 mod cluster;
+mod member_series;
+mod retirement;
 mod slow_network;
 
 use cluster::Cluster;
@@ -364,7 +366,8 @@
     for seed in 0..20 {
         let mut cluster = Cluster::new(seed, 1);
         cluster.run_until_leader_serves(LEADER_TIME_LIMIT);
-        write_for(&mut cluster, SECOND);
+        // The spare machine has been there for as long as a new one counts as lost.
+        write_for(&mut cluster, Duration::from_secs(8));
         let retiring = cluster.machines[(seed % 3) as usize].name.clone();
         cluster.retire(std::slice::from_ref(&retiring));
         for _ in 0..60 {
--- a/crates/server/src/settings.rs
+++ b/crates/server/src/settings.rs
@@ -9,7 +9,7 @@
 use std::path::{Path, PathBuf};
 
 use crate::settings_validation::{
-    require_at_least, require_non_empty, require_socket_address, SettingsError,
+    require_at_least, require_in_range, require_non_empty, require_socket_address, SettingsError,
 };
 
 /// Settings read from a TOML file. Unknown fields are ignored.
@@ -55,6 +55,10 @@
     /// Number of storage machines that may fail simultaneously without data loss.
     #[serde(default = "default_losses")]
     pub tolerated_losses: usize,
+    /// Time for which a storage machine counts as lost after its start with an empty disk, in
+    /// seconds. Storage only.
+    #[serde(default = "default_catch_up")]
+    pub catch_up_s: f64,
     /// Time within which a machine must have received all changes after its connection to the
     /// store is restored, in milliseconds.
     #[serde(default = "default_contact")]
@@ -127,6 +131,10 @@
     3_000
 }
 
+fn default_catch_up() -> f64 {
+    5.0
+}
+
 fn default_keep() -> u64 {
     120_000
 }
@@ -249,7 +257,7 @@
             copies_percent,
             share_observations
         );
-        require_restart!(item_placement);
+        require_restart!(item_placement, catch_up_s);
         require_restart!(
             contact_ms,
             config_apply_ms,
@@ -295,6 +303,11 @@
         ItemPlacement::from_name(&self.item_placement).unwrap_or_default()
     }
 
+    /// Time for which a storage machine counts as lost after its start with an empty disk.
+    pub fn catch_up_time(&self) -> Duration {
+        Duration((self.catch_up_s * 1e6) as u64)
+    }
+
     /// Timing of the mirror, derived from the stricter bound on staleness.
     pub fn mirror_timing(&self) -> MirrorTiming {
         let bound_ms = self.config_apply_ms.min(self.engine_drain_ms);
@@ -347,6 +360,7 @@
         require_at_least("config_apply_ms", self.config_apply_ms, 100)?;
         require_at_least("engine_heartbeat_ms", self.engine_heartbeat_ms, 10)?;
         require_at_least("contact_ms", self.contact_ms, MIN_CONTACT_MS)?;
+        require_in_range("catch_up_s", self.catch_up_s, 0.0..=MAX_CATCH_UP_S)?;
         if self.copies_percent > MAX_COPIES_PERCENT {
             return Err(SettingsError::Field {
                 field: "copies_percent",
@@ -376,6 +390,7 @@
 const MIN_USAGE_LATE_MS: u64 = 2_000;
 const MAX_COPIES_PERCENT: u32 = 100;
 const MAX_TOLERATED_LOSSES: usize = 4;
+const MAX_CATCH_UP_S: f64 = 3_600.0;
 
 #[cfg(test)]
 #[path = "../tests/unit/settings.rs"]
--- a/crates/server/src/settings_validation.rs
+++ b/crates/server/src/settings_validation.rs
@@ -48,6 +48,21 @@
     })
 }
 
+pub(crate) fn require_in_range(
+    field: &'static str,
+    value: f64,
+    range: std::ops::RangeInclusive<f64>,
+) -> Result<(), SettingsError> {
+    if range.contains(&value) {
+        return Ok(());
+    }
+    Err(SettingsError::Field {
+        field,
+        reason: "is out of range",
+        value: value.to_string(),
+    })
+}
+
 pub(crate) fn require_non_empty(field: &'static str, value: &str) -> Result<(), SettingsError> {
     if value.is_empty() {
         return Err(SettingsError::Field {
--- a/crates/server/src/storage/housekeeping.rs
+++ b/crates/server/src/storage/housekeeping.rs
@@ -169,6 +169,11 @@
         for (name, value) in gauges.into_iter().chain(placement).chain(quarantine) {
             self.metrics.set(name, value);
         }
+        if self.has_leader_session() {
+            for (name, value) in self.membership_metrics(now) {
+                self.metrics.set(name, value);
+            }
+        }
         let loading = self.coordinator.as_ref().map_or(0, |c| c.loading_count());
         self.metrics.set("weight_loads", loading as u64);
     }
--- a/crates/server/src/storage/leader_session.rs
+++ b/crates/server/src/storage/leader_session.rs
@@ -10,6 +10,8 @@
     obstacle: Option<DispatchObstacle>,
     /// Newest version of the configuration that this leader has proposed to the log.
     proposed_configuration: u64,
+    /// Number of lost disks that the group tolerates, as last recorded.
+    tolerated_losses: Option<usize>,
 }
 
 /// Information that a leader needs before it may dispatch items.
@@ -50,6 +52,11 @@
         std::mem::replace(&mut self.obstacle, obstacle) != obstacle
     }
 
+    /// Records how many lost disks the group tolerates. Returns whether that has changed.
+    pub fn set_tolerated_losses(&mut self, losses: usize) -> bool {
+        self.tolerated_losses.replace(losses) != Some(losses)
+    }
+
     /// Newest version of the configuration that this leader has proposed to the log.
     pub fn proposed_configuration(&self) -> u64 {
         self.proposed_configuration
--- a/crates/server/src/storage/leadership.rs
+++ b/crates/server/src/storage/leadership.rs
@@ -241,6 +241,7 @@
                 log::info!("decision=change-members set={}", names.join(","));
             }
         }
-        self.report_retirements();
+        self.log_tolerance(now);
+        self.report_retirements(now);
     }
 }
--- a/crates/server/src/storage/process.rs
+++ b/crates/server/src/storage/process.rs
@@ -238,8 +238,8 @@
             memory_mb: settings.memory_limit_mb,
         };
         let forwarder = Forwarder::new(codec.clone(), settings.forwarder_settings(seed));
-        let membership_planner =
-            MembershipPlanner::new(voters_to_tolerate(settings.tolerated_losses));
+        let voters = voters_to_tolerate(settings.tolerated_losses);
+        let catch_up_time = settings.catch_up_time();
         let commands = Rc::new(AppliedCommands(log_file.entry_reader()));
         let peer_mirror = PeerMirror::new(now, &settings);
         let observations = ObservationRelay::new(&settings);
@@ -260,7 +260,7 @@
             crashes: CrashSharing::new(now, crash_file),
             observations,
             coordinator: None,
-            membership_planner,
+            membership_planner: MembershipPlanner::new(voters).with_catch_up_time(catch_up_time),
             configuration: Configuration::default(),
             configuration_freshness: ConfigurationFreshness::default(),
             directory,
--- a/crates/server/src/storage/store_updates.rs
+++ b/crates/server/src/storage/store_updates.rs
@@ -1,6 +1,8 @@
 //! Updates from the object store.
 
-use peatgrade_ports::{Configuration, ObjectKind, StoreEvent, StoreObject, StoreUpdate};
+use peatgrade_ports::{
+    Configuration, ObjectKind, RetirementStage, StoreEvent, StoreObject, StoreUpdate,
+};
 use peatgrade_schema::replication::Member;
 use peatgrade_types::{Duration, Time};
 
@@ -103,11 +105,8 @@
                 stage,
                 ..
             } => {
-                log::info!("belief=retirement node={node} stage={stage:?}");
-                let retirement = Retirement {
-                    revision,
-                    reported_stage: stage,
-                };
+                log::info!("belief=retirement machine={node} stage={stage:?}");
+                let retirement = Retirement::new(revision, stage);
                 self.retirements.insert(node, retirement);
             }
             StoreObject::Internal { fields, .. } if kind == ObjectKind::Replicas => {
@@ -153,9 +152,14 @@
         }
     }
 
-    fn update_retiring_members(&mut self) {
-        let open = self.retirements.keys().cloned();
-        let names: Vec<String> = open.collect();
+    pub(super) fn update_retiring_members(&mut self) {
+        let names: Vec<String> = self.retirements.keys().cloned().collect();
+        let drained = self
+            .retirements
+            .iter()
+            .filter(|(_, retirement)| retirement.reported_stage == RetirementStage::Completed);
+        let released: Vec<String> = drained.map(|(name, _)| name.clone()).collect();
         self.membership_planner.set_retiring(&names);
+        self.membership_planner.set_released(&released);
     }
 }
--- a/crates/server/tests/unit/settings.rs
+++ b/crates/server/tests/unit/settings.rs
@@ -24,6 +24,7 @@
 #[case::unknown_level("log_level = \"loud\"", "log_level")]
 #[case::contact_too_short("contact_ms = 10", "contact_ms")]
 #[case::copies_above_100_percent("copies_percent = 101", "copies_percent")]
+#[case::negative_catch_up("catch_up_s = -1", "catch_up_s")]
 #[case::group_too_large("tolerated_losses = 9", "tolerated_losses")]
 #[case::unknown_placement("item_placement = \"fastest\"", "item_placement")]
 fn error_names_the_invalid_field(#[case] line: &str, #[case] field: &str) {
