Command line, alert: a group that tolerates no lost disk is named first

Cause: a group with a dead voter and a learner counts as many members as wanted; nothing told an operator that the next lost disk would stop it. Change: the leader's `tolerated_losses` and `retirements_open` make the first line of `peatgradectl processes`, and an alert. Planted breaks of the planner's rules join scripts/planted-breaks.sh.

--- a/crates/app/src/ctl/processes.rs
+++ b/crates/app/src/ctl/processes.rs
@@ -71,10 +71,35 @@
     text
 }
 
+/// What an operator has to know first: a group that the next lost disk would stop, and why.
+pub fn warning(states: &[(&str, Option<&State>)]) -> Option<String> {
+    let (address, leader) = states.iter().find_map(|(address, state)| {
+        let state = (*state)?;
+        let leads = state.get("works_as_leader").copied() == Some(1.0);
+        (leads && state.get("tolerated_losses").copied() == Some(0.0)).then_some((address, state))
+    })?;
+    let figure = |name: &str| leader.get(name).copied().unwrap_or(0.0);
+    let mut text = format!(
+        "THE GROUP TOLERATES NO LOST DISK: leader {address}, members {} of {}",
+        figure("members"),
+        figure("members_wanted")
+    );
+    let silent = states.iter().filter(|(_, state)| state.is_none()).count();
+    if silent > 0 {
+        text += &format!(", {silent} processes do not answer");
+    }
+    if figure("retirements_open") > 0.0 {
+        text += &format!(
+            ", {} retirements wait for a spare",
+            figure("retirements_open")
+        );
+    }
+    Some(text)
+}
+
 /// Asks each process and prints what it says.
 pub fn show(addresses: &[String], output: Output) -> Result<ExitCode, String> {
-    let mut missing = false;
-    let mut documents = Vec::new();
+    let mut states = Vec::new();
     for address in addresses {
         let request = HttpRequest::new("GET", "/metrics", "");
         let answer = block_on(fetch(address, request)).map_err(|error| error.to_string())?;
@@ -82,16 +107,26 @@
             .ok()
             .filter(|(status, _)| *status == 200)
             .map(|(_, body)| read_state(&String::from_utf8_lossy(&body)));
-        missing |= state.is_none();
-        match output {
-            Output::Text => println!("{}", line(address, state.as_ref())),
-            Output::Json => documents.push(json!({ "address": address, "state": state })),
-        }
+        states.push((address.as_str(), state));
     }
-    if output == Output::Json {
-        println!("{}", json!(documents));
+    let known: Vec<(&str, Option<&State>)> = states.iter().map(|(a, s)| (*a, s.as_ref())).collect();
+    match output {
+        Output::Text => {
+            if let Some(warning) = warning(&known) {
+                println!("{warning}");
+            }
+            for (address, state) in &known {
+                println!("{}", line(address, *state));
+            }
+        }
+        Output::Json => {
+            let documents = known
+                .iter()
+                .map(|(address, state)| json!({ "address": address, "state": state }));
+            println!("{}", json!(documents.collect::<Vec<_>>()));
+        }
     }
-    Ok(if missing {
+    Ok(if known.iter().any(|(_, state)| state.is_none()) {
         ExitCode::from(EXIT_ERROR)
     } else {
         ExitCode::SUCCESS
--- a/crates/app/tests/processes.rs
+++ b/crates/app/tests/processes.rs
@@ -1,6 +1,6 @@
 //! What `peatgradectl processes` makes of metrics.
 
-use peatgrade::ctl::processes::{line, read_state};
+use peatgrade::ctl::processes::{line, read_state, warning};
 
 const LEADER: &str = "# HELP peatgrade_state Present state of the process
 peatgrade_state{name=\"leads\"} 1
@@ -23,6 +23,25 @@
     assert!(line.ends_with("COPIES MISSING"), "{line}");
 }
 
+#[test]
+fn a_group_that_tolerates_no_loss_is_named_first() {
+    let leader = |losses: u32| {
+        read_state(&format!(
+            "{LEADER}peatgrade_state{{name=\"works_as_leader\"}} 1\n\
+             peatgrade_state{{name=\"retirements_open\"}} 1\n\
+             peatgrade_state{{name=\"tolerated_losses\"}} {losses}\n"
+        ))
+    };
+    let follower = read_state("peatgrade_state{name=\"leads\"} 0\n");
+    let (whole, bare) = (leader(1), leader(0));
+    assert_eq!(warning(&[("a", Some(&whole)), ("b", None)]), None);
+    assert_eq!(warning(&[("a", Some(&follower)), ("b", None)]), None);
+    let text = warning(&[("a", Some(&follower)), ("b", Some(&bare)), ("c", None)]).unwrap();
+    assert!(text.contains("leader b, members 2 of 3"), "{text}");
+    assert!(text.contains("1 processes do not answer"), "{text}");
+    assert!(text.contains("1 retirements wait"), "{text}");
+}
+
 #[test]
 fn roles_are_told_apart() {
     let gateway = read_state("peatgrade_state{name=\"ready\"} 0\n");
--- a/scripts/planted-breaks.sh
+++ b/scripts/planted-breaks.sh
@@ -58,6 +58,37 @@
     peatgrade-replication ""
 plant "three replicas where two losses must be tolerated" $R/membership_planner.rs "2 * losses.max(1) + 1" "3 + 0 * losses" \
     peatgrade-replication two_wiped
+plant "a lost voter is skipped" $R/membership_planner.rs \
+    "self.is_lost(now, replica, member)
+                && Self::has_active_majority(now, replica, &remaining)" \
+    "self.is_replaced(member)
+                && Self::has_active_majority(now, replica, &remaining)" \
+    peatgrade-replication member_series
+plant "a learner without the log is promoted" $R/membership_planner.rs \
+    "&& p.match_index >= required.copied().unwrap_or(0)" "&& required.copied().unwrap_or(0) < u64::MAX" \
+    peatgrade-replication member_series
+plant "a retiring voter is removed before its replacement" $R/membership_planner.rs \
+    "if voters.len() <= self.target_voters {
+            return None;
+        }
+        let removed" \
+    "if voters.len() < self.target_voters || !voters.iter().any(|m| self.is_retiring(&m.name)) {
+            return None;
+        }
+        let removed" \
+    peatgrade-replication member_series
+plant "a retiring machine that lost its disk is not taken back" $R/membership_planner.rs \
+    "usable + retiring.len() < missing.lost" "false" peatgrade-replication member_series
+plant "a machine is released although a voter is lost" $R/release.rs \
+    "self.voter_obstacle(now, replica, &others)
+            .or(is_member" "None.or(is_member" \
+    peatgrade-replication member_series
+plant "a machine that is gone keeps others from their turn" $R/membership_planner.rs \
+    "(Reverse(failed_at), Reverse(voters_in_zone)," "(Reverse(failed_at.is_some()), Reverse(voters_in_zone)," \
+    peatgrade-replication member_series
+plant "a new machine counts as a spare at once" $R/release.rs \
+    "now.since(report.first_seen) >= self.catch_up_time + RELEASE_MARGIN" "true" \
+    peatgrade-replication retirement
 plant "evicted log entries are sent without their commands" $R/log_store.rs \
     "reader.read(index).map(Rc::new)" \
     "reader.read(index).map(|mut e| { e.command.clear(); Rc::new(e) })" \
