Server: a request is judged by the limits in force when its head arrives, none runs while it is answered

The gateway judged a body again by the newest configuration.

Change: sizes and deadlines are compared with the limits in force at each read. A lowered idle time closes no connection that already rests. The limits of the head travel with the request. A table of all settings, who reads them and when a change is in force; a test compares it with the code.

--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -102,7 +102,9 @@
 
 impl World {
     fn on_request(&mut self, address: &str, name: &str, incoming: Incoming) {
-        let Incoming { request, responder } = incoming;
+        let Incoming {
+            request, responder, ..
+        } = incoming;
         if name == STORE && request.path_only() == "/executions" {
             let after = request
                 .query("after")
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -269,7 +269,10 @@
             Ok(tenant) => request.tenant = tenant.unwrap_or("").to_string(),
             Err(denied) => return self.deny(actions, call, &subject, denied),
         }
-        if request.http.body.len() > configuration.limits.max_body_bytes {
+        let max_body_bytes = request
+            .max_body_bytes
+            .map_or(configuration.limits.max_body_bytes, |limit| limit as usize);
+        if request.http.body.len() > max_body_bytes {
             let reason = "the body is longer than allowed";
             return self.refuse(actions, call, &subject, Refusal::Malformed, reason, None);
         }
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -234,7 +234,10 @@
     }
 
     fn on_call(&mut self, incoming: Option<Incoming>) -> Vec<Action> {
-        let Some(Incoming { request, responder }) = incoming else {
+        let Some(Incoming {
+            request, responder, ..
+        }) = incoming
+        else {
             return Vec::new();
         };
         let call = CallId(self.next_call);
--- a/crates/ports/src/caller.rs
+++ b/crates/ports/src/caller.rs
@@ -23,6 +23,9 @@
     pub key: Option<KeyDigest>,
     /// Authenticated tenant; empty before authentication or if no key is required.
     pub tenant: String,
+    /// Largest body by the configuration that was in force when the head of the request arrived;
+    /// none if it is not known.
+    pub max_body_bytes: Option<u32>,
     /// HTTP request with the API key removed.
     pub http: HttpRequest,
 }
--- a/crates/runtime/src/http_server.rs
+++ b/crates/runtime/src/http_server.rs
@@ -9,16 +9,16 @@
 use monoio_http::h1::codec::decoder::RequestDecoder;
 use peatgrade_schema::engine::Problem;
 use peatgrade_types::http::{HttpRequest, ResponseHead, ResponsePart};
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::os::fd::AsRawFd;
 use std::rc::Rc;
 use std::time::Duration;
 
 use crate::lingering_close::discard_incoming;
-use crate::request_reader::{read_request, ReadError};
+use crate::request_reader::{read_request, ReadError, ReceivedRequest};
 use crate::responder::{Responder, ResponseQueue};
 use crate::response_writer::ResponseWriter;
-use crate::server_limits::{LimitedReader, ServerControl};
+use crate::server_limits::{LimitedReader, ReadState, ServerControl, ServerLimits};
 use crate::server_shutdown::ConnectionGuard;
 
 /// `Retry-After` of requests that are rejected because the memory budget is exhausted.
@@ -28,6 +28,8 @@
 /// A received request and the channel for its response.
 pub struct Incoming {
     pub request: HttpRequest,
+    /// Limits in force when the head of the request arrived.
+    pub limits: ServerLimits,
     /// Receives the parts of the response. Closed when the caller disconnects.
     pub responder: Responder,
 }
@@ -80,13 +82,11 @@
 ) {
     let socket = stream.as_raw_fd();
     let (read_half, write_half) = stream.into_split();
-    let allowance = Rc::new(Cell::new(0));
-    let total = Rc::new(Cell::new(0));
+    let state = Rc::new(ReadState::new(control.limits.clone()));
     let reserved = Rc::new(RefCell::new(control.budget.reservation()));
     let reader = LimitedReader {
         io: read_half,
-        allowance: allowance.clone(),
-        total: total.clone(),
+        state: state.clone(),
         reserved: reserved.clone(),
     };
     let mut decoder = RequestDecoder::new(reader);
@@ -96,17 +96,18 @@
         let read = match next.take() {
             Some(read) => read,
             None => {
-                let before = total.get();
-                let reading = read_request(&mut decoder, &allowance, &control);
+                let before = state.total.get();
+                state.await_request();
+                let reading = read_request(&mut decoder, &state);
                 futures_util::pin_mut!(reading);
-                let is_idle = || total.get() == before;
+                let is_idle = || state.total.get() == before;
                 let read = control.shutdown.until_shutdown(reading, is_idle).await;
                 read.unwrap_or(Err(ReadError::Closed))
             }
         };
-        let request = match read {
-            Ok(request) => request,
-            Err(ReadError::Closed) => return,
+        let ReceivedRequest { request, limits } = match read {
+            Ok(received) => received,
+            Err(ReadError::Closed | ReadError::TimedOut) => return,
             Err(ReadError::Rejected {
                 status,
                 kind,
@@ -128,15 +129,20 @@
         } = queue;
         writer.set_backlog(backlog.clone());
         if requests
-            .unbounded_send(Incoming { request, responder })
+            .unbounded_send(Incoming {
+                request,
+                limits,
+                responder,
+            })
             .is_err()
         {
             return;
         }
         // The connection is read while the response is pending, to detect that the caller
         // disconnects. A pipelined request is kept for later.
-        let before = total.get();
-        let reading = read_request(&mut decoder, &allowance, &control);
+        let before = state.total.get();
+        state.await_response();
+        let reading = read_request(&mut decoder, &state);
         futures_util::pin_mut!(reading);
         let mut reading = Some(reading);
         let mut pipelined = None;
@@ -176,14 +182,15 @@
         // Bytes read since then belong to the next request.
         reserved
             .borrow_mut()
-            .shrink_to((total.get() - before) as usize);
+            .shrink_to((state.total.get() - before) as usize);
         if !keep_alive {
             return;
         }
         next = match (pipelined, reading) {
             (Some(read), _) => Some(read),
             (None, Some(pending)) => {
-                let is_idle = || total.get() == before;
+                state.await_request();
+                let is_idle = || state.total.get() == before;
                 let read = control.shutdown.until_shutdown(pending, is_idle).await;
                 Some(read.unwrap_or(Err(ReadError::Closed)))
             }
--- a/crates/runtime/src/request_reader.rs
+++ b/crates/runtime/src/request_reader.rs
@@ -3,26 +3,32 @@
 use bytes::{Bytes, BytesMut};
 use monoio::io::stream::Stream as _;
 use monoio::io::AsyncReadRent;
+use monoio::time::Instant;
 use monoio_http::common::error::HttpError;
 use monoio_http::common::request::Request;
 use monoio_http::h1::codec::decoder::{FillPayload, RequestDecoder};
 use monoio_http::h1::payload::Payload;
 use peatgrade_types::http::HttpRequest;
-use std::cell::Cell;
-use std::rc::Rc;
+use std::future::{poll_fn, Future};
+use std::task::Poll;
 use std::time::Duration;
 
-use crate::server_limits::{
-    LimitedReader, ServerControl, ServerLimits, BUDGET_EXCEEDED, TOO_LARGE,
-};
+use crate::server_limits::{LimitedReader, ReadState, ServerLimits, BUDGET_EXCEEDED, TOO_LARGE};
 
 /// Longest time to receive a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Longest time until a deadline is worked out again from the limits in force.
+const MAX_DEADLINE_AGE: Duration = Duration::from_secs(2);
+/// Time past the deadline in which what has already arrived is read.
+const LAST_CHANCE: Duration = Duration::from_millis(100);
+
 /// Why no request could be read from a connection.
 pub(crate) enum ReadError {
-    /// The connection was closed or timed out.
+    /// The connection was closed.
     Closed,
+    /// The request did not arrive in time.
+    TimedOut,
     /// The request is rejected with this response.
     Rejected {
         status: u16,
@@ -31,20 +37,25 @@
     },
 }
 
-/// Reads the next complete request of a connection, within the current limits.
+/// A request and the limits in force when its head arrived.
+pub(crate) struct ReceivedRequest {
+    pub request: HttpRequest,
+    pub limits: ServerLimits,
+}
+
+/// Reads the next complete request of a connection, within the limits in force.
 pub(crate) async fn read_request<R: AsyncReadRent>(
     decoder: &mut RequestDecoder<LimitedReader<R>>,
-    allowance: &Rc<Cell<usize>>,
-    control: &ServerControl,
-) -> Result<HttpRequest, ReadError> {
-    let limits = control.limits.get();
-    allowance.set(limits.max_head_bytes);
-    let head_timeout = limits.idle_timeout + limits.head_timeout;
-    let read = monoio::time::timeout(head_timeout, decoder.next()).await;
+    state: &ReadState,
+) -> Result<ReceivedRequest, ReadError> {
+    state.begin_head();
+    let read = within_head_deadline(decoder.next(), state).await;
+    let limits = state.limits();
     let request = match read {
-        Err(_) | Ok(None) => return Err(ReadError::Closed),
-        Ok(Some(Err(error))) => return Err(read_error(&limits, Part::Head, &error)),
-        Ok(Some(Ok(request))) => request,
+        None => return Err(ReadError::TimedOut),
+        Some(None) => return Err(ReadError::Closed),
+        Some(Some(Err(error))) => return Err(read_error(&limits, Part::Head, &error)),
+        Some(Some(Ok(request))) => request,
     };
     if head_length(&request) > limits.max_head_bytes {
         return Err(too_large(&limits, Part::Head));
@@ -60,10 +71,10 @@
         return Err(too_large(&limits, Part::Body));
     }
     // Allows for the overhead of chunked encoding.
-    allowance.set(limits.max_body_bytes + limits.max_head_bytes);
+    state.begin_body(limits.max_body_bytes + limits.max_head_bytes);
     let filled = monoio::time::timeout(BODY_TIMEOUT, decoder.fill_payload()).await;
     match filled {
-        Err(_) => return Err(ReadError::Closed),
+        Err(_) => return Err(ReadError::TimedOut),
         Ok(Err(error)) => return Err(read_error(&limits, Part::Body, &error)),
         Ok(Ok(())) => {}
     }
@@ -73,7 +84,42 @@
     if request.body.len() > limits.max_body_bytes {
         return Err(too_large(&limits, Part::Body));
     }
-    Ok(request)
+    Ok(ReceivedRequest { request, limits })
+}
+
+/// Awaits `reading` until the head is due by the limits in force. They may change meanwhile, and
+/// do not run while the caller waits for a response. Returns none at the deadline.
+async fn within_head_deadline<F: Future>(reading: F, state: &ReadState) -> Option<F::Output> {
+    let sleeping = monoio::time::sleep(MAX_DEADLINE_AGE);
+    futures_util::pin_mut!(reading, sleeping);
+    let mut is_last_chance = false;
+    poll_fn(|context| {
+        if let Poll::Ready(output) = reading.as_mut().poll(context) {
+            return Poll::Ready(Some(output));
+        }
+        loop {
+            let Some(deadline) = state.head_deadline() else {
+                return Poll::Pending;
+            };
+            let now = Instant::now();
+            if now < deadline {
+                is_last_chance = false;
+                sleeping
+                    .as_mut()
+                    .reset(deadline.min(now + MAX_DEADLINE_AGE));
+            } else if is_last_chance && sleeping.is_elapsed() {
+                return Poll::Ready(None);
+            } else if !is_last_chance {
+                // After a pause of the process, the rest may be there and not read yet.
+                is_last_chance = true;
+                sleeping.as_mut().reset(now + LAST_CHANCE);
+            }
+            if sleeping.as_mut().poll(context).is_pending() {
+                return Poll::Pending;
+            }
+        }
+    })
+    .await
 }
 
 /// The part of a request that was being read.
--- a/crates/server/src/gateway_process/mod.rs
+++ b/crates/server/src/gateway_process/mod.rs
@@ -6,7 +6,7 @@
 use peatgrade_forward::{CallId, HttpId};
 use peatgrade_gateway::{Gateway, GatewaySettings};
 use peatgrade_mirror::Subscriber;
-use peatgrade_ports::{CallerResponse, Codec, StoreUpdate};
+use peatgrade_ports::{CallerMessage, CallerResponse, Codec, StoreUpdate};
 use peatgrade_runtime::http_client::CancelOnDrop;
 use peatgrade_runtime::{
     serve_with_control, HttpClient, Incoming, LinkSocket, MemoryBudget, Responder, ServerControl,
@@ -281,9 +281,10 @@
     }
 
     fn on_call(&mut self, incoming: Option<Incoming>) {
-        let Some(Incoming { request, responder }) = incoming else {
+        let Some(incoming) = incoming else {
             return;
         };
+        let (request, responder) = (incoming.request, incoming.responder);
         if self.codec.is_readiness_check(&request) {
             let (head, body) = self
                 .codec
@@ -302,7 +303,11 @@
         self.next_call += 1;
         let started = steady_now();
         self.calls.insert(call, OpenCall { responder, started });
-        let message = self.codec.caller_message(request);
+        let mut message = self.codec.caller_message(request);
+        if let CallerMessage::Request(request) = &mut message {
+            let limit = u32::try_from(incoming.limits.max_body_bytes);
+            request.max_body_bytes = Some(limit.unwrap_or(u32::MAX));
+        }
         let actions = self.gateway.on_caller_message(steady_now(), call, message);
         self.execute(actions);
     }
--- a/crates/server/src/metrics.rs
+++ b/crates/server/src/metrics.rs
@@ -151,7 +151,10 @@
     let (metrics, codec) = (metrics.clone(), codec.clone());
     monoio::spawn(async move {
         use futures_util::StreamExt;
-        while let Some(Incoming { request, responder }) = incoming.next().await {
+        while let Some(Incoming {
+            request, responder, ..
+        }) = incoming.next().await
+        {
             let is_metrics_request = request.method == "GET" && request.path_only() == METRICS_PATH;
             let answer = if is_metrics_request {
                 CallerResponse::Metrics(metrics.render())
--- a/crates/server/tests/unit/settings.rs
+++ b/crates/server/tests/unit/settings.rs
@@ -52,6 +52,68 @@
     assert_eq!(settings.front_address, "10.0.0.1:80");
 }
 
+/// The table of the page for operators names each setting, and when a change is in force.
+#[test]
+fn the_table_of_settings_is_complete() {
+    let path = write("documented", GATEWAY);
+    let mut settings = ServerSettings::load(&path, ServerRole::Gateway).unwrap();
+    let newer = ServerSettings {
+        name: "other".into(),
+        zone: "other".into(),
+        front_address: "other".into(),
+        ready_address: "other".into(),
+        peer_address: "other".into(),
+        metrics_address: "other".into(),
+        store_address: "other".into(),
+        data_folder: "other".into(),
+        grace_ms: 1,
+        order_lease_ms: 1,
+        engines_check_fences: !settings.engines_check_fences,
+        job_keep_ms: 1,
+        loads_at_once: 7,
+        tolerated_losses: 4,
+        catch_up_s: 0.1,
+        contact_ms: 1,
+        config_apply_ms: 1,
+        engine_drain_ms: 1,
+        engine_heartbeat_ms: 1,
+        keys_believed_ms: 1,
+        disk_limit_mb: 1,
+        memory_limit_mb: 1,
+        usage_window_ms: 1,
+        usage_late_ms: 1,
+        item_placement: "other".into(),
+        duty_address: "other".into(),
+        share_observations: !settings.share_observations,
+        reject_unservable: !settings.reject_unservable,
+        copies_percent: 1,
+        item_order: "other".into(),
+        log_level: "warn".into(),
+        // The file that was read is no setting.
+        source: settings.source.clone(),
+    };
+    let (applied, deferred) = settings.apply_reloadable(newer);
+    assert_eq!(
+        applied.len() + deferred.len(),
+        31,
+        "a setting is not reloaded"
+    );
+    let page = include_str!("../../../../docs/OPERATIONS.md");
+    let section = page.split("## Settings and reload").nth(1).unwrap();
+    let row_of = |name: &str| {
+        let quoted = format!("`{name}`");
+        let mut rows = section.lines().filter(|line| line.starts_with('|'));
+        rows.find(|row| row.contains(&quoted))
+            .unwrap_or_else(|| panic!("{name} is not in the table"))
+    };
+    for name in applied {
+        assert!(!row_of(name).contains("after a restart"), "{name}");
+    }
+    for name in deferred {
+        assert!(row_of(name).ends_with("after a restart |"), "{name}");
+    }
+}
+
 #[rstest]
 #[case::no_limit("", None)]
 #[case::limited("memory_limit_mb = 120", Some(40 * 1024 * 1024))]
--- a/scripts/planted-breaks.sh
+++ b/scripts/planted-breaks.sh
@@ -82,13 +82,24 @@
 plant "a machine is released although a voter is lost" $R/release.rs \
     "self.voter_obstacle(now, replica, &others)
             .or(is_member" "None.or(is_member" \
-    peatgrade-replication member_series
+    peatgrade-replication retirement
 plant "a machine that is gone keeps others from their turn" $R/membership_planner.rs \
-    "(Reverse(failed_at), Reverse(voters_in_zone)," "(Reverse(failed_at.is_some()), Reverse(voters_in_zone)," \
+    "Reverse(failed_at)," "Reverse(failed_at.is_some())," \
     peatgrade-replication member_series
 plant "a new machine counts as a spare at once" $R/release.rs \
     "now.since(report.first_seen) >= self.catch_up_time + RELEASE_MARGIN" "true" \
     peatgrade-replication retirement
+plant "a request is judged by the limits in force when the wait for it began" crates/runtime/src/server_limits.rs \
+    "pub fn limits(&self) -> ServerLimits {
+        self.limits.get()" \
+    "pub fn limits(&self) -> ServerLimits {
+        thread_local!(static FIRST: Cell<Option<ServerLimits>> = const { Cell::new(None) });
+        FIRST.set(FIRST.get().or(Some(self.limits.get())));
+        FIRST.get().unwrap()" \
+    peatgrade-runtime changed
+plant "time limits run while a response is pending" crates/runtime/src/server_limits.rs \
+    "self.waiting_since.set(None);" "self.waiting_since.set(Some(Instant::now()));" \
+    peatgrade-runtime no_time_limit_runs
 plant "evicted log entries are sent without their commands" $R/log_store.rs \
     "reader.read(index).map(Rc::new)" \
     "reader.read(index).map(|mut e| { e.command.clear(); Rc::new(e) })" \
