Engines: an answer that does not name its request is none on a shared connection

Change: the client of engines knows the header that names a request. On a connection that has served another request, an answer without it ends the connection, and the request is sent again over a new one. An engine that never names requests is served over new connections. An answer with an id to an order or report, which have none, is another's.

--- a/crates/ports/src/codec.rs
+++ b/crates/ports/src/codec.rs
@@ -26,6 +26,10 @@
 
     /// Encodes a request to an engine.
     fn engine_request(&self, request: &EngineRequest) -> HttpRequest;
+    /// Header that names a request to an engine and that engines repeat in their responses.
+    fn request_id_header(&self) -> Option<&'static str> {
+        None
+    }
     /// Parses the head of an engine's response.
     fn engine_response_head(&self, head: &ResponseHead) -> EngineResponseHead;
     /// Creates a decoder for one event stream.
--- a/crates/runtime/src/http_client.rs
+++ b/crates/runtime/src/http_client.rs
@@ -6,7 +6,7 @@
 use futures_util::future::{select, Either, FutureExt};
 use monoio::io::{AsyncWriteRentExt, OwnedReadHalf, OwnedWriteHalf, Splitable};
 use monoio::net::TcpStream;
-use peatgrade_types::http::{HttpFailure, HttpRequest, HttpStep, ResponsePart};
+use peatgrade_types::http::{HttpFailure, HttpRequest, HttpStep, ResponseHead, ResponsePart};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io::ErrorKind;
@@ -39,6 +39,22 @@
 struct Connection {
     reader: ResponseReader<OwnedReadHalf<TcpStream>>,
     writer: OwnedWriteHalf<TcpStream>,
+    /// Whether it has served another request.
+    is_shared: bool,
+}
+
+/// A header that the response has to repeat; without a value if the request does not have it.
+struct ExpectedEcho {
+    name: &'static str,
+    value: Option<String>,
+}
+
+impl ExpectedEcho {
+    /// Whether the response names a request as this one does. One that names another request is
+    /// left to the receiver of the response, who knows both.
+    fn is_kept(&self, head: &ResponseHead) -> bool {
+        self.value.is_some() == head.header(self.name).is_some()
+    }
 }
 
 struct IdleConnection {
@@ -132,6 +148,8 @@
     read_interval: Rc<Cell<Duration>>,
     /// `None` if connections are not tracked.
     connected: Option<ConnectedList<Id>>,
+    /// Header of requests that servers repeat in their responses.
+    echoed_header: Option<&'static str>,
 }
 
 /// A request that has a connection: its bytes may have been sent.
@@ -156,13 +174,23 @@
             parts,
             read_interval: Rc::default(),
             connected: None,
+            echoed_header: None,
         }
     }
 
     /// Creates a client that records connected requests for [`Self::take_connected`].
-    pub fn tracking_connections(parts: UnboundedSender<(Id, ResponsePart)>) -> Self {
+    ///
+    /// `echoed_header` is a header of requests that servers repeat in their responses. On a
+    /// connection that has served another request, a response that does not repeat it may be a
+    /// surplus one of that request: it is none, and the connection is closed. A server that does
+    /// not repeat it on a new connection gets a new one for each request.
+    pub fn tracking_connections(
+        parts: UnboundedSender<(Id, ResponsePart)>,
+        echoed_header: Option<&'static str>,
+    ) -> Self {
         Self {
             connected: Some(Rc::default()),
+            echoed_header,
             ..Self::new(parts)
         }
     }
@@ -196,6 +224,7 @@
         let (cancel, cancelled) = oneshot::channel::<()>();
         let exchange = Exchange {
             peer: address.to_string(),
+            echoed_header: self.echoed_header,
             options,
             pool: self.pool.clone(),
             read_interval: self.read_interval.clone(),
@@ -235,6 +264,7 @@
     ) -> Result<(u16, Bytes), HttpFailure> {
         let exchange = Exchange {
             peer: address.to_string(),
+            echoed_header: self.echoed_header,
             options,
             pool: self.pool.clone(),
             read_interval: self.read_interval.clone(),
@@ -253,6 +283,7 @@
 
 struct Exchange {
     peer: String,
+    echoed_header: Option<&'static str>,
     options: SendOptions,
     pool: Rc<RefCell<ConnectionPool>>,
     read_interval: Rc<Cell<Duration>>,
@@ -278,6 +309,10 @@
         let needs_new = self.options.new_connection || request.header(NON_REPEATABLE).is_some();
         let bytes = serialize_request(&request, &self.peer);
         let bodyless = request.method == "HEAD";
+        let echo = self.echoed_header.map(|name| ExpectedEcho {
+            name,
+            value: request.header(name).map(str::to_string),
+        });
         let pooled = if needs_new {
             None
         } else {
@@ -289,7 +324,14 @@
             // response head, the request is sent again over a new one.
             on_connected(None);
             let sent = self
-                .exchange(address, connection, bytes.clone(), bodyless, emit)
+                .exchange(
+                    address,
+                    connection,
+                    bytes.clone(),
+                    bodyless,
+                    echo.as_ref(),
+                    emit,
+                )
                 .await;
             match sent {
                 Err(failure) if failure.step != HttpStep::Body && !timed_out(&failure) => {
@@ -311,8 +353,9 @@
         let connection = Connection {
             reader: ResponseReader::new(read_half),
             writer,
+            is_shared: false,
         };
-        self.exchange(address, connection, bytes, bodyless, emit)
+        self.exchange(address, connection, bytes, bodyless, echo.as_ref(), emit)
             .await
     }
 
@@ -334,6 +377,7 @@
         mut connection: Connection,
         bytes: Bytes,
         bodyless: bool,
+        echo: Option<&ExpectedEcho>,
         emit: &impl Fn(ResponsePart),
     ) -> Result<(), HttpFailure> {
         let read_timeout = self.options.read_timeout;
@@ -356,6 +400,12 @@
             Ok(Err(error)) => return Err(self.failure(HttpStep::Head, error)),
             Ok(Ok(head)) => head,
         };
+        let is_attributed = echo.is_none_or(|echo| echo.is_kept(&head));
+        if connection.is_shared && !is_attributed {
+            let reason = "unattributed-response on a shared connection";
+            return Err(self.failure(HttpStep::Head, reason));
+        }
+        connection.is_shared = true;
         let idle_timeout = idle_timeout(head.header("keep-alive"));
         emit(ResponsePart::Head(head));
         let mut body_bytes = 0;
@@ -390,7 +440,8 @@
         emit(ResponsePart::End);
         // A connection with a partly sent request cannot be reused. One that was opened for
         // a single request is closed, as it would take up the server's connection limit.
-        let is_poolable = sent_whole && !self.options.new_connection;
+        // Nor can one on which surplus responses could not be told from others.
+        let is_poolable = sent_whole && !self.options.new_connection && is_attributed;
         if is_poolable && connection.reader.reusable() && !idle_timeout.is_zero() {
             self.pool
                 .borrow_mut()
--- a/crates/runtime/tests/http_client.rs
+++ b/crates/runtime/tests/http_client.rs
@@ -152,7 +152,7 @@
     let (address, _) = start_server();
     let opened = block_on(async move {
         let (parts, mut received) = unbounded();
-        let client = HttpClient::tracking_connections(parts);
+        let client = HttpClient::tracking_connections(parts, None);
         let options = SendOptions::with_read_timeout(Duration::from_secs(5));
         for id in 1..=2 {
             let request = HttpRequest::new("GET", "/", "");
@@ -184,7 +184,7 @@
     });
     block_on(async move {
         let (parts, _received) = unbounded();
-        let client = HttpClient::tracking_connections(parts);
+        let client = HttpClient::tracking_connections(parts, None);
         let options = SendOptions::with_read_timeout(Duration::from_secs(5));
         let running = client.send(1_u32, &address, HttpRequest::new("GET", "/", ""), options);
         // Blocks the event loop after the request task has begun to connect, so that the task
--- a/crates/server/src/storage/process.rs
+++ b/crates/server/src/storage/process.rs
@@ -247,6 +247,7 @@
             dispatcher: Dispatcher::new(Box::new(move || reader_codec.event_decoder()))
                 .with_placement(settings.item_placement()),
             settings,
+            client: HttpClient::tracking_connections(parts, codec.request_id_header()),
             codec,
             replica,
             log_file,
@@ -267,7 +268,6 @@
             engines_listed: false,
             engine_count: ObjectCount::default(),
             metrics,
-            client: HttpClient::tracking_connections(parts),
             exchanges: HashMap::new(),
             run_exchanges: HashMap::new(),
             reward_calls: RewardCalls::new(forwarder),
--- a/scripts/planted-breaks.sh
+++ b/scripts/planted-breaks.sh
@@ -97,6 +97,9 @@
         FIRST.set(FIRST.get().or(Some(self.limits.get())));
         FIRST.get().unwrap()" \
     peatgrade-runtime changed
+plant "a response without an id on a shared connection is taken" crates/runtime/src/http_client.rs \
+    "if connection.is_shared && !is_attributed {" "if connection.is_shared && !is_attributed && false {" \
+    peatgrade-runtime surplus
 plant "time limits run while a response is pending" crates/runtime/src/server_limits.rs \
     "self.waiting_since.set(None);" "self.waiting_since.set(Some(Instant::now()));" \
     peatgrade-runtime no_time_limit_runs
