Storage: a job is accepted only if it fits into the memory of all members

Change: the leader counts five copies of a job beside what the tightest member uses, reserves them until all members have the job, and leaves over half of the memory free of open jobs. Members report what they may still use. Large allocations are mapped on their own. What does not fit gets 503 at once.

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -37,7 +37,7 @@
 pub use item::ItemKey;
 pub use job::{Failures, Job, PriorText, StoredResult};
 pub use listed_text::{CommandLog, ListedText, TextReader};
-pub use memory::JobMemory;
+pub use memory::{job_bytes, JobMemory};
 pub use pending_ends::{EndRequest, PendingEnds};
 pub use placement::ItemPlacement;
 pub use scores::ScoreId;
--- a/crates/jobs/src/memory.rs
+++ b/crates/jobs/src/memory.rs
@@ -1,6 +1,6 @@
 //! Memory accounting of jobs.
 
-use peatgrade_schema::replication::JobItem;
+use peatgrade_schema::replication::{AcceptJob, JobItem};
 
 /// Bytes that jobs take in memory, by kind of data.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -15,6 +15,11 @@
     pub progress: usize,
 }
 
+/// Approximate memory of the items of a job.
+pub fn job_bytes(job: &AcceptJob) -> usize {
+    job.items.iter().map(item_bytes).sum()
+}
+
 /// Approximate memory of an item.
 pub(crate) fn item_bytes(item: &JobItem) -> usize {
     let headers = item.headers.iter();
--- a/crates/replication/src/progress.rs
+++ b/crates/replication/src/progress.rs
@@ -37,6 +37,9 @@
     pub created_at: Time,
     /// Staleness of the replica's view of the object store, as last reported.
     pub store_staleness: Duration,
+    /// Bytes of memory that the replica may still use, as last reported; `None` if it has no
+    /// limit or does not report it.
+    pub spare_memory: Option<u64>,
 }
 
 impl Progress {
@@ -53,6 +56,7 @@
             last_sent: now,
             created_at: now,
             store_staleness: Duration(u64::MAX),
+            spare_memory: None,
         }
     }
 
--- a/crates/replication/src/queries.rs
+++ b/crates/replication/src/queries.rs
@@ -72,4 +72,10 @@
     pub fn set_store_staleness(&mut self, staleness: Duration) {
         self.store_staleness = staleness;
     }
+
+    /// Sets the bytes of memory that this process may still use, which is reported to the leader;
+    /// `None` if it has no limit.
+    pub fn set_spare_memory(&mut self, bytes: Option<u64>) {
+        self.spare_memory = bytes;
+    }
 }
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -118,6 +118,7 @@
     pub(crate) transferee: Option<ReplicaId>,
     pub(crate) became_leader_at: Time,
     pub(crate) store_staleness: Duration,
+    pub(crate) spare_memory: Option<u64>,
     pub(crate) pending: Ready,
     /// Whether entries were appended since entries were last sent.
     pub(crate) has_unsent_entries: bool,
@@ -150,6 +151,7 @@
             transferee: None,
             became_leader_at: now,
             store_staleness: Duration(0),
+            spare_memory: None,
             pending: Ready::default(),
             has_unsent_entries: false,
             timeout_draws: 0,
--- a/crates/replication/src/replicate.rs
+++ b/crates/replication/src/replicate.rs
@@ -181,6 +181,7 @@
             match_index: self.log.last_index(),
             sent_at: request.sent_at,
             store_age: self.store_staleness.0,
+            spare_memory: self.spare_memory.map_or(0, |bytes| bytes + 1),
             ..AppendResponse::default()
         };
         if term < self.term {
@@ -286,6 +287,7 @@
         };
         progress.last_response = Some(now);
         progress.store_staleness = Duration(response.store_age);
+        progress.spare_memory = response.spare_memory.checked_sub(1);
         let sent = Time(response.sent_at);
         progress.last_acked_send = progress.last_acked_send.max(Some(sent));
         if response.success {
--- a/crates/server/src/storage/housekeeping.rs
+++ b/crates/server/src/storage/housekeeping.rs
@@ -39,6 +39,7 @@
 
     fn update_pressure(&mut self, now: Time) {
         let used = self.memory_in_use(now);
+        self.update_job_memory(used);
         let pressure = self.limits.pressure(self.disk_bytes(), used);
         if pressure != self.pressure {
             let kept = self.log_bytes();
--- a/crates/server/src/storage/job_calls.rs
+++ b/crates/server/src/storage/job_calls.rs
@@ -15,6 +15,7 @@
 
 use crate::clock::steady_now;
 
+use super::job_memory::bytes_of;
 use super::process::StorageProcess;
 
 /// Minimum age of results that a follower serves. Polling readers ask for newer results,
@@ -184,6 +185,12 @@
                 self.metrics.count("job_refused");
                 return self.reply_status(&caller, JobStatus::NO_ROOM);
             }
+            let bytes = bytes_of(&submit);
+            if !self.has_memory_for(now, bytes) {
+                log::warn!("decision=refuse job={job} reason=pressure lacks=memory-for-its-size");
+                self.metrics.count("job_refused");
+                return self.reply_status(&caller, JobStatus::NO_ROOM);
+            }
             let admission = self.evaluate_admission(now, &submit);
             if let Admission::Refused { retry_after } = admission {
                 self.metrics.count("job_refused_no_time");
@@ -205,9 +212,10 @@
             let command = JobCommand {
                 body: CommandBody::accept(submit),
             };
-            if self.replica.propose(now, encode(&command)).is_none() {
+            let Some(index) = self.replica.propose(now, encode(&command)) else {
                 return self.reply_status(&caller, JobStatus::NOT_LEADER);
-            }
+            };
+            self.job_reservations.reserve(index, bytes);
         }
         self.calls
             .submit_callers
--- a/crates/server/src/storage/leadership.rs
+++ b/crates/server/src/storage/leadership.rs
@@ -146,6 +146,7 @@
 
     fn stop_leader_session(&mut self) {
         self.leader_session.stop();
+        self.job_reservations.clear();
         self.leader_watches.set(false);
         self.coordinator = None;
         self.stop_usage_reporting();
--- a/crates/server/src/storage/memory.rs
+++ b/crates/server/src/storage/memory.rs
@@ -22,15 +22,23 @@
     /// otherwise refuse jobs.
     pub(super) fn memory_in_use(&mut self, now: Time) -> u64 {
         let resident = resident_bytes();
-        let is_due = now.since(self.memory.last_trim) >= TRIM_INTERVAL;
-        if !is_due || !self.limits.exceeds_memory(resident) {
-            return resident;
+        if self.limits.exceeds_memory(resident) {
+            self.return_memory(now);
+            return resident_bytes();
+        }
+        resident
+    }
+
+    /// Returns free heap pages to the system, unless that was done a moment ago.
+    pub(super) fn return_memory(&mut self, now: Time) {
+        if now.since(self.memory.last_trim) < TRIM_INTERVAL {
+            return;
         }
         self.memory.last_trim = now;
+        let before = resident_bytes();
         trim_heap();
-        let left = resident_bytes();
-        log::info!("step=return-memory before_bytes={resident} after_bytes={left}");
-        left
+        let after = resident_bytes();
+        log::info!("step=return-memory before_bytes={before} after_bytes={after}");
     }
 
     /// Sets the memory metrics, and logs them when the resident memory has changed much.
@@ -62,6 +70,22 @@
     }
 }
 
+/// Allocations of at least this size are mapped on their own, and are returned to the system when
+/// they are freed.
+const MIN_MAPPED_BYTES: libc::c_int = 1024 * 1024;
+/// Free bytes at the end of the heap that stay there for the next allocations.
+const KEPT_HEAP_BYTES: libc::c_int = 4 * 1024 * 1024;
+
+/// Keeps the copies of large jobs out of the heap. By default the allocator raises its limit with
+/// each large allocation that is freed, and then keeps their memory.
+pub(super) fn map_large_allocations() {
+    // SAFETY: mallopt sets parameters of the allocator, and takes its locks.
+    unsafe {
+        libc::mallopt(libc::M_MMAP_THRESHOLD, MIN_MAPPED_BYTES);
+        libc::mallopt(libc::M_TRIM_THRESHOLD, KEPT_HEAP_BYTES);
+    }
+}
+
 /// Returns free heap pages to the system. The allocator keeps them after a peak, and they
 /// would count as used memory.
 fn trim_heap() {
--- a/crates/server/src/storage/mod.rs
+++ b/crates/server/src/storage/mod.rs
@@ -21,6 +21,7 @@
 mod engine_exchanges;
 mod housekeeping;
 mod job_calls;
+mod job_memory;
 mod leader_session;
 mod leadership;
 mod loop_inputs;
--- a/crates/server/src/storage/process.rs
+++ b/crates/server/src/storage/process.rs
@@ -36,9 +36,10 @@
 use super::end_request_file::EndRequestFile;
 use super::engine_exchanges::{EngineExchange, ExchangeId};
 use super::job_calls::PendingCalls;
+use super::job_memory::JobReservations;
 use super::leader_session::LeaderSession;
 use super::loop_inputs::{Input, Inputs};
-use super::memory::MemoryMonitor;
+use super::memory::{map_large_allocations, MemoryMonitor};
 use super::observations::ObservationRelay;
 use super::peer_mirror::PeerMirror;
 use super::pressure::{ResourceLimits, ResourcePressure};
@@ -63,6 +64,7 @@
     settings: ServerSettings,
     codec: Rc<dyn Codec>,
 ) -> Result<(), ServerError> {
+    map_large_allocations();
     let (mut process, mut inputs) = StorageProcess::start(settings, codec)?;
     loop {
         let tick = monoio::time::sleep(process.tick_interval()).fuse();
@@ -153,6 +155,7 @@
     pub retirements: BTreeMap<String, Retirement>,
     pub limits: ResourceLimits,
     pub memory: MemoryMonitor,
+    pub job_reservations: JobReservations,
     pub usage: Usage,
     pub caller_zones: CallerZones,
     /// The resource that is too low to accept another job.
@@ -286,6 +289,7 @@
             retirements: BTreeMap::new(),
             limits,
             memory: MemoryMonitor::default(),
+            job_reservations: JobReservations::default(),
             usage: Usage::default(),
             caller_zones: CallerZones::default(),
             pressure: None,
