Tests: a simulated leader that is taken away serves no longer

Change: the cluster forgets it, and the check waits for the next leader. The series stands as a test.

--- a/crates/replication/tests/cluster/retirement.rs
+++ b/crates/replication/tests/cluster/retirement.rs
@@ -41,6 +41,9 @@
         self.stop(index);
         self.wipe(index);
         self.machines[index].is_gone = true;
+        if self.serving_leader == Some(index) {
+            self.serving_leader = None;
+        }
     }
 
     /// Stops a machine, empties its disk and starts it again.
--- a/crates/replication/tests/member_series/mod.rs
+++ b/crates/replication/tests/member_series/mod.rs
@@ -288,6 +288,11 @@
         Step::Retire(2),
     ]
 )]
+#[case::the_leader_is_taken_away(
+    158549986897972575,
+    1,
+    vec![Step::Retire(0), Step::Wait(1996), Step::Wait(1022), Step::LoseDisk(1, 20)]
+)]
 fn a_series_that_once_failed_passes(
     #[case] seed: u64,
     #[case] spares: usize,
--- a/crates/replication/tests/member_series/play.rs
+++ b/crates/replication/tests/member_series/play.rs
@@ -184,9 +184,10 @@
         if self.is_disturbed {
             self.cluster.calm_since = self.cluster.now + HEALED_WITHIN;
             self.write_for(HEALED_WITHIN.as_millis());
-            if self.cluster.serving_leader.is_none() {
-                self.cluster.run_until_leader_serves(LEADER_WITHIN);
-            }
+        }
+        // The leader may just have been taken away.
+        if self.cluster.serving_leader.is_none() {
+            self.cluster.run_until_leader_serves(LEADER_WITHIN);
         }
         let machines = self.cluster.machines.iter();
         let is_enough = machines.filter(|machine| !machine.is_gone).count() >= TARGET_VOTERS;
