--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -370,16 +370,19 @@
     pub extra_attempts: u64,
     /// Repeats and hedges that were denied by the retry budget.
     pub extra_attempts_denied: u64,
+    /// Refusals by engines that did not assert that the request has not run.
+    pub unproven_refusals: u64,
 }
 
 impl ForwardCounts {
     /// The counters with their metric names.
-    pub fn metrics(&self) -> [(&'static str, u64); 4] {
+    pub fn metrics(&self) -> [(&'static str, u64); 5] {
         [
             ("lookups_rejected", self.rejected),
             ("lookups_unconnected", self.unconnected),
             ("lookup_copies", self.extra_attempts),
             ("lookup_copies_denied", self.extra_attempts_denied),
+            ("lookup_unproven_refusals", self.unproven_refusals),
         ]
     }
 }
--- a/crates/forward/src/responses.rs
+++ b/crates/forward/src/responses.rs
@@ -72,7 +72,7 @@
         let streams = forward.kind == RouteKind::Streaming
             && answer_head.status == 200
             && answer_head.is_signed();
-        if !answer_head.not_run && !answer_head.misdirected && !id_mismatch {
+        if !answer_head.is_refusal() && !id_mismatch {
             let at = if streams { now } else { attempt.sent_at };
             forward.report_execution_started(at, actions);
         }
@@ -145,7 +145,7 @@
         let Some((head, answer_head)) = attempt.head else {
             return;
         };
-        if !answer_head.not_run && !answer_head.misdirected {
+        if !answer_head.is_refusal() {
             let request = attempt.fingerprint;
             directory.quarantine.record_completed_run(now, request);
         }
@@ -160,7 +160,7 @@
         if forward.streaming_attempt == Some(id) {
             return self.finish_stream(call, actions);
         }
-        if answer_head.not_run || answer_head.misdirected {
+        if answer_head.is_refusal() {
             forward.attempts -= 1;
             forward.refusals += 1;
             log::info!(
@@ -178,7 +178,9 @@
         let took = now.since(attempt.sent_at);
         // Once a stream has started, only its continuation is a valid response.
         let after_stream_start = forward.stream.is_some();
+        let is_unproven_refusal = answer_head.is_unproven_refusal();
         let broken = after_stream_start
+            || is_unproven_refusal
             || answer_head.status >= 500
             || (answer_head.status < 300 && !answer_head.is_signed());
         if let Some(state) = directory.incarnation_mut(&attempt.instance, attempt.incarnation) {
@@ -190,12 +192,14 @@
         }
         if broken {
             log::info!(
-                "decision=broken-answer request={} engine={} status={} signed={}",
+                "decision=broken-answer request={} engine={} status={} signed={} \
+                 unproven_refusal={is_unproven_refusal}",
                 forward.request.id,
                 attempt.instance,
                 answer_head.status,
                 answer_head.is_signed()
             );
+            self.counts.unproven_refusals += u64::from(is_unproven_refusal);
             if answer_head.status == STATUS_INTERNAL_ERROR {
                 actions.push(ForwardAction::EngineFailed(call));
             }
@@ -208,7 +212,8 @@
             if !is_alone {
                 return;
             }
-            if after_stream_start || answer_head.status < 500 {
+            // Callers would repeat a request that was refused without proof.
+            if after_stream_start || is_unproven_refusal || answer_head.status < 500 {
                 return self.finish_without_answer(now, call, directory, actions);
             }
         }
--- a/crates/forward/src/streaming.rs
+++ b/crates/forward/src/streaming.rs
@@ -41,8 +41,9 @@
                 (has_events || forward.resumable) && stream.has_partial_event()
             }
             None => {
-                let was_run = !answer_head.not_run && !answer_head.misdirected;
-                was_run && head.is_event_stream() && ends_within_event(&attempt.body)
+                !answer_head.is_refusal()
+                    && head.is_event_stream()
+                    && ends_within_event(&attempt.body)
             }
         };
         is_truncated.then(|| HttpFailure {
--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -8,6 +8,7 @@
 mod streams;
 mod tenants;
 mod unavailable_engines;
+mod unproven_refusals;
 
 use harness::Harness;
 use peatgrade_forward::CallId;
--- /dev/null
+++ b/crates/gateway/tests/unproven_refusals/mod.rs
@@ -0,0 +1,96 @@
+//! Guards against a status that promises "not run" reaching the caller of a request that an
+//! engine has run (review case 9): only an engine that asserts it has not run a request is
+//! believed.
+
+use peatgrade_ports::RouteKind;
+use peatgrade_types::http::HttpStep;
+use rstest::rstest;
+
+use crate::harness::Harness;
+
+/// The last attempt of a request that may be repeated is no exception.
+#[rstest]
+fn the_last_attempt_is_no_promise_either(#[values(408, 429, 503)] status: u16) {
+    let mut harness = Harness::new(RouteKind::Safe, 3);
+    harness.set_max_attempts(1);
+    harness.call();
+    harness.respond(0, status, &["id", "signed"], "busy");
+    assert_eq!(harness.requests.len(), 1);
+    assert_eq!(harness.status(), Some(502));
+}
+
+/// Engines answer without the assertion. The caller learns that the outcome is unknown.
+#[rstest]
+fn a_refusal_without_the_assertion_is_no_promise(
+    #[values(408, 429, 503)] status: u16,
+    #[values(RouteKind::Safe, RouteKind::Unsafe, RouteKind::Streaming)] kind: RouteKind,
+    #[values(&["id", "signed"], &["id"])] headers: &[&str],
+) {
+    let mut harness = Harness::new(kind, 1);
+    harness.call();
+    harness.respond(0, status, headers, "busy");
+    assert_eq!(harness.requests.len(), 1);
+    assert_eq!(harness.status(), Some(502));
+    assert_eq!(harness.response_heads[0].header("signed"), None);
+    assert!(harness.response_heads[0].header("retry-ms").is_none());
+    assert!(harness.is_finished);
+}
+
+#[rstest]
+fn a_repeatable_request_is_repeated_after_it(#[values(408, 429, 503)] status: u16) {
+    let mut harness = Harness::new(RouteKind::Safe, 3);
+    harness.call();
+    harness.respond(0, status, &["id", "signed"], "busy");
+    assert_eq!(harness.requests.len(), 2);
+    harness.respond(1, 200, &["id", "signed"], "body");
+    assert_eq!(harness.status(), Some(200));
+}
+
+#[rstest]
+fn a_request_that_may_run_once_is_not_repeated_after_it(#[values(408, 429, 503)] status: u16) {
+    let mut harness = Harness::new(RouteKind::Unsafe, 3);
+    harness.call();
+    harness.respond(0, status, &["id", "signed"], "busy");
+    assert_eq!(harness.requests.len(), 1);
+    assert_eq!(harness.status(), Some(502));
+}
+
+/// An earlier attempt may have run, so a later engine's assertion does not cover the request.
+#[test]
+fn an_assertion_covers_only_the_engine_that_makes_it() {
+    let mut harness = Harness::new(RouteKind::Safe, 2);
+    harness.call();
+    harness.fail(0, HttpStep::Head);
+    harness.respond(1, 503, &["id", "not-run"], "");
+    assert_eq!(harness.status(), Some(502));
+}
+
+/// A success or an interim status with the assertion contradicts itself.
+#[test]
+fn a_success_that_asserts_it_has_not_run_is_no_promise() {
+    let mut harness = Harness::new(RouteKind::Unsafe, 1);
+    harness.call();
+    harness.respond(0, 200, &["id", "not-run"], "body");
+    assert_eq!(harness.status(), Some(502));
+}
+
+/// The same, once the deadline has passed.
+#[test]
+fn an_unproven_refusal_at_the_deadline_times_out() {
+    let mut harness = Harness::new(RouteKind::Unsafe, 1);
+    harness.call();
+    harness.now += peatgrade_types::Duration::from_millis(5_000);
+    harness.respond(0, 503, &["id", "signed"], "busy");
+    assert_eq!(harness.status(), Some(504));
+}
+
+/// An engine's own failure promises nothing and is returned unchanged.
+#[rstest]
+fn other_failures_are_returned_unchanged(#[values(400, 404, 422, 500, 502, 504)] status: u16) {
+    let mut harness = Harness::new(RouteKind::Unsafe, 1);
+    harness.call();
+    harness.respond(0, status, &["id", "signed"], "body");
+    assert_eq!(harness.status(), Some(status));
+    assert_eq!(harness.response_heads[0].header("signed"), Some("1"));
+    assert_eq!(harness.response_body, b"body");
+}
--- a/crates/jobs/src/dispatcher/responses.rs
+++ b/crates/jobs/src/dispatcher/responses.rs
@@ -158,8 +158,7 @@
         item.end_run(now);
         item.avoid = Some((run.instance.clone(), run.incarnation));
         self.requeued.push(key.clone());
-        let is_refused =
-            head.not_run || head.misdirected || head.status == 503 || head.status == 429;
+        let is_refused = head.is_refusal() || head.status == 503 || head.status == 429;
         log::info!(
             "decision=retry item={} job={} engine={} status={} not_run={} failures={}",
             item.item().id,
--- a/crates/jobs/src/dispatcher/suspects.rs
+++ b/crates/jobs/src/dispatcher/suspects.rs
@@ -121,7 +121,7 @@
             fingerprint: item.fingerprint(),
             engine: run.instance.clone(),
             incarnation: run.incarnation,
-            is_refused: head.is_some_and(|head| head.not_run || head.misdirected),
+            is_refused: head.is_some_and(|head| head.is_refusal()),
             first_event_at: run.first_event_at,
         })
     }
--- a/crates/ports/src/engine.rs
+++ b/crates/ports/src/engine.rs
@@ -123,6 +123,9 @@
     pub slowdown_percent: Option<u32>,
 }
 
+/// Lowest HTTP status of an error.
+const FIRST_ERROR_STATUS: u16 = 400;
+
 /// Parsed head of an engine's response.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct EngineResponseHead {
@@ -132,6 +135,8 @@
     pub id: Option<String>,
     /// Whether the engine asserts that the request was not executed.
     pub not_run: bool,
+    /// Whether callers take the status for a promise that the request was not executed.
+    pub reads_as_not_run: bool,
     /// Whether the request reached another instance or version than the one addressed.
     pub misdirected: bool,
     /// Instance that responded, if reported.
@@ -150,6 +155,18 @@
     pub fn is_signed(&self) -> bool {
         self.signature.is_some()
     }
+
+    /// Whether the engine has certainly not executed the request. A success contradicts the
+    /// assertion that it has not.
+    pub fn is_refusal(&self) -> bool {
+        self.misdirected || (self.not_run && self.status >= FIRST_ERROR_STATUS)
+    }
+
+    /// Whether the status promises callers what the engine does not assert: the request may
+    /// have been executed.
+    pub fn is_unproven_refusal(&self) -> bool {
+        self.reads_as_not_run && !self.is_refusal()
+    }
 }
 
 /// An event of a token stream.
--- a/crates/server/src/storage/reward_calls.rs
+++ b/crates/server/src/storage/reward_calls.rs
@@ -62,7 +62,7 @@
     }
 
     /// Returns the forwarder's counters of reward calls.
-    pub(super) fn reward_call_metrics(&self) -> [(&'static str, u64); 4] {
+    pub(super) fn reward_call_metrics(&self) -> [(&'static str, u64); 5] {
         self.reward_calls.forwarder.counts().metrics()
     }
 
