--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -156,6 +156,8 @@
     pub(crate) attempts: HashMap<HttpId, Attempt>,
     /// Liveness probes in flight.
     pub(crate) probes: HashMap<HttpId, EngineProbe>,
+    /// Bytes of incomplete responses.
+    pub(crate) response_bytes: usize,
     pub(crate) next_id: u64,
     /// Number of ended incarnations that the last failover pass has covered.
     pub(crate) ended_incarnations_seen: u64,
@@ -176,6 +178,7 @@
             calls: BTreeMap::new(),
             attempts: HashMap::new(),
             probes: HashMap::new(),
+            response_bytes: 0,
             next_id: 1,
             ended_incarnations_seen: 0,
         }
@@ -190,6 +193,11 @@
         }
     }
 
+    /// Bytes of engines' responses that are held until they are complete.
+    pub fn response_bytes(&self) -> usize {
+        self.response_bytes
+    }
+
     /// Number of requests being forwarded.
     pub fn in_flight(&self) -> usize {
         self.calls.len()
@@ -351,6 +359,7 @@
         directory: &mut EngineDirectory,
     ) -> Option<Attempt> {
         let attempt = self.attempts.remove(&id)?;
+        self.response_bytes -= attempt.body.len();
         directory.end_request(&attempt.instance, attempt.incarnation);
         if let Some(forward) = self.calls.get_mut(&attempt.call) {
             forward.open_attempts.retain(|open| *open != id);
--- a/crates/forward/src/refusals.rs
+++ b/crates/forward/src/refusals.rs
@@ -56,6 +56,36 @@
         actions.extend(answer_parts(self.codec.as_ref(), call, &answer));
     }
 
+    /// Drops the largest incomplete response, to free memory, and finishes its call. Nothing is
+    /// emitted if there is no such response.
+    pub fn drop_largest_response(
+        &mut self,
+        now: Time,
+        directory: &mut EngineDirectory,
+        actions: &mut Vec<ForwardAction>,
+    ) {
+        let attempts = self.attempts.iter();
+        let largest = attempts.max_by_key(|(_, attempt)| attempt.body.len());
+        let Some((id, attempt)) = largest.filter(|(_, attempt)| !attempt.body.is_empty()) else {
+            return;
+        };
+        let (id, call) = (*id, attempt.call);
+        log::warn!(
+            "decision=drop-response engine={} bytes={} held={} reason=no-memory",
+            attempt.instance,
+            attempt.body.len(),
+            self.response_bytes
+        );
+        let Some(forward) = self.calls.get_mut(&call) else {
+            // Another engine has already answered the call.
+            return self.cancel_attempts(&[id], directory, actions);
+        };
+        forward.may_have_run = true;
+        let open = std::mem::take(&mut forward.open_attempts);
+        self.cancel_attempts(&open, directory, actions);
+        self.finish_without_answer(now, call, directory, actions);
+    }
+
     /// Time after which the caller of a request that has not run should retry.
     fn retry_after(
         &mut self,
--- a/crates/forward/src/responses.rs
+++ b/crates/forward/src/responses.rs
@@ -110,7 +110,10 @@
         let forward = self.calls.get_mut(&call);
         let streaming = forward.filter(|forward| forward.streaming_attempt == Some(id));
         match streaming.and_then(|forward| forward.stream.as_mut()) {
-            None => attempt.body.extend_from_slice(data),
+            None => {
+                attempt.body.extend_from_slice(data);
+                self.response_bytes += data.len();
+            }
             Some(stream) => {
                 if let Some(events) = stream.push(data) {
                     let part = ResponsePart::Data(events);
--- a/crates/gateway/src/deferred_end_calls.rs
+++ b/crates/gateway/src/deferred_end_calls.rs
@@ -6,8 +6,15 @@
 
 use peatgrade_authentication::KeyDigest;
 use peatgrade_forward::CallId;
+use peatgrade_ports::Refusal;
+use peatgrade_schema::replication::mod_JobCall::OneOfbody;
+use peatgrade_schema::replication::EndJob;
 use peatgrade_types::{Duration, Time};
 
+use crate::gateway::{Gateway, GatewayAction};
+
+/// Stands for a caller that has disconnected; real call ids start at 1.
+const NO_CALLER: CallId = CallId(0);
 /// Calls beyond this limit are refused.
 const MAX_DEFERRED_CALLS: usize = 256;
 /// Time after which a caller is answered, as for a call that no replica answers.
@@ -75,3 +82,31 @@
         self.calls.len()
     }
 }
+
+impl Gateway {
+    /// Relays deferred EndJob calls once there is a configuration, and answers callers that
+    /// have waited too long. Their outcome is unknown, since the calls stay deferred.
+    pub(crate) fn process_deferred_end_calls(
+        &mut self,
+        now: Time,
+        actions: &mut Vec<GatewayAction>,
+    ) {
+        for call in self.deferred_end_calls.take_timed_out_callers(now) {
+            let reason = "no configuration is known yet";
+            let refusal = Refusal::Unknown;
+            self.refuse(actions, call, "call=end", refusal, reason, None);
+        }
+        if self.configuration.is_none() {
+            return;
+        }
+        for deferred in self.deferred_end_calls.take_all() {
+            // A call whose caller has disconnected is relayed as a detached call.
+            let caller = deferred.caller.unwrap_or(NO_CALLER);
+            let body = OneOfbody::end(EndJob { job: deferred.job });
+            self.authorize_job_call(now, caller, deferred.key, body, Duration(0), actions);
+            if deferred.caller.is_none() {
+                self.relay.on_caller_disconnected(now, NO_CALLER);
+            }
+        }
+    }
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -19,8 +19,6 @@
 use crate::relay::{log_subject, JobRelay, RelaySettings};
 
 const MAX_RESULT_BYTES: u64 = 900_000;
-/// Stands for a caller that has disconnected; real call ids start at 1.
-const NO_CALLER: CallId = CallId(0);
 /// Retry hint to callers while the gateway waits for its first configuration.
 const RETRY_AFTER_STARTING: Duration = Duration::from_millis(200);
 
@@ -50,14 +48,21 @@
     pub max_key_staleness: Option<Duration>,
 }
 
+/// Returns the bytes that the process may still use, given those that are needed.
+type SpareBytes = Box<dyn Fn(u64) -> Option<u64>>;
+
 /// The state machine of a gateway.
 pub struct Gateway {
-    codec: Rc<dyn Codec>,
-    forwarder: Forwarder,
-    relay: JobRelay,
-    deferred_end_calls: DeferredEndCalls,
+    pub(crate) codec: Rc<dyn Codec>,
+    pub(crate) forwarder: Forwarder,
+    pub(crate) relay: JobRelay,
+    pub(crate) deferred_end_calls: DeferredEndCalls,
     draining: bool,
     max_key_staleness: Option<Duration>,
+    /// See [`Gateway::limit_submissions`]; none without a limit.
+    pub(crate) spare_bytes: Option<SpareBytes>,
+    /// Submissions that were refused for lack of memory.
+    pub submissions_refused: u64,
     /// Time since the store last confirmed that this gateway is up to date with it.
     pub store_staleness: Duration,
     /// Newest configuration; none before the first.
@@ -79,6 +84,8 @@
             deferred_end_calls: DeferredEndCalls::default(),
             draining: false,
             max_key_staleness: settings.max_key_staleness,
+            spare_bytes: None,
+            submissions_refused: 0,
             store_staleness: Duration(0),
             configuration: None,
             directory: EngineDirectory::default(),
@@ -166,7 +173,7 @@
 
     /// Authenticates a batch-job call and relays it on behalf of its tenant. EndJob calls are
     /// deferred until the first configuration.
-    fn authorize_job_call(
+    pub(crate) fn authorize_job_call(
         &mut self,
         now: Time,
         call: CallId,
@@ -197,28 +204,6 @@
         }
     }
 
-    /// Relays deferred EndJob calls once there is a configuration, and answers callers that
-    /// have waited too long. Their outcome is unknown, since the calls stay deferred.
-    fn process_deferred_end_calls(&mut self, now: Time, actions: &mut Vec<GatewayAction>) {
-        for call in self.deferred_end_calls.take_timed_out_callers(now) {
-            let reason = "no configuration is known yet";
-            let refusal = Refusal::Unknown;
-            self.refuse(actions, call, "call=end", refusal, reason, None);
-        }
-        if self.configuration.is_none() {
-            return;
-        }
-        for deferred in self.deferred_end_calls.take_all() {
-            // A call whose caller has disconnected is relayed as a detached call.
-            let caller = deferred.caller.unwrap_or(NO_CALLER);
-            let body = OneOfbody::end(EndJob { job: deferred.job });
-            self.authorize_job_call(now, caller, deferred.key, body, Duration(0), actions);
-            if deferred.caller.is_none() {
-                self.relay.on_caller_disconnected(now, NO_CALLER);
-            }
-        }
-    }
-
     /// Whether the configuration is too stale to accept API keys, which may have been revoked.
     fn is_configuration_stale(&self) -> bool {
         let limit = self.max_key_staleness;
@@ -291,21 +276,11 @@
                 .start(now, accepted, &mut self.directory, &mut forwards);
             return actions.extend(forwards.into_iter().map(GatewayAction::Forward));
         }
-        match self.codec.submission(&request) {
-            Ok(mut submission) => {
-                submission.configuration = configuration.version;
-                let tenant = submission.tenant.clone();
-                let body = OneOfbody::submit(submission);
-                self.relay_call(now, call, tenant, body, Duration(0), actions);
-            }
-            Err(error) => {
-                let refusal = Refusal::Malformed;
-                self.refuse(actions, call, &subject, refusal, &error.reason, None);
-            }
-        }
+        let version = configuration.version;
+        self.submit(now, call, request, version, &subject, actions);
     }
 
-    fn relay_call(
+    pub(crate) fn relay_call(
         &mut self,
         now: Time,
         call: CallId,
@@ -326,7 +301,7 @@
     }
 
     /// Refuses a request. `subject` identifies it in the log.
-    fn refuse(
+    pub(crate) fn refuse(
         &self,
         actions: &mut Vec<GatewayAction>,
         call: CallId,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 
 mod deferred_end_calls;
 mod gateway;
+mod memory;
 mod relay;
 
 pub use gateway::{Gateway, GatewayAction, GatewaySettings};
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -199,14 +199,13 @@
             tenant: pending.tenant.clone(),
             body: pending.body.clone(),
         };
-        actions.extend(
-            addresses
-                .into_iter()
-                .map(|address| GatewayAction::SendJobCall {
-                    address,
-                    call: call.clone(),
-                }),
-        );
+        // The call may be large, so it is not copied more often than it is sent.
+        let last = addresses.pop();
+        for address in addresses {
+            let call = call.clone();
+            actions.push(GatewayAction::SendJobCall { address, call });
+        }
+        actions.extend(last.map(|address| GatewayAction::SendJobCall { address, call }));
     }
 
     /// Handles a replica's reply. Returns the caller's answer if the call is finished.
--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -2,6 +2,7 @@
 //! never claims more than the gateway knows.
 
 mod harness;
+mod memory;
 mod quarantine;
 mod restarts;
 mod shared_observations;
--- a/crates/gateway/tests/harness/mod.rs
+++ b/crates/gateway/tests/harness/mod.rs
@@ -211,6 +211,12 @@
         self.request(path, "");
     }
 
+    pub fn call_with_body(&mut self, body: &[u8]) {
+        let mut request = caller_request("/p/x", "");
+        request.http.body = Bytes::copy_from_slice(body);
+        self.send(CallId(1), request);
+    }
+
     pub fn call_model(&mut self, model: &str) {
         self.request("/p/x", model);
     }
--- a/crates/ports/src/codec.rs
+++ b/crates/ports/src/codec.rs
@@ -18,6 +18,11 @@
     fn caller_message(&self, request: HttpRequest) -> CallerMessage;
     /// Parses a request on a batch route as the submission of a job.
     fn submission(&self, request: &CallerRequest) -> Result<Submission, BadRequest>;
+    /// Upper estimate of the memory that one decoded copy of a submission takes up, from a look
+    /// at its body.
+    fn submission_bytes(&self, request: &CallerRequest) -> usize {
+        request.http.body.len()
+    }
     /// Encodes a response that originates in this system.
     fn caller_response(&self, response: &CallerResponse) -> (ResponseHead, Bytes);
     /// Head of an engine's response as forwarded to the caller.
--- a/crates/runtime/src/http_client.rs
+++ b/crates/runtime/src/http_client.rs
@@ -3,24 +3,24 @@
 use bytes::{Bytes, BytesMut};
 use futures_channel::mpsc::UnboundedSender;
 use futures_channel::oneshot;
-use futures_util::future::{select, Either, FutureExt};
-use monoio::io::{AsyncWriteRentExt, OwnedReadHalf, OwnedWriteHalf, Splitable};
+use futures_util::future::{select, Either};
+use monoio::io::{AsyncWriteRentExt, OwnedWriteHalf, Splitable};
 use monoio::net::TcpStream;
 use peatgrade_types::http::{HttpFailure, HttpRequest, HttpStep, ResponseHead, ResponsePart};
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use crate::body_decoder::BodyPart;
 use crate::boot_clock::BootInstant;
+use crate::connection_pool::{Connection, ConnectionPool};
 use crate::event_loop::yield_now;
-use crate::request_writer::serialize_request;
-use crate::response_reader::{BodyPart, ResponseReader};
+use crate::request_writer::{serialize_request, SerializedRequest};
+use crate::response_reader::ResponseReader;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-const MAX_IDLE_PER_ADDRESS: usize = 32;
 /// Longest time that an idle connection stays in the pool.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Idle connections are dropped this long before the server's `Keep-Alive` timeout, to
@@ -36,13 +36,6 @@
 /// be closing.
 const NON_REPEATABLE: &str = "x-non-repeatable";
 
-struct Connection {
-    reader: ResponseReader<OwnedReadHalf<TcpStream>>,
-    writer: OwnedWriteHalf<TcpStream>,
-    /// Whether it has served another request.
-    is_shared: bool,
-}
-
 /// A header that the response has to repeat; without a value if the request does not have it.
 struct ExpectedEcho {
     name: &'static str,
@@ -57,57 +50,6 @@
     }
 }
 
-struct IdleConnection {
-    expires_at: BootInstant,
-    connection: Connection,
-}
-
-impl IdleConnection {
-    /// Whether the connection is unexpired, open and has no unsolicited bytes to read.
-    fn is_usable(&mut self) -> bool {
-        BootInstant::now() < self.expires_at
-            && self.connection.reader.fill().now_or_never().is_none()
-    }
-}
-
-/// Idle connections of one thread, by server address.
-#[derive(Default)]
-struct ConnectionPool {
-    connections: HashMap<SocketAddr, Vec<IdleConnection>>,
-}
-
-impl ConnectionPool {
-    fn take(&mut self, address: SocketAddr) -> Option<Connection> {
-        let idle = self.connections.get_mut(&address)?;
-        while let Some(mut newest) = idle.pop() {
-            if newest.is_usable() {
-                return Some(newest.connection);
-            }
-        }
-        None
-    }
-
-    fn put(&mut self, address: SocketAddr, mut connection: Connection, timeout: Duration) {
-        let idle = self.connections.entry(address).or_default();
-        idle.retain_mut(IdleConnection::is_usable);
-        if idle.len() < MAX_IDLE_PER_ADDRESS {
-            connection.reader.release_buffers();
-            let expires_at = BootInstant::now() + timeout;
-            idle.push(IdleConnection {
-                expires_at,
-                connection,
-            });
-        }
-    }
-
-    fn evict_idle(&mut self) {
-        for idle in self.connections.values_mut() {
-            idle.retain_mut(IdleConnection::is_usable);
-        }
-        self.connections.retain(|_, idle| !idle.is_empty());
-    }
-}
-
 /// How a request is sent.
 #[derive(Clone, Copy, Debug)]
 pub struct SendOptions {
@@ -307,7 +249,7 @@
         let parsed = self.peer.parse::<SocketAddr>();
         let address = parsed.map_err(|error| self.failure(HttpStep::Connect, error))?;
         let needs_new = self.options.new_connection || request.header(NON_REPEATABLE).is_some();
-        let bytes = serialize_request(&request, &self.peer);
+        let serialized = serialize_request(&request, &self.peer);
         let bodyless = request.method == "HEAD";
         let echo = self.echoed_header.map(|name| ExpectedEcho {
             name,
@@ -327,7 +269,7 @@
                 .exchange(
                     address,
                     connection,
-                    bytes.clone(),
+                    serialized.clone(),
                     bodyless,
                     echo.as_ref(),
                     emit,
@@ -355,8 +297,15 @@
             writer,
             is_shared: false,
         };
-        self.exchange(address, connection, bytes, bodyless, echo.as_ref(), emit)
-            .await
+        self.exchange(
+            address,
+            connection,
+            serialized,
+            bodyless,
+            echo.as_ref(),
+            emit,
+        )
+        .await
     }
 
     async fn connect(&self, address: SocketAddr) -> Result<TcpStream, HttpFailure> {
@@ -375,7 +324,7 @@
         &self,
         address: SocketAddr,
         mut connection: Connection,
-        bytes: Bytes,
+        request: SerializedRequest,
         bodyless: bool,
         echo: Option<&ExpectedEcho>,
         emit: &impl Fn(ResponsePart),
@@ -383,15 +332,15 @@
         let read_timeout = self.options.read_timeout;
         let (head, sent_whole) = {
             // The server may respond before it has read the whole request.
-            let writing = connection.writer.write_all(bytes);
+            let writing = write_request(&mut connection.writer, request);
             let reading =
                 monoio::time::timeout(read_timeout, connection.reader.read_head(bodyless));
             futures_util::pin_mut!(writing, reading);
             match select(writing, reading).await {
-                Either::Left(((Err(error), _), _)) => {
+                Either::Left((Err(error), _)) => {
                     return Err(self.failure(HttpStep::Send, error));
                 }
-                Either::Left(((Ok(_), _), reading)) => (reading.await, true),
+                Either::Left((Ok(()), reading)) => (reading.await, true),
                 Either::Right((head, _)) => (head, false),
             }
         };
@@ -451,6 +400,17 @@
     }
 }
 
+async fn write_request(
+    writer: &mut OwnedWriteHalf<TcpStream>,
+    request: SerializedRequest,
+) -> std::io::Result<()> {
+    writer.write_all(request.head).await.0?;
+    if !request.body.is_empty() {
+        writer.write_all(request.body).await.0?;
+    }
+    Ok(())
+}
+
 /// How long a connection may stay idle, given the server's `Keep-Alive` header.
 fn idle_timeout(header: Option<&str>) -> Duration {
     let announced = header.and_then(|value| {
--- a/crates/runtime/src/http_server.rs
+++ b/crates/runtime/src/http_server.rs
@@ -6,19 +6,20 @@
 use futures_util::StreamExt;
 use monoio::io::Splitable;
 use monoio::net::{TcpListener, TcpStream};
-use monoio_http::h1::codec::decoder::RequestDecoder;
 use peatgrade_schema::engine::Problem;
 use peatgrade_types::http::{HttpRequest, ResponseHead, ResponsePart};
-use std::cell::RefCell;
 use std::os::fd::AsRawFd;
 use std::rc::Rc;
 use std::time::Duration;
 
+use crate::event_loop::yield_now;
 use crate::lingering_close::discard_incoming;
-use crate::request_reader::{read_request, ReadError, ReceivedRequest};
-use crate::responder::{Responder, ResponseQueue};
+use crate::memory_budget::Reservation;
+use crate::read_state::ReadState;
+use crate::request_reader::{ReadError, ReceivedRequest, RequestReader, CONNECTION_BYTES};
+use crate::responder::{held_bytes, Responder, ResponseQueue};
 use crate::response_writer::ResponseWriter;
-use crate::server_limits::{LimitedReader, ReadState, ServerControl, ServerLimits};
+use crate::server_limits::{ServerControl, ServerLimits};
 use crate::server_shutdown::ConnectionGuard;
 
 /// `Retry-After` of requests that are rejected because the memory budget is exhausted.
@@ -58,13 +59,14 @@
         match accepted {
             Ok((stream, _)) => {
                 let _ = stream.set_nodelay(true);
-                let guard = control.shutdown.count_connection();
-                monoio::spawn(serve_connection(
-                    stream,
-                    requests.clone(),
-                    control.clone(),
-                    guard,
-                ));
+                if let Some(admitted) = admit(&control).await {
+                    monoio::spawn(serve_connection(
+                        stream,
+                        requests.clone(),
+                        control.clone(),
+                        admitted,
+                    ));
+                }
             }
             Err(error) => {
                 log::warn!("step=accept error={error}");
@@ -74,38 +76,64 @@
     }
 }
 
+/// What a connection holds while it is open.
+struct Admitted {
+    state: Rc<ReadState>,
+    _memory: Reservation,
+    _guard: ConnectionGuard,
+}
+
+/// Admits a connection if there is room for it, which others may have to leave.
+async fn admit(control: &ServerControl) -> Option<Admitted> {
+    let state = ReadState::new(control.limits.clone(), &control.budget);
+    state.await_request();
+    let mut memory = control.budget.reservation();
+    let is_admitted = memory.grow_upload(CONNECTION_BYTES).is_ok()
+        && (control.connections.admit(&state)
+            || (control.budget.disconnect_stalled() && control.connections.admit(&state)));
+    // Connections that were closed end in their own tasks.
+    yield_now().await;
+    if !is_admitted {
+        control.connections.record_refused();
+        return None;
+    }
+    Some(Admitted {
+        state,
+        _memory: memory,
+        _guard: control.shutdown.count_connection(),
+    })
+}
+
 async fn serve_connection(
     stream: TcpStream,
     requests: UnboundedSender<Incoming>,
     control: ServerControl,
-    _guard: ConnectionGuard,
+    admitted: Admitted,
 ) {
     let socket = stream.as_raw_fd();
     let (read_half, write_half) = stream.into_split();
-    let state = Rc::new(ReadState::new(control.limits.clone()));
-    let reserved = Rc::new(RefCell::new(control.budget.reservation()));
-    let reader = LimitedReader {
-        io: read_half,
-        state: state.clone(),
-        reserved: reserved.clone(),
-    };
-    let mut decoder = RequestDecoder::new(reader);
+    let state = admitted.state.clone();
+    let mut reader = RequestReader::new(read_half, state.clone());
     let mut writer = ResponseWriter::new(write_half);
     let mut next = None;
     loop {
         let read = match next.take() {
             Some(read) => read,
             None => {
-                let before = state.total.get();
+                let before = state.total();
                 state.await_request();
-                let reading = read_request(&mut decoder, &state);
+                let reading = reader.read_request();
                 futures_util::pin_mut!(reading);
-                let is_idle = || state.total.get() == before;
+                let is_idle = || state.total() == before;
                 let read = control.shutdown.until_shutdown(reading, is_idle).await;
                 read.unwrap_or(Err(ReadError::Closed))
             }
         };
-        let ReceivedRequest { request, limits } = match read {
+        let ReceivedRequest {
+            request,
+            limits,
+            reserved,
+        } = match read {
             Ok(received) => received,
             Err(ReadError::Closed | ReadError::TimedOut) => return,
             Err(ReadError::Rejected {
@@ -113,15 +141,16 @@
                 kind,
                 detail,
             }) => {
+                reader.release_buffers();
                 reject(&mut writer, status, kind, detail).await;
-                // The decoder owns the read half, which keeps the socket open.
-                return discard_incoming(socket).await;
+                // The reader owns the read half, which keeps the socket open.
+                return discard_incoming(socket, || state.is_interrupted()).await;
             }
         };
         let close = request
             .header("connection")
             .is_some_and(|v| v.eq_ignore_ascii_case("close"));
-        let (responder, queue) = Responder::new(&control.budget);
+        let (responder, queue) = Responder::new(&control.budget, reserved);
         let ResponseQueue {
             mut parts,
             backlog,
@@ -140,9 +169,9 @@
         }
         // The connection is read while the response is pending, to detect that the caller
         // disconnects. A pipelined request is kept for later.
-        let before = state.total.get();
+        let before = state.total();
         state.await_response();
-        let reading = read_request(&mut decoder, &state);
+        let reading = reader.read_request();
         futures_util::pin_mut!(reading);
         let mut reading = Some(reading);
         let mut pipelined = None;
@@ -179,10 +208,6 @@
                 Err(_) => break false,
             }
         };
-        // Bytes read since then belong to the next request.
-        reserved
-            .borrow_mut()
-            .shrink_to((state.total.get() - before) as usize);
         if !keep_alive {
             return;
         }
@@ -190,7 +215,7 @@
             (Some(read), _) => Some(read),
             (None, Some(pending)) => {
                 state.await_request();
-                let is_idle = || state.total.get() == before;
+                let is_idle = || state.total() == before;
                 let read = control.shutdown.until_shutdown(pending, is_idle).await;
                 Some(read.unwrap_or(Err(ReadError::Closed)))
             }
@@ -224,23 +249,25 @@
         match part {
             Some(ResponsePart::Head(head)) => {
                 if head.is_event_stream() {
-                    writer.begin_chunked(&head, b"").await?;
+                    writer.begin_chunked(&head, Bytes::new()).await?;
                     self.is_chunked = true;
                 }
                 self.head = Some(head);
             }
             Some(ResponsePart::Data(data)) if self.is_chunked => {
-                writer.write_chunk(&data).await?;
-                return Ok(Progress::More(data.len()));
+                let held = held_bytes(&data);
+                writer.write_chunk(data).await?;
+                return Ok(Progress::More(held));
             }
             Some(ResponsePart::Data(data)) => match self.first.take() {
                 None => self.first = Some(data),
                 Some(first) => {
                     let head = self.head.take().unwrap_or_default();
-                    writer.begin_chunked(&head, &first).await?;
-                    writer.write_chunk(&data).await?;
+                    let held = held_bytes(&first) + held_bytes(&data);
+                    writer.begin_chunked(&head, first).await?;
+                    writer.write_chunk(data).await?;
                     self.is_chunked = true;
-                    return Ok(Progress::More(first.len() + data.len()));
+                    return Ok(Progress::More(held));
                 }
             },
             Some(ResponsePart::End) if self.is_chunked => {
@@ -250,7 +277,7 @@
             Some(ResponsePart::End) => {
                 let head = self.head.take().unwrap_or_default();
                 let body = self.first.take().unwrap_or_default();
-                writer.write_complete(&head, &body, close).await?;
+                writer.write_complete(&head, body, close).await?;
                 return Ok(Progress::Done);
             }
             // The connection is closed without ending the body, so that the caller detects the
@@ -285,5 +312,5 @@
         head.headers
             .push(("retry-after".into(), BUDGET_RETRY_AFTER_S.into()));
     }
-    let _ = writer.write_complete(&head, &body, true).await;
+    let _ = writer.write_complete(&head, body.into(), true).await;
 }
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -13,7 +13,10 @@
 //! monoio's io_uring feature through feature unification, but io_uring must not be used.
 //! [`event_loop::open_io_uring_instances`] counts open instances.
 
+mod body_decoder;
 pub mod boot_clock;
+mod connection_limit;
+mod connection_pool;
 pub mod event_loop;
 mod frames;
 pub mod http_client;
@@ -24,6 +27,8 @@
 pub mod logging;
 pub mod memory_budget;
 pub mod peer_socket;
+mod read_state;
+mod request_head;
 mod request_reader;
 mod request_writer;
 mod responder;
@@ -33,6 +38,7 @@
 pub mod server_shutdown;
 
 pub use boot_clock::{suspended_time, BootInstant};
+pub use connection_limit::{ConnectionLimit, ConnectionStats};
 pub use event_loop::{block_on, now, open_io_uring_instances};
 pub use http_client::{ConnectedRequest, HttpClient, SendOptions, DEFAULT_MAX_BODY_BYTES};
 pub use http_server::{serve, serve_with_control, Incoming};
--- a/crates/runtime/src/lingering_close.rs
+++ b/crates/runtime/src/lingering_close.rs
@@ -16,10 +16,10 @@
 const READ_BYTES: usize = 16 * 1024;
 
 /// Discards incoming bytes until the peer closes the connection or [`LINGER_TIMEOUT`] has
-/// passed. The caller must keep the socket open meanwhile.
-pub(crate) async fn discard_incoming(socket: RawFd) {
+/// passed, or until `is_interrupted`. The caller must keep the socket open meanwhile.
+pub(crate) async fn discard_incoming(socket: RawFd, is_interrupted: impl Fn() -> bool) {
     let started = BootInstant::now();
-    while started.elapsed() < LINGER_TIMEOUT {
+    while started.elapsed() < LINGER_TIMEOUT && !is_interrupted() {
         match discard_some(socket) {
             // Yields after each read, so that a fast sender cannot block the thread.
             Discarded::Some | Discarded::Nothing => monoio::time::sleep(POLL_INTERVAL).await,
--- a/crates/runtime/src/request_reader.rs
+++ b/crates/runtime/src/request_reader.rs
@@ -1,29 +1,47 @@
 //! Reads HTTP requests within the limits of the server.
+//!
+//! Heads are parsed by `httparse`, bodies decoded into one buffer as they arrive. The decoder of
+//! `monoio-http` holds each chunk as an object of its own until the body is complete, many times
+//! the memory of a small chunk's bytes.
 
-use bytes::{Bytes, BytesMut};
-use monoio::io::stream::Stream as _;
+use bytes::{Buf, BytesMut};
 use monoio::io::AsyncReadRent;
 use monoio::time::Instant;
-use monoio_http::common::error::HttpError;
-use monoio_http::common::request::Request;
-use monoio_http::h1::codec::decoder::{FillPayload, RequestDecoder};
-use monoio_http::h1::payload::Payload;
 use peatgrade_types::http::HttpRequest;
 use std::future::{poll_fn, Future};
+use std::rc::Rc;
 use std::task::Poll;
 use std::time::Duration;
 
-use crate::server_limits::{LimitedReader, ReadState, ServerLimits, BUDGET_EXCEEDED, TOO_LARGE};
+use crate::body_decoder::{BodyDecoder, BodyPart};
+use crate::event_loop::yield_now;
+use crate::memory_budget::Reservation;
+use crate::read_state::{Interrupt, ReadState};
+use crate::request_head::RequestHead;
+use crate::server_limits::ServerLimits;
 
 /// Longest time to receive a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(60);
-
 /// Longest time until a deadline is worked out again from the limits in force.
 const MAX_DEADLINE_AGE: Duration = Duration::from_secs(2);
 /// Time past the deadline in which what has already arrived is read.
 const LAST_CHANCE: Duration = Duration::from_millis(100);
 
+/// Bytes of one read.
+const READ_BYTES: usize = 8 * 1024;
+/// Bytes of one read while more than that is known to come.
+const LARGE_READ_BYTES: usize = 64 * 1024;
+/// Reads of a body before other tasks get a turn. A caller that sends faster than the body is
+/// read would keep this thread busy otherwise.
+const READS_PER_TURN: u32 = 16;
+/// Memory of a connection without a request: its task and its buffers.
+pub(crate) const CONNECTION_BYTES: usize = 16 * 1024;
+/// Copies of a head: as read, as sent to an engine, and as serialized.
+const HEAD_COPIES: usize = 3;
+const END_OF_HEAD: &[u8] = b"\r\n\r\n";
+
 /// Why no request could be read from a connection.
+#[derive(Debug)]
 pub(crate) enum ReadError {
     /// The connection was closed.
     Closed,
@@ -41,50 +59,178 @@
 pub(crate) struct ReceivedRequest {
     pub request: HttpRequest,
     pub limits: ServerLimits,
+    /// Memory of the request.
+    pub reserved: Reservation,
 }
 
-/// Reads the next complete request of a connection, within the limits in force.
-pub(crate) async fn read_request<R: AsyncReadRent>(
-    decoder: &mut RequestDecoder<LimitedReader<R>>,
-    state: &ReadState,
-) -> Result<ReceivedRequest, ReadError> {
-    state.begin_head();
-    let read = within_head_deadline(decoder.next(), state).await;
-    let limits = state.limits();
-    let request = match read {
-        None => return Err(ReadError::TimedOut),
-        Some(None) => return Err(ReadError::Closed),
-        Some(Some(Err(error))) => return Err(read_error(&limits, Part::Head, &error)),
-        Some(Some(Ok(request))) => request,
-    };
-    if head_length(&request) > limits.max_head_bytes {
-        return Err(too_large(&limits, Part::Head));
+/// Reads one request after another from a connection.
+pub(crate) struct RequestReader<R> {
+    io: R,
+    state: Rc<ReadState>,
+    /// Bytes that were read and not decoded.
+    buffer: BytesMut,
+    read_buffer: Option<Vec<u8>>,
+}
+
+impl<R: AsyncReadRent> RequestReader<R> {
+    pub fn new(io: R, state: Rc<ReadState>) -> Self {
+        Self {
+            io,
+            state,
+            buffer: BytesMut::new(),
+            read_buffer: None,
+        }
     }
-    if !has_unambiguous_framing(&request) {
-        return Err(ReadError::Rejected {
-            status: 400,
-            kind: "ambiguous-length",
-            detail: "the length of the request can be read in more than one way".into(),
-        });
+
+    /// Frees all buffers. No further request is read.
+    pub fn release_buffers(&mut self) {
+        self.buffer = BytesMut::new();
+        self.read_buffer = None;
+        self.state.release_request();
     }
-    if declared_length(&request) > limits.max_body_bytes {
-        return Err(too_large(&limits, Part::Body));
+
+    /// Reads the next complete request, within the limits in force.
+    pub async fn read_request(&mut self) -> Result<ReceivedRequest, ReadError> {
+        let state = self.state.clone();
+        state.begin_request(!self.buffer.is_empty());
+        let read = within_head_deadline(self.read_head(), &state).await;
+        let head = read.unwrap_or(Err(ReadError::TimedOut))?;
+        let limits = state.limits();
+        if head.length() > limits.max_head_bytes {
+            return Err(too_large(&limits, Part::Head));
+        }
+        let Some(framing) = head.framing() else {
+            return Err(ReadError::Rejected {
+                status: 400,
+                kind: "ambiguous-length",
+                detail: "the length of the request can be read in more than one way".into(),
+            });
+        };
+        let reading = self.read_body(BodyDecoder::new(framing), &limits);
+        let read = monoio::time::timeout(BODY_TIMEOUT, reading).await;
+        read.unwrap_or(Err(ReadError::TimedOut))?;
+        let held = head.held_bytes() * HEAD_COPIES;
+        state.reserve(held).map_err(|_| no_room())?;
+        let (body, reserved) = state.take_request();
+        let request = HttpRequest {
+            method: head.method,
+            path: head.path,
+            headers: head.headers,
+            body,
+        };
+        Ok(ReceivedRequest {
+            request,
+            limits,
+            reserved,
+        })
+    }
+
+    async fn read_head(&mut self) -> Result<RequestHead, ReadError> {
+        // Bytes that do not contain the end of the head, so that each byte is searched once.
+        let mut searched = 0;
+        let mut reserved = 0;
+        loop {
+            let rest = &self.buffer[searched..];
+            let has_end = rest.windows(END_OF_HEAD.len()).any(|w| w == END_OF_HEAD);
+            if has_end {
+                let parsed = RequestHead::parse(&self.buffer).map_err(malformed)?;
+                if let Some(head) = parsed {
+                    self.buffer.advance(head.wire_length);
+                    self.state.release(reserved);
+                    return Ok(head);
+                }
+            }
+            searched = self.buffer.len().saturating_sub(END_OF_HEAD.len() - 1);
+            let limits = self.state.limits();
+            if self.buffer.len() > limits.max_head_bytes {
+                return Err(too_large(&limits, Part::Head));
+            }
+            let count = self.fill(READ_BYTES).await?;
+            if self.buffer.len() > READ_BYTES {
+                self.state.reserve(count).map_err(|_| no_room())?;
+                reserved += count;
+            }
+        }
+    }
+
+    async fn read_body(
+        &mut self,
+        mut decoder: BodyDecoder,
+        limits: &ServerLimits,
+    ) -> Result<(), ReadError> {
+        let limit = limits.max_body_bytes;
+        let (mut reads, mut is_flowing) = (0, false);
+        loop {
+            let part = decoder.decode(&mut self.buffer);
+            let part = part.map_err(|error| malformed(error.to_string()))?;
+            let announced = usize::try_from(decoder.announced_bytes()).unwrap_or(usize::MAX);
+            let data = match part {
+                Some(BodyPart::End) => return Ok(()),
+                Some(BodyPart::Data(data)) => data,
+                None => Default::default(),
+            };
+            let length = self.state.body_length().saturating_add(data.len());
+            if length.saturating_add(announced) > limit {
+                return Err(too_large(limits, Part::Body));
+            }
+            if !data.is_empty() {
+                let expected = data.len() + announced;
+                let appended = self.state.append_body(&data, expected, limit);
+                appended.map_err(|_| no_room())?;
+                continue;
+            }
+            reads += 1;
+            if reads % READS_PER_TURN == 0 {
+                yield_now().await;
+            }
+            is_flowing = if is_flowing && announced >= LARGE_READ_BYTES {
+                self.fill_large().await? == LARGE_READ_BYTES
+            } else {
+                self.fill(READ_BYTES).await? == READ_BYTES
+            };
+        }
     }
-    // Allows for the overhead of chunked encoding.
-    state.begin_body(limits.max_body_bytes + limits.max_head_bytes);
-    let filled = monoio::time::timeout(BODY_TIMEOUT, decoder.fill_payload()).await;
-    match filled {
-        Err(_) => return Err(ReadError::TimedOut),
-        Ok(Err(error)) => return Err(read_error(&limits, Part::Body, &error)),
-        Ok(Ok(())) => {}
+
+    /// Reads with a larger buffer, which is not kept.
+    async fn fill_large(&mut self) -> Result<usize, ReadError> {
+        // Once as read and once as decoded.
+        let reserved = 2 * LARGE_READ_BYTES;
+        self.state.reserve(reserved).map_err(|_| no_room())?;
+        let small_buffer = self.read_buffer.take();
+        let count = self.fill(LARGE_READ_BYTES).await?;
+        self.read_buffer = small_buffer;
+        self.state.release(reserved);
+        Ok(count)
     }
-    let request = to_request(request)
-        .await
-        .map_err(|error| read_error(&limits, Part::Body, &error))?;
-    if request.body.len() > limits.max_body_bytes {
-        return Err(too_large(&limits, Part::Body));
+
+    /// Reads up to `size` bytes into the buffer. Returns their number, which is not 0.
+    async fn fill(&mut self, size: usize) -> Result<usize, ReadError> {
+        let read_buffer = self
+            .read_buffer
+            .take()
+            .filter(|buffer| buffer.len() == size);
+        let reading = self.io.read(read_buffer.unwrap_or_else(|| vec![0; size]));
+        futures_util::pin_mut!(reading);
+        let state = &self.state;
+        let (result, read_buffer) = poll_fn(|context| match state.poll_interrupt(context) {
+            Some(Interrupt::BodyDiscarded) => Poll::Ready(Err(no_room())),
+            Some(Interrupt::ConnectionClosed) => Poll::Ready(Err(ReadError::Closed)),
+            None => reading.as_mut().poll(context).map(Ok),
+        })
+        .await?;
+        let count = result.map_err(|_| ReadError::Closed)?;
+        if count == 0 {
+            return Err(ReadError::Closed);
+        }
+        self.state.record_read(count);
+        if self.buffer.is_empty() {
+            // Releases a buffer that an earlier read has enlarged.
+            self.buffer = BytesMut::with_capacity(count);
+        }
+        self.buffer.extend_from_slice(&read_buffer[..count]);
+        self.read_buffer = Some(read_buffer);
+        Ok(count)
     }
-    Ok(ReceivedRequest { request, limits })
 }
 
 /// Awaits `reading` until the head is due by the limits in force. They may change meanwhile, and
@@ -129,45 +275,6 @@
     Body,
 }
 
-/// Bytes of the request target and the headers.
-fn head_length(request: &Request<Payload>) -> usize {
-    let headers = request.headers().iter();
-    let headers = headers.map(|(name, value)| name.as_str().len() + value.len() + 4);
-    let path = request
-        .uri()
-        .path_and_query()
-        .map_or(0, |path| path.as_str().len());
-    path + headers.sum::<usize>()
-}
-
-/// Whether the framing of the request is unambiguous, to prevent request smuggling.
-fn has_unambiguous_framing(request: &Request<Payload>) -> bool {
-    let headers = request.headers();
-    let lengths: Vec<&[u8]> = headers
-        .get_all(http::header::CONTENT_LENGTH)
-        .iter()
-        .map(|value| value.as_bytes())
-        .collect();
-    let codings: Vec<&[u8]> = headers
-        .get_all(http::header::TRANSFER_ENCODING)
-        .iter()
-        .map(|value| value.as_bytes())
-        .collect();
-    let digits = |value: &&[u8]| !value.is_empty() && value.iter().all(u8::is_ascii_digit);
-    match (lengths.as_slice(), codings.as_slice()) {
-        ([], []) => true,
-        ([length], []) => digits(length),
-        ([], [coding]) => coding.eq_ignore_ascii_case(b"chunked"),
-        _ => false,
-    }
-}
-
-fn declared_length(request: &Request<Payload>) -> usize {
-    let value = request.headers().get(http::header::CONTENT_LENGTH);
-    let parsed = value.and_then(|value| value.to_str().ok()?.parse().ok());
-    parsed.unwrap_or(0)
-}
-
 fn too_large(limits: &ServerLimits, part: Part) -> ReadError {
     let (status, kind) = match part {
         Part::Head => (431, "head-too-large"),
@@ -183,50 +290,19 @@
     }
 }
 
-fn read_error(limits: &ServerLimits, part: Part, error: &HttpError) -> ReadError {
-    let text = error.to_string();
-    if text.contains(TOO_LARGE) {
-        return too_large(limits, part);
-    }
-    if text.contains(BUDGET_EXCEEDED) {
-        return ReadError::Rejected {
-            status: 503,
-            kind: "no-room",
-            detail: "this machine holds too much for its callers just now".into(),
-        };
-    }
-    if matches!(error, HttpError::IOError(_)) || text.contains("eof") || text.contains("io error") {
-        return ReadError::Closed;
+/// The request was not passed on, so the status may promise that it has not run.
+fn no_room() -> ReadError {
+    ReadError::Rejected {
+        status: 503,
+        kind: "no-room",
+        detail: "this machine holds too much for its callers just now".into(),
     }
+}
+
+fn malformed(detail: String) -> ReadError {
     ReadError::Rejected {
         status: 400,
         kind: "malformed-http",
-        detail: text,
+        detail,
     }
 }
-
-async fn to_request(request: Request<Payload>) -> Result<HttpRequest, HttpError> {
-    let (parts, payload) = request.into_parts();
-    let body = match payload {
-        Payload::None => Bytes::new(),
-        Payload::Fixed(mut fixed) => fixed.next().await.transpose()?.unwrap_or_default(),
-        Payload::Stream(mut chunks) => {
-            let mut body = BytesMut::new();
-            while let Some(chunk) = chunks.next().await {
-                body.extend_from_slice(&chunk?);
-            }
-            body.freeze()
-        }
-    };
-    let headers = parts.headers.iter().map(|(name, value)| {
-        let text = String::from_utf8_lossy(value.as_bytes()).into_owned();
-        (name.as_str().to_string(), text)
-    });
-    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
-    Ok(HttpRequest {
-        method: parts.method.as_str().to_string(),
-        path: path.to_string(),
-        headers: headers.collect(),
-        body,
-    })
-}
--- a/crates/runtime/src/responder.rs
+++ b/crates/runtime/src/responder.rs
@@ -9,10 +9,13 @@
 use crate::boot_clock::BootInstant;
 use crate::memory_budget::{BacklogState, BudgetExceeded, MemoryBudget, Reservation};
 
-/// Most unwritten bytes of one response. A single larger part is accepted if nothing else is
+/// Most memory of one response that is not written. A single larger part is accepted if nothing else is
 /// unwritten.
 const MAX_BACKLOG_BYTES: usize = 1024 * 1024;
 
+/// Memory of a queued part beside its data.
+const PART_BYTES: usize = 128;
+
 /// The caller closed the connection or was disconnected.
 #[derive(Debug, PartialEq, Eq)]
 pub struct CallerDisconnected;
@@ -23,6 +26,8 @@
 pub struct Responder {
     parts: UnboundedSender<ResponsePart>,
     backlog: Rc<ResponseBacklog>,
+    /// Memory of the request, which is held until the response is complete.
+    _request: Reservation,
 }
 
 /// Receiving end of a [`Responder`], held by the connection.
@@ -34,13 +39,15 @@
 }
 
 impl Responder {
-    /// Creates a response channel whose backlog counts against `budget`.
-    pub(crate) fn new(budget: &MemoryBudget) -> (Self, ResponseQueue) {
+    /// Creates a response channel whose backlog counts against `budget`. `request` is the memory
+    /// of the request.
+    pub(crate) fn new(budget: &MemoryBudget, request: Reservation) -> (Self, ResponseQueue) {
         let (parts, received) = unbounded();
         let (backlog, disconnected) = ResponseBacklog::new(budget);
         let responder = Self {
             parts,
             backlog: backlog.clone(),
+            _request: request,
         };
         let queue = ResponseQueue {
             parts: received,
@@ -54,8 +61,9 @@
     pub fn send(&self, part: ResponsePart) -> Result<(), CallerDisconnected> {
         if let ResponsePart::Data(data) = &part {
             let queued = self.backlog.bytes();
-            let is_too_much = queued > 0 && queued + data.len() > MAX_BACKLOG_BYTES;
-            if is_too_much || self.backlog.add(data.len()).is_err() {
+            let held = held_bytes(data);
+            let is_too_much = queued > 0 && queued + held > MAX_BACKLOG_BYTES;
+            if is_too_much || self.backlog.add(held).is_err() {
                 self.backlog.disconnect_over_limit(data.len());
                 self.parts.close_channel();
             }
@@ -74,6 +82,11 @@
     }
 }
 
+/// Memory that a part of a response takes up until it is written.
+pub(crate) fn held_bytes(data: &[u8]) -> usize {
+    data.len() + PART_BYTES
+}
+
 /// Accounts for the unwritten bytes of a response and for stalled writes.
 #[derive(Debug)]
 pub(crate) struct ResponseBacklog {
--- a/crates/runtime/src/response_reader.rs
+++ b/crates/runtime/src/response_reader.rs
@@ -4,62 +4,35 @@
 //! would take surplus bytes for the next response, and accept a body that is delimited by
 //! the end of its connection even if the connection failed.
 
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::{Buf, BytesMut};
 use monoio::io::AsyncReadRent;
 use peatgrade_types::http::ResponseHead;
 
+use crate::body_decoder::{invalid, BodyDecoder, BodyPart, Framing};
+
 const MAX_HEADERS: usize = 96;
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 const READ_BYTES: usize = 8 * 1024;
-const MAX_CHUNK_LINE: usize = 256;
-/// Limit of all trailer lines of a response together.
-const MAX_TRAILER_BYTES: usize = 16 * 1024;
-
-/// How a body is delimited.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Framing {
-    Length(u64),
-    Chunked(ChunkState),
-    /// By the end of the connection.
-    UntilClose,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum ChunkState {
-    Size,
-    Data(u64),
-    DataEnd,
-    Trailer,
-}
 
 /// Reads one response after another from a connection.
 pub(crate) struct ResponseReader<R> {
     io: R,
     buffer: BytesMut,
     read_buffer: Option<Vec<u8>>,
-    framing: Framing,
-    /// Bytes of trailers received with the current response.
-    trailer_bytes: usize,
+    body: BodyDecoder,
     /// The connection may carry another request.
     reusable: bool,
     /// Error found after data that was returned first.
     pending_error: Option<std::io::Error>,
 }
 
-/// A part of a body, or its end.
-pub(crate) enum BodyPart {
-    Data(Bytes),
-    End,
-}
-
 impl<R: AsyncReadRent> ResponseReader<R> {
     pub fn new(io: R) -> Self {
         Self {
             io,
             buffer: BytesMut::new(),
             read_buffer: None,
-            framing: Framing::Length(0),
-            trailer_bytes: 0,
+            body: BodyDecoder::new(Framing::EMPTY),
             reusable: true,
             pending_error: None,
         }
@@ -95,7 +68,6 @@
     /// Reads a response head, skipping interim (1xx) responses.
     pub async fn read_head(&mut self, bodyless: bool) -> std::io::Result<ResponseHead> {
         let mut skipped = 0;
-        self.trailer_bytes = 0;
         loop {
             if let Some((head, length, minor)) = parse_head(&self.buffer)? {
                 self.buffer.advance(length);
@@ -106,11 +78,11 @@
                 if head.status / 100 == 1 {
                     continue;
                 }
-                self.framing = framing_of(&head, bodyless)?;
+                self.body = BodyDecoder::new(framing_of(&head, bodyless)?);
                 let close = head
                     .header("connection")
                     .is_some_and(|value| value.to_ascii_lowercase().contains("close"));
-                self.reusable = !close && minor == 1 && self.framing != Framing::UntilClose;
+                self.reusable = !close && minor == 1 && !self.body.lasts_until_close();
                 return Ok(head);
             }
             if self.buffer.len() > MAX_HEAD_BYTES {
@@ -129,42 +101,33 @@
                 return Ok(part);
             }
             if self.fill().await? == 0 {
-                return match self.framing {
-                    Framing::UntilClose => Ok(BodyPart::End),
-                    _ => Err(std::io::ErrorKind::UnexpectedEof.into()),
+                return match self.body.lasts_until_close() {
+                    true => Ok(BodyPart::End),
+                    false => Err(std::io::ErrorKind::UnexpectedEof.into()),
                 };
             }
         }
     }
 
     fn buffered_part(&mut self) -> std::io::Result<Option<BodyPart>> {
-        match self.framing {
-            Framing::Length(0) => Ok(Some(BodyPart::End)),
-            Framing::Length(remaining) => {
-                let data = self.take(remaining);
-                self.framing = Framing::Length(remaining - data.len() as u64);
-                Ok(non_empty(data))
-            }
-            Framing::UntilClose => {
-                let data = self.take(u64::MAX);
-                Ok(non_empty(data))
-            }
-            Framing::Chunked(state) => self.buffered_chunks(state),
+        match self.body.is_chunked() {
+            true => self.buffered_chunks(),
+            false => self.body.decode(&mut self.buffer),
         }
     }
 
     /// Returns the data of all buffered chunks as one part. A server may send chunks of a few bytes,
     /// and each part costs its receiver far more than its bytes do.
-    fn buffered_chunks(&mut self, state: ChunkState) -> std::io::Result<Option<BodyPart>> {
+    fn buffered_chunks(&mut self) -> std::io::Result<Option<BodyPart>> {
         if let Some(error) = self.pending_error.take() {
             return Err(error);
         }
-        let Some(BodyPart::Data(first)) = self.chunk(state)? else {
-            return Ok(self.body_end());
+        let Some(BodyPart::Data(first)) = self.body.decode(&mut self.buffer)? else {
+            return Ok(self.body.end());
         };
         let mut more = BytesMut::new();
-        while let Framing::Chunked(state) = self.framing {
-            match self.chunk(state) {
+        while self.body.is_chunked() {
+            match self.body.decode(&mut self.buffer) {
                 Ok(Some(BodyPart::Data(data))) => more.extend_from_slice(&data),
                 Ok(_) => break,
                 Err(error) => {
@@ -179,102 +142,6 @@
         let joined = [&first[..], &more[..]].concat();
         Ok(Some(BodyPart::Data(joined.into())))
     }
-
-    /// The end of a chunked body, once its last chunk was read.
-    fn body_end(&self) -> Option<BodyPart> {
-        (self.framing == Framing::Length(0)).then_some(BodyPart::End)
-    }
-
-    fn chunk(&mut self, mut state: ChunkState) -> std::io::Result<Option<BodyPart>> {
-        loop {
-            match state {
-                ChunkState::Data(remaining) => {
-                    let data = self.take(remaining);
-                    let remaining = remaining - data.len() as u64;
-                    state = if remaining == 0 {
-                        ChunkState::DataEnd
-                    } else {
-                        ChunkState::Data(remaining)
-                    };
-                    self.framing = Framing::Chunked(state);
-                    return Ok(non_empty(data));
-                }
-                ChunkState::Size => {
-                    let Some(line) = self.line()? else {
-                        return Ok(None);
-                    };
-                    let size = chunk_size(&line)?;
-                    state = if size == 0 {
-                        ChunkState::Trailer
-                    } else {
-                        ChunkState::Data(size)
-                    };
-                }
-                ChunkState::DataEnd => {
-                    let Some(line) = self.line()? else {
-                        return Ok(None);
-                    };
-                    if !line.is_empty() {
-                        return Err(invalid("chunk data is not followed by a line ending"));
-                    }
-                    state = ChunkState::Size;
-                }
-                ChunkState::Trailer => {
-                    let Some(line) = self.line()? else {
-                        return Ok(None);
-                    };
-                    self.trailer_bytes += line.len() + 1;
-                    if self.trailer_bytes > MAX_TRAILER_BYTES {
-                        return Err(invalid("trailers are larger than 16 KiB"));
-                    }
-                    if line.is_empty() {
-                        self.framing = Framing::Length(0);
-                        return Ok(Some(BodyPart::End));
-                    }
-                }
-            }
-            self.framing = Framing::Chunked(state);
-        }
-    }
-
-    fn take(&mut self, limit: u64) -> Bytes {
-        let count = (self.buffer.len() as u64).min(limit) as usize;
-        self.buffer.split_to(count).freeze()
-    }
-
-    /// Takes a complete line from the buffer, without its line ending.
-    fn line(&mut self) -> std::io::Result<Option<Bytes>> {
-        let end = self.buffer.iter().position(|byte| *byte == b'\n');
-        let Some(end) = end else {
-            if self.buffer.len() > MAX_CHUNK_LINE {
-                return Err(invalid("chunk line is longer than 256 bytes"));
-            }
-            return Ok(None);
-        };
-        let mut line = self.buffer.split_to(end + 1);
-        line.truncate(end);
-        if line.last() == Some(&b'\r') {
-            line.truncate(end - 1);
-        }
-        Ok(Some(line.freeze()))
-    }
-}
-
-fn non_empty(data: Bytes) -> Option<BodyPart> {
-    (!data.is_empty()).then_some(BodyPart::Data(data))
-}
-
-fn invalid(reason: &'static str) -> std::io::Error {
-    std::io::Error::new(std::io::ErrorKind::InvalidData, reason)
-}
-
-fn chunk_size(line: &[u8]) -> std::io::Result<u64> {
-    let text = std::str::from_utf8(line).map_err(|_| invalid("chunk size is not valid UTF-8"))?;
-    let digits = text.split(';').next().unwrap_or("").trim();
-    if digits.is_empty() || digits.len() > 8 {
-        return Err(invalid("chunk size is missing or longer than 8 digits"));
-    }
-    u64::from_str_radix(digits, 16).map_err(|_| invalid("chunk size is not a hexadecimal number"))
 }
 
 /// Parses a response head. Returns the head, its length in bytes and the minor HTTP version,
@@ -308,11 +175,11 @@
 
 fn framing_of(head: &ResponseHead, bodyless: bool) -> std::io::Result<Framing> {
     if bodyless || head.status == 204 || head.status == 304 {
-        return Ok(Framing::Length(0));
+        return Ok(Framing::EMPTY);
     }
     if let Some(coding) = head.header("transfer-encoding") {
         if coding.trim().eq_ignore_ascii_case("chunked") {
-            return Ok(Framing::Chunked(ChunkState::Size));
+            return Ok(Framing::CHUNKED);
         }
         return Err(invalid("unsupported transfer-encoding"));
     }
--- a/crates/runtime/src/response_writer.rs
+++ b/crates/runtime/src/response_writer.rs
@@ -45,6 +45,9 @@
 /// Longest time that a write may be blocked by a caller that does not read.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Most data that is copied to be written with one call.
+const MAX_COPIED_BYTES: usize = 64 * 1024;
+
 /// Writes one response at a time to its connection.
 pub(crate) struct ResponseWriter<W> {
     io: W,
@@ -89,17 +92,17 @@
     pub async fn write_complete(
         &mut self,
         head: &ResponseHead,
-        body: &[u8],
+        body: Bytes,
         close: bool,
     ) -> std::io::Result<()> {
-        let mut bytes = BytesMut::with_capacity(256 + body.len());
-        write_head(
-            head,
-            &format!("content-length: {}\r\n", body.len()),
-            close,
-            &mut bytes,
-        );
-        bytes.put_slice(body);
+        let framing = format!("content-length: {}\r\n", body.len());
+        let mut bytes = BytesMut::with_capacity(256 + copied_length(&body));
+        write_head(head, &framing, close, &mut bytes);
+        if copied_length(&body) < body.len() {
+            self.write(bytes.freeze()).await?;
+            return self.write(body).await;
+        }
+        bytes.put_slice(&body);
         self.write(bytes.freeze()).await
     }
 
@@ -107,18 +110,32 @@
     pub async fn begin_chunked(
         &mut self,
         head: &ResponseHead,
-        first: &[u8],
+        first: Bytes,
     ) -> std::io::Result<()> {
-        let mut bytes = BytesMut::with_capacity(512 + first.len());
+        let mut bytes = BytesMut::with_capacity(512 + copied_length(&first));
         write_head(head, "transfer-encoding: chunked\r\n", false, &mut bytes);
-        put_chunk(first, &mut bytes);
-        self.write(bytes.freeze()).await
+        self.write_chunk_after(bytes, first).await
     }
 
     /// Writes a chunk of the body.
-    pub async fn write_chunk(&mut self, data: &Bytes) -> std::io::Result<()> {
-        let mut bytes = BytesMut::with_capacity(16 + data.len());
-        put_chunk(data, &mut bytes);
+    pub async fn write_chunk(&mut self, data: Bytes) -> std::io::Result<()> {
+        let bytes = BytesMut::with_capacity(16 + copied_length(&data));
+        self.write_chunk_after(bytes, data).await
+    }
+
+    async fn write_chunk_after(&mut self, mut bytes: BytesMut, data: Bytes) -> std::io::Result<()> {
+        if !data.is_empty() {
+            bytes.put_slice(format!("{:x}\r\n", data.len()).as_bytes());
+        }
+        if copied_length(&data) < data.len() {
+            self.write(bytes.freeze()).await?;
+            self.write(data).await?;
+            return self.write(Bytes::from_static(b"\r\n")).await;
+        }
+        if !data.is_empty() {
+            bytes.put_slice(&data);
+            bytes.put_slice(b"\r\n");
+        }
         self.write(bytes.freeze()).await
     }
 
@@ -129,11 +146,10 @@
     }
 }
 
-fn put_chunk(data: &[u8], into: &mut BytesMut) {
-    if data.is_empty() {
-        return;
-    }
-    into.put_slice(format!("{:x}\r\n", data.len()).as_bytes());
-    into.put_slice(data);
-    into.put_slice(b"\r\n");
+/// Bytes of `data` that are copied to be written together with what precedes them: all or, if
+/// that would hold much memory twice, none.
+fn copied_length(data: &Bytes) -> usize {
+    Some(data.len())
+        .filter(|length| *length <= MAX_COPIED_BYTES)
+        .unwrap_or(0)
 }
--- a/crates/runtime/tests/slow_callers.rs
+++ b/crates/runtime/tests/slow_callers.rs
@@ -14,6 +14,12 @@
 /// Parts of a response that exceeds the socket buffers and the backlog limit.
 const PARTS: usize = 200;
 
+/// Bytes of a small event, whose memory is many times as large.
+const EVENT_BYTES: usize = 8;
+const EVENTS: usize = 300_000;
+/// Most small events that a backlog of 1 MiB may hold, with the overhead of each.
+const MAX_QUEUED_EVENTS: usize = 10_000;
+
 /// State of the server after a request.
 #[derive(Debug)]
 struct Report {
@@ -42,7 +48,8 @@
             let mut open = Vec::new();
             while let Some(incoming) = received.next().await {
                 let accepted = match incoming.request.path.as_str() {
-                    "/long" => send_long(&incoming.responder),
+                    "/long" => send_parts(&incoming.responder, PART_BYTES, PARTS),
+                    "/events" => send_parts(&incoming.responder, EVENT_BYTES, EVENTS),
                     _ => send_length(&incoming.responder, incoming.request.body.len()),
                 };
                 open.push(incoming.responder);
@@ -59,11 +66,12 @@
     (address, reports)
 }
 
-fn send_long(responder: &Responder) -> usize {
+/// Returns how many of the parts were accepted.
+fn send_parts(responder: &Responder, bytes: usize, count: usize) -> usize {
     let head = ResponseHead::new(200, "text/event-stream");
     let _ = responder.send(ResponsePart::Head(head));
-    let data = vec![b'x'; PART_BYTES];
-    let parts = (0..PARTS).map(|_| ResponsePart::Data(data.clone().into()));
+    let data = vec![b'x'; bytes];
+    let parts = (0..count).map(|_| ResponsePart::Data(data.clone().into()));
     parts
         .take_while(|part| responder.send(part.clone()).is_ok())
         .count()
@@ -138,3 +146,15 @@
     let mut other = send_request(address, "/", 1_000);
     assert_eq!(read_status(&mut other), "200");
 }
+
+/// Guards against a backlog that counts the bytes of small events but not the memory of the parts
+/// that hold them.
+#[test]
+fn unread_small_events_count_as_they_are_held() {
+    let (address, reports) = start_server();
+    let _stalled = send_request(address, "/events", 0);
+    let report = reports.recv().unwrap();
+    assert!(report.accepted <= MAX_QUEUED_EVENTS, "{}", report.accepted);
+    let mut other = send_request(address, "/", 1_000);
+    assert_eq!(read_status(&mut other), "200");
+}
--- a/crates/server/src/gateway_process/mod.rs
+++ b/crates/server/src/gateway_process/mod.rs
@@ -2,15 +2,12 @@
 
 use futures_channel::mpsc::{unbounded, UnboundedReceiver, UnboundedSender};
 use futures_util::{select_biased, FutureExt, StreamExt};
-use monoio::net::TcpListener;
 use peatgrade_forward::{CallId, HttpId};
 use peatgrade_gateway::{Gateway, GatewaySettings};
 use peatgrade_mirror::Subscriber;
 use peatgrade_ports::{CallerMessage, CallerResponse, Codec, StoreUpdate};
 use peatgrade_runtime::http_client::CancelOnDrop;
-use peatgrade_runtime::{
-    serve_with_control, HttpClient, Incoming, LinkSocket, MemoryBudget, Responder, ServerControl,
-};
+use peatgrade_runtime::{HttpClient, Incoming, LinkSocket, Responder, ServerControl};
 use peatgrade_schema::decode;
 use peatgrade_schema::replication::mod_ReplicaMessage::OneOfbody;
 use peatgrade_schema::replication::ReplicaMessage;
@@ -21,6 +18,7 @@
 use std::time::Duration;
 
 mod actions;
+mod caller_limits;
 mod crash_exchange;
 mod observations;
 mod shutdown;
@@ -30,6 +28,7 @@
 mod usage;
 
 pub(crate) use actions::from_std_duration;
+use caller_limits::{serve_callers, server_control, spare_memory};
 use crash_exchange::CrashExchange;
 use observations::ObservationExchange;
 use store_subscription::{new_subscriber, FoundReplicas, ReplicaLookup};
@@ -135,20 +134,9 @@
             step: "install signal handlers",
             source,
         })?;
-        let server = ServerControl {
-            budget: settings
-                .caller_memory_bytes()
-                .map_or_else(Default::default, MemoryBudget::new),
-            ..ServerControl::default()
-        };
+        let server = server_control(&settings);
         let (calls, call_inputs) = unbounded();
-        for (what, address) in [
-            ("front", &settings.front_address),
-            ("ready", &settings.ready_address),
-        ] {
-            let listener = TcpListener::bind(address).map_err(socket_error(what, address))?;
-            monoio::spawn(serve_with_control(listener, calls.clone(), server.clone()));
-        }
+        serve_callers(&settings, &calls, &server)?;
         let (messages, message_inputs) = unbounded();
         let link = LinkSocket::open(&settings.peer_address, messages)
             .map_err(socket_error("peer", &settings.peer_address))?;
@@ -167,16 +155,16 @@
             settings.store_address,
             settings.zone
         );
+        let gateway_settings = GatewaySettings {
+            forwarding: settings.forwarder_settings(seed),
+            // Random, so that call ids differ from those before a restart.
+            first_call_id: u64::from(rand::random::<u32>()) << 31,
+            max_key_staleness: settings.max_key_staleness(),
+        };
+        let mut gateway = Gateway::new(gateway_settings, codec.clone());
+        gateway.limit_submissions(spare_memory(&settings, &server));
         let process = Self {
-            gateway: Gateway::new(
-                GatewaySettings {
-                    forwarding: settings.forwarder_settings(seed),
-                    // Random, so that call ids differ from those before a restart.
-                    first_call_id: u64::from(rand::random::<u32>()) << 31,
-                    max_key_staleness: settings.max_key_staleness(),
-                },
-                codec.clone(),
-            ),
+            gateway,
             subscriber: new_subscriber(&settings),
             unreadable_entries: UnreadableEntries::default(),
             store_watch: WatchFlag::default(),
@@ -322,6 +310,7 @@
         self.report_opened_connections();
         let actions = self.gateway.on_response_part(steady_now(), id, part);
         self.execute(actions);
+        self.limit_responses();
     }
 
     fn on_message(&mut self, bytes: Option<Vec<u8>>) {
--- a/crates/server/src/gateway_process/state_metrics.rs
+++ b/crates/server/src/gateway_process/state_metrics.rs
@@ -37,11 +37,4 @@
             self.metrics.set(name, value);
         }
     }
-
-    fn update_caller_memory_metrics(&self) {
-        let stats = self.server.budget.stats();
-        self.metrics.set("caller_bytes_held", stats.reserved as u64);
-        self.metrics.set("callers_cut_off", stats.disconnected);
-        self.metrics.set("caller_bytes_refused", stats.rejected);
-    }
 }
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -16,10 +16,12 @@
 mod engine_probe;
 mod event_loop;
 mod gateway_process;
+mod heap;
 mod listing;
 mod metrics;
 mod observations;
 mod pause_detector;
+mod resource_limits;
 mod settings;
 mod settings_validation;
 mod signals;
@@ -43,6 +45,7 @@
     role: ServerRole,
     codec: Rc<dyn Codec>,
 ) -> Result<(), ServerError> {
+    heap::map_large_allocations();
     peatgrade_runtime::logging::init(&settings.log_level, &settings.name);
     let run = async move {
         match role {
--- a/crates/server/src/metrics.rs
+++ b/crates/server/src/metrics.rs
@@ -4,7 +4,9 @@
 //! series is bounded.
 
 use peatgrade_ports::{CallerResponse, Codec};
-use peatgrade_runtime::{serve, Incoming};
+use peatgrade_runtime::{
+    serve_with_control, ConnectionLimit, Incoming, MemoryBudget, ServerControl, ServerLimits,
+};
 use peatgrade_types::http::ResponsePart;
 use prometheus::{
     Encoder, Histogram, HistogramOpts, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder,
@@ -124,6 +126,11 @@
     Histogram::with_opts(HistogramOpts::new(name, help).buckets(buckets)).expect("fixed name")
 }
 
+/// Memory for callers of the metrics.
+const MAX_METRICS_MEMORY: usize = 8 * 1024 * 1024;
+const MAX_METRICS_CONNECTIONS: usize = 64;
+const MAX_METRICS_BODY_BYTES: usize = 4 * 1024;
+
 /// Resident memory of this process from `/proc`; 0 if it is not available.
 pub(crate) fn resident_bytes() -> u64 {
     const PAGE_BYTES: u64 = 4_096;
@@ -135,6 +142,20 @@
     pages.unwrap_or(0) * PAGE_BYTES
 }
 
+/// Limits of the metrics listener, whose requests are small.
+fn metrics_control() -> ServerControl {
+    let control = ServerControl {
+        budget: MemoryBudget::new(MAX_METRICS_MEMORY),
+        connections: ConnectionLimit::new(MAX_METRICS_CONNECTIONS),
+        ..ServerControl::default()
+    };
+    control.limits.set(ServerLimits {
+        max_body_bytes: MAX_METRICS_BODY_BYTES,
+        ..ServerLimits::default()
+    });
+    control
+}
+
 /// Serves `metrics` on `address` unless it is empty.
 pub(crate) fn serve_metrics(
     address: &str,
@@ -147,7 +168,7 @@
     let listener =
         monoio::net::TcpListener::bind(address).map_err(socket_error("metrics", address))?;
     let (requests, mut incoming) = futures_channel::mpsc::unbounded();
-    monoio::spawn(serve(listener, requests));
+    monoio::spawn(serve_with_control(listener, requests, metrics_control()));
     let (metrics, codec) = (metrics.clone(), codec.clone());
     monoio::spawn(async move {
         use futures_util::StreamExt;
--- /dev/null
+++ b/crates/server/src/resource_limits.rs
@@ -0,0 +1,46 @@
+//! Memory and descriptors that a process may use, from its settings and the operating system.
+
+use crate::settings::ServerSettings;
+
+const BYTES_PER_MB: u64 = 1024 * 1024;
+/// The memory limit of a gateway divided by this bounds the memory for callers. The rest is for
+/// the process itself, copies of batch jobs and the allocator's unused memory.
+const CALLER_MEMORY_DIVISOR: u64 = 3;
+/// The descriptors of a gateway divided by this bound the connections of callers. Each request
+/// may need another one to an engine.
+const CONNECTION_DIVISOR: u64 = 2;
+const MIN_CALLER_CONNECTIONS: u64 = 16;
+
+impl ServerSettings {
+    /// Memory limit in bytes; `None` if memory is not limited.
+    pub fn memory_limit_bytes(&self) -> Option<u64> {
+        let limit = Some(self.memory_limit_mb).filter(|limit| *limit > 0);
+        limit.map(|limit| limit * BYTES_PER_MB)
+    }
+
+    /// Maximum memory that a gateway holds for its callers; `None` if memory is not limited.
+    pub fn caller_memory_bytes(&self) -> Option<usize> {
+        let limit = self.memory_limit_bytes()?;
+        Some((limit / CALLER_MEMORY_DIVISOR) as usize)
+    }
+
+    /// Maximum number of callers' connections; `None` if descriptors are not limited.
+    pub fn max_caller_connections(&self) -> Option<usize> {
+        let limit = Some(self.max_open_files).filter(|limit| *limit > 0);
+        let limit = limit.or_else(max_open_files)?;
+        let connections = (limit / CONNECTION_DIVISOR).max(MIN_CALLER_CONNECTIONS);
+        Some(usize::try_from(connections).unwrap_or(usize::MAX))
+    }
+}
+
+/// Descriptors that this process may open; none if they are not limited.
+fn max_open_files() -> Option<u64> {
+    let mut limit = libc::rlimit {
+        rlim_cur: 0,
+        rlim_max: 0,
+    };
+    // SAFETY: `limit` is a live, writable structure of the expected type.
+    let result = unsafe { libc::getrlimit(libc::RLIMIT_NOFILE, &mut limit) };
+    let is_limited = result == 0 && limit.rlim_cur != libc::RLIM_INFINITY;
+    is_limited.then_some(limit.rlim_cur)
+}
--- a/crates/server/src/settings.rs
+++ b/crates/server/src/settings.rs
@@ -83,6 +83,10 @@
     /// Memory limit of the process, in megabytes; 0 for no limit.
     #[serde(default)]
     pub memory_limit_mb: u64,
+    /// Descriptors that the process may open; 0 for the limit of the operating system. Half of
+    /// them are for callers' connections. Gateways only.
+    #[serde(default)]
+    pub max_open_files: u64,
     /// Length of the windows for which tenants' usage is reported, in milliseconds; 0 disables
     /// reporting. Must be the same on all machines.
     #[serde(default)]
@@ -250,7 +254,12 @@
         apply!(loads_at_once, log_level, duty_address, usage_late_ms);
         require_restart!(name, zone, front_address, ready_address, peer_address);
         require_restart!(metrics_address, data_folder, tolerated_losses);
-        require_restart!(disk_limit_mb, memory_limit_mb, usage_window_ms);
+        require_restart!(
+            disk_limit_mb,
+            memory_limit_mb,
+            max_open_files,
+            usage_window_ms
+        );
         require_restart!(
             keys_believed_ms,
             reject_unservable,
@@ -286,13 +295,6 @@
         }
     }
 
-    /// Maximum number of bytes that a gateway buffers for its callers; `None` if memory is not
-    /// limited.
-    pub fn caller_memory_bytes(&self) -> Option<usize> {
-        let limit = Some(self.memory_limit_mb).filter(|limit| *limit > 0);
-        limit.map(|limit| limit as usize * BYTES_PER_MB / CALLER_MEMORY_DIVISOR)
-    }
-
     /// Ordering policy for waiting items; the default if the name is unknown.
     pub fn item_order(&self) -> ItemOrder {
         ItemOrder::from_name(&self.item_order).unwrap_or_default()
@@ -379,10 +381,6 @@
     }
 }
 
-const BYTES_PER_MB: usize = 1024 * 1024;
-/// The memory limit of a gateway divided by this bounds the buffered bytes of callers. Each
-/// request is held twice, as read and as sent to an engine; the rest is for the process itself.
-const CALLER_MEMORY_DIVISOR: usize = 3;
 /// Minimum of `contact_ms`: the time needed to detect and replace a lost watch.
 const MIN_CONTACT_MS: u64 = 1_500;
 /// Minimum of `usage_late_ms`: half of it must cover an election, the lease of the previous
--- a/crates/server/src/storage/memory.rs
+++ b/crates/server/src/storage/memory.rs
@@ -2,6 +2,7 @@
 
 use peatgrade_types::{Duration, Time};
 
+use crate::heap::trim_heap;
 use crate::metrics::resident_bytes;
 
 use super::process::StorageProcess;
@@ -69,28 +70,3 @@
         }
     }
 }
-
-/// Allocations of at least this size are mapped on their own, and are returned to the system when
-/// they are freed.
-const MIN_MAPPED_BYTES: libc::c_int = 1024 * 1024;
-/// Free bytes at the end of the heap that stay there for the next allocations.
-const KEPT_HEAP_BYTES: libc::c_int = 4 * 1024 * 1024;
-
-/// Keeps the copies of large jobs out of the heap. By default the allocator raises its limit with
-/// each large allocation that is freed, and then keeps their memory.
-pub(super) fn map_large_allocations() {
-    // SAFETY: mallopt sets parameters of the allocator, and takes its locks.
-    unsafe {
-        libc::mallopt(libc::M_MMAP_THRESHOLD, MIN_MAPPED_BYTES);
-        libc::mallopt(libc::M_TRIM_THRESHOLD, KEPT_HEAP_BYTES);
-    }
-}
-
-/// Returns free heap pages to the system. The allocator keeps them after a peak, and they
-/// would count as used memory.
-fn trim_heap() {
-    // SAFETY: malloc_trim takes the allocator's locks and releases only free pages.
-    unsafe {
-        libc::malloc_trim(0);
-    }
-}
--- a/crates/server/src/storage/process.rs
+++ b/crates/server/src/storage/process.rs
@@ -39,7 +39,7 @@
 use super::job_memory::JobReservations;
 use super::leader_session::LeaderSession;
 use super::loop_inputs::{Input, Inputs};
-use super::memory::{map_large_allocations, MemoryMonitor};
+use super::memory::MemoryMonitor;
 use super::observations::ObservationRelay;
 use super::peer_mirror::PeerMirror;
 use super::pressure::{ResourceLimits, ResourcePressure};
@@ -64,7 +64,6 @@
     settings: ServerSettings,
     codec: Rc<dyn Codec>,
 ) -> Result<(), ServerError> {
-    map_large_allocations();
     let (mut process, mut inputs) = StorageProcess::start(settings, codec)?;
     loop {
         let tick = monoio::time::sleep(process.tick_interval()).fuse();
--- a/crates/server/tests/unit/settings.rs
+++ b/crates/server/tests/unit/settings.rs
@@ -79,6 +79,7 @@
         engine_heartbeat_ms: 1,
         keys_believed_ms: 1,
         disk_limit_mb: 1,
+        max_open_files: 7,
         memory_limit_mb: 1,
         usage_window_ms: 1,
         usage_late_ms: 1,
@@ -95,7 +96,7 @@
     let (applied, deferred) = settings.apply_reloadable(newer);
     assert_eq!(
         applied.len() + deferred.len(),
-        31,
+        32,
         "a setting is not reloaded"
     );
     let page = include_str!("../../../../docs/OPERATIONS.md");
