Runtime: a status outside of the protocol is no answer

What callers saw: an engine's answer with status 000 or 999, with its stamp, on safe, unsafe and streaming routes; 000 was written as `HTTP/1.1 0`.

Cause: the reader of responses took any three digits for a status, and the forwarder returns statuses below 500 that have a stamp. The same reader took numbers with a sign for lengths, looked at the first transfer-encoding only, accepted a bare line feed after chunk data, so that a chunk could be a byte too long, and skipped 101, after which the bytes belong to another protocol.

Change: a response with such a status or framing fails. The request may have run: it is repeated where that is allowed, else its caller gets a 502. All clients use this reader: lookups, streams, items, reward calls, reports, orders, the store, usage reports.

--- a/crates/runtime/src/body_decoder.rs
+++ b/crates/runtime/src/body_decoder.rs
@@ -163,9 +163,10 @@
     };
     let mut line = buffer.split_to(end + 1);
     line.truncate(end);
-    if line.last() == Some(&b'\r') {
-        line.truncate(end - 1);
+    if line.last() != Some(&b'\r') {
+        return Err(invalid("chunk line does not end with CR LF"));
     }
+    line.truncate(end - 1);
     Ok(Some(line.freeze()))
 }
 
--- a/crates/runtime/src/response_reader.rs
+++ b/crates/runtime/src/response_reader.rs
@@ -7,6 +7,7 @@
 use bytes::{Buf, BytesMut};
 use monoio::io::AsyncReadRent;
 use peatgrade_types::http::ResponseHead;
+use std::ops::RangeInclusive;
 
 use crate::body_decoder::{invalid, BodyDecoder, BodyPart, Framing};
 
@@ -14,6 +15,11 @@
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 const READ_BYTES: usize = 8 * 1024;
 
+/// Statuses of the protocol.
+const VALID_STATUSES: RangeInclusive<u16> = 100..=599;
+/// Never asked for, and followed by bytes of another protocol.
+const SWITCHING_PROTOCOLS: u16 = 101;
+
 /// Reads one response after another from a connection.
 pub(crate) struct ResponseReader<R> {
     io: R,
@@ -166,8 +172,16 @@
         let value = String::from_utf8_lossy(header.value).into_owned();
         (header.name.to_ascii_lowercase(), value)
     });
+    let status = response.code.unwrap_or(0);
+    let is_valid = VALID_STATUSES.contains(&status) && status != SWITCHING_PROTOCOLS;
+    if !is_valid {
+        return Err(std::io::Error::new(
+            std::io::ErrorKind::InvalidData,
+            format!("status {status:03} is not valid"),
+        ));
+    }
     let head = ResponseHead {
-        status: response.code.unwrap_or(0),
+        status,
         headers: names.collect(),
     };
     Ok(Some((head, length, response.version.unwrap_or(0))))
@@ -177,20 +191,30 @@
     if bodyless || head.status == 204 || head.status == 304 {
         return Ok(Framing::EMPTY);
     }
-    if let Some(coding) = head.header("transfer-encoding") {
-        if coding.trim().eq_ignore_ascii_case("chunked") {
+    let values = |wanted: &'static str| {
+        let headers = head.headers.iter().filter(move |(name, _)| name == wanted);
+        headers.map(|(_, value)| value.trim())
+    };
+    let mut codings = values("transfer-encoding");
+    match (codings.next(), codings.next()) {
+        (None, _) => {}
+        (Some(coding), None) if coding.eq_ignore_ascii_case("chunked") => {
             return Ok(Framing::CHUNKED);
         }
-        return Err(invalid("unsupported transfer-encoding"));
+        _ => return Err(invalid("unsupported transfer-encoding")),
     }
-    let mut lengths = head
-        .headers
-        .iter()
-        .filter(|(name, _)| name == "content-length")
-        .map(|(_, value)| value.trim().parse::<u64>());
+    let mut lengths = values("content-length").map(parse_length);
     match lengths.next() {
         None => Ok(Framing::UntilClose),
-        Some(Ok(length)) if lengths.all(|other| other == Ok(length)) => Ok(Framing::Length(length)),
+        Some(Some(length)) if lengths.all(|other| other == Some(length)) => {
+            Ok(Framing::Length(length))
+        }
         Some(_) => Err(invalid("content-length is invalid or conflicting")),
     }
 }
+
+/// Parses a length, which has neither sign nor blanks.
+fn parse_length(value: &str) -> Option<u64> {
+    let is_number = value.bytes().all(|byte| byte.is_ascii_digit());
+    is_number.then(|| value.parse().ok()).flatten()
+}
