--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -6,11 +6,13 @@
 //!  PeerSocket: UDP for small messages, framed TCP for large ones
 //! ```
 //!
-//! Request and response bytes buffered for callers count against a [`MemoryBudget`].
+//! What callers make the process hold counts against a [`MemoryBudget`], connections against a
+//! [`ConnectionLimit`]. HTTP heads are parsed by `httparse`; bodies of requests and responses share
+//! one decoder.
 //!
 //! Each task owns its socket and communicates with the state owner over channels only.
-//! The event loop is monoio on its epoll driver, named explicitly: `monoio-http` enables
-//! monoio's io_uring feature through feature unification, but io_uring must not be used.
+//! The event loop is monoio on its epoll driver, named explicitly: monoio can also be built with
+//! an io_uring driver, which must not be used.
 //! [`event_loop::open_io_uring_instances`] counts open instances.
 
 mod body_decoder;
--- a/crates/runtime/src/request_reader.rs
+++ b/crates/runtime/src/request_reader.rs
@@ -1,8 +1,7 @@
 //! Reads HTTP requests within the limits of the server.
 //!
-//! Heads are parsed by `httparse`, bodies decoded into one buffer as they arrive. The decoder of
-//! `monoio-http` holds each chunk as an object of its own until the body is complete, many times
-//! the memory of a small chunk's bytes.
+//! Bodies are decoded into one buffer as they arrive. A decoder that keeps each chunk as an object
+//! of its own would hold many times the memory of a small chunk's bytes.
 
 use bytes::{Buf, BytesMut};
 use monoio::io::AsyncReadRent;
--- a/crates/runtime/src/response_reader.rs
+++ b/crates/runtime/src/response_reader.rs
@@ -1,8 +1,8 @@
 //! Reads HTTP/1.1 responses from servers.
 //!
-//! Heads are parsed by `httparse`; framing is checked here. The client of `monoio-http`
-//! would take surplus bytes for the next response, and accept a body that is delimited by
-//! the end of its connection even if the connection failed.
+//! Heads are parsed by `httparse`; status and framing are checked here. Surplus bytes are not taken
+//! for the next response, and a body that is delimited by the end of its connection is complete
+//! only if the connection ended in order.
 
 use bytes::{Buf, BytesMut};
 use monoio::io::AsyncReadRent;
--- a/crates/runtime/src/response_writer.rs
+++ b/crates/runtime/src/response_writer.rs
@@ -1,7 +1,6 @@
 //! Writes HTTP/1.1 responses.
 //!
-//! The encoder of `monoio-http` is not used, as it buffers a streamed body until 8 KiB are
-//! available, which would delay server-sent events.
+//! Parts of a streamed body are written as they come, so that server-sent events are not delayed.
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use monoio::io::AsyncWriteRent;
