Runtime: connections leave half of the memory for callers to requests, and keep no large buffers

Cause, found by reading: on a machine with many descriptors and little memory, idle connections alone could use up the memory for callers, so that each request was refused, however small. After a large body a connection kept the read buffer of 64 KiB, which counts for nothing, until its next request.

Change: the limit on callers' connections is the lower of half of the descriptors and of what takes up half of the memory for callers. The rest of a read is copied when a request begins, and the larger buffer released; what exceeds an ordinary buffer is reserved.

Tests: callers_connections_are_limited. The release of the buffer is not tested.

--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -47,6 +47,7 @@
 pub use link_socket::{Delivery, LinkSocket};
 pub use memory_budget::{BudgetStats, MemoryBudget};
 pub use peer_socket::PeerSocket;
+pub use request_reader::CONNECTION_BYTES;
 pub use responder::{CallerDisconnected, Responder};
 pub use server_limits::{ServerControl, ServerLimits};
 pub use server_shutdown::ServerShutdown;
--- a/crates/runtime/src/request_reader.rs
+++ b/crates/runtime/src/request_reader.rs
@@ -34,7 +34,7 @@
 /// read would keep this thread busy otherwise.
 const READS_PER_TURN: u32 = 16;
 /// Memory of a connection without a request: its task and its buffers.
-pub(crate) const CONNECTION_BYTES: usize = 16 * 1024;
+pub const CONNECTION_BYTES: usize = 16 * 1024;
 /// Copies of a head: as read, as sent to an engine, and as serialized.
 const HEAD_COPIES: usize = 3;
 const END_OF_HEAD: &[u8] = b"\r\n\r\n";
@@ -91,6 +91,8 @@
     /// Reads the next complete request, within the limits in force.
     pub async fn read_request(&mut self) -> Result<ReceivedRequest, ReadError> {
         let state = self.state.clone();
+        // Releases the larger buffer of which the rest of the last read may be a part.
+        self.buffer = BytesMut::from(&self.buffer[..]);
         state.begin_request(!self.buffer.is_empty());
         let read = within_head_deadline(self.read_head(), &state).await;
         let head = read.unwrap_or(Err(ReadError::TimedOut))?;
@@ -127,7 +129,8 @@
     async fn read_head(&mut self) -> Result<RequestHead, ReadError> {
         // Bytes that do not contain the end of the head, so that each byte is searched once.
         let mut searched = 0;
-        let mut reserved = 0;
+        let mut reserved = self.buffer.len().saturating_sub(READ_BYTES);
+        self.state.reserve(reserved).map_err(|_| no_room())?;
         loop {
             let rest = &self.buffer[searched..];
             let has_end = rest.windows(END_OF_HEAD.len()).any(|w| w == END_OF_HEAD);
--- a/crates/server/src/resource_limits.rs
+++ b/crates/server/src/resource_limits.rs
@@ -1,5 +1,7 @@
 //! Memory and descriptors that a process may use, from its settings and the operating system.
 
+use peatgrade_runtime::CONNECTION_BYTES;
+
 use crate::settings::ServerSettings;
 
 const BYTES_PER_MB: u64 = 1024 * 1024;
@@ -9,7 +11,10 @@
 /// The descriptors of a gateway divided by this bound the connections of callers. Each request
 /// may need another one to an engine.
 const CONNECTION_DIVISOR: u64 = 2;
-const MIN_CALLER_CONNECTIONS: u64 = 16;
+/// The memory for callers divided by this bounds the memory of their connections. The rest is for
+/// requests.
+const CONNECTION_MEMORY_DIVISOR: usize = 2;
+const MIN_CALLER_CONNECTIONS: usize = 16;
 
 impl ServerSettings {
     /// Memory limit in bytes; `None` if memory is not limited.
@@ -24,12 +29,16 @@
         Some((limit / CALLER_MEMORY_DIVISOR) as usize)
     }
 
-    /// Maximum number of callers' connections; `None` if descriptors are not limited.
+    /// Maximum number of callers' connections; `None` if neither descriptors nor memory are
+    /// limited.
     pub fn max_caller_connections(&self) -> Option<usize> {
-        let limit = Some(self.max_open_files).filter(|limit| *limit > 0);
-        let limit = limit.or_else(max_open_files)?;
-        let connections = (limit / CONNECTION_DIVISOR).max(MIN_CALLER_CONNECTIONS);
-        Some(usize::try_from(connections).unwrap_or(usize::MAX))
+        let files = Some(self.max_open_files).filter(|limit| *limit > 0);
+        let files = files.or_else(max_open_files);
+        let by_files = files.map(|limit| (limit / CONNECTION_DIVISOR) as usize);
+        let memory = self.caller_memory_bytes();
+        let by_memory = memory.map(|bytes| bytes / CONNECTION_MEMORY_DIVISOR / CONNECTION_BYTES);
+        let limit = by_files.into_iter().chain(by_memory).min();
+        limit.map(|connections| connections.max(MIN_CALLER_CONNECTIONS))
     }
 }
 
--- a/crates/server/tests/unit/settings.rs
+++ b/crates/server/tests/unit/settings.rs
@@ -126,6 +126,32 @@
     assert_eq!(settings.caller_memory_bytes(), expected);
 }
 
+/// Guards against connections that take up the descriptors or the memory that requests need.
+#[rstest]
+#[case::files("max_open_files = 400", 200)]
+#[case::memory("max_open_files = 100000\nmemory_limit_mb = 96", 1024)]
+#[case::both("max_open_files = 400\nmemory_limit_mb = 96", 200)]
+#[case::few("max_open_files = 4", 16)]
+fn callers_connections_are_limited(#[case] lines: &str, #[case] expected: usize) {
+    let path = write(
+        &format!("connections-{}", lines.len()),
+        &format!("{GATEWAY}{lines}\n"),
+    );
+    let settings = ServerSettings::load(&path, ServerRole::Gateway).unwrap();
+    std::fs::remove_file(&path).unwrap();
+    assert_eq!(settings.max_caller_connections(), Some(expected));
+}
+
+/// Without settings, the limit of the operating system holds.
+#[test]
+fn callers_connections_are_limited_by_the_operating_system() {
+    let path = write("os-connections", GATEWAY);
+    let settings = ServerSettings::load(&path, ServerRole::Gateway).unwrap();
+    std::fs::remove_file(&path).unwrap();
+    let limit = settings.max_caller_connections();
+    assert!(limit.is_none_or(|limit| limit >= 16), "{limit:?}");
+}
+
 #[test]
 fn reload_of_an_invalid_file_keeps_the_settings() {
     let path = write("broken", GATEWAY);
