Runtime: received messages count until they are processed

What callers saw: found by a test; the leader would be ended over its memory, and jobs and results with it, while clients submit large batch jobs at many gateways.

Cause: messages of peers were read as they came and queued without bound. The leader refuses a job that does not fit, but only when it comes to it, and gateways send a job again while they have no answer.

Change: messages above 64 KiB count against a quarter of memory_limit_mb from their header until they are processed. One that does not fit stays in its sender's socket; one above the limit is read alone. Small messages never wait. A peer that stops within a frame is given up after 5 s, so that it holds nothing for long.

--- a/crates/runtime/src/link_socket.rs
+++ b/crates/runtime/src/link_socket.rs
@@ -19,12 +19,15 @@
 
 use crate::boot_clock::BootInstant;
 use crate::frames::{FrameCodec, FrameHeader, HEADER_BYTES};
+use crate::receive_budget::{ReceiveBudget, ReceivedMessage};
 
 /// Largest datagram payload, below the usual MTU to avoid IP fragmentation.
 const MAX_DATAGRAM_BYTES: usize = 1_200;
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Longest time to write one frame to the socket.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Longest time to receive a frame after its header. Its sender gives up sooner.
+const RECEIVE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time after which an idle connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 /// Most bytes queued for one connection; messages beyond are dropped. A larger message is
@@ -58,26 +61,48 @@
     frames: Rc<FrameCodec>,
     connections: HashMap<SocketAddr, OutgoingConnection>,
     last_received: HashMap<SocketAddr, BootInstant>,
+    receive_budget: ReceiveBudget,
     dropped: u64,
 }
 
 impl LinkSocket {
     /// Binds UDP and TCP on `address` and forwards incoming messages to `received`.
-    pub fn open(address: &str, received: UnboundedSender<Vec<u8>>) -> std::io::Result<Self> {
+    pub fn open(
+        address: &str,
+        received: UnboundedSender<ReceivedMessage>,
+    ) -> std::io::Result<Self> {
         let udp = Rc::new(UdpSocket::bind(address)?);
         let listener = TcpListener::bind(address)?;
         monoio::spawn(receive_datagrams(udp.clone(), received.clone()));
         let frames = Rc::new(FrameCodec::new()?);
-        monoio::spawn(accept_frames(listener, frames.clone(), received));
+        let receive_budget = ReceiveBudget::default();
+        let receiver = FrameReceiver {
+            frames: frames.clone(),
+            budget: receive_budget.clone(),
+            received,
+        };
+        monoio::spawn(accept_frames(listener, receiver));
         Ok(Self {
             udp,
             frames,
             connections: HashMap::new(),
             last_received: HashMap::new(),
+            receive_budget,
             dropped: 0,
         })
     }
 
+    /// Limits the memory of messages over TCP that are received and not processed yet. Large
+    /// messages beyond it wait at their senders.
+    pub fn limit_received(&self, bytes: usize) {
+        self.receive_budget.set_limit(bytes);
+    }
+
+    /// Bytes of large messages that are being received or are not processed yet.
+    pub fn received_bytes(&self) -> usize {
+        self.receive_budget.held()
+    }
+
     /// Records that a message from `address` was received. Peers without such a record are
     /// not reconnected to when silent.
     pub fn record_received(&mut self, address: &str) {
@@ -158,14 +183,17 @@
     }
 }
 
-async fn receive_datagrams(udp: Rc<UdpSocket>, received: UnboundedSender<Vec<u8>>) {
+async fn receive_datagrams(udp: Rc<UdpSocket>, received: UnboundedSender<ReceivedMessage>) {
     let mut buffer = vec![0_u8; 4 * 1024];
     loop {
         let (result, returned) = udp.recv_from(buffer).await;
         buffer = returned;
         match result {
             Ok((count, _)) => {
-                if received.unbounded_send(buffer[..count].to_vec()).is_err() {
+                if received
+                    .unbounded_send(ReceivedMessage::datagram(buffer[..count].to_vec()))
+                    .is_err()
+                {
                     return;
                 }
             }
@@ -174,15 +202,19 @@
     }
 }
 
-async fn accept_frames(
-    listener: TcpListener,
+/// Receives frames from the connections of peers.
+#[derive(Clone)]
+struct FrameReceiver {
     frames: Rc<FrameCodec>,
-    received: UnboundedSender<Vec<u8>>,
-) {
+    budget: ReceiveBudget,
+    received: UnboundedSender<ReceivedMessage>,
+}
+
+async fn accept_frames(listener: TcpListener, receiver: FrameReceiver) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                monoio::spawn(receive_frames(stream, frames.clone(), received.clone()));
+                monoio::spawn(receive_frames(stream, receiver.clone()));
             }
             Err(error) => {
                 log::warn!("step=accept-link error={error}");
@@ -192,11 +224,7 @@
     }
 }
 
-async fn receive_frames(
-    mut stream: TcpStream,
-    frames: Rc<FrameCodec>,
-    received: UnboundedSender<Vec<u8>>,
-) {
+async fn receive_frames(mut stream: TcpStream, receiver: FrameReceiver) {
     loop {
         let (result, header) = stream.read_exact(Box::new([0_u8; HEADER_BYTES])).await;
         if result.is_err() {
@@ -206,15 +234,19 @@
             Ok(header) => header,
             Err(error) => return log::warn!("step=receive-frame error={error}"),
         };
-        let (result, body) = stream.read_exact(vec![0_u8; header.length]).await;
+        let held = receiver.budget.reserve(header.length).await;
+        let reading = stream.read_exact(vec![0_u8; header.length]);
+        let Ok((result, body)) = monoio::time::timeout(RECEIVE_TIMEOUT, reading).await else {
+            return log::warn!("step=receive-frame bytes={} error=timeout", header.length);
+        };
         if result.is_err() {
             return;
         }
-        let message = match frames.decode(header, body) {
-            Ok(message) => message,
+        let message = match receiver.frames.decode(header, body) {
+            Ok(message) => ReceivedMessage::frame(message, held),
             Err(error) => return log::warn!("step=receive-frame error={error}"),
         };
-        if received.unbounded_send(message).is_err() {
+        if receiver.received.unbounded_send(message).is_err() {
             return;
         }
     }
--- a/crates/runtime/src/peer_socket.rs
+++ b/crates/runtime/src/peer_socket.rs
@@ -10,6 +10,7 @@
 use peatgrade_types::{Identity, NodeId};
 
 use crate::link_socket::{Delivery, LinkSocket};
+use crate::receive_budget::ReceivedMessage;
 
 /// A message from another node.
 pub type PeerMessage = (Identity, OneOfbody);
@@ -48,7 +49,7 @@
 }
 
 async fn forward_messages(
-    mut incoming: UnboundedReceiver<Vec<u8>>,
+    mut incoming: UnboundedReceiver<ReceivedMessage>,
     received: UnboundedSender<PeerMessage>,
 ) {
     while let Some(bytes) = incoming.next().await {
--- a/crates/server/src/gateway_process/mod.rs
+++ b/crates/server/src/gateway_process/mod.rs
@@ -7,7 +7,9 @@
 use peatgrade_mirror::Subscriber;
 use peatgrade_ports::{CallerMessage, CallerResponse, Codec, StoreUpdate};
 use peatgrade_runtime::http_client::CancelOnDrop;
-use peatgrade_runtime::{HttpClient, Incoming, LinkSocket, Responder, ServerControl};
+use peatgrade_runtime::{
+    HttpClient, Incoming, LinkSocket, ReceivedMessage, Responder, ServerControl,
+};
 use peatgrade_schema::decode;
 use peatgrade_schema::replication::mod_ReplicaMessage::OneOfbody;
 use peatgrade_schema::replication::ReplicaMessage;
@@ -81,7 +83,7 @@
     signals: UnboundedReceiver<ProcessSignal>,
     parts: UnboundedReceiver<(HttpId, ResponsePart)>,
     calls: UnboundedReceiver<Incoming>,
-    messages: UnboundedReceiver<Vec<u8>>,
+    messages: UnboundedReceiver<ReceivedMessage>,
     updates: UnboundedReceiver<StoreUpdate>,
     found_replicas: UnboundedReceiver<FoundReplicas>,
 }
@@ -140,6 +142,7 @@
         let (messages, message_inputs) = unbounded();
         let link = LinkSocket::open(&settings.peer_address, messages)
             .map_err(socket_error("peer", &settings.peer_address))?;
+        settings.limit_received(&link);
         let metrics = Metrics::new();
         let store = StoreClient::new(&settings.store_address, codec.clone(), metrics.clone());
         let (updates, update_inputs) = unbounded();
@@ -313,7 +316,7 @@
         self.limit_responses();
     }
 
-    fn on_message(&mut self, bytes: Option<Vec<u8>>) {
+    fn on_message(&mut self, bytes: Option<ReceivedMessage>) {
         let message = bytes.and_then(|bytes| decode::<ReplicaMessage>(&bytes).ok());
         let Some(message) = message else {
             return;
--- a/crates/server/src/resource_limits.rs
+++ b/crates/server/src/resource_limits.rs
@@ -1,6 +1,6 @@
 //! Memory and descriptors that a process may use, from its settings and the operating system.
 
-use peatgrade_runtime::CONNECTION_BYTES;
+use peatgrade_runtime::{LinkSocket, CONNECTION_BYTES};
 
 use crate::settings::ServerSettings;
 
@@ -8,6 +8,8 @@
 /// The memory limit of a gateway divided by this bounds the memory for callers. The rest is for
 /// the process itself, copies of batch jobs and the allocator's unused memory.
 const CALLER_MEMORY_DIVISOR: u64 = 3;
+/// The memory limit of a process divided by this bounds the memory of received messages.
+const RECEIVED_MEMORY_DIVISOR: u64 = 4;
 /// The descriptors of a gateway divided by this bound the connections of callers. Each request
 /// may need another one to an engine.
 const CONNECTION_DIVISOR: u64 = 2;
@@ -29,6 +31,13 @@
         Some((limit / CALLER_MEMORY_DIVISOR) as usize)
     }
 
+    /// Limits the memory of messages from other processes that are not processed yet.
+    pub fn limit_received(&self, link: &LinkSocket) {
+        if let Some(limit) = self.memory_limit_bytes() {
+            link.limit_received((limit / RECEIVED_MEMORY_DIVISOR) as usize);
+        }
+    }
+
     /// Maximum number of callers' connections; `None` if neither descriptors nor memory are
     /// limited.
     pub fn max_caller_connections(&self) -> Option<usize> {
--- a/crates/server/src/storage/loop_inputs.rs
+++ b/crates/server/src/storage/loop_inputs.rs
@@ -2,6 +2,7 @@
 
 use futures_channel::mpsc::UnboundedReceiver;
 use peatgrade_ports::StoreUpdate;
+use peatgrade_runtime::ReceivedMessage;
 use peatgrade_types::http::ResponsePart;
 
 use crate::signals::ProcessSignal;
@@ -13,7 +14,7 @@
 /// An input of the main loop.
 pub(super) enum Input {
     Signal(ProcessSignal),
-    Message(Vec<u8>),
+    Message(ReceivedMessage),
     Part(ExchangeId, ResponsePart),
     Update(StoreUpdate),
     InitialMembers(InitialMembers),
@@ -34,7 +35,7 @@
 /// The channels that inputs arrive on.
 pub(super) struct Inputs {
     pub signals: UnboundedReceiver<ProcessSignal>,
-    pub messages: UnboundedReceiver<Vec<u8>>,
+    pub messages: UnboundedReceiver<ReceivedMessage>,
     pub parts: UnboundedReceiver<(ExchangeId, ResponsePart)>,
     pub updates: UnboundedReceiver<StoreUpdate>,
     pub initial_members: UnboundedReceiver<InitialMembers>,
--- a/crates/server/src/storage/memory.rs
+++ b/crates/server/src/storage/memory.rs
@@ -59,6 +59,7 @@
             ),
             ("memory_log_bytes", self.replica.log().resident_bytes()),
             ("memory_link_bytes", self.link.queued_bytes() as u64),
+            ("memory_received_bytes", self.link.received_bytes() as u64),
         ];
         for (name, value) in owners {
             self.metrics.set(name, value);
--- a/crates/server/src/storage/process.rs
+++ b/crates/server/src/storage/process.rs
@@ -217,6 +217,7 @@
         let (messages, message_inputs) = unbounded();
         let link = LinkSocket::open(&settings.peer_address, messages)
             .map_err(socket_error("peer", &settings.peer_address))?;
+        settings.limit_received(&link);
         let metrics = Metrics::new();
         let store = StoreClient::new(&settings.store_address, codec.clone(), metrics.clone());
         let (updates, update_inputs) = unbounded();
