Runtime: refused connections are logged with their reason

Cause, found by reading: a connection refused for lack of memory left no line.

Two comments say what they mean. The tests of the runtime pass (release build).

--- a/crates/runtime/src/http_server.rs
+++ b/crates/runtime/src/http_server.rs
@@ -83,15 +83,17 @@
     _guard: ConnectionGuard,
 }
 
-/// Admits a connection if there is room for it, which others may have to leave.
+/// Admits a connection if there is room for it, for which others may be closed.
 async fn admit(control: &ServerControl) -> Option<Admitted> {
     let state = ReadState::new(control.limits.clone(), &control.budget);
     state.await_request();
     let mut memory = control.budget.reservation();
-    let is_admitted = memory.grow_upload(CONNECTION_BYTES).is_ok()
-        && (control.connections.admit(&state)
-            || (control.budget.disconnect_stalled() && control.connections.admit(&state)));
-    // Connections that were closed end in their own tasks.
+    let has_memory = memory.grow_upload(CONNECTION_BYTES).is_ok();
+    if !has_memory {
+        log::warn!("decision=refuse-connection reason=memory");
+    }
+    let is_admitted = has_memory && control.connections.admit(&state);
+    // Lets connections that were closed for this one end before the next one is accepted.
     yield_now().await;
     if !is_admitted {
         control.connections.record_refused();
--- a/crates/runtime/src/memory_budget.rs
+++ b/crates/runtime/src/memory_budget.rs
@@ -138,7 +138,7 @@
     }
 
     /// Disconnects the stalled caller with the largest backlog. Returns whether there was one.
-    pub(crate) fn disconnect_stalled(&self) -> bool {
+    fn disconnect_stalled(&self) -> bool {
         let backlogs: Vec<Rc<ResponseBacklog>> = {
             let backlogs = self.shared.backlogs.borrow();
             backlogs.iter().filter_map(Weak::upgrade).collect()
--- a/crates/runtime/src/read_state.rs
+++ b/crates/runtime/src/read_state.rs
@@ -148,8 +148,8 @@
         let needed = length + data.len();
         if needed > capacity {
             let growth = (capacity / 4).max(MIN_BODY_CAPACITY);
-            // Memory that a caller announces and does not fill is not held for long: at most
-            // as much again as has arrived.
+            // Announced bytes may never come, so at most as much again as has arrived is
+            // allocated for them.
             let announced = (length + expected).min(needed * 2);
             let target = (capacity + growth).max(announced).min(limit).max(needed);
             self.reserve(target - capacity)?;
--- a/crates/runtime/src/responder.rs
+++ b/crates/runtime/src/responder.rs
@@ -9,8 +9,8 @@
 use crate::boot_clock::BootInstant;
 use crate::memory_budget::{BacklogState, BudgetExceeded, MemoryBudget, Reservation};
 
-/// Most memory of one response that is not written. A single larger part is accepted if nothing else is
-/// unwritten.
+/// Most memory of one response that is not written. A single larger part is accepted if nothing
+/// else is unwritten.
 const MAX_BACKLOG_BYTES: usize = 1024 * 1024;
 
 /// Memory of a queued part beside its data.
