--- a/crates/runtime/tests/invalid_responses.rs
+++ b/crates/runtime/tests/invalid_responses.rs
@@ -62,7 +62,7 @@
         "transfer-encoding: chunked" => "2\r\nok\r\n0\r\n\r\n",
         _ => "ok",
     };
-    let response = format!("HTTP/1.1 {status} X\r\nx-server-stamp: s\r\n{framing}\r\n\r\n{body}");
+    let response = format!("HTTP/1.1 {status} X\r\nx-signature: s\r\n{framing}\r\n\r\n{body}");
     assert_eq!(failed_step(&response), Some(HttpStep::Head));
 }
 
