--- a/crates/fleet/src/directory/identity.rs
+++ b/crates/fleet/src/directory/identity.rs
@@ -96,7 +96,7 @@
             .instance
             .as_ref()
             .is_some_and(|reported| reported != engine);
-        let misdirection = match (head.misdirected, is_other_instance, version) {
+        let misdirection = match (head.is_misdirected(), is_other_instance, version) {
             (_, true, _) => Some(Misdirection::WrongEngine),
             (true, false, Some(_)) => Some(Misdirection::VersionMismatch),
             (true, false, None) => Some(Misdirection::WrongEngine),
--- a/crates/fleet/tests/incarnations.rs
+++ b/crates/fleet/tests/incarnations.rs
@@ -154,7 +154,8 @@
 fn misdirected_head(responder: Option<&str>) -> EngineResponseHead {
     EngineResponseHead {
         status: 421,
-        misdirected: true,
+        not_run: true,
+        reads_as_misdirected: true,
         instance: responder.map(|name| Instance(name.into())),
         ..EngineResponseHead::default()
     }
--- a/crates/fleet/tests/restarted_engines.rs
+++ b/crates/fleet/tests/restarted_engines.rs
@@ -156,7 +156,8 @@
     let incarnation = harness.directory.incarnation(&name()).unwrap();
     let head = EngineResponseHead {
         status: 421,
-        misdirected: true,
+        not_run: true,
+        reads_as_misdirected: true,
         ..EngineResponseHead::default()
     };
     let (now, directory) = (harness.now, &mut harness.directory);
--- a/crates/forward/src/responses.rs
+++ b/crates/forward/src/responses.rs
@@ -171,7 +171,7 @@
                 forward.request.id,
                 attempt.instance,
                 answer_head.status,
-                answer_head.misdirected
+                answer_head.is_misdirected()
             );
             if let Some(state) = directory.incarnation_mut(&attempt.instance, attempt.incarnation) {
                 state.stats.record_rejection(now, REFUSAL_BACKOFF);
--- a/crates/gateway/tests/harness/codec.rs
+++ b/crates/gateway/tests/harness/codec.rs
@@ -93,7 +93,7 @@
             id: head.header("id").map(str::to_string),
             not_run: head.header("not-run").is_some(),
             reads_as_not_run: [408, 421, 429, 503].contains(&head.status),
-            misdirected: head.status == 421,
+            reads_as_misdirected: head.status == 421,
             signature: head.header("signed").map(str::to_string),
             instance: head.header("instance").map(|id| Instance(id.into())),
             ..EngineResponseHead::default()
--- a/crates/gateway/tests/quarantine/mod.rs
+++ b/crates/gateway/tests/quarantine/mod.rs
@@ -96,15 +96,22 @@
 }
 
 #[rstest]
-#[case::ok(200, 0)]
-#[case::not_found(404, 0)]
-#[case::misdirected(421, 1)]
-fn an_engine_that_answers_did_not_crash(#[case] status: u16, #[case] crashes: usize) {
+#[case::ok(200, false, 0)]
+#[case::not_found(404, false, 0)]
+#[case::misdirected(421, true, 1)]
+#[case::misdirected_without_proof(421, false, 0)]
+fn an_engine_that_answers_did_not_crash(
+    #[case] status: u16,
+    #[case] not_run: bool,
+    #[case] crashes: usize,
+) {
     let mut harness = Harness::new(RouteKind::Safe, 3);
     harness.call();
     harness.fail(0, HttpStep::Body);
     harness.advance(1);
-    let head = ResponseHead::new(status, "text/plain");
+    let mut head = ResponseHead::new(status, "text/plain");
+    let assertion = not_run.then(|| ("not-run".to_string(), "1".to_string()));
+    head.headers.extend(assertion);
     respond_to_probe(&mut harness, 0, ResponsePart::Head(head));
     let quarantine = &harness.gateway.directory.quarantine;
     assert_eq!(quarantine.crash_count(fingerprint()), crashes);
--- a/crates/gateway/tests/restarts/mod.rs
+++ b/crates/gateway/tests/restarts/mod.rs
@@ -79,6 +79,7 @@
 
 fn respond_misdirected(harness: &mut Harness, index: usize, instance: Option<&str>) {
     let mut head = ResponseHead::new(421, "text/plain");
+    head.headers.push(("not-run".into(), "1".into()));
     let instance = instance.map(|id| ("instance".to_string(), id.to_string()));
     head.headers.extend(instance);
     harness.respond_part(index, ResponsePart::Head(head));
--- a/crates/gateway/tests/unproven_refusals/mod.rs
+++ b/crates/gateway/tests/unproven_refusals/mod.rs
@@ -2,7 +2,7 @@
 //! engine has run (review case 9): only an engine that asserts it has not run a request is
 //! believed.
 
-use peatgrade_ports::RouteKind;
+use peatgrade_ports::{Instance, RouteKind};
 use peatgrade_types::http::HttpStep;
 use rstest::rstest;
 
@@ -10,7 +10,7 @@
 
 /// The last attempt of a request that may be repeated is no exception.
 #[rstest]
-fn the_last_attempt_is_no_promise_either(#[values(408, 429, 503)] status: u16) {
+fn the_last_attempt_is_no_promise_either(#[values(408, 421, 429, 503)] status: u16) {
     let mut harness = Harness::new(RouteKind::Safe, 3);
     harness.set_max_attempts(1);
     harness.call();
@@ -22,7 +22,7 @@
 /// Engines answer without the assertion. The caller learns that the outcome is unknown.
 #[rstest]
 fn a_refusal_without_the_assertion_is_no_promise(
-    #[values(408, 429, 503)] status: u16,
+    #[values(408, 421, 429, 503)] status: u16,
     #[values(RouteKind::Safe, RouteKind::Unsafe, RouteKind::Streaming)] kind: RouteKind,
     #[values(&["id", "signed"], &["id"])] headers: &[&str],
 ) {
@@ -37,7 +37,7 @@
 }
 
 #[rstest]
-fn a_repeatable_request_is_repeated_after_it(#[values(408, 429, 503)] status: u16) {
+fn a_repeatable_request_is_repeated_after_it(#[values(408, 421, 429, 503)] status: u16) {
     let mut harness = Harness::new(RouteKind::Safe, 3);
     harness.call();
     harness.respond(0, status, &["id", "signed"], "busy");
@@ -47,7 +47,7 @@
 }
 
 #[rstest]
-fn a_request_that_may_run_once_is_not_repeated_after_it(#[values(408, 429, 503)] status: u16) {
+fn a_request_that_may_run_once_is_not_repeated_after_it(#[values(408, 421, 429, 503)] status: u16) {
     let mut harness = Harness::new(RouteKind::Unsafe, 3);
     harness.call();
     harness.respond(0, status, &["id", "signed"], "busy");
@@ -55,6 +55,19 @@
     assert_eq!(harness.status(), Some(502));
 }
 
+/// An engine that ran a request and says that it was meant for another one stays in use.
+#[rstest]
+fn an_engine_is_not_absent_without_the_assertion(
+    #[values(RouteKind::Safe, RouteKind::Unsafe)] kind: RouteKind,
+) {
+    let mut harness = Harness::new(kind, 1);
+    harness.call();
+    harness.respond(0, 421, &["id", "signed"], "");
+    let engine = Instance(harness.requests[0].engine.clone());
+    let state = harness.gateway.directory.get(&engine).unwrap();
+    assert!(!state.is_absent(harness.now));
+}
+
 /// An earlier attempt may have run, so a later engine's assertion does not cover the request.
 #[test]
 fn an_assertion_covers_only_the_engine_that_makes_it() {
--- a/crates/jobs/tests/restarts/mod.rs
+++ b/crates/jobs/tests/restarts/mod.rs
@@ -90,7 +90,8 @@
 fn reject_run(harness: &mut Harness, run: RunId, instance: Option<&str>) {
     let head = EngineResponseHead {
         status: 421,
-        misdirected: true,
+        not_run: true,
+        reads_as_misdirected: true,
         instance: instance.map(|name| Instance(name.into())),
         ..EngineResponseHead::default()
     };
--- a/crates/ports/src/engine.rs
+++ b/crates/ports/src/engine.rs
@@ -137,8 +137,9 @@
     pub not_run: bool,
     /// Whether callers take the status for a promise that the request was not executed.
     pub reads_as_not_run: bool,
-    /// Whether the request reached another instance or version than the one addressed.
-    pub misdirected: bool,
+    /// Whether the status says that the request reached another instance or version than the
+    /// one addressed.
+    pub reads_as_misdirected: bool,
     /// Instance that responded, if reported.
     pub instance: Option<Instance>,
     /// Load of the engine, if reported.
@@ -159,7 +160,13 @@
     /// Whether the engine has certainly not executed the request. A success contradicts the
     /// assertion that it has not.
     pub fn is_refusal(&self) -> bool {
-        self.misdirected || (self.not_run && self.status >= FIRST_ERROR_STATUS)
+        self.not_run && self.status >= FIRST_ERROR_STATUS
+    }
+
+    /// Whether the request was refused because it reached another instance or version. The
+    /// status alone does not show that, as an engine may have executed the request.
+    pub fn is_misdirected(&self) -> bool {
+        self.reads_as_misdirected && self.is_refusal()
     }
 
     /// Whether the status promises callers what the engine does not assert: the request may
