--- a/crates/server/src/gateway_process/mod.rs
+++ b/crates/server/src/gateway_process/mod.rs
@@ -36,6 +36,7 @@
 use store_subscription::{new_subscriber, FoundReplicas, ReplicaLookup};
 use usage::GatewayUsage;
 
+use crate::build_info::BuildInfo;
 use crate::clock::{steady_now, suspended_time};
 use crate::metrics::{serve_metrics, Metrics};
 use crate::pause_detector::PauseDetector;
@@ -54,8 +55,9 @@
 pub async fn run_gateway(
     settings: ServerSettings,
     codec: Rc<dyn Codec>,
+    build: BuildInfo,
 ) -> Result<(), ServerError> {
-    let (mut process, mut inputs) = GatewayProcess::start(settings, codec)?;
+    let (mut process, mut inputs) = GatewayProcess::start(settings, codec, &build)?;
     loop {
         let busy = process.gateway.in_flight() > 0 || process.closing_since.is_some();
         let tick = monoio::time::sleep(if busy { BUSY_TICK } else { IDLE_TICK }).fuse();
@@ -131,6 +133,7 @@
     fn start(
         settings: ServerSettings,
         codec: Rc<dyn Codec>,
+        build: &BuildInfo,
     ) -> Result<(Self, Inputs), ServerError> {
         let signals = process_signals().map_err(|source| ServerError::System {
             step: "install signal handlers",
@@ -144,6 +147,7 @@
             .map_err(socket_error("peer", &settings.peer_address))?;
         settings.limit_received(&link);
         let metrics = Metrics::new();
+        metrics.set_build(build);
         let store = StoreClient::new(&settings.store_address, codec.clone(), metrics.clone());
         let (updates, update_inputs) = unbounded();
         serve_metrics(&settings.metrics_address, &metrics, &codec)?;
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -12,6 +12,7 @@
 //! In each process, one main task owns the state. Sockets, store watches and signals run in
 //! separate tasks that send it messages.
 
+mod build_info;
 mod clock;
 mod engine_probe;
 mod event_loop;
@@ -33,6 +34,7 @@
 use peatgrade_ports::Codec;
 use std::rc::Rc;
 
+pub use build_info::BuildInfo;
 pub use gateway_process::run_gateway;
 pub use settings::{ServerRole, ServerSettings};
 pub use settings_validation::SettingsError;
@@ -44,13 +46,15 @@
     settings: ServerSettings,
     role: ServerRole,
     codec: Rc<dyn Codec>,
+    build: BuildInfo,
 ) -> Result<(), ServerError> {
     heap::map_large_allocations();
     peatgrade_runtime::logging::init(&settings.log_level, &settings.name);
+    build.log();
     let run = async move {
         match role {
-            ServerRole::Gateway => run_gateway(settings, codec).await,
-            ServerRole::Storage => run_storage(settings, codec).await,
+            ServerRole::Gateway => run_gateway(settings, codec, build).await,
+            ServerRole::Storage => run_storage(settings, codec, build).await,
         }
     };
     let ended = peatgrade_runtime::block_on(run).map_err(|source| ServerError::System {
--- a/crates/server/src/metrics.rs
+++ b/crates/server/src/metrics.rs
@@ -13,6 +13,7 @@
 };
 use std::rc::Rc;
 
+use crate::build_info::BuildInfo;
 use crate::gateway_process::socket_error;
 use crate::ServerError;
 
@@ -92,6 +93,12 @@
         }
     }
 
+    /// Adds a gauge whose labels identify the program. Called once.
+    pub fn set_build(&self, build: &BuildInfo) {
+        let gauge = Box::new(build.gauge());
+        self.registry.register(gauge).expect("names differ");
+    }
+
     pub fn count(&self, event: &str) {
         self.events.with_label_values(&[event]).inc();
     }
--- a/crates/server/src/storage/process.rs
+++ b/crates/server/src/storage/process.rs
@@ -18,6 +18,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 
+use crate::build_info::BuildInfo;
 use crate::clock::{steady_now, suspended_time};
 use crate::event_loop::IterationMonitor;
 use crate::gateway_process::socket_error;
@@ -63,8 +64,9 @@
 pub async fn run_storage(
     settings: ServerSettings,
     codec: Rc<dyn Codec>,
+    build: BuildInfo,
 ) -> Result<(), ServerError> {
-    let (mut process, mut inputs) = StorageProcess::start(settings, codec)?;
+    let (mut process, mut inputs) = StorageProcess::start(settings, codec, &build)?;
     loop {
         let tick = monoio::time::sleep(process.tick_interval()).fuse();
         futures_util::pin_mut!(tick);
@@ -180,6 +182,7 @@
     fn start(
         settings: ServerSettings,
         codec: Rc<dyn Codec>,
+        build: &BuildInfo,
     ) -> Result<(Self, Inputs), ServerError> {
         let now = steady_now();
         let signals = process_signals().map_err(|source| ServerError::System {
@@ -219,6 +222,7 @@
             .map_err(socket_error("peer", &settings.peer_address))?;
         settings.limit_received(&link);
         let metrics = Metrics::new();
+        metrics.set_build(build);
         let store = StoreClient::new(&settings.store_address, codec.clone(), metrics.clone());
         let (updates, update_inputs) = unbounded();
         let (initial_members, initial_members_inputs) = unbounded();
