--- a/crates/forward/src/timers.rs
+++ b/crates/forward/src/timers.rs
@@ -29,6 +29,22 @@
         }
     }
 
+    /// Records that the bytes of an attempt are sent again, after a connection that may have
+    /// delivered them.
+    pub fn on_resent(&mut self, id: HttpId) {
+        let Some(attempt) = self.attempts.get(&id) else {
+            return;
+        };
+        if let Some(forward) = self.calls.get_mut(&attempt.call) {
+            forward.may_have_run = true;
+            log::info!(
+                "decision=send-again request={} engine={} reason=connection-broke",
+                forward.request.id,
+                attempt.instance
+            );
+        }
+    }
+
     /// Cancels a request whose caller has gone away.
     pub fn cancel(
         &mut self,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -340,6 +340,11 @@
         self.forwarder.on_connected(id, connected_in, directory);
     }
 
+    /// Handles a request to an engine that is sent again because its pooled connection broke.
+    pub fn on_engine_resent(&mut self, id: HttpId) {
+        self.forwarder.on_resent(id);
+    }
+
     /// Handles a part of an engine's response.
     pub fn on_response_part(
         &mut self,
--- a/crates/gateway/tests/unproven_refusals/mod.rs
+++ b/crates/gateway/tests/unproven_refusals/mod.rs
@@ -78,6 +78,17 @@
     assert_eq!(harness.status(), Some(502));
 }
 
+/// The request was sent before over a connection that broke, so the engine's assertion does not
+/// cover its first copy.
+#[test]
+fn an_assertion_does_not_cover_an_earlier_copy_of_the_attempt() {
+    let mut harness = Harness::new(RouteKind::Safe, 1);
+    harness.call();
+    harness.gateway.on_engine_resent(harness.requests[0].id);
+    harness.respond(0, 503, &["id", "not-run"], "");
+    assert_eq!(harness.status(), Some(502));
+}
+
 /// A success or an interim status with the assertion contradicts itself.
 #[test]
 fn a_success_that_asserts_it_has_not_run_is_no_promise() {
--- a/crates/runtime/src/http_client.rs
+++ b/crates/runtime/src/http_client.rs
@@ -100,6 +100,9 @@
     pub id: Id,
     /// Time to establish the connection; `None` if it came from the pool.
     pub connect_time: Option<Duration>,
+    /// Whether its bytes were sent before over a pooled connection that broke. The server may
+    /// have processed them, whatever it answers now.
+    pub is_resent: bool,
 }
 
 /// Connected requests that [`HttpClient::take_connected`] has not returned yet.
@@ -137,7 +140,8 @@
         }
     }
 
-    /// Returns the requests that got a connection since the last call, each once.
+    /// Returns the requests that got a connection since the last call. One that is sent again is
+    /// returned for each connection.
     pub fn take_connected(&self) -> Vec<ConnectedRequest<Id>> {
         let connected = self.connected.as_ref();
         connected.map_or(Vec::new(), |list| std::mem::take(&mut list.borrow_mut()))
@@ -177,11 +181,13 @@
             let emit = |part| {
                 let _ = parts.unbounded_send((id, part));
             };
-            let is_reported = Cell::new(false);
-            let on_connected = |connect_time| {
-                if let Some(list) = connected.as_ref().filter(|_| !is_reported.replace(true)) {
-                    list.borrow_mut()
-                        .push(ConnectedRequest { id, connect_time });
+            let on_connected = |connect_time, is_resent| {
+                if let Some(list) = &connected {
+                    list.borrow_mut().push(ConnectedRequest {
+                        id,
+                        connect_time,
+                        is_resent,
+                    });
                 }
             };
             let work = exchange.run(request, &on_connected, &emit);
@@ -217,7 +223,7 @@
             ResponsePart::Data(data) => response.borrow_mut().1.extend_from_slice(&data),
             ResponsePart::End | ResponsePart::Failed(_) => {}
         };
-        exchange.run(request, &|_| {}, &emit).await?;
+        exchange.run(request, &|_, _| {}, &emit).await?;
         let (status, body) = response.into_inner();
         Ok((status, body.freeze()))
     }
@@ -243,7 +249,7 @@
     async fn run(
         &self,
         request: HttpRequest,
-        on_connected: &impl Fn(Option<Duration>),
+        on_connected: &impl Fn(Option<Duration>, bool),
         emit: &impl Fn(ResponsePart),
     ) -> Result<(), HttpFailure> {
         let parsed = self.peer.parse::<SocketAddr>();
@@ -264,7 +270,7 @@
         if let Some(connection) = pooled {
             // The server may have closed a pooled connection. If it fails before the
             // response head, the request is sent again over a new one.
-            on_connected(None);
+            on_connected(None, false);
             let sent = self
                 .exchange(
                     address,
@@ -286,10 +292,11 @@
         }
         // If the second connection fails, the failure of the first one is reported: the
         // server may have processed the request, which a connect error would rule out.
+        let is_resent = broken.is_some();
         let started = BootInstant::now();
         let connected = self.connect(address).await;
         let stream = connected.map_err(|failure| broken.unwrap_or(failure))?;
-        on_connected(Some(started.elapsed()));
+        on_connected(Some(started.elapsed()), is_resent);
         let _ = stream.set_nodelay(true);
         let (read_half, writer) = stream.into_split();
         let connection = Connection {
--- a/crates/runtime/tests/http_client.rs
+++ b/crates/runtime/tests/http_client.rs
@@ -173,6 +173,40 @@
     );
 }
 
+/// Guards against a refusal over a second connection being taken for the only answer, although the
+/// first one may have delivered the request.
+#[test]
+fn a_request_that_is_sent_again_is_reported_again() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let response = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        stream.read(&mut [0; 1024]).unwrap();
+        stream.write_all(response).unwrap();
+        // The second request is read and not answered.
+        stream.read(&mut [0; 1024]).unwrap();
+        drop(stream);
+        let (mut stream, _) = listener.accept().unwrap();
+        stream.read(&mut [0; 1024]).unwrap();
+        stream.write_all(response).unwrap();
+    });
+    let opened = block_on(async move {
+        let (parts, mut received) = unbounded();
+        let client = HttpClient::tracking_connections(parts, None);
+        let options = SendOptions::with_read_timeout(Duration::from_secs(5));
+        for id in 1..=2 {
+            let request = HttpRequest::new("GET", "/", "");
+            let _running = client.send(id, &address, request, options);
+            assert_eq!(wait_for_end(&mut received).await, None);
+        }
+        client.take_connected()
+    })
+    .unwrap();
+    let reported: Vec<(u32, bool)> = opened.iter().map(|r| (r.id, r.is_resent)).collect();
+    assert_eq!(reported, [(1, false), (2, false), (2, true)]);
+}
+
 /// Guards against sending a request that is cancelled while its connection is established.
 #[test]
 fn request_cancelled_before_it_is_reported_is_not_sent() {
--- a/crates/server/src/gateway_process/actions.rs
+++ b/crates/server/src/gateway_process/actions.rs
@@ -24,6 +24,9 @@
         for opened in self.client.take_connected() {
             let connected_in = opened.connect_time.map(from_std_duration);
             self.gateway.on_engine_connected(opened.id, connected_in);
+            if opened.is_resent {
+                self.gateway.on_engine_resent(opened.id);
+            }
         }
     }
 
--- a/crates/server/src/storage/reward_calls.rs
+++ b/crates/server/src/storage/reward_calls.rs
@@ -54,9 +54,11 @@
             let exchange = self.exchanges.get(&opened.id);
             if let Some(EngineExchange::Score(id)) = exchange {
                 let connected_in = opened.connect_time.map(from_std_duration);
-                self.reward_calls
-                    .forwarder
-                    .on_connected(*id, connected_in, &mut self.directory);
+                let forwarder = &mut self.reward_calls.forwarder;
+                forwarder.on_connected(*id, connected_in, &mut self.directory);
+                if opened.is_resent {
+                    forwarder.on_resent(*id);
+                }
             }
         }
     }
