--- a/crates/jobs/src/dispatcher/responses.rs
+++ b/crates/jobs/src/dispatcher/responses.rs
@@ -158,17 +158,16 @@
         item.end_run(now);
         item.avoid = Some((run.instance.clone(), run.incarnation));
         self.requeued.push(key.clone());
-        let is_refused = head.is_refusal() || head.status == 503 || head.status == 429;
         log::info!(
             "decision=retry item={} job={} engine={} status={} not_run={} failures={}",
             item.item().id,
             key.0,
             run.instance,
             head.status,
-            head.not_run,
+            head.is_refusal(),
             item.failures.runs
         );
-        if is_refused {
+        if head.is_refusal() {
             item.not_before = now + REFUSED_BACKOFF;
             if directory
                 .get(&run.instance)
--- a/crates/jobs/tests/dispatcher.rs
+++ b/crates/jobs/tests/dispatcher.rs
@@ -16,7 +16,7 @@
 
 use dispatch::{engine, Harness};
 use peatgrade_jobs::RunPart;
-use peatgrade_ports::{Instance, Service, StoreEvent, StoreObject};
+use peatgrade_ports::{EngineResponseHead, Instance, Service, StoreEvent, StoreObject};
 use rstest::rstest;
 
 fn completed(item: &str, text: &str, versions: &[u64]) -> (String, bool, String, Vec<u64>) {
@@ -214,6 +214,33 @@
     assert_eq!(harness.started.len(), 13);
 }
 
+/// Guards against an engine that fails items, with a status that reads as a refusal, passing for a
+/// full one: it kept getting items (class of review case 9).
+#[rstest]
+fn a_refusal_counts_as_failure_without_the_assertion(
+    #[values(408, 421, 429, 503)] status: u16,
+    #[values(false, true)] not_run: bool,
+) {
+    let mut harness = Harness::new(vec![engine("a", 5)]);
+    harness.submit("j", 5, &["i"]);
+    harness.poll();
+    let run = harness.last_started().run;
+    let head = EngineResponseHead {
+        status,
+        not_run,
+        reads_as_not_run: true,
+        ..EngineResponseHead::default()
+    };
+    harness.part(run, RunPart::Head(head));
+    harness.part(run, RunPart::End);
+    let state = harness.directory.get(&Instance("a".into())).unwrap();
+    assert_eq!(state.stats.consecutive_failures, u32::from(!not_run));
+    // The item runs again in any case.
+    harness.wait(2_000);
+    assert!(harness.started.len() > 1);
+    assert!(harness.results("j").is_empty());
+}
+
 #[test]
 fn ending_a_job_cancels_its_runs_and_a_later_job_resumes_them() {
     let mut harness = Harness::new(vec![engine("a", 5)]);
