Server: resident memory is read with the machine's size of pages

What could be seen: on kernels with pages of 16 or 64 KiB, which arm64 has, resident memory was read 4 or 16 times too small, in metrics and where a process decides how much it accepts. Found by reading; not shown on such a machine, as this one has pages of 4 KiB.

Cause: the size of a page was taken for 4,096 bytes.

Change: it is asked of the system.

Evidence: tests compare the figure with the kernel's own (VmRSS) and the size with the one that the kernel hands to each program.

--- a/crates/server/src/metrics.rs
+++ b/crates/server/src/metrics.rs
@@ -140,13 +140,21 @@
 
 /// Resident memory of this process from `/proc`; 0 if it is not available.
 pub(crate) fn resident_bytes() -> u64 {
-    const PAGE_BYTES: u64 = 4_096;
     let statm = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
-    let pages = statm
-        .split(' ')
-        .nth(1)
-        .and_then(|text| text.parse::<u64>().ok());
-    pages.unwrap_or(0) * PAGE_BYTES
+    resident_pages(&statm) * page_bytes()
+}
+
+/// The second number of `/proc/self/statm`.
+fn resident_pages(statm: &str) -> u64 {
+    let pages = statm.split(' ').nth(1);
+    pages.and_then(|pages| pages.parse().ok()).unwrap_or(0)
+}
+
+/// Size of a page, which differs between kernels of one architecture.
+fn page_bytes() -> u64 {
+    // SAFETY: sysconf only reads a constant of the system.
+    let bytes = unsafe { libc::sysconf(libc::_SC_PAGESIZE) };
+    u64::try_from(bytes).unwrap_or(0)
 }
 
 /// Limits of the metrics listener, whose requests are small.
@@ -205,3 +213,7 @@
     });
     Ok(())
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/resident_memory.rs"]
+mod tests;
