--- a/crates/runtime/tests/http_client.rs
+++ b/crates/runtime/tests/http_client.rs
@@ -180,15 +180,19 @@
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap().to_string();
     let response = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+    let read_request = |stream: &mut TcpStream| {
+        let read = stream.read(&mut [0; 1024]).unwrap();
+        assert!(read > 0, "no request came");
+    };
     std::thread::spawn(move || {
         let (mut stream, _) = listener.accept().unwrap();
-        stream.read(&mut [0; 1024]).unwrap();
+        read_request(&mut stream);
         stream.write_all(response).unwrap();
         // The second request is read and not answered.
-        stream.read(&mut [0; 1024]).unwrap();
+        read_request(&mut stream);
         drop(stream);
         let (mut stream, _) = listener.accept().unwrap();
-        stream.read(&mut [0; 1024]).unwrap();
+        read_request(&mut stream);
         stream.write_all(response).unwrap();
     });
     let opened = block_on(async move {
