--- a/scripts/play-reviews.sh
+++ b/scripts/play-reviews.sh
@@ -5,7 +5,7 @@
 # Ends with 1 if a rule was broken. The records that the scripts write are put back.
 set -uo pipefail
 cd "$(dirname "$0")/.." || exit 2
-cargo build --release --locked -p peatgrade-platform || exit 2
+bash deploy/build.sh || exit 2
 bash review/build.sh || exit 2
 bash review/build-2.sh || exit 2
 logs=$(mktemp -d)
