--- a/crates/runtime/src/connection_pool.rs
+++ b/crates/runtime/src/connection_pool.rs
@@ -11,6 +11,11 @@
 use crate::response_reader::ResponseReader;
 
 const MAX_IDLE_PER_ADDRESS: usize = 32;
+/// Longest time that an idle connection stays in the pool.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Idle connections are dropped this long before the server's `Keep-Alive` timeout, to
+/// avoid sending on a connection that the server is closing.
+const IDLE_MARGIN: Duration = Duration::from_millis(700);
 
 /// An open connection to a server.
 pub(crate) struct Connection {
@@ -70,3 +75,19 @@
         self.connections.retain(|_, idle| !idle.is_empty());
     }
 }
+
+/// How long a connection may stay idle, given the server's `Keep-Alive` header.
+pub(crate) fn idle_timeout(header: Option<&str>) -> Duration {
+    let announced = header.and_then(|value| {
+        let pairs = value.split(',').filter_map(|pair| pair.split_once('='));
+        let timeout = pairs.into_iter().find(|(name, _)| name.trim() == "timeout");
+        timeout.and_then(|(_, seconds)| seconds.trim().parse::<u64>().ok())
+    });
+    match announced {
+        Some(seconds) => {
+            let announced = Duration::from_secs(seconds);
+            announced.saturating_sub(IDLE_MARGIN).min(IDLE_TIMEOUT)
+        }
+        None => IDLE_TIMEOUT,
+    }
+}
--- a/crates/runtime/src/http_client.rs
+++ b/crates/runtime/src/http_client.rs
@@ -15,20 +15,13 @@
 
 use crate::body_decoder::BodyPart;
 use crate::boot_clock::BootInstant;
-use crate::connection_pool::{Connection, ConnectionPool};
+use crate::connection_pool::{idle_timeout, Connection, ConnectionPool};
 use crate::event_loop::yield_now;
 use crate::request_writer::{serialize_request, SerializedRequest};
 use crate::response_reader::ResponseReader;
+use crate::send_options::SendOptions;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Longest time that an idle connection stays in the pool.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
-/// Idle connections are dropped this long before the server's `Keep-Alive` timeout, to
-/// avoid sending on a connection that the server is closing.
-const IDLE_MARGIN: Duration = Duration::from_millis(700);
-/// Default limit of a response body. Far above what engines send, and low enough for several
-/// such bodies to fit in the memory of a process.
-pub const DEFAULT_MAX_BODY_BYTES: u64 = 8 * 1024 * 1024;
 /// Parts of a body that are read before other tasks get a turn. A server that sends faster than
 /// the body is read would keep this thread busy otherwise.
 const PARTS_PER_TURN: u32 = 16;
@@ -50,39 +43,6 @@
     }
 }
 
-/// How a request is sent.
-#[derive(Clone, Copy, Debug)]
-pub struct SendOptions {
-    /// Longest wait for the response head and for each further part of the body.
-    pub read_timeout: Duration,
-    /// Opens a new connection, which does not enter the pool.
-    pub new_connection: bool,
-    /// Pauses between reads of the body, see [`HttpClient::set_read_interval`].
-    pub batch_reads: bool,
-    /// The response fails once its body is larger. A faulty server may send bytes without end.
-    pub max_body_bytes: u64,
-}
-
-impl SendOptions {
-    /// Allows a pooled connection and reads without pauses.
-    pub fn with_read_timeout(read_timeout: Duration) -> Self {
-        Self {
-            read_timeout,
-            new_connection: false,
-            batch_reads: false,
-            max_body_bytes: DEFAULT_MAX_BODY_BYTES,
-        }
-    }
-
-    /// Like [`Self::with_read_timeout`], for long streams that tolerate added latency.
-    pub fn batching_reads(read_timeout: Duration) -> Self {
-        Self {
-            batch_reads: true,
-            ..Self::with_read_timeout(read_timeout)
-        }
-    }
-}
-
 /// HTTP client that delivers response parts to a channel, tagged with the request's `Id`.
 pub struct HttpClient<Id> {
     pool: Rc<RefCell<ConnectionPool>>,
@@ -418,22 +378,6 @@
     Ok(())
 }
 
-/// How long a connection may stay idle, given the server's `Keep-Alive` header.
-fn idle_timeout(header: Option<&str>) -> Duration {
-    let announced = header.and_then(|value| {
-        let pairs = value.split(',').filter_map(|pair| pair.split_once('='));
-        let timeout = pairs.into_iter().find(|(name, _)| name.trim() == "timeout");
-        timeout.and_then(|(_, seconds)| seconds.trim().parse::<u64>().ok())
-    });
-    match announced {
-        Some(seconds) => {
-            let announced = Duration::from_secs(seconds);
-            announced.saturating_sub(IDLE_MARGIN).min(IDLE_TIMEOUT)
-        }
-        None => IDLE_TIMEOUT,
-    }
-}
-
 const TIMEOUT: &str = "timeout";
 
 fn timed_out(failure: &HttpFailure) -> bool {
