--- a/crates/gateway/tests/unproven_refusals/mod.rs
+++ b/crates/gateway/tests/unproven_refusals/mod.rs
@@ -89,6 +89,30 @@
     assert_eq!(harness.status(), Some(502));
 }
 
+/// A request is at two engines: what one of them asserts does not cover the run at the other,
+/// whichever answers first.
+#[rstest]
+fn an_assertion_does_not_cover_the_other_copy_of_a_hedged_request(
+    #[values(408, 421, 429, 503)] status: u16,
+    #[values((0, 1), (1, 0))] (unproven, refusing): (usize, usize),
+    #[values(false, true)] refuses_first: bool,
+) {
+    let mut harness = Harness::new(RouteKind::Safe, 2);
+    harness.call();
+    harness.advance(80);
+    assert_eq!(harness.requests.len(), 2, "it is hedged");
+    if refuses_first {
+        harness.respond(refusing, 503, &["id", "not-run"], "");
+        assert_eq!(harness.status(), None);
+        harness.respond(unproven, status, &["id", "signed"], "busy");
+    } else {
+        harness.respond(unproven, status, &["id", "signed"], "busy");
+        assert_eq!(harness.status(), None);
+        harness.respond(refusing, 503, &["id", "not-run"], "");
+    }
+    assert_eq!(harness.status(), Some(502));
+}
+
 /// A success or an interim status with the assertion contradicts itself.
 #[test]
 fn a_success_that_asserts_it_has_not_run_is_no_promise() {
