Server: log and count pages of a list that bring nothing new

A list that does not advance left no line while it ran, and one that ended early could not be told from a complete one. belief=list-repeats names the entry, belief=list tells pages, repeated pages and objects of each list, peatgrade_events_total{event="list_page_repeated"} counts.

--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -18,6 +18,7 @@
 mod event_loop;
 mod gateway_process;
 mod heap;
+mod list_progress;
 mod listing;
 mod metrics;
 mod observations;
--- a/crates/server/src/listing.rs
+++ b/crates/server/src/listing.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 use crate::clock::steady_now;
+use crate::list_progress::ListProgress;
 use crate::store_client::{StoreCallError, StoreClient};
 
 /// Initial time after which a page is requested again; doubles up to a maximum.
@@ -47,6 +48,7 @@
     objects: Vec<(String, StoreObject)>,
     page_timeout: Duration,
     max_page_timeout: Duration,
+    progress: ListProgress,
 }
 
 impl PagedList {
@@ -59,6 +61,7 @@
             objects: Vec::new(),
             page_timeout: INITIAL_PAGE_TIMEOUT.min(max_page_timeout),
             max_page_timeout,
+            progress: ListProgress::new(kind),
         }
     }
 
@@ -72,6 +75,7 @@
             .started
             .is_some_and(|(at, ..)| at.elapsed() > MAX_LIST_AGE)
         {
+            self.progress.log_end("restarted");
             self.restart();
         }
         loop {
@@ -88,8 +92,10 @@
                 self.restart();
                 return Err("list: page without a name to continue after".into());
             }
+            self.progress.record_page(store.metrics(), &page.objects);
             self.objects.extend(page.objects);
             if !has_more {
+                self.progress.log_end("complete");
                 let objects = std::mem::take(&mut self.objects);
                 self.restart();
                 self.page_timeout = INITIAL_PAGE_TIMEOUT.min(self.max_page_timeout);
@@ -140,6 +146,7 @@
     fn restart(&mut self) {
         self.started = None;
         self.objects.clear();
+        self.progress = ListProgress::new(self.kind);
     }
 }
 
--- a/crates/server/src/store_client.rs
+++ b/crates/server/src/store_client.rs
@@ -38,6 +38,11 @@
         }
     }
 
+    /// Metrics of the process, for what its calls show.
+    pub(crate) fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
     /// Changes the address for all clones of this client.
     pub fn set_address(&self, address: &str) {
         *self.address.borrow_mut() = address.to_string();
