Listing: a list that cannot continue after an entry goes on from another one, and always ends

Callers saw no service after a restart of all processes while an entry, after which the store does not continue a list, was the last one of a page: one that was deleted in between, whose name cannot be read back, or whose name is too long for the store.

Cause: a list trusted each page to bring it further. A page that came again was added once more, without an end, a line or a bound; a page that failed was asked for by the same name for ever; nothing received was used before the last page.

A list goes back to an earlier name of the page, in doubling steps, when a page brings nothing new, is rejected, or is lost three times. Objects count once. If no name is left, or after 60 s or 100,000 objects, the list ends as incomplete: its objects are used, others are kept, and it is repeated after 10 s. The same holds after 3 s of an unfinished list whose pages get lost. A watch that returns events without a newer revision is followed by a list instead of the same call.

belief=list and belief=list-position-unusable name kind, entry, pages, objects and reason; peatgrade_events_total{event=list_position_unusable|list_incomplete|list_page_repeated} count.

--- a/crates/fleet/src/directory/list.rs
+++ b/crates/fleet/src/directory/list.rs
@@ -43,6 +43,13 @@
         self.update_next_expiry();
     }
 
+    /// Applies a list that was requested at `at` and is incomplete: engines that it does not
+    /// contain may still exist and are kept.
+    pub fn merge_list(&mut self, at: Time, records: Vec<EngineRecord>) {
+        self.apply_list(at, records);
+        self.update_next_expiry();
+    }
+
     /// Updates the engines of a list in place, since a list may have thousands. Returns the
     /// known engines that it does not contain.
     fn apply_list(&mut self, now: Time, records: Vec<EngineRecord>) -> Vec<Instance> {
--- a/crates/fleet/tests/directory.rs
+++ b/crates/fleet/tests/directory.rs
@@ -87,3 +87,12 @@
     assert_eq!(names(&directory), ["a", "b"]);
     assert_eq!(directory.lapsed_count(), 1);
 }
+
+#[test]
+fn engines_outside_an_incomplete_list_are_kept() {
+    let mut directory = directory();
+    directory.merge_list(after(2_300), vec![record("a"), record("c")]);
+    assert_eq!(names(&directory), ["a", "b", "c"]);
+    assert_eq!(directory.lapsed_count(), 0);
+    assert!(directory.drop_lapsed(after(60_000)).is_empty());
+}
--- a/crates/mirror/src/publisher.rs
+++ b/crates/mirror/src/publisher.rs
@@ -75,6 +75,7 @@
                 at,
                 revision,
                 objects,
+                complete,
             } if kind_name(*kind).is_some() => {
                 let is_stale = self
                     .caches
@@ -86,9 +87,10 @@
                 let mirrored = objects.iter().filter(|(_, object)| is_mirrored(object));
                 let mirrored = mirrored.map(|(name, object)| (name.as_str(), object));
                 match self.caches.get_mut(kind) {
-                    Some(cache) => cache.replace(*at, *revision, mirrored),
+                    Some(cache) if *complete => cache.replace(*at, *revision, mirrored),
+                    Some(cache) => cache.merge(*at, *revision, mirrored),
                     None => {
-                        let cache = WatchCache::new(*at, *revision, mirrored);
+                        let cache = WatchCache::new(*at, *revision, *complete, mirrored);
                         self.caches.insert(*kind, cache);
                     }
                 }
--- a/crates/mirror/src/subscriber.rs
+++ b/crates/mirror/src/subscriber.rs
@@ -299,6 +299,7 @@
                 at,
                 revision,
                 objects: objects.collect(),
+                complete: !message.incomplete,
             }
         } else {
             StoreUpdate::Changed {
--- a/crates/mirror/src/watch_cache.rs
+++ b/crates/mirror/src/watch_cache.rs
@@ -70,6 +70,8 @@
     /// Revisions before and after intervals without a watch, oldest first.
     watch_gaps: VecDeque<(u64, u64)>,
     pub revision: u64,
+    /// Whether the last list was incomplete, so that other objects may exist.
+    incomplete: bool,
     /// When the store last confirmed that `revision` is the newest.
     confirmed_at: Time,
     /// Revision of the newest change of any object.
@@ -79,10 +81,11 @@
 }
 
 impl WatchCache {
-    /// A cache filled from the first full list.
+    /// A cache filled from the first list.
     pub fn new<'a>(
         at: Time,
         revision: u64,
+        complete: bool,
         objects: impl Iterator<Item = (&'a str, &'a StoreObject)>,
     ) -> Self {
         let mut cache = Self {
@@ -92,6 +95,7 @@
             history_start: revision,
             watch_gaps: VecDeque::new(),
             revision,
+            incomplete: !complete,
             confirmed_at: at,
             last_changed: revision,
             last_changed_by_service: BTreeMap::new(),
@@ -109,6 +113,39 @@
         revision: u64,
         objects: impl Iterator<Item = (&'a str, &'a StoreObject)>,
     ) {
+        let listed = self.put_listed(revision, objects);
+        let cached = self.entries.iter();
+        let present = cached.filter(|(_, entry)| entry.object.is_some());
+        let missing = present.filter(|(name, _)| !listed.contains(name.as_str()));
+        let missing: Vec<String> = missing.map(|(name, _)| name.clone()).collect();
+        for name in missing {
+            self.put(&name, None, revision);
+        }
+        if std::mem::take(&mut self.incomplete) {
+            // Subscribers may hold objects that were deleted before they were read here.
+            self.history_start = revision;
+        }
+        self.end_gap(at, revision);
+    }
+
+    /// Adds the objects of a newer list that is incomplete. Other objects are kept.
+    pub fn merge<'a>(
+        &mut self,
+        at: Time,
+        revision: u64,
+        objects: impl Iterator<Item = (&'a str, &'a StoreObject)>,
+    ) {
+        self.put_listed(revision, objects);
+        self.incomplete = true;
+        self.end_gap(at, revision);
+    }
+
+    /// Updates the objects of a list that have changed. Returns the names in the list.
+    fn put_listed<'a>(
+        &mut self,
+        revision: u64,
+        objects: impl Iterator<Item = (&'a str, &'a StoreObject)>,
+    ) -> HashSet<&'a str> {
         let mut listed = HashSet::new();
         for (name, object) in objects {
             listed.insert(name);
@@ -117,13 +154,11 @@
                 self.put(name, Some(object.clone()), revision);
             }
         }
-        let cached = self.entries.iter();
-        let present = cached.filter(|(_, entry)| entry.object.is_some());
-        let missing = present.filter(|(name, _)| !listed.contains(name.as_str()));
-        let missing: Vec<String> = missing.map(|(name, _)| name.clone()).collect();
-        for name in missing {
-            self.put(&name, None, revision);
-        }
+        listed
+    }
+
+    /// Records that changes between the known revision and that of a list were not watched.
+    fn end_gap(&mut self, at: Time, revision: u64) {
         self.watch_gaps.push_back((self.revision, revision));
         if self.watch_gaps.len() > MAX_WATCH_GAPS {
             let oldest = self.watch_gaps.pop_front();
@@ -237,6 +272,7 @@
             revision: self.revision,
             age: now.since(self.confirmed_at).0,
             objects,
+            incomplete: whole && self.incomplete,
         })
     }
 
--- a/crates/mirror/tests/publisher.rs
+++ b/crates/mirror/tests/publisher.rs
@@ -32,6 +32,7 @@
         kind,
         at: ms(at),
         revision,
+        complete: true,
         objects: names.iter().map(|n| (n.to_string(), object(n))).collect(),
     }
 }
@@ -361,6 +362,7 @@
             kind: of,
             at: ms(1_000),
             revision: 5,
+            complete: true,
             objects: vec![(name.to_string(), object)],
         });
     }
@@ -417,6 +419,7 @@
         kind: ObjectKind::Versions,
         at: ms(1_000),
         revision,
+        complete: true,
         objects: vec![("m0".to_string(), object)],
     }
 }
@@ -508,6 +511,7 @@
         kind: ObjectKind::Configuration,
         at: ms(1_000),
         revision: 5,
+        complete: true,
         objects: vec![(
             "main".into(),
             StoreObject::Configuration(Box::new(configuration)),
--- a/crates/mirror/tests/service_filter.rs
+++ b/crates/mirror/tests/service_filter.rs
@@ -30,6 +30,7 @@
         kind: ObjectKind::Engines,
         at: ms(1_000),
         revision,
+        complete: true,
         objects: objects
             .map(|(name, service)| (name.to_string(), engine(name, service)))
             .collect(),
@@ -55,6 +56,7 @@
         kind: ObjectKind::Configuration,
         at: ms(1_000),
         revision: 10,
+        complete: true,
         objects: vec![("main".into(), StoreObject::Configuration(Box::default()))],
     });
     publisher.apply(&engine_list(
--- a/crates/mirror/tests/simulation/store.rs
+++ b/crates/mirror/tests/simulation/store.rs
@@ -32,6 +32,7 @@
             kind: ObjectKind::Engines,
             at: at(now),
             revision,
+            complete: true,
             objects: names.map(|name| (name.clone(), engine(name))).collect(),
         }
     }
@@ -61,6 +62,7 @@
         kind: ObjectKind::Configuration,
         at: at(now),
         revision,
+        complete: true,
         objects: Vec::new(),
     }
 }
--- a/crates/ports/src/store.rs
+++ b/crates/ports/src/store.rs
@@ -147,7 +147,7 @@
 /// An update of the objects of one kind.
 #[derive(Clone, Debug)]
 pub enum StoreUpdate {
-    /// A complete list.
+    /// A list.
     Listed {
         /// Kind of the objects.
         kind: ObjectKind,
@@ -157,6 +157,8 @@
         revision: u64,
         /// Objects with their names.
         objects: Vec<(String, StoreObject)>,
+        /// Whether these are all objects of the kind. Otherwise others may exist too.
+        complete: bool,
     },
     /// Changes since the previous update.
     Changed {
--- a/crates/server/src/gateway_process/store_updates.rs
+++ b/crates/server/src/gateway_process/store_updates.rs
@@ -16,7 +16,11 @@
         let now = steady_now();
         match update {
             StoreUpdate::Listed {
-                kind, at, objects, ..
+                kind,
+                at,
+                objects,
+                complete,
+                ..
             } => match kind {
                 ObjectKind::Engines => {
                     for (_, object) in &objects {
@@ -30,10 +34,14 @@
                     let synced_filter = self.subscriber.synced_filter();
                     let records = records.filter(|record| synced_filter.includes(&record.service));
                     let directory = &mut self.gateway.directory;
-                    directory.relist(now, at, records.collect(), heartbeat);
+                    if complete {
+                        directory.relist(now, at, records.collect(), heartbeat);
+                    } else {
+                        directory.merge_list(at, records.collect());
+                    }
                     self.engines_listed |= self.subscriber.is_synced();
                     log::info!(
-                        "belief=engines count={} lapsed={}",
+                        "belief=engines count={} lapsed={} complete={complete}",
                         directory.len(),
                         directory.lapsed_count()
                     );
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -18,7 +18,6 @@
 mod event_loop;
 mod gateway_process;
 mod heap;
-mod list_progress;
 mod listing;
 mod metrics;
 mod observations;
--- a/crates/server/src/listing.rs
+++ b/crates/server/src/listing.rs
@@ -4,17 +4,26 @@
 //! in time, it is requested again while the earlier call continues: a busy store may still
 //! answer that call, but one that was sent during an outage may never be answered. Changes
 //! made during the list are received by a watch from the revision of the first page.
+//!
+//! A list always ends: each page brings new objects, or the list goes on from another position
+//! (see [`position`]), of which there are few. If none is left, the objects received are returned
+//! as an incomplete list, in which a missing object may still exist.
 
 use futures_util::future::select_all;
-use peatgrade_ports::{ObjectKind, StoreObject, StoreRequest, StoreResponse};
+use peatgrade_ports::{ObjectKind, ObjectPage, StoreObject, StoreRequest, StoreResponse};
 use peatgrade_runtime::BootInstant;
 use peatgrade_types::Time;
 use std::future::Future;
 use std::time::Duration;
 
 use crate::clock::steady_now;
-use crate::list_progress::ListProgress;
+use crate::metrics::Metrics;
 use crate::store_client::{StoreCallError, StoreClient};
+use position::ListPosition;
+use received::ReceivedObjects;
+
+mod position;
+mod received;
 
 /// Initial time after which a page is requested again; doubles up to a maximum.
 const INITIAL_PAGE_TIMEOUT: Duration = Duration::from_millis(800);
@@ -24,11 +33,17 @@
 const MAX_CONCURRENT_CALLS: usize = 3;
 /// Timeout of [`list_all`].
 const LIST_ALL_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Age from which an unfinished list is restarted, because the store may have compacted the
-/// revisions after its first page.
+/// Age from which an unfinished list is restarted after an error, because the store may have
+/// compacted the revisions after its first page.
 const MAX_LIST_AGE: Duration = Duration::from_secs(12);
+/// Age from which an unfinished list ends even while pages arrive.
+const MAX_LIST_DURATION: Duration = Duration::from_secs(60);
+/// Age from which the objects of an unfinished list are used after an error.
+const PARTIAL_RESULT_AGE: Duration = Duration::from_secs(3);
+/// Maximum length of a logged name.
+const MAX_NAME_CHARS: usize = 80;
 
-/// A complete list of the objects of a kind.
+/// A list of the objects of a kind.
 #[derive(Debug)]
 pub struct ListResult {
     /// Time at which the list started.
@@ -37,18 +52,33 @@
     pub objects: Vec<(String, StoreObject)>,
     /// Revision from which to watch for changes.
     pub revision: u64,
+    /// Whether all objects of the kind were received.
+    pub complete: bool,
+}
+
+/// Start of a list.
+#[derive(Clone, Copy, Debug)]
+struct ListStart {
+    instant: BootInstant,
+    at: Time,
+    /// Revision of the first page.
+    revision: u64,
 }
 
 /// A list in progress.
 #[derive(Debug)]
 pub struct PagedList {
     kind: ObjectKind,
-    /// Start time on both clocks, and the revision of the first page.
-    started: Option<(BootInstant, Time, u64)>,
-    objects: Vec<(String, StoreObject)>,
+    started: Option<ListStart>,
+    received: ReceivedObjects,
+    position: ListPosition,
+    pages: u64,
+    /// Positions after which the list could not be continued.
+    unusable_positions: u64,
+    /// Whether [`PagedList::partial_result`] has returned the objects of this list.
+    has_partial_result: bool,
     page_timeout: Duration,
     max_page_timeout: Duration,
-    progress: ListProgress,
 }
 
 impl PagedList {
@@ -58,10 +88,13 @@
         Self {
             kind,
             started: None,
-            objects: Vec::new(),
+            received: ReceivedObjects::default(),
+            position: ListPosition::default(),
+            pages: 0,
+            unusable_positions: 0,
+            has_partial_result: false,
             page_timeout: INITIAL_PAGE_TIMEOUT.min(max_page_timeout),
             max_page_timeout,
-            progress: ListProgress::new(kind),
         }
     }
 
@@ -71,47 +104,155 @@
 
     /// Fetches the remaining pages. After an error, the next call continues with them.
     pub async fn fetch_remaining(&mut self, store: &StoreClient) -> Result<ListResult, String> {
-        if self
-            .started
-            .is_some_and(|(at, ..)| at.elapsed() > MAX_LIST_AGE)
-        {
-            self.progress.log_end("restarted");
+        if self.age() > MAX_LIST_AGE {
+            self.log_end(false, "too-old");
             self.restart();
         }
         loop {
+            if self.age() > MAX_LIST_DURATION {
+                return self.end(store, false, "takes-too-long");
+            }
+            if self.received.is_full() {
+                return self.end(store, false, "too-many-objects");
+            }
             let (instant, at) = (BootInstant::now(), steady_now());
-            let page = match self.next_page(store).await? {
-                StoreResponse::Page(page) => page,
-                other => return Err(format!("list: unexpected response {other:?}")),
+            let unusable_because = match self.next_page(store).await {
+                Ok(StoreResponse::Page(page)) => {
+                    let revision = page.revision;
+                    self.started.get_or_insert(ListStart {
+                        instant,
+                        at,
+                        revision,
+                    });
+                    let has_more = page.more;
+                    let advances = self.add_page(store.metrics(), page);
+                    if !has_more {
+                        return self.end(store, true, "last-page");
+                    }
+                    if advances {
+                        continue;
+                    }
+                    "nothing new after it".to_string()
+                }
+                Ok(StoreResponse::Refused) => return Err("list: refused by the store".into()),
+                Ok(other) if self.started.is_some() => rejection_reason(&other),
+                Ok(other) => return Err(format!("list: unexpected response {other:?}")),
+                Err(error) => {
+                    if self.position.record_lost_call() {
+                        self.leave_position(store.metrics(), &error);
+                    }
+                    return Err(error);
+                }
             };
-            let (_, at, revision) = *self.started.get_or_insert((instant, at, page.revision));
-            // The next page is requested by the last name of this one. Without a name the rest
-            // cannot be fetched, and must not be treated as deleted.
-            let has_more = page.more;
-            if has_more && page.objects.iter().all(|(name, _)| name.is_empty()) {
-                self.restart();
-                return Err("list: page without a name to continue after".into());
-            }
-            self.progress.record_page(store.metrics(), &page.objects);
-            self.objects.extend(page.objects);
-            if !has_more {
-                self.progress.log_end("complete");
-                let objects = std::mem::take(&mut self.objects);
-                self.restart();
-                self.page_timeout = INITIAL_PAGE_TIMEOUT.min(self.max_page_timeout);
-                return Ok(ListResult {
-                    at,
-                    objects,
-                    revision,
-                });
+            if !self.leave_position(store.metrics(), &unusable_because) {
+                return self.end(store, false, "no-usable-position");
             }
         }
     }
 
+    /// Returns the objects received, once in a list that is unfinished for long. The list
+    /// continues.
+    pub fn partial_result(&mut self) -> Option<ListResult> {
+        if self.has_partial_result || self.age() < PARTIAL_RESULT_AGE {
+            return None;
+        }
+        self.has_partial_result = true;
+        self.log_end(false, "unfinished");
+        self.received_so_far()
+    }
+
+    /// The objects received; none before the first page.
+    fn received_so_far(&self) -> Option<ListResult> {
+        let start = self.started?;
+        Some(ListResult {
+            at: start.at,
+            objects: self.received.objects().to_vec(),
+            revision: start.revision,
+            complete: false,
+        })
+    }
+
+    fn age(&self) -> Duration {
+        let age = self.started.map(|start| start.instant.elapsed());
+        age.unwrap_or_default()
+    }
+
+    /// Adds a page. Returns whether it brought new objects, after which the list continues.
+    fn add_page(&mut self, metrics: &Metrics, page: ObjectPage) -> bool {
+        self.pages += 1;
+        let names = page.objects.iter().map(|(name, _)| name);
+        let names: Vec<String> = names.filter(|name| !name.is_empty()).cloned().collect();
+        let advances = self.received.add(page.objects);
+        if advances {
+            self.position.advance(names);
+        } else if page.more {
+            metrics.count("list_page_repeated");
+        }
+        advances
+    }
+
+    /// Continues from an earlier position. Returns false if there is none.
+    fn leave_position(&mut self, metrics: &Metrics, reason: &str) -> bool {
+        let Some(name) = self.position.name() else {
+            return false;
+        };
+        self.unusable_positions += 1;
+        metrics.count("list_position_unusable");
+        let name: String = name.chars().take(MAX_NAME_CHARS).collect();
+        log::warn!(
+            "belief=list-position-unusable kind={:?} name={name:?} pages={} objects={} reason={reason:?}",
+            self.kind,
+            self.pages,
+            self.received.len()
+        );
+        self.position.step_back()
+    }
+
+    /// Ends the list and returns its objects.
+    fn end(
+        &mut self,
+        store: &StoreClient,
+        complete: bool,
+        reason: &str,
+    ) -> Result<ListResult, String> {
+        let start = self.started.ok_or("list: not started")?;
+        if !complete {
+            store.metrics().count("list_incomplete");
+        }
+        self.log_end(complete, reason);
+        let objects = self.received.take();
+        self.restart();
+        self.page_timeout = INITIAL_PAGE_TIMEOUT.min(self.max_page_timeout);
+        Ok(ListResult {
+            at: start.at,
+            objects,
+            revision: start.revision,
+            complete,
+        })
+    }
+
+    fn log_end(&self, complete: bool, reason: &str) {
+        let level = if complete {
+            log::Level::Info
+        } else {
+            log::Level::Warn
+        };
+        log::log!(
+            level,
+            "belief=list kind={:?} complete={complete} reason={reason} pages={} objects={} \
+             unreadable={} unusable_positions={} age_ms={}",
+            self.kind,
+            self.pages,
+            self.received.len(),
+            self.received.unreadable(),
+            self.unusable_positions,
+            self.age().as_millis()
+        );
+    }
     async fn next_page(&mut self, store: &StoreClient) -> Result<StoreResponse, String> {
         let call = StoreRequest::List {
             kind: self.kind,
-            after: self.last_name(),
+            after: self.position.name().map(str::to_string),
         };
         let mut calls = Vec::new();
         while calls.len() < MAX_CONCURRENT_CALLS {
@@ -137,16 +278,19 @@
         ))
     }
 
-    /// Returns the name of the last object that has one.
-    fn last_name(&self) -> Option<String> {
-        let mut names = self.objects.iter().rev().map(|(name, _)| name);
-        names.find(|name| !name.is_empty()).cloned()
+    fn restart(&mut self) {
+        *self = Self {
+            page_timeout: self.page_timeout,
+            ..Self::new(self.kind, self.max_page_timeout)
+        };
     }
+}
 
-    fn restart(&mut self) {
-        self.started = None;
-        self.objects.clear();
-        self.progress = ListProgress::new(self.kind);
+/// Why the store returned no page for a position.
+fn rejection_reason(response: &StoreResponse) -> String {
+    match response {
+        StoreResponse::Unreadable(reason) => reason.clone(),
+        other => format!("unexpected response {other:?}"),
     }
 }
 
@@ -165,13 +309,16 @@
     }
 }
 
-/// Lists all objects of a kind with a single timeout.
-pub async fn list_all(
-    store: &StoreClient,
-    kind: ObjectKind,
-) -> Result<Vec<(String, StoreObject)>, String> {
+/// Lists all objects of a kind with a single timeout. The list is incomplete if not all pages
+/// arrive in that time.
+pub async fn list_all(store: &StoreClient, kind: ObjectKind) -> Result<ListResult, String> {
     let mut listing = PagedList::new(kind, INITIAL_PAGE_TIMEOUT);
-    let result = monoio::time::timeout(LIST_ALL_TIMEOUT, listing.fetch_remaining(store));
-    let list = result.await.map_err(|_| "list: timeout".to_string())??;
-    Ok(list.objects)
+    let result = monoio::time::timeout(LIST_ALL_TIMEOUT, listing.fetch_remaining(store)).await;
+    match result {
+        Ok(Ok(list)) => Ok(list),
+        Ok(Err(reason)) => listing.received_so_far().ok_or(reason),
+        Err(_) => listing
+            .received_so_far()
+            .ok_or_else(|| "list: timeout".to_string()),
+    }
 }
--- a/crates/server/src/storage/registration.rs
+++ b/crates/server/src/storage/registration.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use crate::clock::steady_now;
-use crate::listing::list_all;
+use crate::listing::{list_all, ListResult};
 use crate::store_client::StoreClient;
 
 use super::process::StorageProcess;
@@ -144,7 +144,11 @@
     loop {
         let waited = steady_now().since(started);
         let required = if waited < FULL_GROUP_WAIT { voters } else { 1 };
-        match try_bootstrap_group(&store, voters, required).await {
+        let condition = BootstrapCondition {
+            machines: required,
+            complete_list: waited < FULL_GROUP_WAIT,
+        };
+        match try_bootstrap_group(&store, voters, condition).await {
             Ok(Some(members)) => {
                 log::info!("step=found name={} members={}", member.name, members.len());
                 let _ = results.unbounded_send(InitialMembers { members });
@@ -160,25 +164,29 @@
     }
 }
 
-/// Reads the initial members, or chooses `voters` of the machines once `required` are
-/// registered.
+/// What must be known of the registered machines before the group is formed.
+#[derive(Clone, Copy, Debug)]
+struct BootstrapCondition {
+    /// Minimum number of machines.
+    machines: usize,
+    /// Whether all registrations must have been read.
+    complete_list: bool,
+}
+
+/// Reads the initial members, or chooses `voters` of the registered machines once these meet
+/// `condition`.
 async fn try_bootstrap_group(
     store: &StoreClient,
     voters: usize,
-    required: usize,
+    condition: BootstrapCondition,
 ) -> Result<Option<Vec<Member>>, String> {
     if let Some(members) = read_initial_members(store).await? {
         return Ok(Some(members));
     }
     let registrations = list_all(store, ObjectKind::Replicas).await?;
-    let registered: Vec<Member> = registrations
-        .iter()
-        .filter_map(|(name, object)| match object {
-            StoreObject::Internal { fields, .. } => member_from_registration(name, fields),
-            _ => None,
-        })
-        .collect();
-    if registered.len() < required {
+    let registered = registered_members(&registrations);
+    let is_list_sufficient = registrations.complete || !condition.complete_list;
+    if registered.len() < condition.machines || !is_list_sufficient {
         return Ok(None);
     }
     let mut first = choose_initial_members(&registered, voters);
@@ -226,17 +234,21 @@
     store: &StoreClient,
 ) -> Result<Vec<(String, String)>, String> {
     let registrations = list_all(store, ObjectKind::Replicas).await?;
-    let members = registrations
-        .iter()
-        .filter_map(|(name, object)| match object {
-            StoreObject::Internal { fields, .. } => member_from_registration(name, fields),
-            _ => None,
-        });
+    let members = registered_members(&registrations).into_iter();
     Ok(members
         .map(|member| (member.zone, member.address))
         .collect())
 }
 
+fn registered_members(registrations: &ListResult) -> Vec<Member> {
+    let objects = registrations.objects.iter();
+    let members = objects.filter_map(|(name, object)| match object {
+        StoreObject::Internal { fields, .. } => member_from_registration(name, fields),
+        _ => None,
+    });
+    members.collect()
+}
+
 /// Chooses members evenly across zones: one machine of each zone, then the second of each,
 /// by name.
 fn choose_initial_members(registered: &[Member], voters: usize) -> Vec<Member> {
--- a/crates/server/src/storage/store_updates.rs
+++ b/crates/server/src/storage/store_updates.rs
@@ -26,15 +26,25 @@
     pub(super) fn apply_update(&mut self, update: StoreUpdate) {
         match update {
             StoreUpdate::Listed {
-                kind, at, objects, ..
-            } => self.on_listed(kind, at, objects),
+                kind,
+                at,
+                objects,
+                complete,
+                ..
+            } => self.on_listed(kind, at, objects, complete),
             StoreUpdate::Changed {
                 kind, at, events, ..
             } => self.on_changed(kind, at, events),
         }
     }
 
-    fn on_listed(&mut self, kind: ObjectKind, at: Time, objects: Vec<(String, StoreObject)>) {
+    fn on_listed(
+        &mut self,
+        kind: ObjectKind,
+        at: Time,
+        objects: Vec<(String, StoreObject)>,
+        complete: bool,
+    ) {
         for (_, object) in &objects {
             self.unreadable_entries.record(&self.metrics, kind, object);
         }
@@ -45,15 +55,19 @@
             });
             let heartbeat = Duration::from_millis(self.settings.engine_heartbeat_ms);
             let (now, records) = (steady_now(), records.collect());
-            self.directory.relist(now, at, records, heartbeat);
+            if complete {
+                self.directory.relist(now, at, records, heartbeat);
+            } else {
+                self.directory.merge_list(at, records);
+            }
             self.engines_listed = true;
             return log::info!(
-                "belief=engines count={} lapsed={}",
+                "belief=engines count={} lapsed={} complete={complete}",
                 self.directory.len(),
                 self.directory.lapsed_count()
             );
         }
-        if kind == ObjectKind::Retirements {
+        if kind == ObjectKind::Retirements && complete {
             self.retirements.clear();
         }
         for (name, object) in objects {
--- a/crates/server/src/watcher.rs
+++ b/crates/server/src/watcher.rs
@@ -45,6 +45,9 @@
 const INITIAL_BACKOFF: Duration = Duration::from_millis(60);
 const MAX_BACKOFF: Duration = Duration::from_millis(500);
 
+/// Time after an incomplete list until the objects are listed again.
+const INCOMPLETE_RELIST_INTERVAL: Duration = Duration::from_secs(10);
+
 /// Enables a watcher, which ends soon after the flag is cleared.
 pub type WatchFlag = Rc<Cell<bool>>;
 
@@ -175,11 +178,22 @@
     let mut store_unavailable = false;
     let mut first_wait = None;
     let mut list_time = ListTimeEstimate::default();
+    // When the last list ended, if it was incomplete.
+    let mut incomplete_since: Option<BootInstant> = None;
     while enabled.get() && !updates.is_closed() {
         let started = BootInstant::now();
+        if incomplete_since.is_some_and(|at| at.elapsed() >= INCOMPLETE_RELIST_INTERVAL) {
+            revision = None;
+        }
         let current = timing.adjusted_for_list_time(list_time.estimate(object_count.get()));
         let step = match revision {
-            None => list(&store, &mut listing, &updates).await,
+            None => {
+                let listed = list(&store, &mut listing, &updates).await;
+                listed.map(|list| {
+                    incomplete_since = (!list.complete).then(BootInstant::now);
+                    Some(list.revision)
+                })
+            }
             Some(revision) => {
                 let timing = WatchTiming {
                     max_wait: first_wait.take().unwrap_or(current.max_wait),
@@ -224,25 +238,49 @@
     }
 }
 
-/// Continues a list. Once it is complete, returns the revision to watch from.
+/// Where to watch from after a list.
+#[derive(Clone, Copy, Debug)]
+struct ListEnd {
+    revision: u64,
+    complete: bool,
+}
+
+/// Continues a list. Once it ends, returns the revision to watch from.
 async fn list(
     store: &StoreClient,
     listing: &mut PagedList,
     updates: &UnboundedSender<StoreUpdate>,
-) -> Result<Option<u64>, String> {
+) -> Result<ListEnd, String> {
+    match listing.fetch_remaining(store).await {
+        Ok(list) => Ok(send_list(listing.kind(), list, updates)),
+        Err(reason) => {
+            if let Some(list) = listing.partial_result() {
+                send_list(listing.kind(), list, updates);
+            }
+            Err(reason)
+        }
+    }
+}
+
+fn send_list(
+    kind: ObjectKind,
+    list: ListResult,
+    updates: &UnboundedSender<StoreUpdate>,
+) -> ListEnd {
     let ListResult {
         at,
         objects,
         revision,
-    } = listing.fetch_remaining(store).await?;
-    let kind = listing.kind();
+        complete,
+    } = list;
     let _ = updates.unbounded_send(StoreUpdate::Listed {
         kind,
         at,
         revision,
         objects,
+        complete,
     });
-    Ok(Some(revision))
+    ListEnd { revision, complete }
 }
 
 /// Long-polls once for changes since `revision`. Returns the next revision, or `None` if the
@@ -261,6 +299,12 @@
         wait: timing.max_wait,
     };
     match store.call(&call, timing.response_timeout()).await {
+        Ok(StoreResponse::Events {
+            events,
+            revision: next,
+        }) if !events.is_empty() && next <= revision => Err(format!(
+            "watch: events after revision {revision} end at {next}"
+        )),
         Ok(StoreResponse::Events { events, revision }) => {
             // A full long poll without changes confirms the state as of its end.
             let waited_in_full = steady_now().since(at) >= timing.max_wait;
