Registration: fields of another writer do not reach the group's initial members

Suspected, shown by unit tests only: a registration whose address or zone holds a blank was taken for a machine, and its fields were written blank-separated into the object of the initial members, where they read as other fields. No group could be formed with such a member.

A registration is a machine's only if its address is an address, and name and zone are words of usual length. registration_of_another_writer_is_ignored: 6 of 6 cases failed before, all pass.

--- a/crates/server/src/storage/registration.rs
+++ b/crates/server/src/storage/registration.rs
@@ -8,6 +8,7 @@
 use peatgrade_ports::{ObjectKind, ObjectWrite, StoreObject, StoreRequest, StoreResponse};
 use peatgrade_schema::replication::Member;
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::clock::steady_now;
@@ -26,6 +27,8 @@
 const MAX_JITTER_MS: u64 = 400;
 /// How long to wait for a full group before a smaller one is formed.
 const FULL_GROUP_WAIT: peatgrade_types::Duration = peatgrade_types::Duration::from_millis(4_000);
+/// Longest name or zone of a machine.
+const MAX_WORD_BYTES: usize = 256;
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 const RETRY_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -57,20 +60,28 @@
     ])
 }
 
-/// Parses a registration's fields.
+/// Parses a registration's fields. Other writers may have left one under any name: it is ignored
+/// unless it holds the address of a machine.
 pub(super) fn member_from_registration(
     name: &str,
     fields: &BTreeMap<String, String>,
 ) -> Option<Member> {
-    Some(Member {
+    let (address, zone) = (fields.get("address")?, fields.get("zone")?);
+    let is_valid = address.parse::<SocketAddr>().is_ok() && is_word(zone) && is_word(name);
+    is_valid.then_some(Member {
         replica: u64::from_str_radix(fields.get("replica")?, 16).ok()?,
         name: name.to_string(),
-        address: fields.get("address")?.clone(),
-        zone: fields.get("zone")?.clone(),
+        address: address.clone(),
+        zone: zone.clone(),
         voter: false,
     })
 }
 
+/// Whether `text` can be a field of [`format_member`].
+fn is_word(text: &str) -> bool {
+    !text.is_empty() && text.len() <= MAX_WORD_BYTES && text.bytes().all(|b| b.is_ascii_graphic())
+}
+
 /// Registers this machine, retrying until the store holds the registration.
 pub(super) async fn register(store: StoreClient, member: Member) {
     let mut stale = true;
@@ -281,3 +292,7 @@
     });
     members.collect()
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/registration.rs"]
+mod tests;
