Logs: names of unreadable entries are shortened, in memory too

Suspected, shown by a unit test only: the names of up to 512 unreadable entries were kept and logged whole, and the store takes names as long as an entry, 1 MB. long_names_are_shortened failed before and passes.

--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -19,6 +19,7 @@
 mod gateway_process;
 mod heap;
 mod listing;
+mod log_text;
 mod metrics;
 mod observations;
 mod pause_detector;
--- a/crates/server/src/listing.rs
+++ b/crates/server/src/listing.rs
@@ -17,6 +17,7 @@
 use std::time::Duration;
 
 use crate::clock::steady_now;
+use crate::log_text::shortened;
 use crate::metrics::Metrics;
 use crate::store_client::{StoreCallError, StoreClient};
 use position::ListPosition;
@@ -40,8 +41,6 @@
 const MAX_LIST_DURATION: Duration = Duration::from_secs(60);
 /// Age from which the objects of an unfinished list are used after an error.
 const PARTIAL_RESULT_AGE: Duration = Duration::from_secs(3);
-/// Maximum length of a logged name.
-const MAX_NAME_CHARS: usize = 80;
 
 /// A list of the objects of a kind.
 #[derive(Debug)]
@@ -198,7 +197,7 @@
         };
         self.unusable_positions += 1;
         metrics.count("list_position_unusable");
-        let name: String = name.chars().take(MAX_NAME_CHARS).collect();
+        let (name, reason) = (shortened(name), shortened(reason));
         log::warn!(
             "belief=list-position-unusable kind={:?} name={name:?} pages={} objects={} reason={reason:?}",
             self.kind,
--- a/crates/server/src/unreadable_entries.rs
+++ b/crates/server/src/unreadable_entries.rs
@@ -6,12 +6,11 @@
 use peatgrade_ports::{ObjectKind, StoreObject};
 use std::collections::BTreeSet;
 
+use crate::log_text::shortened;
 use crate::metrics::Metrics;
 
 /// Maximum number of entries to remember, which bounds memory; further ones are not logged.
 const MAX_LOGGED_ENTRIES: usize = 512;
-/// Maximum length of a logged reason, which may quote the entry.
-const MAX_REASON_CHARS: usize = 120;
 
 /// Entries that have been logged.
 #[derive(Debug, Default)]
@@ -25,11 +24,12 @@
         let StoreObject::Unreadable { name, reason } = object else {
             return;
         };
-        if !self.mark_logged(kind, name) {
+        // Both may be as long as an entry.
+        let (name, reason) = (shortened(name), shortened(reason));
+        if !self.mark_logged(kind, &name) {
             return;
         }
         metrics.count("entry_unreadable");
-        let reason: String = reason.chars().take(MAX_REASON_CHARS).collect();
         log::warn!("belief=entry-unreadable kind={kind:?} name={name:?} reason={reason:?}");
     }
 
--- a/crates/server/tests/unit/unreadable_entries.rs
+++ b/crates/server/tests/unit/unreadable_entries.rs
@@ -1,7 +1,8 @@
 //! Unreadable entries are logged once each, up to a limit.
 
 use super::{UnreadableEntries, MAX_LOGGED_ENTRIES};
-use peatgrade_ports::ObjectKind;
+use crate::metrics::Metrics;
+use peatgrade_ports::{ObjectKind, StoreObject};
 
 #[test]
 fn entry_is_logged_once() {
@@ -20,3 +21,17 @@
     assert_eq!(entries.logged.len(), MAX_LOGGED_ENTRIES);
     assert!(!entries.mark_logged(ObjectKind::Engines, "one more"));
 }
+
+/// Guards against names as long as an entry in memory and in the log.
+#[test]
+fn long_names_are_shortened() {
+    let metrics = Metrics::new();
+    let mut entries = UnreadableEntries::default();
+    let object = StoreObject::Unreadable {
+        name: "é".repeat(1_000_000),
+        reason: "test".into(),
+    };
+    entries.record(&metrics, ObjectKind::Engines, &object);
+    let (_, logged) = entries.logged.first().unwrap();
+    assert!(logged.len() < 1_000, "{}", logged.len());
+}
