--- a/crates/mirror/src/publisher.rs
+++ b/crates/mirror/src/publisher.rs
@@ -116,9 +116,11 @@
                         Some(_) => return None,
                         None => None,
                     };
-                    Some((event.name.as_str(), mirrored))
+                    let is_needed = mirrored.is_some() || cache.may_be_known(&event.name);
+                    is_needed.then_some((event.name.as_str(), mirrored))
                 });
-                cache.apply_changes(*at, *revision, objects);
+                let objects: Vec<_> = objects.collect();
+                cache.apply_changes(*at, *revision, objects.into_iter());
             }
             StoreUpdate::Listed { .. } => {}
         }
--- a/crates/mirror/src/watch_cache.rs
+++ b/crates/mirror/src/watch_cache.rs
@@ -229,6 +229,11 @@
         }
     }
 
+    /// Whether subscribers may hold an object of this name.
+    pub fn may_be_known(&self, name: &str) -> bool {
+        self.incomplete || self.entries.contains_key(name)
+    }
+
     /// Whether an object that the filter includes changed after a revision.
     pub fn has_changes_since(&self, since: u64, filter: &ServiceFilter) -> bool {
         let last_changed = match (filter.services(), self.last_changed_by_service.is_empty()) {
