--- a/crates/mirror/src/publisher.rs
+++ b/crates/mirror/src/publisher.rs
@@ -116,11 +116,9 @@
                         Some(_) => return None,
                         None => None,
                     };
-                    let is_needed = mirrored.is_some() || cache.may_be_known(&event.name);
-                    is_needed.then_some((event.name.as_str(), mirrored))
+                    Some((event.name.as_str(), mirrored))
                 });
-                let objects: Vec<_> = objects.collect();
-                cache.apply_changes(*at, *revision, objects.into_iter());
+                cache.apply_changes(*at, *revision, objects);
             }
             StoreUpdate::Listed { .. } => {}
         }
--- a/crates/mirror/src/watch_cache.rs
+++ b/crates/mirror/src/watch_cache.rs
@@ -182,7 +182,9 @@
         self.revision = revision;
         self.confirmed_at = self.confirmed_at.max(at);
         for (name, object) in objects {
-            self.put(name, object.cloned(), revision);
+            if object.is_some() || self.may_be_known(name) {
+                self.put(name, object.cloned(), revision);
+            }
         }
         self.drop_old_tombstones();
     }
@@ -230,7 +232,7 @@
     }
 
     /// Whether subscribers may hold an object of this name.
-    pub fn may_be_known(&self, name: &str) -> bool {
+    fn may_be_known(&self, name: &str) -> bool {
         self.incomplete || self.entries.contains_key(name)
     }
 
--- a/crates/mirror/tests/publisher.rs
+++ b/crates/mirror/tests/publisher.rs
@@ -393,6 +393,25 @@
     lists.collect()
 }
 
+#[test]
+fn engine_that_comes_and_goes_in_one_update_is_gone() {
+    let mut publisher = publisher();
+    publisher.apply(&change_update(1_050, 12, &[("new", true), ("new", false)]));
+    assert_eq!(
+        engine_names(&reply_to(&mut publisher, request(10, 10))),
+        ["-new"]
+    );
+}
+
+/// Guards against tombstones for each entry of another writer.
+#[test]
+fn deletion_of_an_unknown_name_leaves_no_tombstone() {
+    let mut publisher = publisher();
+    let earlier = publisher.object_and_tombstone_counts();
+    publisher.apply(&change_update(1_050, 12, &[("unknown", false)]));
+    assert_eq!(publisher.object_and_tombstone_counts(), earlier);
+}
+
 /// Guards against memory use that grows with the number of changes.
 #[test]
 fn superseded_states_use_no_memory() {
