--- a/crates/mirror/src/publisher.rs
+++ b/crates/mirror/src/publisher.rs
@@ -7,7 +7,7 @@
 
 use crate::encoding::kind_name;
 use crate::service_filter::ServiceFilter;
-use crate::watch_cache::WatchCache;
+use crate::watch_cache::{KnownRevision, WatchCache};
 
 /// Kinds that every subscriber needs. Model versions are mirrored only on request, for a
 /// leader that the store does not answer.
@@ -236,8 +236,8 @@
     fn reply(&self, now: Time, pending: PendingRequest) -> PublisherReply {
         let caches = self.caches_for(&pending.request);
         let kinds = caches.filter_map(|(kind, cache)| {
-            let since = known_revision(&pending.request, kind);
-            cache.changes_since(now, kind_name(kind)?, since, &pending.filter)
+            let known = known_revision(&pending.request, kind);
+            cache.changes_since(now, kind_name(kind)?, known, &pending.filter)
         });
         let kinds = kinds.collect();
         PublisherReply {
@@ -260,11 +260,16 @@
     )
 }
 
-/// The newest revision of a kind that the requesting subscriber has.
-fn known_revision(request: &MirrorRequest, kind: ObjectKind) -> u64 {
-    match kind {
+/// What the requesting subscriber has of a kind.
+fn known_revision(request: &MirrorRequest, kind: ObjectKind) -> KnownRevision {
+    let revision = match kind {
         ObjectKind::Configuration => request.configuration_revision,
         ObjectKind::Versions => request.versions_revision,
         _ => request.engines_revision,
+    };
+    let name = kind_name(kind);
+    KnownRevision {
+        revision,
+        incomplete: name.is_some_and(|name| request.incomplete_kinds.contains(&name)),
     }
 }
--- a/crates/mirror/src/subscriber.rs
+++ b/crates/mirror/src/subscriber.rs
@@ -2,11 +2,11 @@
 //! directly instead.
 
 use peatgrade_ports::{ObjectKind, StoreEvent, StoreUpdate};
-use peatgrade_schema::replication::{MirrorReply, MirrorRequest, MirroredKind};
+use peatgrade_schema::replication::{MirrorReply, MirrorRequest, MirroredKind, MirroredKindName};
 use peatgrade_types::{hash_bytes, Duration, Time};
 use std::collections::BTreeMap;
 
-use crate::encoding::{decode_object, kind_from_name};
+use crate::encoding::{decode_object, kind_from_name, kind_name};
 use crate::service_filter::ServiceFilter;
 use crate::timing::MirrorTiming;
 
@@ -55,6 +55,8 @@
     /// When the store last confirmed that revision as the newest, to this machine or to a
     /// publisher.
     confirmed_at: Option<Time>,
+    /// Whether objects may be missing, because a list was incomplete.
+    incomplete: bool,
 }
 
 /// Keeps a machine up to date with the store through publishers.
@@ -190,6 +192,7 @@
     }
 
     fn next_request(&mut self, now: Time) -> Option<SubscriberAction> {
+        let incomplete_kinds = self.incomplete_kinds();
         let earliest = self.publishers.iter().map(|p| p.backoff_until).min()?;
         // While all publishers are backing off, one is probed now and then, since a network
         // partition may have healed.
@@ -228,6 +231,7 @@
             },
             versions_revision: revision(ObjectKind::Versions),
             wants_versions: self.kinds.contains_key(&ObjectKind::Versions),
+            incomplete_kinds,
             wait_ms: self.timing.max_hold.as_millis(),
             renew_connection: std::mem::take(&mut publisher.timed_out),
             ..MirrorRequest::default()
@@ -239,6 +243,12 @@
         })
     }
 
+    /// Kinds of which objects may be missing.
+    fn incomplete_kinds(&self) -> Vec<MirroredKindName> {
+        let kinds = self.kinds.iter().filter(|(_, state)| state.incomplete);
+        kinds.filter_map(|(kind, _)| kind_name(*kind)).collect()
+    }
+
     /// Processes a reply and returns the store updates that it contains.
     pub fn on_reply(
         &mut self,
@@ -284,6 +294,7 @@
         }
         state.revision = message.revision;
         state.confirmed_at = state.confirmed_at.max(Some(at));
+        state.incomplete = message.incomplete || (state.incomplete && !message.whole);
         if kind == ObjectKind::Engines {
             self.synced_filter = match message.whole {
                 true => requested.clone(),
@@ -363,6 +374,9 @@
         }
         state.revision = revision;
         state.confirmed_at = state.confirmed_at.max(Some(at));
+        if let StoreUpdate::Listed { complete, .. } = update {
+            state.incomplete = !complete;
+        }
         if matches!(update, StoreUpdate::Listed { kind, .. } if *kind == ObjectKind::Engines) {
             self.synced_filter = ServiceFilter::All;
         }
--- a/crates/mirror/src/watch_cache.rs
+++ b/crates/mirror/src/watch_cache.rs
@@ -25,6 +25,15 @@
 /// Retained intervals without a watch.
 const MAX_WATCH_GAPS: usize = 16;
 
+/// What a subscriber has of a kind.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct KnownRevision {
+    /// Its newest revision; 0 for none.
+    pub revision: u64,
+    /// Whether it may lack objects of that revision.
+    pub incomplete: bool,
+}
+
 /// The newest state of an object.
 #[derive(Debug)]
 struct Entry {
@@ -121,10 +130,7 @@
         for name in missing {
             self.put(&name, None, revision);
         }
-        if std::mem::take(&mut self.incomplete) {
-            // Subscribers may hold objects that were deleted before they were read here.
-            self.history_start = revision;
-        }
+        self.incomplete = false;
         self.end_gap(at, revision);
     }
 
@@ -236,8 +242,13 @@
         self.incomplete || self.entries.contains_key(name)
     }
 
-    /// Whether an object that the filter includes changed after a revision.
-    pub fn has_changes_since(&self, since: u64, filter: &ServiceFilter) -> bool {
+    /// Whether an object that the filter includes changed after the subscriber's revision, or
+    /// the subscriber lacks objects that are known here.
+    pub fn has_changes_since(&self, known: KnownRevision, filter: &ServiceFilter) -> bool {
+        let since = known.revision;
+        if self.completes(known) {
+            return true;
+        }
         let last_changed = match (filter.services(), self.last_changed_by_service.is_empty()) {
             (Some(services), false) => {
                 let revisions = services
@@ -250,6 +261,11 @@
         last_changed > since || (since < self.revision && self.is_history_incomplete(since))
     }
 
+    /// Whether a subscriber with an incomplete list needs the one that is known here.
+    fn completes(&self, known: KnownRevision) -> bool {
+        known.incomplete && !self.incomplete && known.revision <= self.revision
+    }
+
     /// Whether the individual changes after a revision are not all known.
     fn is_history_incomplete(&self, since: u64) -> bool {
         let mut gaps = self.watch_gaps.iter();
@@ -262,13 +278,14 @@
         &self,
         now: Time,
         kind: MirroredKindName,
-        since: u64,
+        known: KnownRevision,
         filter: &ServiceFilter,
     ) -> Option<MirroredKind> {
+        let since = known.revision;
         if since > self.revision {
             return None;
         }
-        let whole = self.is_history_incomplete(since);
+        let whole = self.completes(known) || self.is_history_incomplete(since);
         let objects = match whole {
             true => self.matching_objects(filter),
             false => self.changed_objects(since, filter),
@@ -279,7 +296,7 @@
             revision: self.revision,
             age: now.since(self.confirmed_at).0,
             objects,
-            incomplete: whole && self.incomplete,
+            incomplete: self.incomplete,
         })
     }
 
--- a/crates/server/src/listing.rs
+++ b/crates/server/src/listing.rs
@@ -248,6 +248,7 @@
             self.age().as_millis()
         );
     }
+
     async fn next_page(&mut self, store: &StoreClient) -> Result<StoreResponse, String> {
         let call = StoreRequest::List {
             kind: self.kind,
