Registration: a machine replaces an unreadable object under its own name

Callers saw: with an object of another writer under the names of the storage machines before the first start, no group was formed and no job was accepted; a machine that came back without its disk never registered, so the group did not learn of it.

Cause: the object was read before it was replaced, and one whose spec could not be parsed ended the attempt, for ever: the codec gave no revision for it, so no conditional write was possible.

Only the machine itself writes under its name, so nothing of the group is lost by it.

--- a/crates/fleet/tests/incarnations.rs
+++ b/crates/fleet/tests/incarnations.rs
@@ -324,6 +324,7 @@
         name: "a".into(),
         object: Some(StoreObject::Unreadable {
             name: "a".into(),
+            revision: None,
             reason: "no service".into(),
         }),
     };
--- a/crates/fleet/tests/working_sets.rs
+++ b/crates/fleet/tests/working_sets.rs
@@ -277,6 +277,7 @@
             0 => None,
             1 => Some(StoreObject::Unreadable {
                 name: changed.instance.0.clone(),
+                revision: None,
                 reason: "other writer".into(),
             }),
             _ => Some(StoreObject::Engine(changed.clone())),
--- a/crates/mirror/tests/publisher.rs
+++ b/crates/mirror/tests/publisher.rs
@@ -555,6 +555,7 @@
     let mut publisher = publisher();
     let unreadable = StoreObject::Unreadable {
         name: "a".into(),
+        revision: None,
         reason: "no service".into(),
     };
     publisher.apply(&StoreUpdate::Changed {
--- a/crates/ports/src/store.rs
+++ b/crates/ports/src/store.rs
@@ -119,6 +119,8 @@
     Unreadable {
         /// Object name.
         name: String,
+        /// Object revision; `None` if it could not be parsed either.
+        revision: Option<u64>,
         /// Parse error.
         reason: String,
     },
--- a/crates/server/src/storage/registration.rs
+++ b/crates/server/src/storage/registration.rs
@@ -13,6 +13,7 @@
 
 use crate::clock::steady_now;
 use crate::listing::{list_all, ListResult};
+use crate::log_text::shortened;
 use crate::store_client::StoreClient;
 
 use super::process::StorageProcess;
@@ -98,7 +99,7 @@
 }
 
 /// Returns true once the store holds the registration. A stale read is sufficient, because
-/// only this machine writes the object.
+/// only this machine writes the object; what another writer left there is replaced.
 async fn try_register(store: &StoreClient, member: &Member, stale: bool) -> Result<bool, String> {
     let get = StoreRequest::Get {
         kind: ObjectKind::Replicas,
@@ -118,6 +119,21 @@
             }
             Some(revision)
         }
+        StoreResponse::Object(
+            _,
+            StoreObject::Unreadable {
+                revision: Some(revision),
+                reason,
+                ..
+            },
+        ) => {
+            let reason = shortened(&reason);
+            log::warn!(
+                "decision=replace-registration name={} reason={reason:?}",
+                member.name
+            );
+            Some(revision)
+        }
         StoreResponse::Missing => None,
         other => return Err(format!("{other:?}")),
     };
--- a/crates/server/src/unreadable_entries.rs
+++ b/crates/server/src/unreadable_entries.rs
@@ -21,7 +21,7 @@
 impl UnreadableEntries {
     /// Counts and logs `object` if it is unreadable and has not been logged before.
     pub fn record(&mut self, metrics: &Metrics, kind: ObjectKind, object: &StoreObject) {
-        let StoreObject::Unreadable { name, reason } = object else {
+        let StoreObject::Unreadable { name, reason, .. } = object else {
             return;
         };
         // Both may be as long as an entry.
--- a/crates/server/tests/unit/received_objects.rs
+++ b/crates/server/tests/unit/received_objects.rs
@@ -10,6 +10,7 @@
 fn unreadable(name: &str) -> (String, StoreObject) {
     let object = StoreObject::Unreadable {
         name: name.into(),
+        revision: None,
         reason: "test".into(),
     };
     (name.into(), object)
--- a/crates/server/tests/unit/unreadable_entries.rs
+++ b/crates/server/tests/unit/unreadable_entries.rs
@@ -29,6 +29,7 @@
     let mut entries = UnreadableEntries::default();
     let object = StoreObject::Unreadable {
         name: "é".repeat(1_000_000),
+        revision: None,
         reason: "test".into(),
     };
     entries.record(&metrics, ObjectKind::Engines, &object);
