Listing: a list goes on behind a page whose names are not text

Callers saw: with entries whose names are no UTF-8 alone on a page (the store's page may be one large entry), a service that was restarted knew 3 or 4 of 6 engines for as long as the entries stood. It served, by fewer engines.

Cause: a name that could not be read gave no position, and a page that brought no readable name counted as no progress, so the list ended as incomplete in front of it, again every 10 s.

The list counts as incomplete then, so nothing that was passed by is taken for gone, and it is repeated. Each such cursor is used once, so the list still ends. A page of which nothing can be read (no name, a number) ends the list as before, with its reason.

--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -30,7 +30,7 @@
 };
 pub use routes::RouteTable;
 pub use store::{
-    ObjectKind, ObjectPage, ObjectWrite, RetirementStage, StoreEvent, StoreObject, StoreRequest,
-    StoreResponse, StoreUpdate,
+    ListCursor, ObjectKind, ObjectPage, ObjectWrite, RetirementStage, StoreEvent, StoreObject,
+    StoreRequest, StoreResponse, StoreUpdate,
 };
 pub use usage::{UsageReport, UsageReportResponse};
--- a/crates/ports/src/store.rs
+++ b/crates/ports/src/store.rs
@@ -23,6 +23,17 @@
     Groups,
 }
 
+/// Place in a list: the name of an object, behind which a page starts. Other writers may have
+/// chosen a name that is not text.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct ListCursor(pub Vec<u8>);
+
+impl<T: Into<String>> From<T> for ListCursor {
+    fn from(name: T) -> Self {
+        Self(name.into().into_bytes())
+    }
+}
+
 /// A request to the object store.
 #[derive(Clone, Debug)]
 pub enum StoreRequest {
@@ -30,8 +41,8 @@
     List {
         /// Kind of the objects.
         kind: ObjectKind,
-        /// Name after which the page starts; `None` for the first page.
-        after: Option<String>,
+        /// Where the page starts; `None` for the first page.
+        after: Option<ListCursor>,
     },
     /// Long-polls for changes after a revision.
     Watch {
@@ -129,8 +140,11 @@
 /// A page of a list.
 #[derive(Clone, Debug, Default)]
 pub struct ObjectPage {
-    /// Objects with their names.
+    /// Objects with their names, which are empty if they cannot be read.
     pub objects: Vec<(String, StoreObject)>,
+    /// Cursors to try behind the last object if its name cannot be read, best first. Objects
+    /// between that one and a cursor may be skipped.
+    pub cursors_behind_last: Vec<ListCursor>,
     /// Whether further pages follow.
     pub more: bool,
     /// Revision of the store at the time of the read.
--- a/crates/server/src/listing.rs
+++ b/crates/server/src/listing.rs
@@ -10,7 +10,9 @@
 //! as an incomplete list, in which a missing object may still exist.
 
 use futures_util::future::select_all;
-use peatgrade_ports::{ObjectKind, ObjectPage, StoreObject, StoreRequest, StoreResponse};
+use peatgrade_ports::{
+    ListCursor, ObjectKind, ObjectPage, StoreObject, StoreRequest, StoreResponse,
+};
 use peatgrade_runtime::BootInstant;
 use peatgrade_types::Time;
 use std::future::Future;
@@ -74,6 +76,8 @@
     pages: u64,
     /// Positions after which the list could not be continued.
     unusable_positions: u64,
+    /// Whether the list went on behind a name that could not be read.
+    skips_objects: bool,
     /// Whether [`PagedList::partial_result`] has returned the objects of this list.
     has_partial_result: bool,
     page_timeout: Duration,
@@ -91,6 +95,7 @@
             position: ListPosition::default(),
             pages: 0,
             unusable_positions: 0,
+            skips_objects: false,
             has_partial_result: false,
             page_timeout: INITIAL_PAGE_TIMEOUT.min(max_page_timeout),
             max_page_timeout,
@@ -126,7 +131,7 @@
                     let has_more = page.more;
                     let advances = self.add_page(store.metrics(), page);
                     if !has_more {
-                        return self.end(store, true, "last-page");
+                        return self.end_after_last_page(store);
                     }
                     if advances {
                         continue;
@@ -180,24 +185,43 @@
     fn add_page(&mut self, metrics: &Metrics, page: ObjectPage) -> bool {
         self.pages += 1;
         let names = page.objects.iter().map(|(name, _)| name);
-        let names: Vec<String> = names.filter(|name| !name.is_empty()).cloned().collect();
-        let advances = self.received.add(page.objects);
-        if advances {
-            self.position.advance(names);
-        } else if page.more {
-            metrics.count("list_page_repeated");
+        let names = names.filter(|name| !name.is_empty()).cloned();
+        let cursors: Vec<ListCursor> = names.map(ListCursor::from).collect();
+        if self.received.add(page.objects) {
+            self.position.advance(cursors);
+            return true;
         }
-        advances
+        if !page.more {
+            return false;
+        }
+        let mut cursors = page.cursors_behind_last;
+        let first = cursors.first();
+        if first.is_some_and(|cursor| self.received.add_unreadable_name(cursor)) {
+            metrics.count("list_page_unreadable");
+            log::warn!(
+                "belief=list-page-unreadable kind={:?} pages={} objects={}",
+                self.kind,
+                self.pages,
+                self.received.len()
+            );
+            self.skips_objects = true;
+            cursors.reverse();
+            self.position.advance(cursors);
+            return true;
+        }
+        metrics.count("list_page_repeated");
+        false
     }
 
     /// Continues from an earlier position. Returns false if there is none.
     fn leave_position(&mut self, metrics: &Metrics, reason: &str) -> bool {
-        let Some(name) = self.position.name() else {
+        let Some(cursor) = self.position.cursor() else {
             return false;
         };
         self.unusable_positions += 1;
         metrics.count("list_position_unusable");
-        let (name, reason) = (shortened(name), shortened(reason));
+        let name = String::from_utf8_lossy(&cursor.0);
+        let (name, reason) = (shortened(&name), shortened(reason));
         log::warn!(
             "belief=list-position-unusable kind={:?} name={name:?} pages={} objects={} reason={reason:?}",
             self.kind,
@@ -207,6 +231,13 @@
         self.position.step_back()
     }
 
+    fn end_after_last_page(&mut self, store: &StoreClient) -> Result<ListResult, String> {
+        match self.skips_objects {
+            true => self.end(store, false, "unreadable-page"),
+            false => self.end(store, true, "last-page"),
+        }
+    }
+
     /// Ends the list and returns its objects.
     fn end(
         &mut self,
@@ -252,7 +283,7 @@
     async fn next_page(&mut self, store: &StoreClient) -> Result<StoreResponse, String> {
         let call = StoreRequest::List {
             kind: self.kind,
-            after: self.position.name().map(str::to_string),
+            after: self.position.cursor().cloned(),
         };
         let mut calls = Vec::new();
         while calls.len() < MAX_CONCURRENT_CALLS {
--- a/crates/server/src/listing/position.rs
+++ b/crates/server/src/listing/position.rs
@@ -2,7 +2,10 @@
 //!
 //! The store may not be able to continue after a name: the object was deleted since, or the
 //! name is too long for a request. The list then continues after an earlier name of the same
-//! page, and receives the objects in between again.
+//! page, and receives the objects in between again. Behind a page without readable names it
+//! continues at the cursors that the codec gives.
+
+use peatgrade_ports::ListCursor;
 
 /// Consecutive calls without a response after which another name is tried. One name may be the
 /// reason, for instance if the store closes connections that request it.
@@ -10,42 +13,42 @@
 
 #[derive(Debug, Default)]
 pub(super) struct ListPosition {
-    /// Names of the last page that brought new objects, in order; the next page starts after the
+    /// Cursors of the last page that brought new objects, in order; the next page starts at the
     /// last one.
-    names: Vec<String>,
-    /// Number of names to go back next. Doubles, so that a page is crossed in few calls.
+    cursors: Vec<ListCursor>,
+    /// Number of cursors to go back next. Doubles, so that a page is crossed in few calls.
     next_step: usize,
     lost_calls: u32,
 }
 
 impl ListPosition {
-    /// Name after which the next page starts; none at the start of the list.
-    pub fn name(&self) -> Option<&str> {
-        self.names.last().map(String::as_str)
+    /// Where the next page starts; none at the start of the list.
+    pub fn cursor(&self) -> Option<&ListCursor> {
+        self.cursors.last()
     }
 
-    /// Moves behind a page with these names.
-    pub fn advance(&mut self, names: Vec<String>) {
+    /// Moves behind a page with these cursors.
+    pub fn advance(&mut self, cursors: Vec<ListCursor>) {
         *self = Self {
-            names,
+            cursors,
             next_step: 1,
             lost_calls: 0,
         };
     }
 
-    /// Moves back to an earlier name of the page. Returns false if there is none.
+    /// Moves back to an earlier cursor of the page. Returns false if there is none.
     pub fn step_back(&mut self) -> bool {
         self.lost_calls = 0;
-        if self.names.len() <= 1 {
+        if self.cursors.len() <= 1 {
             return false;
         }
-        let remaining = self.names.len().saturating_sub(self.next_step);
-        self.names.truncate(remaining.max(1));
+        let remaining = self.cursors.len().saturating_sub(self.next_step);
+        self.cursors.truncate(remaining.max(1));
         self.next_step *= 2;
         true
     }
 
-    /// Records a call without a response. Returns whether another name is to be tried.
+    /// Records a call without a response. Returns whether another cursor is to be tried.
     pub fn record_lost_call(&mut self) -> bool {
         self.lost_calls += 1;
         self.lost_calls >= MAX_LOST_CALLS
--- a/crates/server/src/listing/received.rs
+++ b/crates/server/src/listing/received.rs
@@ -1,6 +1,6 @@
 //! Objects received by a list in progress.
 
-use peatgrade_ports::StoreObject;
+use peatgrade_ports::{ListCursor, StoreObject};
 use peatgrade_types::hash_bytes;
 use std::collections::hash_map::{Entry, HashMap};
 
@@ -55,6 +55,18 @@
         }
     }
 
+    /// Adds a name that cannot be read, as the cursor behind it. Returns whether it was not
+    /// received before.
+    pub fn add_unreadable_name(&mut self, cursor: &ListCursor) -> bool {
+        match self.places.entry(hash_bytes(&cursor.0)) {
+            Entry::Occupied(_) => false,
+            Entry::Vacant(place) => {
+                place.insert(None);
+                true
+            }
+        }
+    }
+
     /// Number of names received.
     pub fn len(&self) -> usize {
         self.places.len()
