Listing: a list whose pages started after objects that changed meanwhile is repeated

Callers saw: nothing so far; found by reading. With a store that lists by revision, an entry that changes between two pages moves to the end of the list, the page after it is empty, and the list ended as complete: the engines in between were unknown after a restart, and dropped after lost watches, until each of them changed.

Cause: a page was taken to go on where the one before ended, whatever happened to the object in between. No page of the platform states the order of lists.

At the end of a list with more than one page, during which the store's revision rose, one short watch from the first page's revision says which objects changed. Is one of those among them after which a page started, the list starts again, twice at most, and then counts as incomplete, so that nothing is taken for gone. In a list by name this costs a repetition and nothing else. A list of one page, or of an unchanged store, costs no call more.

--- a/crates/server/src/listing.rs
+++ b/crates/server/src/listing.rs
@@ -7,7 +7,8 @@
 //!
 //! A list always ends: each page brings new objects, or the list goes on from another position
 //! (see [`position`]), of which there are few. If none is left, the objects received are returned
-//! as an incomplete list, in which a missing object may still exist.
+//! as an incomplete list, in which a missing object may still exist. So are those of a list whose
+//! pages started after objects that changed meanwhile (see [`page_starts`]).
 
 use futures_util::future::select_all;
 use peatgrade_ports::{
@@ -22,9 +23,11 @@
 use crate::log_text::shortened;
 use crate::metrics::Metrics;
 use crate::store_client::{StoreCallError, StoreClient};
+use page_starts::{ListRevisions, PageStarts};
 use position::ListPosition;
 use received::ReceivedObjects;
 
+mod page_starts;
 mod position;
 mod received;
 
@@ -41,6 +44,8 @@
 const MAX_LIST_AGE: Duration = Duration::from_secs(12);
 /// Age from which an unfinished list ends even while pages arrive.
 const MAX_LIST_DURATION: Duration = Duration::from_secs(60);
+/// Times that a list starts again because objects changed after which its pages started.
+const MAX_REPEATS: u32 = 2;
 /// Age from which the objects of an unfinished list are used after an error.
 const PARTIAL_RESULT_AGE: Duration = Duration::from_secs(3);
 
@@ -73,6 +78,9 @@
     started: Option<ListStart>,
     received: ReceivedObjects,
     position: ListPosition,
+    page_starts: PageStarts,
+    /// Times that the list has started again since the last one ended.
+    repeats: u32,
     pages: u64,
     /// Positions after which the list could not be continued.
     unusable_positions: u64,
@@ -93,6 +101,8 @@
             started: None,
             received: ReceivedObjects::default(),
             position: ListPosition::default(),
+            page_starts: PageStarts::default(),
+            repeats: 0,
             pages: 0,
             unusable_positions: 0,
             skips_objects: false,
@@ -129,9 +139,15 @@
                         revision,
                     });
                     let has_more = page.more;
+                    if let Some(cursor) = self.position.cursor() {
+                        self.page_starts.record(cursor);
+                    }
                     let advances = self.add_page(store.metrics(), page);
                     if !has_more {
-                        return self.end_after_last_page(store);
+                        match self.end_after_last_page(store, revision).await? {
+                            Some(list) => return Ok(list),
+                            None => continue,
+                        }
                     }
                     if advances {
                         continue;
@@ -231,11 +247,34 @@
         self.position.step_back()
     }
 
-    fn end_after_last_page(&mut self, store: &StoreClient) -> Result<ListResult, String> {
-        match self.skips_objects {
-            true => self.end(store, false, "unreadable-page"),
-            false => self.end(store, true, "last-page"),
+    /// Ends the list after the page at `last_revision`, or starts it again if it may lack objects.
+    async fn end_after_last_page(
+        &mut self,
+        store: &StoreClient,
+        last_revision: u64,
+    ) -> Result<Option<ListResult>, String> {
+        if self.skips_objects {
+            return self.end(store, false, "unreadable-page").map(Some);
         }
+        let revisions = ListRevisions {
+            first: self.started.map_or(last_revision, |start| start.revision),
+            last: last_revision,
+        };
+        let check =
+            self.page_starts
+                .may_have_changed(store, self.kind, revisions, self.max_page_timeout);
+        if !check.await? {
+            return self.end(store, true, "last-page").map(Some);
+        }
+        store.metrics().count("list_page_start_changed");
+        if self.repeats == MAX_REPEATS {
+            return self.end(store, false, "page-start-changed").map(Some);
+        }
+        self.log_end(false, "repeated");
+        let repeats = self.repeats + 1;
+        self.restart();
+        self.repeats = repeats;
+        Ok(None)
     }
 
     /// Ends the list and returns its objects.
