Forwarding: a request that other engines refuse as misdirected goes on to one that is there

Callers saw: with 14 entries of another writer, complete as an engine's, at the addresses of six living engines, calls got 503 although every engine lived and had room, and once 502.

Cause: a 421 of another engine than the expected one counted like the refusal of a full engine, of which a request meets four at most. Such an answer says that an entry of the list is wrong; four wrong entries in a row ended the request. The 502 was the same end after a 421 without an id on a kept connection, which is not believed and sent again.

After one, engines that have answered within 3 s come first, then those at other addresses: whoever answers at the address of a wrong entry is likely to be none of the other entries there either.

--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -14,11 +14,11 @@
 use std::rc::Rc;
 
 use crate::action::{CallId, ForwardAction, HttpId};
-use crate::admission::{Rejection, RejectionRate};
+use crate::admission::RejectionRate;
 use crate::connect_times::ConnectTimes;
+use crate::forwarded_request::ForwardedRequest;
 use crate::quarantine::EngineProbe;
 use crate::retry_budget::RetryBudgets;
-use crate::stream::StreamRelay;
 
 /// Minimum delay before a hedge is sent to a second engine.
 const MIN_HEDGE_DELAY: Duration = Duration::from_millis(60);
@@ -35,6 +35,7 @@
     pub call: CallId,
     pub fingerprint: Fingerprint,
     pub instance: Instance,
+    pub address: String,
     /// Incarnation of the engine to which it was sent.
     pub incarnation: Incarnation,
     pub sent_at: Time,
@@ -49,60 +50,6 @@
     pub body: BytesMut,
 }
 
-/// A caller's request for as long as it is being forwarded.
-pub(crate) struct ForwardedRequest {
-    pub request: CallerRequest,
-    /// Identifies the content of the request, independent of its id.
-    pub fingerprint: Fingerprint,
-    pub service: String,
-    pub kind: RouteKind,
-    pub max_attempts: u32,
-    pub priority: u32,
-    pub received: Time,
-    pub deadline: Time,
-    pub hedge_at: Time,
-    pub target_latency: Duration,
-    pub configuration_version: u64,
-    /// Attempts so far, without refused ones and those that did not connect.
-    pub attempts: u32,
-    pub refusals: u32,
-    pub connect_failures: u32,
-    /// Result of the latest admission decision, if it was rejected.
-    pub rejection: Option<Rejection>,
-    /// Whether a denial by the retry budget has been logged.
-    pub denial_logged: bool,
-    pub tried: Vec<Instance>,
-    pub open_attempts: Vec<HttpId>,
-    pub may_have_run: bool,
-    pub quarantine_policy: QuarantinePolicy,
-    /// Whether quarantine kept it from the engine that was selected last.
-    pub quarantine_blocked: bool,
-    /// Whether its stream may be resumed on another engine.
-    pub resumable: bool,
-    /// Set once the head of a streamed response has been sent to the caller.
-    pub stream: Option<StreamRelay>,
-    /// The attempt whose stream is being relayed.
-    pub streaming_attempt: Option<HttpId>,
-    /// Whether [`ForwardAction::ExecutionStarted`] has been emitted.
-    pub execution_reported: bool,
-}
-
-impl ForwardedRequest {
-    /// Emits [`ForwardAction::ExecutionStarted`] on the first call.
-    pub fn report_execution_started(&mut self, at: Time, actions: &mut Vec<ForwardAction>) {
-        if !std::mem::replace(&mut self.execution_reported, true) {
-            let tenant = self.request.tenant.clone();
-            actions.push(ForwardAction::ExecutionStarted { tenant, at });
-        }
-    }
-
-    /// Whether it may safely run more than once.
-    pub fn is_repeatable(&self) -> bool {
-        let resumes = self.kind == RouteKind::Streaming && self.resumable;
-        self.kind == RouteKind::Safe || resumes
-    }
-}
-
 /// A request that has been authorized and matched to a route.
 #[derive(Debug)]
 pub struct AcceptedCall<'a> {
@@ -234,6 +181,7 @@
             configuration_version,
             attempts: 0,
             refusals: 0,
+            misdirected_to: Vec::new(),
             connect_failures: 0,
             rejection: None,
             denial_logged: false,
@@ -332,6 +280,7 @@
             call,
             fingerprint: forward.fingerprint,
             instance: instance.clone(),
+            address: address.clone(),
             incarnation,
             sent_at: now,
             connect_timeout,
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod admission;
 pub mod connect_times;
 mod dispatch;
+mod forwarded_request;
 mod forwarder;
 mod quarantine;
 mod refusals;
--- a/crates/forward/src/quarantine.rs
+++ b/crates/forward/src/quarantine.rs
@@ -8,7 +8,8 @@
 use peatgrade_types::{Duration, Time};
 
 use crate::action::{answer_parts, CallId, ForwardAction, HttpId};
-use crate::forwarder::{ForwardedRequest, Forwarder, QuarantinePolicy};
+use crate::forwarded_request::ForwardedRequest;
+use crate::forwarder::{Forwarder, QuarantinePolicy};
 
 /// Time after which a liveness probe is abandoned.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(1_000);
--- a/crates/forward/src/refusals.rs
+++ b/crates/forward/src/refusals.rs
@@ -7,7 +7,8 @@
 
 use crate::action::{answer_parts, CallId, ForwardAction};
 use crate::admission::RetryAfter;
-use crate::forwarder::{ForwardedRequest, Forwarder};
+use crate::forwarded_request::ForwardedRequest;
+use crate::forwarder::Forwarder;
 use crate::quarantine::{stream_failure, SUSPECT_RETRY_AFTER};
 
 /// Latency assumed for `retry_after` while no response of the service has been measured.
@@ -130,13 +131,14 @@
     let available_in = rejection.map(|rejection| rejection.available_in.as_millis());
     log::info!(
         "decision=refuse request={} fingerprint={} service={} refusal={refusal:?} attempts={} \
-         refusals={} unconnected={} held_back={} reason={reason:?} room_in_ms={available_in:?} \
+         refusals={} misdirected={} unconnected={} held_back={} reason={reason:?} room_in_ms={available_in:?} \
          come_back_ms={:?} left_ms={} list_age_ms={} held_us={}",
         forward.request.id,
         forward.fingerprint,
         forward.service,
         forward.tried.len(),
         forward.refusals,
+        forward.misdirected_to.len(),
         forward.connect_failures,
         forward.quarantine_blocked,
         retry_after.map(Duration::as_millis),
--- a/crates/forward/src/responses.rs
+++ b/crates/forward/src/responses.rs
@@ -165,7 +165,10 @@
         }
         if answer_head.is_refusal() {
             forward.attempts -= 1;
-            forward.refusals += 1;
+            match answer_head.is_misdirected() {
+                true => forward.misdirected_to.push(attempt.address),
+                false => forward.refusals += 1,
+            }
             log::info!(
                 "decision=refused-by-engine request={} engine={} status={} misdirected={}",
                 forward.request.id,
--- a/crates/forward/src/selection.rs
+++ b/crates/forward/src/selection.rs
@@ -10,7 +10,7 @@
 
 use crate::admission::Candidate;
 use crate::connect_times::ConnectTimes;
-use crate::forwarder::ForwardedRequest;
+use crate::forwarded_request::ForwardedRequest;
 
 /// Latency penalty for an engine whose weights are one version behind the newest of its
 /// service.
@@ -25,7 +25,7 @@
 /// are preferred.
 const DEFAULT_ROUND_TRIP: Duration = Duration::from_millis(1);
 /// Maximum age of the last contact with an engine for it to count as reachable, once a
-/// request has failed to connect to another one. Engines often become unreachable together.
+/// request has failed to reach another one. Engines often become unreachable together.
 const MAX_CONTACT_AGE: Duration = Duration::from_millis(3_000);
 /// Latency assumed while no response of any engine has been measured.
 const DEFAULT_LATENCY: Duration = Duration::from_millis(1);
@@ -79,7 +79,7 @@
                 let expected =
                     self.expected_latency(state, snapshot, newest - state.version(model));
                 WeightedCandidate::new(snapshot, expected)
-                    .unverified(self.lacks_recent_contact(state))
+                    .unverified(self.doubt(state) > Doubt::None)
             };
             let weighed: Vec<WeightedCandidate> = candidates.iter().map(weigh).collect();
             let chosen = choose_best_of_two(&weighed, [random.random(), random.random()])?;
@@ -89,7 +89,7 @@
         for (state, snapshot) in candidates {
             let rank = Rank {
                 is_avoided: snapshot.is_avoided,
-                lacks_recent_contact: self.lacks_recent_contact(state),
+                doubt: self.doubt(state),
                 expected: self.expected_latency(state, &snapshot, newest - state.version(model)),
                 // Breaks ties randomly, so that machines do not all select the same engine.
                 draw: random.random(),
@@ -113,13 +113,22 @@
         mean.map_or(DEFAULT_LATENCY, Duration)
     }
 
-    /// Whether the engine may be unreachable too, after the request has failed to connect to
-    /// another one.
-    fn lacks_recent_contact(&self, state: &EngineState) -> bool {
+    /// Whether the engine may not be there either, after the request has failed to reach another
+    /// one.
+    fn doubt(&self, state: &EngineState) -> Doubt {
         let last_response = state.stats.last_response;
         let has_recent_contact =
             last_response > Time(0) && self.now.since(last_response) <= MAX_CONTACT_AGE;
-        self.forward.connect_failures > 0 && !has_recent_contact
+        let misdirected_to = &self.forward.misdirected_to;
+        if has_recent_contact {
+            Doubt::None
+        } else if misdirected_to.contains(&state.record.address) {
+            Doubt::OtherEngine
+        } else if self.forward.connect_failures > 0 || !misdirected_to.is_empty() {
+            Doubt::NoRecentContact
+        } else {
+            Doubt::None
+        }
     }
 
     /// Expected latency in microseconds, including penalties.
@@ -154,18 +163,28 @@
     }
 }
 
+/// Why an engine may not be at its address.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
+enum Doubt {
+    None,
+    /// It has not responded of late, and another engine of the service could not be reached.
+    NoRecentContact,
+    /// Another engine than the expected one responded at its address.
+    OtherEngine,
+}
+
 /// Sort key of a candidate; the lowest is selected.
 struct Rank {
     is_avoided: bool,
-    lacks_recent_contact: bool,
+    doubt: Doubt,
     expected: f64,
     draw: u32,
 }
 
 impl Rank {
     fn is_before(&self, other: &Self) -> bool {
-        let flags = (self.is_avoided, self.lacks_recent_contact);
-        let order = flags.cmp(&(other.is_avoided, other.lacks_recent_contact));
+        let flags = (self.is_avoided, self.doubt);
+        let order = flags.cmp(&(other.is_avoided, other.doubt));
         let order = order.then(self.expected.total_cmp(&other.expected));
         order.then(self.draw.cmp(&other.draw)).is_lt()
     }
--- a/crates/forward/src/timers.rs
+++ b/crates/forward/src/timers.rs
@@ -6,7 +6,8 @@
 use peatgrade_types::{Duration, Time};
 
 use crate::action::{CallId, ForwardAction, HttpId};
-use crate::forwarder::{ForwardedRequest, Forwarder};
+use crate::forwarded_request::ForwardedRequest;
+use crate::forwarder::Forwarder;
 use crate::retry_budget::ExtraAttempt;
 
 impl Forwarder {
--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -3,6 +3,7 @@
 
 mod harness;
 mod memory;
+mod misdirected;
 mod quarantine;
 mod restarts;
 mod shared_observations;
