Bootstrap: initial members are machines that have said who they are

With registrations of as many machines that are gone as the group has members, in the store before the first start, these became the initial members: nobody could lead, no job was accepted, and the object is written once.

Cause: initial members were chosen from the registrations alone.

Before the object is written, the machines chosen are asked who is at their addresses, by a message to no replica in particular, which every build answers with its name and replica. One that has not answered for 1 s is passed over for another; after 4 s the group is formed of as many as there are, if most members have answered. Without a majority of answers the group could not commit anything either, so waiting costs nothing. A copy of a registration under another name is told apart by its name. In the usual start one round trip is added before the object is written.

The signals and the exit of the storage process move into a file of their own, unchanged.

--- a/crates/server/src/gateway_process/store_subscription.rs
+++ b/crates/server/src/gateway_process/store_subscription.rs
@@ -13,7 +13,8 @@
 
 use super::GatewayProcess;
 use crate::clock::steady_now;
-use crate::storage::registration::{read_initial_members, registered_machines};
+use crate::storage::bootstrap::read_initial_members;
+use crate::storage::registration::registered_machines;
 use crate::store_client::StoreClient;
 use crate::watcher::{watch, ObjectCount, WatchFlag, WatchTiming};
 
--- a/crates/server/src/storage/loop_inputs.rs
+++ b/crates/server/src/storage/loop_inputs.rs
@@ -7,8 +7,8 @@
 
 use crate::signals::ProcessSignal;
 
+use super::bootstrap::BootstrapStep;
 use super::engine_exchanges::ExchangeId;
-use super::registration::InitialMembers;
 use super::work_times::WorkKind;
 
 /// An input of the main loop.
@@ -17,7 +17,7 @@
     Message(ReceivedMessage),
     Part(ExchangeId, ResponsePart),
     Update(StoreUpdate),
-    InitialMembers(InitialMembers),
+    Bootstrap(BootstrapStep),
 }
 
 impl Input {
@@ -27,7 +27,7 @@
             Self::Part(..) => WorkKind::EngineAnswers,
             Self::Message(_) => WorkKind::Messages,
             Self::Update(_) => WorkKind::StoreNews,
-            Self::Signal(_) | Self::InitialMembers(_) => WorkKind::Housekeeping,
+            Self::Signal(_) | Self::Bootstrap(_) => WorkKind::Housekeeping,
         }
     }
 }
@@ -38,7 +38,7 @@
     pub messages: UnboundedReceiver<ReceivedMessage>,
     pub parts: UnboundedReceiver<(ExchangeId, ResponsePart)>,
     pub updates: UnboundedReceiver<StoreUpdate>,
-    pub initial_members: UnboundedReceiver<InitialMembers>,
+    pub bootstrap_steps: UnboundedReceiver<BootstrapStep>,
     /// Whether parts are polled before messages next; alternates so that neither starves.
     pub polls_parts_first: bool,
 }
--- a/crates/server/src/storage/mod.rs
+++ b/crates/server/src/storage/mod.rs
@@ -13,6 +13,7 @@
 //! The main task handles inputs in batches and persists the log once per batch.
 
 mod applied_commands;
+pub(crate) mod bootstrap;
 mod configuration_log;
 mod crash_file;
 mod crashes;
@@ -20,6 +21,7 @@
 mod end_requests;
 mod engine_exchanges;
 mod housekeeping;
+mod identified_machines;
 mod job_calls;
 mod job_memory;
 mod leader_session;
@@ -37,6 +39,7 @@
 mod retirement;
 mod reward_calls;
 mod startup;
+mod stopping;
 mod store_updates;
 mod tick_interval;
 mod traffic;
--- a/crates/server/src/storage/process.rs
+++ b/crates/server/src/storage/process.rs
@@ -24,18 +24,20 @@
 use crate::gateway_process::socket_error;
 use crate::metrics::{serve_metrics, Metrics};
 use crate::pause_detector::PauseDetector;
-use crate::settings::{ServerRole, ServerSettings};
-use crate::signals::{process_signals, ProcessSignal};
+use crate::settings::ServerSettings;
+use crate::signals::process_signals;
 use crate::store_client::StoreClient;
 use crate::unreadable_entries::UnreadableEntries;
 use crate::watcher::{ObjectCount, WatchFlag};
 use crate::ServerError;
 
 use super::applied_commands::AppliedCommands;
+use super::bootstrap::GroupBootstrap;
 use super::configuration_log::ConfigurationFreshness;
 use super::crashes::CrashSharing;
 use super::end_request_file::EndRequestFile;
 use super::engine_exchanges::{EngineExchange, ExchangeId};
+use super::identified_machines::IdentifiedMachines;
 use super::job_calls::PendingCalls;
 use super::job_memory::JobReservations;
 use super::leader_session::LeaderSession;
@@ -55,8 +57,6 @@
 const MAX_BATCH: usize = 256;
 /// Maximum time spent on a batch. Heartbeats, sent every 45 ms, wait for the batch to end.
 const MAX_BATCH_TIME: Span = Span::from_millis(20);
-/// Part of the shutdown grace period reserved for process exit.
-const GRACE_MARGIN_MS: u64 = 600;
 /// How often the actual and the desired group members are compared.
 const MEMBERSHIP_INTERVAL: Span = Span::from_millis(20);
 
@@ -75,7 +75,7 @@
             message = inputs.messages.next() => message.map(Input::Message),
             part = inputs.parts.next() => part.map(|(id, part)| Input::Part(id, part)),
             update = inputs.updates.next() => update.map(Input::Update),
-            initial = inputs.initial_members.next() => initial.map(Input::InitialMembers),
+            step = inputs.bootstrap_steps.next() => step.map(Input::Bootstrap),
             _ = tick => None,
         };
         let began = steady_now();
@@ -124,6 +124,7 @@
     pub dispatcher: Dispatcher,
     pub coordinator: Option<VersionCoordinator>,
     pub membership_planner: MembershipPlanner,
+    pub identified_machines: IdentifiedMachines,
     pub configuration: Configuration,
     pub configuration_freshness: ConfigurationFreshness,
     pub directory: EngineDirectory,
@@ -225,17 +226,19 @@
         metrics.set_build(build);
         let store = StoreClient::new(&settings.store_address, codec.clone(), metrics.clone());
         let (updates, update_inputs) = unbounded();
-        let (initial_members, initial_members_inputs) = unbounded();
+        let (bootstrap_steps, bootstrap_inputs) = unbounded();
+        let identified_machines = IdentifiedMachines::default();
         let member = own_member(&settings, id);
         monoio::spawn(super::registration::register(store.clone(), member.clone()));
         if replica.members().is_empty() {
-            let voters = voters_to_tolerate(settings.tolerated_losses);
-            monoio::spawn(super::registration::bootstrap_group(
-                store.clone(),
-                member,
-                voters,
-                initial_members,
-            ));
+            let bootstrap = GroupBootstrap {
+                store: store.clone(),
+                own: member,
+                voters: voters_to_tolerate(settings.tolerated_losses),
+                identified: identified_machines.clone(),
+                steps: bootstrap_steps,
+            };
+            monoio::spawn(bootstrap.run());
         }
         serve_metrics(&settings.metrics_address, &metrics, &codec)?;
         let (parts, part_inputs) = unbounded();
@@ -269,6 +272,7 @@
             observations,
             coordinator: None,
             membership_planner: MembershipPlanner::new(voters).with_catch_up_time(catch_up_time),
+            identified_machines,
             configuration: Configuration::default(),
             configuration_freshness: ConfigurationFreshness::default(),
             directory,
@@ -316,7 +320,7 @@
             messages: message_inputs,
             parts: part_inputs,
             updates: update_inputs,
-            initial_members: initial_members_inputs,
+            bootstrap_steps: bootstrap_inputs,
             polls_parts_first: false,
         };
         Ok((process, inputs))
@@ -332,23 +336,7 @@
             Input::Message(bytes) => self.on_message(&bytes),
             Input::Part(id, part) => self.on_part(id, part),
             Input::Update(update) => self.on_update(update),
-            Input::InitialMembers(initial) => self.on_initial_members(initial),
-        }
-    }
-
-    fn on_signal(&mut self, signal: ProcessSignal) {
-        match signal {
-            ProcessSignal::Stop if self.stop_requested_at.is_none() => {
-                let now = steady_now();
-                self.stop_requested_at = Some(now);
-                let handed_over = self.replica.transfer_leadership(now, None);
-                log::info!("step=stop handover={handed_over}");
-            }
-            ProcessSignal::Reload => {
-                self.settings.reload(ServerRole::Storage);
-                self.store.set_address(&self.settings.store_address);
-            }
-            ProcessSignal::Stop => {}
+            Input::Bootstrap(step) => self.on_bootstrap_step(step),
         }
     }
 
@@ -395,14 +383,4 @@
         self.record_work(WorkKind::Housekeeping);
         Ok(())
     }
-
-    fn may_exit(&self) -> bool {
-        let Some(since) = self.stop_requested_at else {
-            return false;
-        };
-        let age = steady_now().since(since).as_millis();
-        let limit = self.settings.grace_ms.saturating_sub(GRACE_MARGIN_MS);
-        let handed_over = self.replica.role() != Role::Leader && age >= 100;
-        handed_over || age >= limit.min(2_000)
-    }
 }
--- a/crates/server/src/storage/replication.rs
+++ b/crates/server/src/storage/replication.rs
@@ -73,6 +73,9 @@
         if let Some(member) = wrong_replica.member {
             let (name, replica) = (member.name.clone(), ReplicaId(member.replica));
             let members = self.replica.members();
+            if members.is_empty() {
+                self.identified_machines.record(&member);
+            }
             if self
                 .membership_planner
                 .record_self_report(now, member, &members)
