Forwarding: refused connections count as wrong addresses, not as connections that time out

Cause: a refused connection had the bound of connections that are not established in time. These cost the caller time, and a gateway that has many may have a worse view than another; a refused one costs a round trip and says that nobody is at the address of this entry.

Evidence, crates/gateway, wrong_entries: 4 of 12 failed before (request_goes_on_to_the_engine_that_is_there, request_ends_after_sixteen_engines_that_are_not_there and other_entries_at_the_same_address_come_last, with Nobody), all pass. Time-outs still end a request after six: connect_timeouts_end_a_request_after_six.

Both answers now share one bound, 16, and entries at an address that was found wrong are tried last by the request.

--- a/crates/forward/src/dispatch.rs
+++ b/crates/forward/src/dispatch.rs
@@ -12,10 +12,10 @@
 
 /// Maximum number of refusals per request by the expected engines.
 const MAX_REFUSALS: u32 = 4;
-/// Maximum number of refusals per request by another engine than the expected one. Each shows that
-/// an entry of the list is wrong, not that the service is loaded.
-const MAX_MISDIRECTIONS: usize = 16;
-/// Maximum number of failed connections per request. After that the caller is refused, since
+/// Maximum number of addresses per request at which the expected engine was not. Each shows at once
+/// that an entry of the list is wrong, not that the service is loaded.
+const MAX_WRONG_ADDRESSES: usize = 16;
+/// Maximum number of connections per request that were not established in time. After that the caller is refused, since
 /// another gateway may have a better view of the service.
 const MAX_CONNECT_FAILURES: u32 = 6;
 
@@ -67,7 +67,7 @@
         let forward = self.calls.get(&call)?;
         let is_exhausted = forward.attempts >= forward.max_attempts
             || forward.refusals >= MAX_REFUSALS
-            || forward.misdirected_to.len() >= MAX_MISDIRECTIONS
+            || forward.wrong_addresses.len() >= MAX_WRONG_ADDRESSES
             || forward.connect_failures >= MAX_CONNECT_FAILURES;
         if is_exhausted {
             return None;
--- a/crates/forward/src/forwarded_request.rs
+++ b/crates/forward/src/forwarded_request.rs
@@ -27,8 +27,10 @@
     pub attempts: u32,
     /// Refusals by engines, without those of misdirected requests.
     pub refusals: u32,
-    /// Addresses at which another engine than the expected one refused the request.
-    pub misdirected_to: Vec<String>,
+    /// Addresses at which the expected engine was not: another one refused the request, or the
+    /// connection.
+    pub wrong_addresses: Vec<String>,
+    /// Connections that were not established in time.
     pub connect_failures: u32,
     /// Result of the latest admission decision, if it was rejected.
     pub rejection: Option<Rejection>,
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -181,7 +181,7 @@
             configuration_version,
             attempts: 0,
             refusals: 0,
-            misdirected_to: Vec::new(),
+            wrong_addresses: Vec::new(),
             connect_failures: 0,
             rejection: None,
             denial_logged: false,
--- a/crates/forward/src/refusals.rs
+++ b/crates/forward/src/refusals.rs
@@ -131,14 +131,14 @@
     let available_in = rejection.map(|rejection| rejection.available_in.as_millis());
     log::info!(
         "decision=refuse request={} fingerprint={} service={} refusal={refusal:?} attempts={} \
-         refusals={} misdirected={} unconnected={} held_back={} reason={reason:?} room_in_ms={available_in:?} \
+         refusals={} not_there={} unconnected={} held_back={} reason={reason:?} room_in_ms={available_in:?} \
          come_back_ms={:?} left_ms={} list_age_ms={} held_us={}",
         forward.request.id,
         forward.fingerprint,
         forward.service,
         forward.tried.len(),
         forward.refusals,
-        forward.misdirected_to.len(),
+        forward.wrong_addresses.len(),
         forward.connect_failures,
         forward.quarantine_blocked,
         retry_after.map(Duration::as_millis),
--- a/crates/forward/src/responses.rs
+++ b/crates/forward/src/responses.rs
@@ -166,7 +166,7 @@
         if answer_head.is_refusal() {
             forward.attempts -= 1;
             match answer_head.is_misdirected() {
-                true => forward.misdirected_to.push(attempt.address),
+                true => forward.wrong_addresses.push(attempt.address),
                 false => forward.refusals += 1,
             }
             log::info!(
@@ -326,7 +326,10 @@
         }
         if unsent {
             forward.attempts -= 1;
-            forward.connect_failures += 1;
+            match failure.step {
+                HttpStep::Refused => forward.wrong_addresses.push(attempt.address.clone()),
+                _ => forward.connect_failures += 1,
+            }
             self.counts.unconnected += 1;
         } else {
             forward.may_have_run = true;
--- a/crates/forward/src/selection.rs
+++ b/crates/forward/src/selection.rs
@@ -119,12 +119,12 @@
         let last_response = state.stats.last_response;
         let has_recent_contact =
             last_response > Time(0) && self.now.since(last_response) <= MAX_CONTACT_AGE;
-        let misdirected_to = &self.forward.misdirected_to;
+        let wrong_addresses = &self.forward.wrong_addresses;
         if has_recent_contact {
             Doubt::None
-        } else if misdirected_to.contains(&state.record.address) {
-            Doubt::OtherEngine
-        } else if self.forward.connect_failures > 0 || !misdirected_to.is_empty() {
+        } else if wrong_addresses.contains(&state.record.address) {
+            Doubt::WrongAddress
+        } else if self.forward.connect_failures > 0 || !wrong_addresses.is_empty() {
             Doubt::NoRecentContact
         } else {
             Doubt::None
@@ -169,8 +169,9 @@
     None,
     /// It has not responded of late, and another engine of the service could not be reached.
     NoRecentContact,
-    /// Another engine than the expected one responded at its address.
-    OtherEngine,
+    /// It has not responded of late, and the address was found to be that of nobody or of another
+    /// engine.
+    WrongAddress,
 }
 
 /// Sort key of a candidate; the lowest is selected.
--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -3,7 +3,6 @@
 
 mod harness;
 mod memory;
-mod misdirected;
 mod quarantine;
 mod restarts;
 mod shared_observations;
@@ -11,6 +10,7 @@
 mod tenants;
 mod unavailable_engines;
 mod unproven_refusals;
+mod wrong_entries;
 
 use harness::Harness;
 use peatgrade_forward::CallId;
--- a/crates/gateway/tests/misdirected/mod.rs
+++ b/crates/gateway/tests/wrong_entries/mod.rs
@@ -1,15 +1,28 @@
-//! Requests while entries of other writers name engines that are not at their addresses: each
-//! entry costs a refusal, and no request fails by them while an engine is there.
+//! Requests while entries of other writers name engines that are not at their addresses: no request
+//! fails by them while an engine is there.
 
 use crate::harness::Harness;
 use peatgrade_ports::{EngineRecord, Instance, RouteKind};
+use peatgrade_types::http::HttpStep;
 use rstest::rstest;
 
 /// Address of the engine `e0`, at which other entries stand too.
 const SHARED_ADDRESS: &str = "10.0.0.0:1";
 
-fn respond_misdirected(harness: &mut Harness, index: usize) {
-    harness.respond(index, 421, &["id", "not-run"], "");
+/// What a request meets at the address of an engine that is not there.
+#[derive(Clone, Copy, Debug)]
+enum Met {
+    /// Another engine, which refuses the request.
+    OtherEngine,
+    /// Nobody: the connection is refused.
+    Nobody,
+}
+
+fn miss(harness: &mut Harness, index: usize, met: Met) {
+    match met {
+        Met::OtherEngine => harness.respond(index, 421, &["id", "not-run"], ""),
+        Met::Nobody => harness.fail(index, HttpStep::Refused),
+    }
 }
 
 /// Adds entries at the address of `e0`.
@@ -34,25 +47,41 @@
 }
 
 #[rstest]
-fn misdirected_requests_go_on_to_the_engine_that_is_there(
+fn request_goes_on_to_the_engine_that_is_there(
     #[values(RouteKind::Safe, RouteKind::Unsafe)] kind: RouteKind,
+    #[values(Met::OtherEngine, Met::Nobody)] met: Met,
 ) {
     let mut harness = Harness::new(kind, 9);
+    harness.accepts_connections = false;
     harness.call();
-    (0..8).for_each(|index| respond_misdirected(&mut harness, index));
+    (0..8).for_each(|index| miss(&mut harness, index, met));
     harness.respond(8, 200, &["id", "signed"], "body");
     assert_eq!(harness.status(), Some(200));
 }
 
 /// Guards against a request that is sent to each entry of a long list that names no engine.
-#[test]
-fn misdirected_requests_end_after_sixteen_refusals() {
+#[rstest]
+fn request_ends_after_sixteen_engines_that_are_not_there(
+    #[values(Met::OtherEngine, Met::Nobody)] met: Met,
+) {
     let mut harness = Harness::new(RouteKind::Safe, 40);
+    harness.accepts_connections = false;
     harness.call();
-    (0..16).for_each(|index| respond_misdirected(&mut harness, index));
+    (0..16).for_each(|index| miss(&mut harness, index, met));
     assert_eq!((harness.status(), harness.requests.len()), (Some(503), 16));
 }
 
+/// A connection that is not established takes a part of the caller's time, unlike one that is
+/// refused.
+#[test]
+fn connect_timeouts_end_a_request_after_six() {
+    let mut harness = Harness::new(RouteKind::Safe, 9);
+    harness.accepts_connections = false;
+    harness.call();
+    (0..6).for_each(|_| harness.wait_for_connect_timeout());
+    assert_eq!((harness.status(), harness.requests.len()), (Some(503), 6));
+}
+
 #[test]
 fn refusals_by_full_engines_end_a_request_after_four() {
     let mut harness = Harness::new(RouteKind::Safe, 9);
@@ -61,29 +90,33 @@
     assert_eq!((harness.status(), harness.requests.len()), (Some(503), 4));
 }
 
-#[test]
-fn address_of_a_misdirected_request_comes_last() {
+#[rstest]
+fn other_entries_at_the_same_address_come_last(#[values(Met::OtherEngine, Met::Nobody)] met: Met) {
     for seed in 0..50 {
         let mut harness = Harness::with_seed(RouteKind::Safe, 3, seed);
+        harness.accepts_connections = false;
         add_entries(&mut harness, 40);
         harness.call();
         if address(&harness, 0) == SHARED_ADDRESS {
-            respond_misdirected(&mut harness, 0);
+            miss(&mut harness, 0, met);
             assert_ne!(address(&harness, 1), SHARED_ADDRESS, "seed {seed}");
         }
     }
 }
 
-#[test]
-fn engine_that_answered_is_preferred_after_a_misdirected_request() {
+#[rstest]
+fn engine_that_answered_is_preferred_after_one_that_is_not_there(
+    #[values(Met::OtherEngine, Met::Nobody)] met: Met,
+) {
     for seed in 0..50 {
         let mut harness = Harness::with_seed(RouteKind::Safe, 1, seed);
         harness.call();
         harness.respond(0, 200, &["id", "signed"], "body");
+        harness.accepts_connections = false;
         add_entries(&mut harness, 40);
         harness.next_call();
         if harness.requests[1].engine != "e0" {
-            respond_misdirected(&mut harness, 1);
+            miss(&mut harness, 1, met);
             assert_eq!(harness.requests[2].engine, "e0", "seed {seed}");
         }
     }
