Listing: a position that the list left is no page start

Found on reading the change again: a page that came after a deleted name and brought nothing new, since the list started anew, was recorded as a page start, and the deletion among the changes made the list start again without need.

--- a/crates/forward/src/dispatch.rs
+++ b/crates/forward/src/dispatch.rs
@@ -15,8 +15,8 @@
 /// Maximum number of addresses per request at which the expected engine was not. Each shows at once
 /// that an entry of the list is wrong, not that the service is loaded.
 const MAX_WRONG_ADDRESSES: usize = 16;
-/// Maximum number of connections per request that were not established in time. After that the caller is refused, since
-/// another gateway may have a better view of the service.
+/// Maximum number of connections per request that were not established in time. After that the
+/// caller is refused, since another gateway may have a better view of the service.
 const MAX_CONNECT_FAILURES: u32 = 6;
 
 impl Forwarder {
--- a/crates/server/src/listing.rs
+++ b/crates/server/src/listing.rs
@@ -139,10 +139,11 @@
                         revision,
                     });
                     let has_more = page.more;
-                    if let Some(cursor) = self.position.cursor() {
-                        self.page_starts.record(cursor);
-                    }
+                    let page_start = self.position.cursor().cloned();
                     let advances = self.add_page(store.metrics(), page);
+                    if let Some(cursor) = page_start.filter(|_| advances || !has_more) {
+                        self.page_starts.record(&cursor);
+                    }
                     if !has_more {
                         match self.end_after_last_page(store, revision).await? {
                             Some(list) => return Ok(list),
--- a/crates/server/src/listing/page_starts.rs
+++ b/crates/server/src/listing/page_starts.rs
@@ -28,7 +28,7 @@
 }
 
 impl PageStarts {
-    /// Records that a page after `cursor` has been received.
+    /// Records that the list went on with a page after `cursor`.
     pub fn record(&mut self, cursor: &ListCursor) {
         self.names.insert(hash_bytes(&cursor.0));
     }
