--- a/crates/server/src/storage/bootstrap.rs
+++ b/crates/server/src/storage/bootstrap.rs
@@ -209,7 +209,10 @@
         let unknown = machines
             .iter()
             .filter(|machine| !self.is_identified(machine));
-        let unknown: Vec<Member> = unknown.take(MAX_ASKED).cloned().collect();
+        let mut unknown: Vec<Member> = unknown.cloned().collect();
+        // Those that were not asked yet come first, so that each has its turn.
+        unknown.sort_by_key(|machine| asked.get(&machine.replica).copied());
+        unknown.truncate(MAX_ASKED);
         let now = steady_now();
         for machine in &unknown {
             asked.entry(machine.replica).or_insert(now);
